--- /dev/null
+++ b/include/base/request_spec.h
@@ -0,0 +1,39 @@
+#ifndef INCLUDE_BASE_REQUEST_SPEC_H_
+#define INCLUDE_BASE_REQUEST_SPEC_H_
+
+#include <cstdint>
+#include <vector>
+
+#include "include/base/ids.h"
+#include "include/base/tier.h"
+#include "include/base/units.h"
+
+namespace papaya {
+
+// All that decisions need to know of a request; its bytes stay with the
+// connection that brought it.
+struct RequestSpec {
+  RequestId id;
+  AccountId account;
+  RouteId route;
+  PoolId pool;
+  Tier tier = Tier::kStandard;
+  // Zero for requests to plain services.
+  Tokens prompt_tokens;
+  // The caller's own limit; zero if it set none.
+  Tokens max_output_tokens;
+  // Chained hashes of the prompt's blocks, first block first; the n-th stands
+  // for all of the prompt up to the end of block n.
+  std::vector<uint64_t> prefix_hashes;
+  // Decides which version's share the request falls in. All routers agree.
+  uint64_t share_hash = 0;
+  TimePoint arrival;
+  // Work not begun by then is of no use to the caller.
+  TimePoint deadline;
+  // False if it must not run twice.
+  bool idempotent = true;
+};
+
+}  // namespace papaya
+
+#endif  // INCLUDE_BASE_REQUEST_SPEC_H_
--- /dev/null
+++ b/include/base/units.h
@@ -0,0 +1,44 @@
+#ifndef INCLUDE_BASE_UNITS_H_
+#define INCLUDE_BASE_UNITS_H_
+
+#include <chrono>
+#include <cstdint>
+
+#include "include/base/strong_number.h"
+
+namespace papaya {
+
+// The time scale of the decision core. No core reads it: the daemon passes
+// std::chrono::steady_clock, tests and benches pass virtual time.
+struct MonotonicClock {
+  using rep = int64_t;
+  using period = std::nano;
+  using duration = std::chrono::nanoseconds;
+  using time_point = std::chrono::time_point<MonotonicClock>;
+  static constexpr bool is_steady = true;
+};
+
+using Duration = MonotonicClock::duration;
+using TimePoint = MonotonicClock::time_point;
+
+// Wall-clock time, for what people and other machines read.
+using WallTime = std::chrono::sys_time<std::chrono::milliseconds>;
+
+// `seconds` as a Duration.
+constexpr Duration SecondsToDuration(double seconds) {
+  return Duration(static_cast<int64_t>(seconds * 1e9));
+}
+
+// `duration` in seconds.
+constexpr double ToSeconds(Duration duration) {
+  return static_cast<double>(duration.count()) * 1e-9;
+}
+
+using Tokens = StrongNumber<struct TokensTag, int64_t>;
+using Bytes = StrongNumber<struct BytesTag, int64_t>;
+// Thousandths of a whole.
+using Permille = StrongNumber<struct PermilleTag, int32_t>;
+
+}  // namespace papaya
+
+#endif  // INCLUDE_BASE_UNITS_H_
--- /dev/null
+++ b/include/telemetry/event_catalog.h
@@ -0,0 +1,66 @@
+#ifndef INCLUDE_TELEMETRY_EVENT_CATALOG_H_
+#define INCLUDE_TELEMETRY_EVENT_CATALOG_H_
+
+#include <cstdint>
+#include <vector>
+
+namespace papaya {
+
+// The number of a log event. Numbers are never used again for another event.
+// Blocks: 1000 daemon, 2000 wire, 3000 settings and store, 4000 membership and
+// configuration, 5000 routing and admission, 6000 at-most-once, 7000 release
+// notes, 8000 stand-ins and tools.
+enum class EventId : uint16_t {
+  // Daemon.
+  kRouterStarting = 1001,
+  kRouterReady = 1002,
+  kRouterDraining = 1003,
+  kRouterStopped = 1004,
+
+  // Wire.
+  kListening = 2001,
+
+  // Settings and store.
+  kSettingsRefused = 3001,
+
+  // Membership and configuration.
+  kRevisionInForce = 4001,
+
+  // Routing and admission.
+  kStragglerSetAside = 5001,
+
+  // At-most-once.
+  kClaimDoubtful = 6001,
+
+  // Release notes.
+  kNoteStateChanged = 7001,
+
+  // Stand-ins and tools.
+  kStandinStarted = 8001,
+};
+
+enum class Severity : uint8_t { kDebug, kInfo, kWarning, kError };
+
+// `debug`, `info`, `warning` or `error`.
+const char* SeverityName(Severity severity);
+
+// What docs/EVENTS.md says of an event.
+struct EventInfo {
+  EventId id;
+  Severity severity;
+  // Short name in the log line, as `router_ready`.
+  const char* name;
+  // One sentence: what happened, and what an operator does about it if
+  // anything.
+  const char* meaning;
+};
+
+// All events, by number.
+const std::vector<EventInfo>& EventCatalog();
+
+// The entry of `id`, which must be in the catalogue.
+const EventInfo& GetEventInfo(EventId id);
+
+}  // namespace papaya
+
+#endif  // INCLUDE_TELEMETRY_EVENT_CATALOG_H_
--- /dev/null
+++ b/tools/check_style.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# Checks format, lint and module layering. Usage: tools/check_style.sh [BUILD_DIR]
+# BUILD_DIR holds compile_commands.json (default: build).
+set -euo pipefail
+cd "$(dirname "$0")/.."
+build=${1:-build}
+
+mapfile -t files < <(git ls-files '*.cc' '*.h' | grep -v '_generated\.h$')
+clang-format --dry-run -Werror "${files[@]}"
+tools/check_layers.sh
+
+mapfile -t sources < <(printf '%s\n' "${files[@]}" | grep '\.cc$')
+printf '%s\n' "${sources[@]}" |
+  xargs -P "$(nproc)" -n 2 clang-tidy -p "$build" --quiet 2>/dev/null
--- /dev/null
+++ b/tools/install.sh
@@ -0,0 +1,26 @@
+#!/usr/bin/env bash
+# Installs the Debian packages that the build, the checks and the tests need.
+# Does nothing where they are all there.
+set -euo pipefail
+
+packages=(
+  ccache clang-format clang-tidy cmake g++ git ninja-build
+  libboost1.81-dev libboost-json1.81-dev libboost-log1.81-dev
+  libabsl-dev libflatbuffers-dev flatbuffers-compiler libgflags-dev
+  libssl-dev prometheus-cpp-dev catch2 librapidcheck-dev
+)
+
+missing=()
+for package in "${packages[@]}"; do
+  status=$(dpkg-query -W -f='${Status}' "$package" 2>/dev/null || true)
+  [[ $status == "install ok installed" ]] || missing+=("$package")
+done
+if ((${#missing[@]} == 0)); then
+  exit 0
+fi
+
+run=()
+((EUID == 0)) || run=(sudo)
+"${run[@]}" apt-get update -qq
+"${run[@]}" env DEBIAN_FRONTEND=noninteractive \
+  apt-get install -y -qq --no-install-recommends "${missing[@]}" >/dev/null
--- /dev/null
+++ b/tools/test.sh
@@ -0,0 +1,34 @@
+#!/usr/bin/env bash
+# Installs what is missing, builds, checks format and lint, runs every test,
+# also under the sanitizers. Exits 0 only if all of it passed.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+tools/install.sh
+
+step() {
+  printf '== %s (%s s)\n' "$1" "$SECONDS"
+}
+
+configure_and_build() { # DIR SANITIZERS TARGET...
+  local dir=$1 sanitizers=$2
+  shift 2
+  cmake -S . -B "$dir" -G Ninja -DPAPAYA_SANITIZE="$sanitizers" >/dev/null
+  cmake --build "$dir" --target "$@" -- --quiet
+}
+
+# Property tests draw from a fixed seed unless the caller sets RC_PARAMS.
+export RC_PARAMS="${RC_PARAMS:-seed=20261204}"
+
+step build
+configure_and_build build "" all
+step style
+tools/check_style.sh build
+step tests
+build/papaya_tests
+step 'address and undefined behaviour sanitizers'
+configure_and_build build-asan address,undefined papaya_tests
+build-asan/papaya_tests '~[process]'
+step 'thread sanitizer'
+configure_and_build build-tsan thread papaya_tests
+build-tsan/papaya_tests '[threads]'
+step 'all passed'
