--- a/include/config/fleet_config.h
+++ b/include/config/fleet_config.h
@@ -43,6 +43,9 @@
   PoolId pool;
   VersionId version;
   Permille share;
+  // The release note that is bringing this version in, while its traffic is
+  // being judged; empty once settled, and on the versions it is judged against.
+  NoteId note;
 
   bool operator==(const VersionShare&) const = default;
 };
--- /dev/null
+++ b/include/rollout/version_stats.h
@@ -0,0 +1,132 @@
+#ifndef INCLUDE_ROLLOUT_VERSION_STATS_H_
+#define INCLUDE_ROLLOUT_VERSION_STATS_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include "include/base/ids.h"
+#include "include/base/units.h"
+#include "include/config/fleet_config.h"
+
+namespace papaya {
+
+// Latencies are counted by powers of kLatencyBucketRatio from kLatencyFloor.
+// The last bucket has no upper end.
+inline constexpr size_t kLatencyBuckets = 24;
+inline constexpr double kLatencyBucketRatio = 1.45;
+inline constexpr Duration kLatencyFloor = std::chrono::milliseconds(10);
+
+// The bucket that counts `latency`, below kLatencyBuckets.
+size_t LatencyBucket(Duration latency);
+
+// The time of a reply that is compared between versions. Output lengths differ
+// a hundredfold, so a stream counts its first token and a fixed number of
+// tokens at its own pace; other replies count whole, with `tokens` zero.
+Duration ComparableLatency(Duration first_token, Duration whole, Tokens tokens);
+
+// What a row counts. The order is that of the wire.
+struct StatsKey {
+  PoolId pool;
+  VersionId version;
+  RouteId route;
+  // Empty for the upstreams that are not counted one by one.
+  UpstreamId upstream;
+
+  auto operator<=>(const StatsKey&) const = default;
+};
+
+// Counts since the router started; never smaller than before.
+struct StatsCounts {
+  uint32_t requests = 0;
+  uint32_t failures = 0;
+  // Of requests that did not fail.
+  std::array<uint32_t, kLatencyBuckets> latency{};
+
+  bool operator==(const StatsCounts&) const = default;
+};
+
+struct StatsRow {
+  StatsKey key;
+  StatsCounts counts;
+
+  bool operator==(const StatsRow&) const = default;
+};
+
+// What one router tells the others of pools with a note in progress. Carries
+// whole counts, so doubles, loss and reordering are harmless.
+struct StatsReport {
+  RouterId router;
+  Incarnation incarnation;
+  // Grows with each report of that incarnation.
+  uint64_t sequence = 0;
+  std::vector<StatsRow> rows;
+
+  bool operator==(const StatsReport&) const = default;
+};
+
+// Bytes that `report` takes on the wire, near enough for budgets: rows name
+// their strings by index, counts are variable-length and zeros left out.
+size_t EstimateReportBytes(const StatsReport& report);
+
+// What one router counts by itself, for pools with a note in progress only.
+class VersionStats {
+ public:
+  // Rows that name their upstream, for each version of a pool; the rest of its
+  // upstreams is counted together. Which ones are named depends on their ids
+  // alone, so all routers name the same.
+  static constexpr size_t kNamedUpstreams = 12;
+  // Rows in all; requests beyond them are not counted.
+  static constexpr size_t kMaxRows = 512;
+
+  VersionStats(const RouterId& router, Incarnation incarnation);
+
+  // Keeps rows of pools that have a note in progress in `config`, drops others.
+  void OnConfig(const FleetConfig& config);
+
+  // True if requests to `pool` are counted now.
+  bool IsCounting(const PoolId& pool) const;
+
+  // Counts the end of a request that was dispatched to `upstream` as `version`.
+  // `failed` if the upstream was at fault; `latency` is ComparableLatency.
+  void OnReply(const PoolId& pool,
+               const VersionId& version,
+               const RouteId& route,
+               const UpstreamId& upstream,
+               bool failed,
+               Duration latency);
+
+  // All rows; a router sends it at the interval of ReportInterval. Empty rows
+  // need not be sent.
+  StatsReport MakeReport();
+
+  // How often each router may report so that a receiver stays within
+  // `bytes_per_second` when `routers` report `report_bytes` each; at least 1 s.
+  static Duration ReportInterval(size_t routers,
+                                 size_t report_bytes,
+                                 double bytes_per_second);
+
+ private:
+  struct Pool {
+    // Upstreams with rows of their own.
+    std::vector<UpstreamId> named;
+  };
+
+  const RouterId router_;
+  const Incarnation incarnation_;
+  uint64_t sequence_ = 0;
+  std::map<PoolId, Pool> pools_;
+  std::map<StatsKey, StatsCounts> rows_;
+};
+
+// The routers that judge a pool for all: those with the highest rendezvous
+// weight for it. All routers when there are few, so that each can judge alone.
+inline constexpr size_t kJudgesPerPool = 7;
+std::vector<RouterId> JudgesOf(const PoolId& pool,
+                               const std::vector<RouterId>& routers);
+
+}  // namespace papaya
+
+#endif  // INCLUDE_ROLLOUT_VERSION_STATS_H_
