--- /dev/null
+++ b/include/once/stored_answer.h
@@ -0,0 +1,20 @@
+#ifndef INCLUDE_ONCE_STORED_ANSWER_H_
+#define INCLUDE_ONCE_STORED_ANSWER_H_
+
+#include <string>
+
+namespace papaya {
+
+// What an upstream answered, kept to be given again to a caller that retries.
+struct StoredAnswer {
+  // HTTP status; 0 if the answer itself is not kept.
+  int status = 0;
+  std::string content_type;
+  std::string body;
+
+  bool operator==(const StoredAnswer&) const = default;
+};
+
+}  // namespace papaya
+
+#endif  // INCLUDE_ONCE_STORED_ANSWER_H_
