--- a/include/settings/router_settings.h
+++ b/include/settings/router_settings.h
@@ -26,6 +26,7 @@
 // in file order, that its method, path, model and `papaya-route` header match.
 struct RouteSettings {
   RouteId id;
+  // An HTTP method, or `ANY` for all of them.
   std::string method = "POST";
   // Matches the request's path whole, or up to a final `*`.
   std::string path;
@@ -36,9 +37,11 @@
   PoolId pool;
   Tier tier = Tier::kStandard;
   bool idempotent = true;
-  // Time from arrival by which work must have begun.
+  // Time from arrival by which work must have begun; 30 s if not set, which
+  // only idempotent routes may leave out.
   Duration deadline{};
-  // Time that one attempt may take in all, from dispatch to the last byte.
+  // Time that one attempt may take in all, from dispatch to the last byte; 60 s
+  // if not set.
   Duration attempt_timeout{};
 };
 
