--- /dev/null
+++ b/include/routing/upstream_speed.h
@@ -0,0 +1,43 @@
+#ifndef INCLUDE_ROUTING_UPSTREAM_SPEED_H_
+#define INCLUDE_ROUTING_UPSTREAM_SPEED_H_
+
+#include "include/base/units.h"
+
+namespace papaya {
+
+// A mean of observed seconds per token that forgets with time.
+class SpeedMean {
+ public:
+  // Adds the mean of `tokens` tokens that took `seconds_per_token` each.
+  void Add(double seconds_per_token, double tokens, TimePoint now);
+
+  // The mean, drawn towards `prior` while few tokens were seen lately.
+  double Get(double prior) const;
+
+  // True if enough was seen lately to judge by.
+  bool IsKnown(TimePoint now) const;
+
+  // The mean alone; 0 if nothing was ever seen.
+  double value() const { return value_; }
+
+  void Clear() { *this = SpeedMean(); }
+
+ private:
+  double value_ = 0.0;
+  double weight_ = 0.0;
+  TimePoint last_;
+};
+
+// How fast one upstream, or the upstreams of one kind, were seen to work.
+struct UpstreamSpeed {
+  SpeedMean prefill;
+  SpeedMean decode;
+};
+
+// Seconds per token assumed before anything was seen.
+inline constexpr double kFirstPrefillSeconds = 2e-4;
+inline constexpr double kFirstDecodeSeconds = 0.03;
+
+}  // namespace papaya
+
+#endif  // INCLUDE_ROUTING_UPSTREAM_SPEED_H_
--- a/include/telemetry/event_catalog.h
+++ b/include/telemetry/event_catalog.h
@@ -28,6 +28,7 @@
 
   // Routing and admission.
   kStragglerSetAside = 5001,
+  kStragglerRecovered = 5002,
 
   // At-most-once.
   kClaimDoubtful = 6001,
--- /dev/null
+++ b/src/admission/group_state.h
@@ -0,0 +1,97 @@
+#ifndef SRC_ADMISSION_GROUP_STATE_H_
+#define SRC_ADMISSION_GROUP_STATE_H_
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "include/base/tier.h"
+#include "include/base/units.h"
+#include "include/routing/routing_snapshot.h"
+#include "src/admission/fair_queue.h"
+#include "src/admission/request_entry.h"
+
+namespace papaya {
+
+// Orders waiting requests by their deadlines.
+struct EarlierDeadline {
+  bool operator()(const RequestEntry* a, const RequestEntry* b) const {
+    return std::pair(a->spec.deadline, a->spec.id) <
+           std::pair(b->spec.deadline, b->spec.id);
+  }
+};
+
+// The requests that one router has in hand for one version of one pool, and
+// what the others have.
+struct GroupState {
+  PoolVersion name;
+  // The snapshot in force has it, and new work may go there.
+  bool is_usable = false;
+  // Numbers in the UpstreamTable.
+  std::vector<int32_t> upstreams;
+
+  std::array<FairQueue, kTierCount> queues;
+  std::array<std::set<RequestEntry*, EarlierDeadline>, kTierCount> deadlines;
+  std::array<int, kTierCount> running{};
+  // Own attempts that are being preempted.
+  int preempting = 0;
+
+  // By the reports of other routers: what they have in hand, the highest tier
+  // that one of them is short for, and the requests that wait for that.
+  std::array<int, kTierCount> peer_running{};
+  std::array<int, kTierCount> peer_waiting{};
+  std::optional<Tier> peer_short;
+  int peer_short_waiting = 0;
+  // Own share of the slots while others have requests waiting.
+  double allotment = 0.0;
+
+  std::optional<Tier> own_short;
+  // Streams are given up for other routers no oftener than reports come.
+  TimePoint gave_up;
+
+  int Waiting() const {
+    size_t waiting = 0;
+    for (const FairQueue& queue : queues) {
+      waiting += queue.size();
+    }
+    return static_cast<int>(waiting);
+  }
+  int Running() const {
+    int sum = 0;
+    for (int count : running) {
+      sum += count;
+    }
+    return sum;
+  }
+  bool IsContended() const {
+    for (int count : peer_waiting) {
+      if (count > 0) {
+        return true;
+      }
+    }
+    return false;
+  }
+  bool IsIdle() const { return Waiting() == 0 && Running() == 0; }
+
+  void Enqueue(RequestEntry* entry, bool at_front) {
+    const size_t tier = TierIndex(entry->spec.tier);
+    if (at_front) {
+      queues[tier].PushFront(entry);
+    } else {
+      queues[tier].Push(entry);
+    }
+    deadlines[tier].insert(entry);
+  }
+  void Remove(RequestEntry* entry) {
+    const size_t tier = TierIndex(entry->spec.tier);
+    queues[tier].Remove(entry);
+    deadlines[tier].erase(entry);
+  }
+};
+
+}  // namespace papaya
+
+#endif  // SRC_ADMISSION_GROUP_STATE_H_
--- /dev/null
+++ b/src/admission/scheduler_core.cc
@@ -0,0 +1,376 @@
+#include "src/admission/scheduler_core.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace papaya {
+
+namespace {
+
+// Prefixes whose holders are remembered.
+constexpr size_t kPrefixes = 65536;
+// A prompt token's part in the cost of a request, an output token's being 1.
+constexpr double kPromptCost = 0.1;
+// Attempts at one request that may fail.
+constexpr int kMaxAttempts = 4;
+// What a caller is told to wait before it tries again.
+constexpr Duration kRetryAfter = std::chrono::seconds(1);
+
+double Cost(const RequestEntry& entry, Tokens output) {
+  const double prompt = static_cast<double>(entry.spec.prompt_tokens.value());
+  const double tokens = static_cast<double>(output.value());
+  return std::max(1.0, kPromptCost * prompt + tokens);
+}
+
+}  // namespace
+
+SchedulerCore::SchedulerCore(SchedulerOptions options, SchedulerHooks hooks)
+    : options_(std::move(options)),
+      hooks_(std::move(hooks)),
+      peers_(options_.report_lifetime),
+      prefixes_(kPrefixes),
+      chooser_(&upstreams_, &prefixes_) {}
+
+void SchedulerCore::OnSnapshot(std::shared_ptr<const RoutingSnapshot> snapshot,
+                               TimePoint now) {
+  snapshot_ = std::move(snapshot);
+  upstreams_.Apply(*snapshot_);
+  groups_.Apply(*snapshot_, upstreams_);
+  Regroup();
+  ApplyPeers(now);
+  for (size_t i = 0; i < groups_.size(); ++i) {
+    Dispatch(static_cast<int32_t>(i), now);
+  }
+}
+
+void SchedulerCore::Regroup() {
+  std::vector<RequestEntry*> waiting;
+  for (const auto& [id, entry] : entries_) {
+    if (!entry->is_running) {
+      waiting.push_back(entry.get());
+    }
+  }
+  // In order of arrival, so that the outcome does not depend on the table.
+  std::sort(waiting.begin(), waiting.end(),
+            [](const RequestEntry* a, const RequestEntry* b) {
+              return a->spec.id < b->spec.id;
+            });
+  for (RequestEntry* entry : waiting) {
+    const int32_t group = ChooseGroup(entry->spec);
+    if (group == entry->group) {
+      continue;
+    }
+    if (group < 0) {
+      RefuseWaiting(entry, RefusalReason::kNoUpstream);
+      continue;
+    }
+    Unqueue(entry);
+    entry->group = group;
+    Enqueue(entry, /*at_front=*/false);
+  }
+}
+
+int32_t SchedulerCore::ChooseGroup(const RequestSpec& spec) {
+  if (snapshot_ == nullptr) {
+    return -1;
+  }
+  const std::optional<PoolIndex> pool = snapshot_->FindPool(spec.pool);
+  if (!pool.has_value()) {
+    return -1;
+  }
+  const std::optional<GroupIndex> group =
+      snapshot_->ChooseGroup(*pool, spec.share_hash);
+  return group.has_value() ? groups_.Find(snapshot_->group(*group).name) : -1;
+}
+
+int32_t SchedulerCore::AccountNumber(const AccountId& account) {
+  const int32_t next = static_cast<int32_t>(accounts_.size());
+  return accounts_.try_emplace(account, next).first->second;
+}
+
+void SchedulerCore::OnRequest(const RequestSpec& request, TimePoint now) {
+  auto owned = std::make_unique<RequestEntry>();
+  RequestEntry* entry = owned.get();
+  entry->spec = request;
+  entries_[request.id] = std::move(owned);
+  entry->group = ChooseGroup(request);
+  if (entry->group < 0) {
+    Refuse(entry, RefusalReason::kNoUpstream);
+    return;
+  }
+  if (request.deadline <= now) {
+    Refuse(entry, RefusalReason::kDeadline);
+    return;
+  }
+  entry->account = AccountNumber(request.account);
+  auto weight = options_.account_weights.find(request.account);
+  if (weight != options_.account_weights.end()) {
+    entry->account_weight = std::max(weight->second, 1);
+  }
+  entry->expected_output = request.prompt_tokens.value() == 0
+                               ? Tokens()
+                               : lengths_.Expect(request.account, request.route,
+                                                 request.max_output_tokens);
+  entry->cost = Cost(*entry, entry->expected_output);
+  Enqueue(entry, /*at_front=*/false);
+  const int32_t group = entry->group;
+  Dispatch(group, now);
+  if (queued_ > options_.max_queued) {
+    EvictOne(request.tier);
+  }
+}
+
+void SchedulerCore::Enqueue(RequestEntry* entry, bool at_front) {
+  groups_.at(entry->group).Enqueue(entry, at_front);
+  ++queued_;
+}
+
+void SchedulerCore::Unqueue(RequestEntry* entry) {
+  groups_.at(entry->group).Remove(entry);
+  --queued_;
+}
+
+void SchedulerCore::Forget(RequestEntry* entry) {
+  const RequestId id = entry->spec.id;
+  entries_.erase(id);
+}
+
+void SchedulerCore::Refuse(RequestEntry* entry, RefusalReason reason) {
+  const RequestId id = entry->spec.id;
+  Refusal refusal;
+  refusal.reason = reason;
+  refusal.outcome = entry->may_have_run ? Outcome::kUnknown : Outcome::kNotRun;
+  refusal.retry_after = kRetryAfter;
+  Forget(entry);
+  hooks_.refuse(id, refusal);
+}
+
+void SchedulerCore::RefuseWaiting(RequestEntry* entry, RefusalReason reason) {
+  Unqueue(entry);
+  Refuse(entry, reason);
+}
+
+void SchedulerCore::EvictOne(Tier newcomer) {
+  for (size_t tier = kTierCount; tier-- > 0;) {
+    GroupState* longest = nullptr;
+    for (size_t i = 0; i < groups_.size(); ++i) {
+      GroupState& group = groups_.at(static_cast<int32_t>(i));
+      const size_t size = group.queues[tier].size();
+      if (size > 0 &&
+          (longest == nullptr || size > longest->queues[tier].size())) {
+        longest = &group;
+      }
+    }
+    if (longest == nullptr) {
+      continue;
+    }
+    const bool is_lower = tier > TierIndex(newcomer);
+    RefuseWaiting(longest->queues[tier].Last(),
+                  is_lower ? RefusalReason::kShed : RefusalReason::kQueueFull);
+    return;
+  }
+}
+
+void SchedulerCore::ExpireDue(GroupState* group, TimePoint now) {
+  for (auto& deadlines : group->deadlines) {
+    while (!deadlines.empty() && (*deadlines.begin())->spec.deadline <= now) {
+      RefuseWaiting(*deadlines.begin(), RefusalReason::kDeadline);
+    }
+  }
+}
+
+void SchedulerCore::Dispatch(int32_t number, TimePoint now) {
+  if (has_peer_news_) {
+    ApplyPeers(now);
+  }
+  GroupState& group = groups_.at(number);
+  ExpireDue(&group, now);
+  for (Tier tier : kAllTiers) {
+    DispatchTier(&group, tier, now);
+    if (group.queues[TierIndex(tier)].size() > 0) {
+      return;
+    }
+  }
+}
+
+bool SchedulerCore::MayDispatch(const GroupState& group, Tier tier) const {
+  if (!group.is_usable) {
+    return false;
+  }
+  if (tier == Tier::kCritical) {
+    return true;
+  }
+  if (group.peer_short.has_value() && tier > *group.peer_short) {
+    return false;
+  }
+  return !group.IsContended() || group.Running() < group.allotment;
+}
+
+void SchedulerCore::DispatchTier(GroupState* group, Tier tier, TimePoint now) {
+  FairQueue& queue = group->queues[TierIndex(tier)];
+  while (queue.size() > 0 && MayDispatch(*group, tier)) {
+    RequestEntry* entry = queue.Front();
+    const UpstreamChooser::Choice choice =
+        chooser_.Choose(*entry, group->upstreams, now);
+    if (choice.upstream < 0) {
+      return;
+    }
+    queue.Pop();
+    group->deadlines[TierIndex(tier)].erase(entry);
+    --queued_;
+    Begin(entry, choice, now);
+  }
+}
+
+void SchedulerCore::Begin(RequestEntry* entry,
+                          const UpstreamChooser::Choice& choice,
+                          TimePoint now) {
+  entry->is_running = true;
+  entry->is_preempting = false;
+  entry->upstream = choice.upstream;
+  entry->prefill_tokens = choice.prefill_tokens;
+  if (entry->attempts == 0) {
+    retries_.OnFirstAttempt();
+  }
+  ++entry->attempts;
+  upstreams_.Begin(entry, now);
+  UpstreamState& upstream = upstreams_.at(choice.upstream);
+  if (choice.is_probe) {
+    upstream.last_probe = now;
+  }
+  prefixes_.Add(entry->spec.prefix_hashes, choice.upstream);
+  ++groups_.at(entry->group).running[TierIndex(entry->spec.tier)];
+  hooks_.dispatch(entry->spec.id, upstream.id);
+}
+
+RequestEntry* SchedulerCore::FindRunning(RequestId id) {
+  auto found = entries_.find(id);
+  if (found == entries_.end() || !found->second->is_running) {
+    return nullptr;
+  }
+  return found->second.get();
+}
+
+void SchedulerCore::OnFirstToken(RequestId id, TimePoint now) {
+  RequestEntry* entry = FindRunning(id);
+  if (entry != nullptr) {
+    upstreams_.OnFirstToken(entry, now);
+  }
+}
+
+void SchedulerCore::OnTokens(RequestId id, Tokens total, TimePoint now) {
+  RequestEntry* entry = FindRunning(id);
+  if (entry != nullptr) {
+    upstreams_.OnTokens(entry, total, now);
+  }
+}
+
+void SchedulerCore::EndAttempt(RequestEntry* entry) {
+  GroupState& group = groups_.at(entry->group);
+  upstreams_.End(*entry);
+  --group.running[TierIndex(entry->spec.tier)];
+  group.preempting -= entry->is_preempting ? 1 : 0;
+  entry->is_running = false;
+  entry->is_preempting = false;
+}
+
+void SchedulerCore::OnFinished(RequestId id,
+                               const AttemptResult& result,
+                               TimePoint now) {
+  RequestEntry* entry = FindRunning(id);
+  if (entry == nullptr) {
+    return;
+  }
+  const int32_t group = entry->group;
+  EndAttempt(entry);
+  FairQueue& queue = groups_.at(group).queues[TierIndex(entry->spec.tier)];
+  if (result.end != AttemptEnd::kOk) {
+    queue.Charge(entry->account, entry->account_weight, -entry->cost);
+    Retry(entry, result.end, now);
+    Dispatch(group, now);
+    return;
+  }
+  upstreams_.OnAttemptEnd(entry->upstream, /*failed=*/false, now);
+  if (entry->spec.prompt_tokens.value() > 0) {
+    lengths_.Learn(entry->spec.account, entry->spec.route,
+                   result.output_tokens);
+  } else {
+    upstreams_.OnServiceAnswer(*entry, now);
+  }
+  queue.Charge(entry->account, entry->account_weight,
+               Cost(*entry, result.output_tokens) - entry->cost);
+  Forget(entry);
+  Dispatch(group, now);
+}
+
+bool SchedulerCore::MayRetry(const RequestEntry& entry, AttemptEnd end) {
+  switch (end) {
+    case AttemptEnd::kOk:
+      return false;
+    case AttemptEnd::kPreempted:
+    case AttemptEnd::kLeaving:
+      // Our own doing, or once for each upstream that leaves.
+      return true;
+    case AttemptEnd::kNotRun:
+      return entry.attempts < kMaxAttempts && retries_.Spend();
+    case AttemptEnd::kUnknown:
+      return entry.spec.idempotent && entry.attempts < kMaxAttempts &&
+             retries_.Spend();
+  }
+  return false;
+}
+
+void SchedulerCore::Retry(RequestEntry* entry, AttemptEnd end, TimePoint now) {
+  if (end == AttemptEnd::kLeaving) {
+    upstreams_.MarkLeaving(entry->upstream, now);
+  }
+  const bool failed = end == AttemptEnd::kNotRun || end == AttemptEnd::kUnknown;
+  if (failed) {
+    upstreams_.OnAttemptEnd(entry->upstream, /*failed=*/true, now);
+  }
+  if (end == AttemptEnd::kUnknown || end == AttemptEnd::kPreempted) {
+    entry->may_have_run = true;
+  }
+  if (end == AttemptEnd::kPreempted) {
+    // It had begun in time; its caller waits for the rest.
+    entry->spec.deadline =
+        std::max(entry->spec.deadline,
+                 now + (entry->spec.deadline - entry->spec.arrival));
+  }
+  if (!MayRetry(*entry, end)) {
+    Refuse(entry, RefusalReason::kAttemptsFailed);
+    return;
+  }
+  if (entry->spec.deadline <= now) {
+    Refuse(entry, RefusalReason::kDeadline);
+    return;
+  }
+  entry->group = ChooseGroup(entry->spec);
+  if (entry->group < 0) {
+    Refuse(entry, RefusalReason::kNoUpstream);
+    return;
+  }
+  Enqueue(entry, /*at_front=*/true);
+  if (queued_ > options_.max_queued) {
+    EvictOne(entry->spec.tier);
+  }
+}
+
+void SchedulerCore::OnCancelled(RequestId id, TimePoint now) {
+  auto found = entries_.find(id);
+  if (found == entries_.end()) {
+    return;
+  }
+  RequestEntry* entry = found->second.get();
+  const int32_t group = entry->group;
+  if (entry->is_running) {
+    EndAttempt(entry);
+  } else {
+    Unqueue(entry);
+  }
+  Forget(entry);
+  Dispatch(group, now);
+}
+
+}  // namespace papaya
--- /dev/null
+++ b/src/admission/scheduler_core.h
@@ -0,0 +1,110 @@
+#ifndef SRC_ADMISSION_SCHEDULER_CORE_H_
+#define SRC_ADMISSION_SCHEDULER_CORE_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+
+#include "absl/container/flat_hash_map.h"
+#include "include/admission/scheduler.h"
+#include "include/routing/output_length.h"
+#include "include/routing/prefix_index.h"
+#include "src/admission/group_table.h"
+#include "src/admission/peer_table.h"
+#include "src/admission/request_entry.h"
+#include "src/admission/retry_budget.h"
+#include "src/admission/upstream_chooser.h"
+#include "src/admission/upstream_table.h"
+
+namespace papaya {
+
+// What stands behind Scheduler; its methods are those of that class.
+class SchedulerCore {
+ public:
+  SchedulerCore(SchedulerOptions options, SchedulerHooks hooks);
+
+  void OnSnapshot(std::shared_ptr<const RoutingSnapshot> snapshot,
+                  TimePoint now);
+  void OnRequest(const RequestSpec& request, TimePoint now);
+  void OnFirstToken(RequestId id, TimePoint now);
+  void OnTokens(RequestId id, Tokens total, TimePoint now);
+  void OnFinished(RequestId id, const AttemptResult& result, TimePoint now);
+  void OnCancelled(RequestId id, TimePoint now);
+  void OnLoadReport(const UpstreamId& upstream,
+                    const LoadReport& report,
+                    TimePoint now);
+  void OnCacheEvent(const UpstreamId& upstream, const CacheEvent& event);
+  void OnDemandReport(const DemandReport& report, TimePoint now);
+  void OnTick(TimePoint now);
+  SchedulerCounts counts() const {
+    return {queued_, entries_.size() - queued_};
+  }
+
+ private:
+  // The entry of an attempt under way; null if there is none.
+  RequestEntry* FindRunning(RequestId id);
+  int32_t AccountNumber(const AccountId& account);
+
+  // The number of the group that `spec` goes to; -1 if it has none.
+  int32_t ChooseGroup(const RequestSpec& spec);
+
+  void Enqueue(RequestEntry* entry, bool at_front);
+  void Unqueue(RequestEntry* entry);
+  // Ends a request that neither waits nor runs.
+  void Refuse(RequestEntry* entry, RefusalReason reason);
+  // Ends a request that waits.
+  void RefuseWaiting(RequestEntry* entry, RefusalReason reason);
+  void Forget(RequestEntry* entry);
+  // Makes room in the queues, after `newcomer` was put in.
+  void EvictOne(Tier newcomer);
+  void ExpireDue(GroupState* group, TimePoint now);
+  // Puts waiting requests whose group has changed into their new one.
+  void Regroup();
+
+  // Dispatches from the queues of a group what may be dispatched now.
+  void Dispatch(int32_t group, TimePoint now);
+  void DispatchTier(GroupState* group, Tier tier, TimePoint now);
+  bool MayDispatch(const GroupState& group, Tier tier) const;
+  void Begin(RequestEntry* entry,
+             const UpstreamChooser::Choice& choice,
+             TimePoint now);
+  // Takes the attempt of `entry` off all counts.
+  void EndAttempt(RequestEntry* entry);
+  // Decides what follows an attempt that did not answer.
+  void Retry(RequestEntry* entry, AttemptEnd end, TimePoint now);
+  bool MayRetry(const RequestEntry& entry, AttemptEnd end);
+
+  // Gives up streams of lower tiers where the highest one would come late.
+  void RelieveShortage(GroupState* group, TimePoint now);
+  void UpdateShortTier(GroupState* group, TimePoint now);
+  int CountPressing(const GroupState& group, TimePoint now) const;
+  int FreeSlots(const GroupState& group, TimePoint now) const;
+  void PreemptLower(int32_t group, Tier than, int count, TimePoint now);
+
+  void ApplyPeers(TimePoint now);
+  void UpdateStragglers(GroupState* group, TimePoint now);
+  void SendReport(TimePoint now);
+  DemandReport MakeReport();
+
+  SchedulerOptions options_;
+  SchedulerHooks hooks_;
+  std::shared_ptr<const RoutingSnapshot> snapshot_;
+  UpstreamTable upstreams_;
+  GroupTable groups_;
+  PeerTable peers_;
+  OutputLength lengths_;
+  PrefixIndex prefixes_;
+  UpstreamChooser chooser_;
+  RetryBudget retries_;
+  absl::flat_hash_map<AccountId, int32_t> accounts_;
+  absl::flat_hash_map<RequestId, std::unique_ptr<RequestEntry>> entries_;
+  size_t queued_ = 0;
+  bool has_peer_news_ = false;
+  bool has_short_news_ = false;
+  TimePoint last_report_;
+  uint64_t report_sequence_ = 0;
+};
+
+}  // namespace papaya
+
+#endif  // SRC_ADMISSION_SCHEDULER_CORE_H_
--- /dev/null
+++ b/src/admission/upstream_chooser.h
@@ -0,0 +1,66 @@
+#ifndef SRC_ADMISSION_UPSTREAM_CHOOSER_H_
+#define SRC_ADMISSION_UPSTREAM_CHOOSER_H_
+
+#include <cstdint>
+#include <vector>
+
+#include "include/base/units.h"
+#include "include/routing/prefix_index.h"
+#include "src/admission/request_entry.h"
+#include "src/admission/upstream_table.h"
+
+namespace papaya {
+
+// Chooses the upstream of a request: of those with a free slot, the one where
+// it is estimated to finish first.
+class UpstreamChooser {
+ public:
+  // Both must outlive the chooser.
+  UpstreamChooser(const UpstreamTable* upstreams, const PrefixIndex* prefixes)
+      : upstreams_(upstreams), prefixes_(prefixes) {}
+
+  // What was chosen.
+  struct Choice {
+    // -1 if none may take the request now.
+    int32_t upstream = -1;
+    // Prompt tokens that it probably doesn't have cached.
+    double prefill_tokens = 0.0;
+    // It was set aside, and gets the request to see if it has recovered.
+    bool is_probe = false;
+  };
+
+  // One of `numbers`, the upstreams of one group, for `entry`.
+  Choice Choose(const RequestEntry& entry,
+                const std::vector<int32_t>& numbers,
+                TimePoint now) const;
+
+ private:
+  // Prefix matches of one prompt, and what a block is worth.
+  struct Cached {
+    std::array<PrefixIndex::Match, PrefixIndex::kHolders> matches{};
+    size_t count = 0;
+    double tokens_per_block = 0.0;
+
+    double TokensAt(int32_t upstream) const;
+  };
+
+  Cached FindCached(const RequestEntry& entry) const;
+  void Consider(const RequestEntry& entry,
+                const Cached& cached,
+                int32_t number,
+                TimePoint now,
+                double* best,
+                Choice* choice) const;
+
+  // Seconds until `entry` would finish there.
+  double EstimateFinish(const RequestEntry& entry,
+                        const UpstreamState& state,
+                        double prefill_tokens) const;
+
+  const UpstreamTable* upstreams_;
+  const PrefixIndex* prefixes_;
+};
+
+}  // namespace papaya
+
+#endif  // SRC_ADMISSION_UPSTREAM_CHOOSER_H_
--- /dev/null
+++ b/src/admission/upstream_state.h
@@ -0,0 +1,73 @@
+#ifndef SRC_ADMISSION_UPSTREAM_STATE_H_
+#define SRC_ADMISSION_UPSTREAM_STATE_H_
+
+#include <cstdint>
+#include <memory>
+
+#include "include/base/ids.h"
+#include "include/base/units.h"
+#include "include/routing/straggler_detector.h"
+#include "include/routing/upstream_speed.h"
+
+namespace papaya {
+
+// The speed of upstreams of one generation, pool and version.
+struct UpstreamKindSpeed {
+  int32_t number = 0;
+  UpstreamSpeed speed;
+};
+
+// What a Scheduler knows of one upstream.
+struct UpstreamState {
+  UpstreamId id;
+  // The snapshot in force has it.
+  bool is_routed = false;
+  bool is_plain = false;
+  int slots = 1;
+  std::shared_ptr<UpstreamKindSpeed> kind;
+
+  // Own attempts under way, and their prompt tokens still to be worked
+  // through.
+  int running = 0;
+  double prefill = 0.0;
+
+  // The same of other routers, by their latest reports.
+  int peer_running = 0;
+  double peer_prefill = 0.0;
+  // Slots that routers without news are reckoned to fill.
+  double silent_running = 0.0;
+  bool suspected_by_peer = false;
+
+  // This router has seen that it is leaving; then no new work goes there.
+  bool is_leaving = false;
+  TimePoint leaving_since;
+  // Until then it is held to be leaving because another router says so.
+  TimePoint peer_leaving_until;
+
+  // No work goes there until then, after attempts failed.
+  TimePoint closed_until;
+  int failures = 0;
+
+  UpstreamSpeed speed;
+  // Follows speed.decode slowly, while it is not set aside.
+  double usual_decode = 0.0;
+  StragglerState straggler;
+  // When it last got work although it was set aside.
+  TimePoint last_probe;
+
+  // Requests there of all routers, as far as known.
+  double TotalRunning() const {
+    return running + peer_running + silent_running;
+  }
+  bool HasRoom() const { return TotalRunning() < slots; }
+
+  // True if new work may go there, if there is room.
+  bool IsOpen(TimePoint now) const {
+    return is_routed && !is_leaving && now >= peer_leaving_until &&
+           now >= closed_until;
+  }
+};
+
+}  // namespace papaya
+
+#endif  // SRC_ADMISSION_UPSTREAM_STATE_H_
--- /dev/null
+++ b/src/admission/upstream_table.cc
@@ -0,0 +1,278 @@
+#include "src/admission/upstream_table.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace papaya {
+
+namespace {
+
+// A report that an upstream is live must be taken this long after it was seen
+// to leave, to be believed.
+constexpr Duration kLeavingMargin = std::chrono::seconds(1);
+// What a peer said of an upstream that leaves holds for this long.
+constexpr Duration kPeerLeavingTime = std::chrono::seconds(30);
+// The first and the longest pause after failures in a row.
+constexpr Duration kFirstPause = std::chrono::milliseconds(100);
+constexpr int kMaxPauseDoublings = 6;
+// Seconds of a first token's time that no prompt token accounts for.
+constexpr double kFirstTokenOverhead = 0.002;
+// Prompts shorter than this say little about the speed.
+constexpr double kMinPrefillTokens = 64.0;
+// How much of a new speed goes into the usual one.
+constexpr double kUsualStep = 0.01;
+// Of a kind's speed, observations of many upstreams make the mean.
+constexpr double kMaxObservedTokens = 32.0;
+
+}  // namespace
+
+std::shared_ptr<UpstreamKindSpeed> UpstreamTable::KindOf(
+    const UpstreamSpec& spec) {
+  std::shared_ptr<UpstreamKindSpeed>& kind =
+      kinds_[{{spec.pool, spec.version}, spec.generation}];
+  if (kind == nullptr) {
+    kind = std::make_shared<UpstreamKindSpeed>();
+    kind->number = next_kind_++;
+  }
+  return kind;
+}
+
+int32_t UpstreamTable::Add(const UpstreamSpec& spec) {
+  int32_t number = static_cast<int32_t>(states_.size());
+  if (unused_.empty()) {
+    states_.push_back(std::make_unique<UpstreamState>());
+  } else {
+    number = unused_.back();
+    unused_.pop_back();
+  }
+  at(number).id = spec.id;
+  numbers_[spec.id] = number;
+  return number;
+}
+
+void UpstreamTable::Apply(const RoutingSnapshot& snapshot) {
+  for (const std::unique_ptr<UpstreamState>& state : states_) {
+    state->is_routed = false;
+  }
+  for (const RoutedUpstream& upstream : snapshot.upstreams()) {
+    const UpstreamSpec& spec = upstream.spec;
+    int32_t number = Find(spec.id);
+    if (number < 0) {
+      number = Add(spec);
+    }
+    UpstreamState& state = at(number);
+    const std::shared_ptr<UpstreamKindSpeed> kind = KindOf(spec);
+    if (state.kind != kind) {
+      state.speed = UpstreamSpeed();
+      state.usual_decode = 0.0;
+      state.kind = kind;
+    }
+    state.is_routed = true;
+    state.is_plain = spec.kind == UpstreamKind::kPlainService;
+    state.slots = std::max(spec.slots, 1);
+  }
+  absl::erase_if(numbers_, [this](const auto& item) {
+    const UpstreamState& state = at(item.second);
+    const bool is_done = !state.is_routed && state.running == 0;
+    // A mark must outlive a snapshot that leaves the upstream out.
+    if (!is_done || state.is_leaving) {
+      return false;
+    }
+    unused_.push_back(item.second);
+    at(item.second) = UpstreamState();
+    return true;
+  });
+  std::erase_if(kinds_,
+                [](const auto& item) { return item.second.use_count() == 1; });
+}
+
+int32_t UpstreamTable::Find(const UpstreamId& id) const {
+  auto found = numbers_.find(id);
+  return found == numbers_.end() ? -1 : found->second;
+}
+
+void UpstreamTable::ApplyPeers(const RoutingSnapshot& snapshot,
+                               const PeerTable& peers,
+                               TimePoint now) {
+  for (const std::unique_ptr<UpstreamState>& state : states_) {
+    state->peer_running = 0;
+    state->peer_prefill = 0.0;
+    state->silent_running = 0.0;
+    state->suspected_by_peer = false;
+  }
+  peers.ForEach(now, [this, now](const DemandReport& report) {
+    for (const UpstreamUse& use : report.upstreams) {
+      const int32_t number = Find(use.upstream);
+      if (number < 0) {
+        continue;
+      }
+      UpstreamState& state = at(number);
+      state.peer_running += use.running;
+      state.peer_prefill += static_cast<double>(use.pending_prefill.value());
+      state.suspected_by_peer = state.suspected_by_peer || use.set_aside;
+      if (use.leaving) {
+        state.peer_leaving_until = now + kPeerLeavingTime;
+      }
+    }
+  });
+  absl::flat_hash_map<RouterId, bool> silent;
+  for (const RoutedUpstream& upstream : snapshot.upstreams()) {
+    UpstreamState& state = at(Find(upstream.spec.id));
+    const double even_share =
+        static_cast<double>(state.slots) /
+        static_cast<double>(std::max<size_t>(upstream.routers.size(), 1));
+    for (const RouterId& router : upstream.routers) {
+      if (router == snapshot.self().id) {
+        continue;
+      }
+      auto [found, is_new] = silent.try_emplace(router, false);
+      if (is_new) {
+        found->second = peers.Find(router, now) == nullptr;
+      }
+      state.silent_running += found->second ? even_share : 0.0;
+    }
+  }
+}
+
+void UpstreamTable::OnLoadReport(int32_t number,
+                                 const LoadReport& report,
+                                 TimePoint now) {
+  UpstreamState& state = at(number);
+  if (report.leaving) {
+    MarkLeaving(number, now);
+    return;
+  }
+  const TimePoint taken = now - report.age;
+  if (taken > state.leaving_since + kLeavingMargin) {
+    state.is_leaving = false;
+  }
+  if (taken > state.peer_leaving_until - kPeerLeavingTime + kLeavingMargin) {
+    state.peer_leaving_until = TimePoint();
+  }
+}
+
+void UpstreamTable::OnAttemptEnd(int32_t number, bool failed, TimePoint now) {
+  UpstreamState& state = at(number);
+  if (!failed) {
+    state.failures = 0;
+    return;
+  }
+  // Attempts that fail together count once.
+  if (now < state.closed_until) {
+    return;
+  }
+  state.closed_until = now + kFirstPause * (1 << state.failures);
+  state.failures = std::min(state.failures + 1, kMaxPauseDoublings);
+}
+
+void UpstreamTable::OnServiceAnswer(const RequestEntry& entry, TimePoint now) {
+  UpstreamState& state = at(entry.upstream);
+  const double seconds = ToSeconds(now - entry.dispatched);
+  state.speed.decode.Add(seconds, kMaxObservedTokens, now);
+  state.kind->speed.decode.Add(seconds, kMaxObservedTokens, now);
+}
+
+void UpstreamTable::MarkLeaving(int32_t number, TimePoint now) {
+  UpstreamState& state = at(number);
+  if (!state.is_leaving) {
+    state.is_leaving = true;
+    state.leaving_since = now;
+  }
+}
+
+void UpstreamTable::Begin(RequestEntry* entry, TimePoint now) {
+  UpstreamState& state = at(entry->upstream);
+  entry->dispatched = now;
+  entry->has_first_token = false;
+  entry->tokens_seen = Tokens();
+  entry->tokens_time = now;
+  entry->prefill_ahead = state.prefill + state.peer_prefill;
+  state.prefill += entry->prefill_tokens;
+  ++state.running;
+}
+
+void UpstreamTable::End(const RequestEntry& entry) {
+  UpstreamState& state = at(entry.upstream);
+  --state.running;
+  if (!entry.has_first_token) {
+    state.prefill = std::max(0.0, state.prefill - entry.prefill_tokens);
+  }
+}
+
+void UpstreamTable::OnFirstToken(RequestEntry* entry, TimePoint now) {
+  if (entry->has_first_token) {
+    return;
+  }
+  UpstreamState& state = at(entry->upstream);
+  entry->has_first_token = true;
+  entry->tokens_time = now;
+  entry->tokens_seen = Tokens(1);
+  state.prefill = std::max(0.0, state.prefill - entry->prefill_tokens);
+  const double work = entry->prefill_tokens + entry->prefill_ahead;
+  if (work < kMinPrefillTokens || state.TotalRunning() > state.slots) {
+    return;
+  }
+  const double elapsed = ToSeconds(now - entry->dispatched);
+  const double per_token = std::max(0.0, elapsed - kFirstTokenOverhead) / work;
+  const double weight = std::min(work, kMaxObservedTokens);
+  state.speed.prefill.Add(per_token, weight, now);
+  state.kind->speed.prefill.Add(per_token, weight, now);
+}
+
+void UpstreamTable::OnTokens(RequestEntry* entry, Tokens total, TimePoint now) {
+  const int64_t fresh = total.value() - entry->tokens_seen.value();
+  if (fresh <= 0 || !entry->has_first_token) {
+    return;
+  }
+  UpstreamState& state = at(entry->upstream);
+  const double tokens = static_cast<double>(fresh);
+  const double per_token = ToSeconds(now - entry->tokens_time) / tokens;
+  entry->tokens_seen = total;
+  entry->tokens_time = now;
+  const double weight = std::min(tokens, kMaxObservedTokens);
+  state.speed.decode.Add(per_token, weight, now);
+  state.kind->speed.decode.Add(per_token, weight, now);
+  if (state.usual_decode == 0.0) {
+    state.usual_decode = per_token;
+  }
+  if (!state.straggler.set_aside) {
+    state.usual_decode += (per_token - state.usual_decode) * kUsualStep;
+  }
+}
+
+std::vector<int32_t> UpstreamTable::UpdateStragglers(
+    const std::vector<int32_t>& numbers,
+    TimePoint now) {
+  std::vector<StragglerCandidate> candidates;
+  std::vector<StragglerState*> states;
+  std::vector<bool> before;
+  for (int32_t number : numbers) {
+    UpstreamState& state = at(number);
+    const SpeedMean& decode = state.speed.decode;
+    candidates.push_back({state.kind->number,
+                          decode.IsKnown(now) ? decode.value() : 0.0,
+                          state.usual_decode, state.suspected_by_peer});
+    states.push_back(&state.straggler);
+    before.push_back(state.straggler.set_aside);
+  }
+  StragglerDetector::Update(candidates, now, &states);
+  std::vector<int32_t> changed;
+  for (size_t i = 0; i < numbers.size(); ++i) {
+    if (states[i]->set_aside != before[i]) {
+      changed.push_back(numbers[i]);
+    }
+  }
+  return changed;
+}
+
+double UpstreamTable::PrefillSeconds(const UpstreamState& state) const {
+  const UpstreamSpeed& kind = state.kind->speed;
+  return state.speed.prefill.Get(kind.prefill.Get(kFirstPrefillSeconds));
+}
+
+double UpstreamTable::DecodeSeconds(const UpstreamState& state) const {
+  const UpstreamSpeed& kind = state.kind->speed;
+  return state.speed.decode.Get(kind.decode.Get(kFirstDecodeSeconds));
+}
+
+}  // namespace papaya
--- /dev/null
+++ b/src/routing/output_length.cc
@@ -0,0 +1,54 @@
+#include "include/routing/output_length.h"
+
+#include <algorithm>
+
+namespace papaya {
+
+namespace {
+
+// Answers that the mean looks back on.
+constexpr double kMemory = 64.0;
+// A route's mean counts for as much as so many answers of the pair itself.
+constexpr double kRouteWeight = 2.0;
+
+}  // namespace
+
+void OutputLength::Mean::Add(double sample) {
+  weight = std::min(weight + 1.0, kMemory);
+  value += (sample - value) / weight;
+}
+
+Tokens OutputLength::Expect(const AccountId& account,
+                            const RouteId& route,
+                            Tokens limit) const {
+  double expected = kFirstGuess;
+  auto by_route = by_route_.find(route);
+  if (by_route != by_route_.end()) {
+    expected = by_route->second.value;
+  }
+  auto by_pair = by_pair_.find({account, route});
+  if (by_pair != by_pair_.end()) {
+    const Mean& own = by_pair->second;
+    expected = (own.value * own.weight + expected * kRouteWeight) /
+               (own.weight + kRouteWeight);
+  }
+  const Tokens tokens(static_cast<int64_t>(expected));
+  return limit.value() > 0 ? std::min(tokens, limit) : tokens;
+}
+
+void OutputLength::Learn(const AccountId& account,
+                         const RouteId& route,
+                         Tokens length) {
+  const double sample = static_cast<double>(length.value());
+  by_route_[route].Add(sample);
+  auto by_pair = by_pair_.find({account, route});
+  if (by_pair != by_pair_.end()) {
+    by_pair->second.Add(sample);
+    return;
+  }
+  if (by_pair_.size() < kMaxPairs) {
+    by_pair_[{account, route}].Add(sample);
+  }
+}
+
+}  // namespace papaya
--- /dev/null
+++ b/src/routing/routing_snapshot.cc
@@ -0,0 +1,218 @@
+#include "include/routing/routing_snapshot.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+#include "absl/container/flat_hash_set.h"
+#include "include/base/stable_hash.h"
+#include "src/routing/router_subset.h"
+
+namespace papaya {
+
+namespace {
+
+// Keeps the second draw, for requests whose own version can't be used, apart
+// from the first.
+constexpr uint64_t kSecondDraw = 0x5ec0d;
+
+size_t At(GroupIndex index) {
+  return static_cast<size_t>(index.value());
+}
+
+}  // namespace
+
+// Builds one RoutingSnapshot, step by step.
+class RoutingSnapshotBuilder {
+ public:
+  explicit RoutingSnapshotBuilder(const RoutingInput& input)
+      : input_(input),
+        leaving_(input.leaving.begin(), input.leaving.end()),
+        subset_(input.routers, input.self) {
+    snapshot_.config_ = input.config;
+    snapshot_.self_ = input.self;
+  }
+
+  RoutingSnapshot Build() {
+    AddGroups();
+    SetShares();
+    AddUpstreams();
+    return std::move(snapshot_);
+  }
+
+ private:
+  void AddGroups() {
+    std::map<PoolVersion, std::vector<const UpstreamSpec*>> by_name;
+    for (const UpstreamSpec& spec : input_.config->upstreams) {
+      by_name[{spec.pool, spec.version}].push_back(&spec);
+    }
+    for (auto& [name, members] : by_name) {
+      AddGroup(name);
+      members_.push_back(std::move(members));
+    }
+  }
+
+  void AddGroup(const PoolVersion& name) {
+    const GroupIndex index(static_cast<int32_t>(snapshot_.groups_.size()));
+    const PoolIndex next(static_cast<int32_t>(snapshot_.pool_groups_.size()));
+    const PoolIndex pool =
+        snapshot_.pools_.try_emplace(name.pool, next).first->second;
+    if (pool == next) {
+      snapshot_.pool_groups_.emplace_back();
+    }
+    snapshot_.pool_groups_[static_cast<size_t>(pool.value())].push_back(index);
+    VersionGroup group;
+    group.name = name;
+    group.pool = pool;
+    snapshot_.groups_.push_back(std::move(group));
+  }
+
+  // Shares as configured; by the number of upstreams in pools without any.
+  void SetShares() {
+    std::map<PoolVersion, double> configured;
+    absl::flat_hash_set<PoolId> pools_with_shares;
+    for (const VersionShare& entry : input_.config->shares) {
+      configured[{entry.pool, entry.version}] = entry.share.value() / 1000.0;
+      pools_with_shares.insert(entry.pool);
+    }
+    for (size_t i = 0; i < snapshot_.groups_.size(); ++i) {
+      VersionGroup& group = snapshot_.groups_[i];
+      const bool is_configured = pools_with_shares.contains(group.name.pool);
+      group.share = is_configured ? configured[group.name]
+                                  : static_cast<double>(members_[i].size());
+    }
+  }
+
+  void AddUpstreams() {
+    for (size_t i = 0; i < snapshot_.groups_.size(); ++i) {
+      AddUpstreamsOf(i);
+    }
+  }
+
+  void AddUpstreamsOf(size_t position) {
+    std::vector<const UpstreamSpec*> live;
+    for (const UpstreamSpec* spec : members_[position]) {
+      if (!leaving_.contains(spec->id)) {
+        live.push_back(spec);
+      }
+    }
+    VersionGroup& group = snapshot_.groups_[position];
+    const bool is_stopped =
+        std::find(input_.stopped.begin(), input_.stopped.end(), group.name) !=
+        input_.stopped.end();
+    group.usable = !is_stopped && group.share > 0.0 && !live.empty();
+    // Greatest own weight first, so that the minimum is met by those.
+    std::sort(live.begin(), live.end(),
+              [this](const UpstreamSpec* a, const UpstreamSpec* b) {
+                return subset_.OwnWeight(*a) > subset_.OwnWeight(*b);
+              });
+    for (size_t rank = 0; rank < live.size(); ++rank) {
+      AddIfUsed(position, *live[rank],
+                rank < RoutingSnapshot::kMinUpstreamsPerGroup);
+    }
+  }
+
+  void AddIfUsed(size_t group, const UpstreamSpec& spec, bool is_needed) {
+    std::vector<RouterId> routers =
+        subset_.RoutersOf(spec, RoutingSnapshot::kRoutersPerUpstream);
+    auto self =
+        std::lower_bound(routers.begin(), routers.end(), input_.self.id);
+    const bool is_chosen = self != routers.end() && *self == input_.self.id;
+    if (!is_chosen && !is_needed) {
+      return;
+    }
+    if (!is_chosen) {
+      routers.insert(self, input_.self.id);
+    }
+    const UpstreamIndex index(
+        static_cast<int32_t>(snapshot_.upstreams_.size()));
+    snapshot_.upstream_indexes_[spec.id] = index;
+    snapshot_.groups_[group].upstreams.push_back(index);
+    snapshot_.upstreams_.push_back(
+        {spec, GroupIndex(static_cast<int32_t>(group)), std::move(routers)});
+  }
+
+  const RoutingInput& input_;
+  absl::flat_hash_set<UpstreamId> leaving_;
+  RouterSubset subset_;
+  // The configured upstreams of each group.
+  std::vector<std::vector<const UpstreamSpec*>> members_;
+  RoutingSnapshot snapshot_;
+};
+
+std::shared_ptr<const RoutingSnapshot> RoutingSnapshot::Build(
+    const RoutingInput& input) {
+  return std::make_shared<const RoutingSnapshot>(
+      RoutingSnapshotBuilder(input).Build());
+}
+
+std::optional<PoolIndex> RoutingSnapshot::FindPool(const PoolId& pool) const {
+  auto found = pools_.find(pool);
+  if (found == pools_.end()) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
+std::optional<UpstreamIndex> RoutingSnapshot::FindUpstream(
+    const UpstreamId& id) const {
+  auto found = upstream_indexes_.find(id);
+  if (found == upstream_indexes_.end()) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
+std::optional<GroupIndex> RoutingSnapshot::ChooseGroup(
+    PoolIndex pool,
+    uint64_t share_hash) const {
+  const std::vector<GroupIndex>& groups =
+      pool_groups_[static_cast<size_t>(pool.value())];
+  double total = 0.0;
+  double usable_total = 0.0;
+  for (GroupIndex index : groups) {
+    total += groups_[At(index)].share;
+    usable_total += groups_[At(index)].usable ? groups_[At(index)].share : 0.0;
+  }
+  if (usable_total <= 0.0) {
+    return std::nullopt;
+  }
+  double point = HashToUnit(share_hash) * total;
+  for (GroupIndex index : groups) {
+    const VersionGroup& group = groups_[At(index)];
+    if (point < group.share && group.usable) {
+      return index;
+    }
+    if (point < group.share) {
+      break;
+    }
+    point -= group.share;
+  }
+  point = HashToUnit(CombineHashes(share_hash, kSecondDraw)) * usable_total;
+  std::optional<GroupIndex> chosen;
+  for (GroupIndex index : groups) {
+    if (!groups_[At(index)].usable) {
+      continue;
+    }
+    chosen = index;
+    if (point < groups_[At(index)].share) {
+      break;
+    }
+    point -= groups_[At(index)].share;
+  }
+  return chosen;
+}
+
+std::optional<GroupIndex> RoutingSnapshot::MainGroup(PoolIndex pool) const {
+  std::optional<GroupIndex> main;
+  for (GroupIndex index : pool_groups_[static_cast<size_t>(pool.value())]) {
+    const VersionGroup& group = groups_[At(index)];
+    if (group.usable &&
+        (!main.has_value() || group.share > groups_[At(*main)].share)) {
+      main = index;
+    }
+  }
+  return main;
+}
+
+}  // namespace papaya
--- a/src/telemetry/event_catalog.cc
+++ b/src/telemetry/event_catalog.cc
@@ -49,6 +49,8 @@
       {EventId::kStragglerSetAside, Severity::kWarning, "straggler_set_aside",
        "An upstream is much slower than others of its kind and gets little "
        "work until it recovers; look at its VM if it stays so."},
+      {EventId::kStragglerRecovered, Severity::kInfo, "straggler_recovered",
+       "An upstream that was set aside keeps up with its kind again."},
 
       // At-most-once.
       {EventId::kClaimDoubtful, Severity::kWarning, "claim_doubtful",
--- /dev/null
+++ b/tests/scheduler_test.cc
@@ -0,0 +1,188 @@
+#include "include/admission/scheduler.h"
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+namespace papaya {
+namespace {
+
+const PoolId kPool("assistant");
+
+// One Scheduler with the calls of its hooks written down.
+class Fixture {
+ public:
+  explicit Fixture(int upstreams, int slots = 1, size_t max_queued = 100) {
+    SchedulerOptions options;
+    options.router = RouterId("r0");
+    options.max_queued = max_queued;
+    SchedulerHooks hooks;
+    hooks.dispatch = [this](RequestId id, const UpstreamId& upstream) {
+      dispatched.emplace_back(id, upstream);
+    };
+    hooks.refuse = [this](RequestId id, const Refusal& refusal) {
+      refused.emplace_back(id, refusal);
+    };
+    hooks.preempt = [this](RequestId id) { preempted.push_back(id); };
+    hooks.send_demand = [this](const DemandReport& report) {
+      reports.push_back(report);
+    };
+    hooks.event = [](const Event&) {};
+    scheduler = std::make_unique<Scheduler>(options, hooks);
+    auto config = std::make_shared<FleetConfig>();
+    for (int i = 0; i < upstreams; ++i) {
+      UpstreamSpec spec;
+      spec.id = UpstreamId("u" + std::to_string(i));
+      spec.pool = kPool;
+      spec.version = VersionId("v1");
+      spec.slots = slots;
+      config->upstreams.push_back(spec);
+    }
+    input.config = config;
+    input.self = {RouterId("r0"), AvailabilityZoneId("z0")};
+    scheduler->OnSnapshot(RoutingSnapshot::Build(input), now);
+  }
+
+  RequestSpec MakeRequest(uint64_t id, Tier tier = Tier::kInteractive) {
+    RequestSpec spec;
+    spec.id = RequestId(id);
+    spec.account = AccountId("a");
+    spec.route = RouteId("chat");
+    spec.pool = kPool;
+    spec.tier = tier;
+    spec.prompt_tokens = Tokens(100);
+    spec.share_hash = id;
+    spec.arrival = now;
+    spec.deadline = now + std::chrono::seconds(10);
+    return spec;
+  }
+
+  void Request(uint64_t id, Tier tier = Tier::kInteractive) {
+    scheduler->OnRequest(MakeRequest(id, tier), now);
+  }
+
+  void Finish(uint64_t id, AttemptEnd end) {
+    scheduler->OnFinished(RequestId(id), {end, Tokens(10)}, now);
+  }
+
+  void Advance(Duration duration) {
+    const TimePoint end = now + duration;
+    while (now < end) {
+      now += std::chrono::milliseconds(50);
+      scheduler->OnTick(now);
+    }
+  }
+
+  RoutingInput input;
+  TimePoint now = TimePoint(std::chrono::hours(1));
+  std::unique_ptr<Scheduler> scheduler;
+  std::vector<std::pair<RequestId, UpstreamId>> dispatched;
+  std::vector<std::pair<RequestId, Refusal>> refused;
+  std::vector<RequestId> preempted;
+  std::vector<DemandReport> reports;
+};
+
+}  // namespace
+
+TEST_CASE("requests wait for a free slot and take it by tier", "[admission]") {
+  Fixture f(1);
+  f.Request(1, Tier::kBatch);
+  f.Request(2, Tier::kStandard);
+  f.Request(3, Tier::kCritical);
+  REQUIRE(f.dispatched.size() == 1);
+  CHECK(f.scheduler->counts().queued == 2);
+  f.Finish(1, AttemptEnd::kOk);
+  REQUIRE(f.dispatched.size() == 2);
+  CHECK(f.dispatched[1].first == RequestId(3));
+  f.Finish(3, AttemptEnd::kOk);
+  REQUIRE(f.dispatched.size() == 3);
+  CHECK(f.dispatched[2].first == RequestId(2));
+  f.Finish(2, AttemptEnd::kOk);
+  CHECK(f.scheduler->counts().queued == 0);
+  CHECK(f.scheduler->counts().running == 0);
+  CHECK(f.refused.empty());
+}
+
+TEST_CASE("expired work is refused and not dispatched", "[admission]") {
+  Fixture f(1);
+  f.Request(1);
+  f.Request(2);
+  f.Advance(std::chrono::seconds(11));
+  REQUIRE(f.refused.size() == 1);
+  CHECK(f.refused[0].first == RequestId(2));
+  CHECK(f.refused[0].second.reason == RefusalReason::kDeadline);
+  CHECK(f.refused[0].second.outcome == Outcome::kNotRun);
+  f.Finish(1, AttemptEnd::kOk);
+  CHECK(f.dispatched.size() == 1);
+}
+
+TEST_CASE("a full queue gives up the lowest tier first", "[admission]") {
+  Fixture f(1, 1, 2);
+  f.Request(1, Tier::kCritical);
+  f.Request(2, Tier::kBatch);
+  f.Request(3, Tier::kStandard);
+  f.Request(4, Tier::kCritical);
+  REQUIRE(f.refused.size() == 1);
+  CHECK(f.refused[0].first == RequestId(2));
+  CHECK(f.refused[0].second.reason == RefusalReason::kShed);
+  f.Request(5, Tier::kBatch);
+  REQUIRE(f.refused.size() == 2);
+  CHECK(f.refused[1].first == RequestId(5));
+  CHECK(f.refused[1].second.reason == RefusalReason::kQueueFull);
+}
+
+TEST_CASE("non-idempotent work is not tried again once handed over",
+          "[admission]") {
+  Fixture f(2);
+  RequestSpec spec = f.MakeRequest(1);
+  spec.idempotent = false;
+  f.scheduler->OnRequest(spec, f.now);
+  f.Finish(1, AttemptEnd::kUnknown);
+  REQUIRE(f.refused.size() == 1);
+  CHECK(f.refused[0].second.outcome == Outcome::kUnknown);
+  CHECK(f.dispatched.size() == 1);
+}
+
+TEST_CASE("refused work goes to another upstream", "[admission]") {
+  Fixture f(2);
+  RequestSpec spec = f.MakeRequest(1);
+  spec.idempotent = false;
+  f.scheduler->OnRequest(spec, f.now);
+  f.Finish(1, AttemptEnd::kLeaving);
+  REQUIRE(f.dispatched.size() == 2);
+  CHECK(f.dispatched[0].second != f.dispatched[1].second);
+  f.Finish(1, AttemptEnd::kOk);
+  // The leaving upstream gets nothing more.
+  f.Request(2);
+  REQUIRE(f.dispatched.size() == 3);
+  CHECK(f.dispatched[2].second == f.dispatched[1].second);
+}
+
+TEST_CASE("a critical request that waits takes the slot of a lower tier",
+          "[admission]") {
+  Fixture f(1);
+  f.Request(1, Tier::kBatch);
+  f.Request(2, Tier::kCritical);
+  f.Advance(std::chrono::seconds(3));
+  REQUIRE(f.preempted.size() == 1);
+  CHECK(f.preempted[0] == RequestId(1));
+  f.Finish(1, AttemptEnd::kPreempted);
+  REQUIRE(f.dispatched.size() == 2);
+  CHECK(f.dispatched[1].first == RequestId(2));
+  f.Finish(2, AttemptEnd::kOk);
+  REQUIRE(f.dispatched.size() == 3);
+  CHECK(f.dispatched[2].first == RequestId(1));
+}
+
+TEST_CASE("a request of an unknown pool is refused", "[admission]") {
+  Fixture f(1);
+  RequestSpec spec = f.MakeRequest(1);
+  spec.pool = PoolId("elsewhere");
+  f.scheduler->OnRequest(spec, f.now);
+  REQUIRE(f.refused.size() == 1);
+  CHECK(f.refused[0].second.reason == RefusalReason::kNoUpstream);
+}
+
+}  // namespace papaya
