--- /dev/null
+++ b/tests/loopback.h
@@ -0,0 +1,45 @@
+#ifndef TESTS_LOOPBACK_H_
+#define TESTS_LOOPBACK_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <exception>
+#include <functional>
+#include <string>
+
+#include "include/wire/steady_time.h"
+
+namespace papaya {
+
+// A time by which any loopback step of a test has ended or failed.
+inline TimePoint TestDeadline() {
+  return SteadyNow() + std::chrono::seconds(20);
+}
+
+// Runs `body` on `context` until it ends; passes on what it throws.
+inline void RunOn(boost::asio::io_context& context,
+                  std::function<boost::asio::awaitable<void>()> body) {
+  std::exception_ptr thrown;
+  bool ended = false;
+  boost::asio::co_spawn(context, std::move(body),
+                        [&thrown, &ended](std::exception_ptr error) {
+                          thrown = error;
+                          ended = true;
+                        });
+  context.restart();
+  while (!ended) {
+    context.run_one();
+  }
+  if (thrown != nullptr) {
+    std::rethrow_exception(thrown);
+  }
+}
+
+inline std::string LoopbackAddress(uint16_t port) {
+  return "127.0.0.1:" + std::to_string(port);
+}
+
+}  // namespace papaya
+
+#endif  // TESTS_LOOPBACK_H_
