--- a/src/settings/router_settings_rules.cc
+++ b/src/settings/router_settings_rules.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <optional>
+#include <utility>
 
 #include "include/settings/value_parsers.h"
 
@@ -51,7 +52,8 @@
 template <typename T>
 Read<T> TextInto(std::string T::*member,
                  std::function<bool(const std::string&)> is_valid) {
-  return [member, is_valid](const std::string& value, T& target) {
+  return [member, is_valid = std::move(is_valid)](const std::string& value,
+                                                  T& target) {
     if (!is_valid(value)) {
       return false;
     }
--- /dev/null
+++ b/src/standin/answer_text.cc
@@ -0,0 +1,35 @@
+#include "include/standin/answer_text.h"
+
+#include "absl/strings/str_cat.h"
+#include "include/base/stable_hash.h"
+
+namespace papaya {
+
+namespace {
+
+constexpr int64_t kBytesPerToken = 4;
+// Keeps tokens short; 20 bits of the prompt's hash mark them as its own.
+constexpr uint64_t kMarkMask = 0xfffff;
+
+}  // namespace
+
+std::string AnswerToken(const std::string& prompt, int64_t index) {
+  const uint64_t mark = StableHash(prompt) & kMarkMask;
+  return absl::StrCat(absl::Hex(mark), ".", index, " ");
+}
+
+std::string AnswerText(const std::string& prompt, Tokens count) {
+  std::string text;
+  for (int64_t index = 0; index < count.value(); ++index) {
+    text += AnswerToken(prompt, index);
+  }
+  return text;
+}
+
+Tokens CountPromptTokens(const std::string& prompt) {
+  const int64_t bytes = static_cast<int64_t>(prompt.size());
+  return Tokens(
+      std::max<int64_t>(1, (bytes + kBytesPerToken - 1) / kBytesPerToken));
+}
+
+}  // namespace papaya
--- /dev/null
+++ b/src/standin/platform_model.cc
@@ -0,0 +1,186 @@
+#include "include/standin/platform_model.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "include/base/error.h"
+
+namespace papaya {
+
+namespace {
+
+absl::Status PlatformError(absl::StatusCode code,
+                           const char* step,
+                           const std::string& message) {
+  return MakeError(code, {.step = step, .peer = "platform"}, message);
+}
+
+}  // namespace
+
+bool PlatformModel::Bucket::Take(TimePoint now) {
+  const double gained = ToSeconds(now - filled) * per_second;
+  level = std::min(per_second, level + gained);
+  filled = now;
+  if (level < 1.0) {
+    return false;
+  }
+  level -= 1.0;
+  return true;
+}
+
+PlatformModel::PlatformModel(const PlatformOptions& options)
+    : options_(options),
+      read_bucket_{options.reads_per_second, options.reads_per_second, {}},
+      write_bucket_{options.writes_per_second, options.writes_per_second, {}},
+      vms_(std::vector<ListedVm>()) {}
+
+absl::Status PlatformModel::CountRead(TimePoint now) {
+  if (!read_bucket_.Take(now)) {
+    return PlatformError(absl::StatusCode::kResourceExhausted, "platform.read",
+                         "over the rate of reads");
+  }
+  ++reads_;
+  return absl::OkStatus();
+}
+
+absl::StatusOr<StoredObject> PlatformModel::Get(const std::string& key,
+                                                TimePoint now) {
+  const absl::Status counted = CountRead(now);
+  if (!counted.ok()) {
+    return counted;
+  }
+  const auto object = objects_.find(key);
+  if (object == objects_.end()) {
+    return PlatformError(absl::StatusCode::kNotFound, "platform.get", key);
+  }
+  return object->second;
+}
+
+absl::StatusOr<std::vector<StoredObject>> PlatformModel::List(
+    const std::string& prefix,
+    TimePoint now) {
+  const absl::Status counted = CountRead(now);
+  if (!counted.ok()) {
+    return counted;
+  }
+  std::vector<StoredObject> found;
+  for (auto object = objects_.lower_bound(prefix);
+       object != objects_.end() && object->first.starts_with(prefix);
+       ++object) {
+    found.push_back(object->second);
+  }
+  return found;
+}
+
+absl::StatusOr<ObjectVersion> PlatformModel::Put(const ConditionalWrite& write,
+                                                 TimePoint now,
+                                                 ObjectVersion* present) {
+  if (!write_bucket_.Take(now)) {
+    return PlatformError(absl::StatusCode::kResourceExhausted, "platform.put",
+                         "over the rate of writes");
+  }
+  ++writes_;
+  const Bytes length(write.value ? static_cast<int64_t>(write.value->size())
+                                 : 0);
+  if (length > options_.max_value_bytes) {
+    return PlatformError(absl::StatusCode::kInvalidArgument, "platform.put",
+                         "the value is too long");
+  }
+  const auto object = objects_.find(write.key);
+  const ObjectVersion there =
+      object == objects_.end() ? ObjectVersion() : object->second.version;
+  if (present != nullptr) {
+    *present = there;
+  }
+  if (there != write.expected) {
+    return PlatformError(absl::StatusCode::kAborted, "platform.put",
+                         absl::StrCat("the version is ", there.value()));
+  }
+  last_version_ = last_version_.Next();
+  if (!write.value) {
+    objects_.erase(write.key);
+    return last_version_;
+  }
+  StoredObject& stored = objects_[write.key];
+  stored = {.key = write.key,
+            .version = last_version_,
+            .operation = write.operation,
+            .value = *write.value};
+  WakeWatches(StoredObject(stored));
+  return last_version_;
+}
+
+absl::Status PlatformModel::Watch(const std::string& key,
+                                  ObjectVersion after,
+                                  TimePoint now,
+                                  WatchDone done) {
+  const absl::Status counted = CountRead(now);
+  if (!counted.ok()) {
+    return counted;
+  }
+  const auto object = objects_.find(key);
+  if (object != objects_.end() && object->second.version > after) {
+    done(object->second);
+    return absl::OkStatus();
+  }
+  watches_.push_back({.key = key,
+                      .after = after,
+                      .due = now + options_.longest_watch,
+                      .done = std::move(done)});
+  return absl::OkStatus();
+}
+
+void PlatformModel::WakeWatches(const StoredObject& object) {
+  std::vector<WatchDone> woken;
+  std::erase_if(watches_, [&object, &woken](PendingWatch& watch) {
+    const bool wakes = watch.key == object.key && object.version > watch.after;
+    if (wakes) {
+      woken.push_back(std::move(watch.done));
+    }
+    return wakes;
+  });
+  for (const WatchDone& done : woken) {
+    done(object);
+  }
+}
+
+void PlatformModel::Advance(TimePoint now) {
+  while (!watches_.empty() && watches_.front().due <= now) {
+    const WatchDone done = std::move(watches_.front().done);
+    watches_.pop_front();
+    done(std::nullopt);
+  }
+}
+
+std::optional<TimePoint> PlatformModel::NextDue() const {
+  if (watches_.empty()) {
+    return std::nullopt;
+  }
+  return watches_.front().due;
+}
+
+void PlatformModel::SetVm(const ListedVm& vm, TimePoint now) {
+  std::vector<ListedVm> vms = vms_.Latest();
+  std::erase_if(vms,
+                [&vm](const ListedVm& other) { return other.id == vm.id; });
+  vms.push_back(vm);
+  vms_.Set(now, std::move(vms));
+}
+
+void PlatformModel::RemoveVm(const VmId& vm, TimePoint now) {
+  std::vector<ListedVm> vms = vms_.Latest();
+  std::erase_if(vms, [&vm](const ListedVm& other) { return other.id == vm; });
+  vms_.Set(now, std::move(vms));
+}
+
+absl::StatusOr<std::vector<ListedVm>> PlatformModel::ListVms(TimePoint now,
+                                                             Duration lag) {
+  const absl::Status counted = CountRead(now);
+  if (!counted.ok()) {
+    return counted;
+  }
+  return vms_.Get(now, lag);
+}
+
+}  // namespace papaya
--- /dev/null
+++ b/src/standin/standin_faults.cc
@@ -0,0 +1,137 @@
+#include "include/standin/standin_faults.h"
+
+#include <boost/json.hpp>
+#include <functional>
+#include <map>
+
+#include "absl/strings/str_cat.h"
+#include "include/base/error.h"
+
+namespace papaya {
+
+namespace {
+
+namespace json = boost::json;
+
+constexpr double kMaxMs = 3'600'000;
+constexpr double kMaxSlowFactor = 1000;
+constexpr int64_t kNsPerMs = 1'000'000;
+
+// Reads one key into the faults; false if the value is not valid.
+using ReadKey = std::function<bool(const json::value&, StandinFaults&)>;
+
+bool ReadNumber(const json::value& value, double most, double& number) {
+  boost::system::error_code error;
+  const double read = value.to_number<double>(error);
+  if (error || read < 0 || read > most) {
+    return false;
+  }
+  number = read;
+  return true;
+}
+
+ReadKey MillisecondsInto(Duration StandinFaults::*member) {
+  return [member](const json::value& value, StandinFaults& faults) {
+    double ms = 0;
+    if (!ReadNumber(value, kMaxMs, ms)) {
+      return false;
+    }
+    faults.*member = SecondsToDuration(ms / 1000);
+    return true;
+  };
+}
+
+ReadKey PermilleInto(Permille StandinFaults::*member) {
+  return [member](const json::value& value, StandinFaults& faults) {
+    double permille = 0;
+    if (!ReadNumber(value, 1000, permille)) {
+      return false;
+    }
+    faults.*member = Permille(static_cast<int32_t>(permille));
+    return true;
+  };
+}
+
+ReadKey FlagInto(bool StandinFaults::*member) {
+  return [member](const json::value& value, StandinFaults& faults) {
+    if (!value.is_bool()) {
+      return false;
+    }
+    faults.*member = value.as_bool();
+    return true;
+  };
+}
+
+bool ReadSlowFactor(const json::value& value, StandinFaults& faults) {
+  double factor = 0;
+  if (!ReadNumber(value, kMaxSlowFactor, factor) || factor <= 0) {
+    return false;
+  }
+  faults.slow_factor = factor;
+  return true;
+}
+
+const std::map<std::string, ReadKey>& Keys() {
+  using F = StandinFaults;
+  static const std::map<std::string, ReadKey>& keys =
+      *new std::map<std::string, ReadKey>{
+          {"delay_ms", MillisecondsInto(&F::delay)},
+          {"slow_factor", ReadSlowFactor},
+          {"failing_permille", PermilleInto(&F::failing)},
+          {"hanging_permille", PermilleInto(&F::hanging)},
+          {"cutting_permille", PermilleInto(&F::cutting)},
+          {"lost_answers_permille", PermilleInto(&F::lost_answers)},
+          {"outage", FlagInto(&F::outage)},
+          {"report_lag_ms", MillisecondsInto(&F::report_lag)},
+          {"ignore_fencing", FlagInto(&F::ignore_fencing)},
+          {"leaving", FlagInto(&F::leaving)},
+      };
+  return keys;
+}
+
+absl::Status BadFaults(const std::string& message) {
+  return MakeError(absl::StatusCode::kInvalidArgument,
+                   {.step = "standin.faults", .peer = ""}, message);
+}
+
+}  // namespace
+
+absl::Status ApplyFaultsJson(const std::string& text, StandinFaults& faults) {
+  boost::system::error_code error;
+  const json::value parsed = json::parse(text, error);
+  if (error || !parsed.is_object()) {
+    return BadFaults("expected a JSON object");
+  }
+  StandinFaults changed = faults;
+  for (const json::key_value_pair& pair : parsed.as_object()) {
+    const std::string name(pair.key());
+    const auto key = Keys().find(name);
+    if (key == Keys().end()) {
+      return BadFaults(absl::StrCat("unknown key `", name, "`"));
+    }
+    if (!key->second(pair.value(), changed)) {
+      return BadFaults(absl::StrCat(
+          "`", name,
+          "` has a value that is no good: ", json::serialize(pair.value())));
+    }
+  }
+  faults = changed;
+  return absl::OkStatus();
+}
+
+std::string FaultsToJson(const StandinFaults& faults) {
+  return json::serialize(json::object{
+      {"delay_ms", faults.delay.count() / kNsPerMs},
+      {"slow_factor", faults.slow_factor},
+      {"failing_permille", faults.failing.value()},
+      {"hanging_permille", faults.hanging.value()},
+      {"cutting_permille", faults.cutting.value()},
+      {"lost_answers_permille", faults.lost_answers.value()},
+      {"outage", faults.outage},
+      {"report_lag_ms", faults.report_lag.count() / kNsPerMs},
+      {"ignore_fencing", faults.ignore_fencing},
+      {"leaving", faults.leaving},
+  });
+}
+
+}  // namespace papaya
