Put the stand-ins behind HTTP: papaya_standin

Cause: the demo and process tests need engines, services and a platform that speak docs/PROTOCOLS.md and fail on demand. Change: faces for the three models over the HTTP server, faults by flag and by POST /faults, percent-encoding by Boost.URL.

--- /dev/null
+++ b/src/papaya_standin_main.cc
@@ -0,0 +1,159 @@
+// papaya_standin: plays one model engine, plain service or the platform.
+
+#include <gflags/gflags.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/json.hpp>
+#include <iostream>
+
+#include "include/settings/value_parsers.h"
+#include "include/standin/standin_server.h"
+
+DEFINE_string(role, "engine", "What to play: engine, service or platform.");
+DEFINE_string(address,
+              "127.0.0.1:0",
+              "IP:PORT to listen on; port 0 takes a free one.");
+DEFINE_string(name, "", "Name in the line that says that it is ready.");
+DEFINE_uint64(seed, 1, "Seed of the faults' draws.");
+DEFINE_string(faults,
+              "{}",
+              "Faults from the start, as the JSON of POST /faults.");
+
+DEFINE_string(first_version, "v1", "Engine: the version that is active first.");
+DEFINE_double(prefill_rate, 20000, "Engine: prompt tokens prefilled a second.");
+DEFINE_double(token_ms, 5, "Engine: time of a decode step of one stream.");
+DEFINE_double(batch_growth,
+              0.05,
+              "Engine: part of token_ms that each further stream adds.");
+DEFINE_int32(max_batch, 16, "Engine: streams decoded together.");
+DEFINE_int32(cache_blocks, 4096, "Engine: blocks that the prefix cache holds.");
+DEFINE_double(load_ms, 500, "Engine: time to load a version.");
+DEFINE_int32(concurrent_loads, 1, "Engine: loads at the same time.");
+DEFINE_bool(checks_fencing,
+            true,
+            "Engine: refuses orders with an old fencing number.");
+DEFINE_string(bad_version, "", "Engine: a version that is bad; empty is none.");
+DEFINE_int32(bad_failing_permille, 0, "Engine: its share of failures.");
+DEFINE_double(bad_slow_factor, 1, "Engine: how many times slower it is.");
+DEFINE_double(bad_after_ms, 0, "Engine: it is bad only when active so long.");
+DEFINE_int32(bad_min_batch, 0, "Engine: and with so many streams at work.");
+DEFINE_string(bad_prompt_part, "", "Engine: and on prompts with this text.");
+
+DEFINE_double(service_ms, 5, "Service: time of a call.");
+
+DEFINE_double(reads_per_second, 2000, "Platform: rate of reads.");
+DEFINE_double(writes_per_second, 400, "Platform: rate of writes.");
+DEFINE_double(watch_seconds, 30, "Platform: longest wait of a watch.");
+DEFINE_string(vms, "", "Platform: names in the VM list, between commas.");
+
+namespace papaya {
+namespace {
+
+constexpr int kUsageError = 2;
+constexpr int kCannotRun = 1;
+
+EngineOptions EngineOptionsFromFlags() {
+  EngineOptions options;
+  options.versions.version = VersionId(FLAGS_first_version);
+  options.versions.load_time = SecondsToDuration(FLAGS_load_ms / 1000);
+  options.versions.concurrent_loads = FLAGS_concurrent_loads;
+  options.versions.checks_fencing = FLAGS_checks_fencing;
+  options.prefill_tokens_per_second = FLAGS_prefill_rate;
+  options.time_per_token = SecondsToDuration(FLAGS_token_ms / 1000);
+  options.batch_growth = FLAGS_batch_growth;
+  options.max_batch = static_cast<size_t>(FLAGS_max_batch);
+  options.cache_blocks = static_cast<size_t>(FLAGS_cache_blocks);
+  return options;
+}
+
+std::vector<VersionBadness> BadnessFromFlags() {
+  if (FLAGS_bad_version.empty()) {
+    return {};
+  }
+  return {{.version = VersionId(FLAGS_bad_version),
+           .failing = Permille(FLAGS_bad_failing_permille),
+           .slow_factor = FLAGS_bad_slow_factor,
+           .after = SecondsToDuration(FLAGS_bad_after_ms / 1000),
+           .min_batch = static_cast<size_t>(FLAGS_bad_min_batch),
+           .prompt_part = FLAGS_bad_prompt_part}};
+}
+
+StandinOptions OptionsFromFlags(StandinRole role) {
+  StandinOptions options;
+  options.role = role;
+  options.address = FLAGS_address;
+  options.seed = FLAGS_seed;
+  options.engine = EngineOptionsFromFlags();
+  options.badness = BadnessFromFlags();
+  options.service_time = SecondsToDuration(FLAGS_service_ms / 1000);
+  options.platform.reads_per_second = FLAGS_reads_per_second;
+  options.platform.writes_per_second = FLAGS_writes_per_second;
+  options.platform.longest_watch = SecondsToDuration(FLAGS_watch_seconds);
+  for (const std::string& vm : SplitList(FLAGS_vms)) {
+    options.vms.emplace_back(vm);
+  }
+  return options;
+}
+
+// False, with a line on stderr, if flags hold what can't be run.
+bool CheckFlags() {
+  const bool are_good = FLAGS_prefill_rate > 0 && FLAGS_token_ms > 0 &&
+                        FLAGS_batch_growth >= 0 && FLAGS_max_batch > 0 &&
+                        FLAGS_cache_blocks > 0 && FLAGS_service_ms >= 0 &&
+                        FLAGS_bad_slow_factor > 0;
+  if (!are_good) {
+    std::cerr << "papaya_standin: rates, times and sizes must be positive\n";
+  }
+  return are_good;
+}
+
+void PrintReady(const StandinServer& server) {
+  std::cout << boost::json::serialize(
+                   boost::json::object{{"ready", true},
+                                       {"role", FLAGS_role},
+                                       {"name", FLAGS_name},
+                                       {"address", server.address()}})
+            << std::endl;
+}
+
+int Run() {
+  const std::optional<StandinRole> role = ParseStandinRole(FLAGS_role);
+  if (!role || !CheckFlags()) {
+    std::cerr << "papaya_standin: --role is engine, service or platform\n";
+    return kUsageError;
+  }
+  StandinOptions options = OptionsFromFlags(*role);
+  const absl::Status faults = ApplyFaultsJson(FLAGS_faults, options.faults);
+  if (!faults.ok()) {
+    std::cerr << "papaya_standin: --faults: " << faults.message() << "\n";
+    return kUsageError;
+  }
+  boost::asio::io_context context(1);
+  StandinServer server(&context, options);
+  const absl::Status started = server.Start();
+  if (!started.ok()) {
+    std::cerr << "papaya_standin: " << started.message() << "\n";
+    return kCannotRun;
+  }
+  boost::asio::signal_set signals(context, SIGINT, SIGTERM);
+  signals.async_wait([&context](const boost::system::error_code& error, int) {
+    if (!error) {
+      context.stop();
+    }
+  });
+  PrintReady(server);
+  context.run();
+  return 0;
+}
+
+}  // namespace
+}  // namespace papaya
+
+int main(int argc, char** argv) {
+  gflags::SetUsageMessage(
+      "plays one model engine, plain service or the platform");
+  gflags::SetVersionString(PAPAYA_VERSION);
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  return papaya::Run();
+}
--- /dev/null
+++ b/src/standin/platform_face.cc
@@ -0,0 +1,275 @@
+#include "src/standin/platform_face.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+#include <cstdlib>
+#include <memory>
+#include <utility>
+
+#include "include/standin/standin_server.h"
+#include "include/wire/http_exchange.h"
+#include "include/wire/steady_time.h"
+#include "include/wire/url_text.h"
+
+namespace papaya {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+constexpr const char* kObjectsPath = "/objects";
+constexpr int64_t kPermilleWhole = 1000;
+
+// A watch that waits for its object, or for the end of the longest wait.
+struct WaitingWatch {
+  explicit WaitingWatch(const asio::any_io_executor& executor)
+      : woken(executor) {
+    woken.expires_at(asio::steady_timer::time_point::max());
+  }
+
+  bool is_over = false;
+  std::optional<StoredObject> object;
+  asio::steady_timer woken;
+};
+
+json::object ObjectJson(const StoredObject& object) {
+  return {{"key", object.key},
+          {"version", object.version.value()},
+          {"operation", object.operation.value()},
+          {"value", object.value}};
+}
+
+std::string VersionJson(ObjectVersion version) {
+  return json::serialize(json::object{{"version", version.value()}});
+}
+
+int HttpStatusOf(const absl::Status& status) {
+  switch (status.code()) {
+    case absl::StatusCode::kNotFound:
+      return 404;
+    case absl::StatusCode::kResourceExhausted:
+      return 429;
+    case absl::StatusCode::kInvalidArgument:
+      return 413;
+    default:
+      return 500;
+  }
+}
+
+HttpResponse StatusResponse(const absl::Status& status) {
+  return ErrorResponse(HttpStatusOf(status), std::string(status.message()));
+}
+
+std::string DecodedQuery(const std::string& target, const char* name) {
+  return DecodeUrlText(QueryValue(target, name)).value_or("");
+}
+
+ObjectVersion VersionInQuery(const std::string& target, const char* name) {
+  return ObjectVersion(
+      std::strtoull(QueryValue(target, name).c_str(), nullptr, 10));
+}
+
+}  // namespace
+
+PlatformFace::PlatformFace(const asio::any_io_executor& executor,
+                           const StandinOptions& options)
+    : StandinFace(options.faults, options.seed),
+      model_(options.platform),
+      executor_(executor),
+      due_timer_(executor) {
+  for (const VmId& vm : options.vms) {
+    model_.SetVm({.id = vm}, TimePoint());
+  }
+}
+
+asio::awaitable<void> PlatformFace::HandleOutage(HttpExchange& exchange) {
+  co_await exchange.Respond(ErrorResponse(503, "outage"));
+}
+
+asio::awaitable<void> PlatformFace::HandleRequest(HttpExchange& exchange) {
+  const HttpRequest& request = exchange.request();
+  const std::string path = PathOfTarget(request.target);
+  if (path == "/counts") {
+    co_await exchange.Respond(Counts());
+    co_return;
+  }
+  if (path == "/vms" && request.method == "POST") {
+    co_await exchange.Respond(ChangeVm(request.body));
+    co_return;
+  }
+  const FaultChoice fault = ChooseFault();
+  if (fault == FaultChoice::kCut) {
+    co_return;
+  }
+  if (fault == FaultChoice::kHang) {
+    co_await WaitUntilCallerGone(exchange);
+  } else if (fault == FaultChoice::kFail) {
+    co_await HandleOutage(exchange);
+  } else if (path == "/vms") {
+    co_await exchange.Respond(ListVms());
+  } else if (path.starts_with(kObjectsPath)) {
+    co_await HandleObjects(exchange, path);
+  } else {
+    co_await exchange.Respond(ErrorResponse(404, "no such path"));
+  }
+}
+
+asio::awaitable<void> PlatformFace::HandleObjects(HttpExchange& exchange,
+                                                  std::string path) {
+  const HttpRequest& request = exchange.request();
+  const std::string rest = path.substr(std::string(kObjectsPath).size());
+  if (rest.empty()) {
+    co_await exchange.Respond(List(request.target));
+    co_return;
+  }
+  const std::string key = DecodeUrlText(rest.substr(1)).value_or("");
+  if (rest.front() != '/' || key.empty()) {
+    co_await exchange.Respond(ErrorResponse(400, "not a key"));
+  } else if (request.method == "PUT" || request.method == "DELETE") {
+    co_await HandleWrite(exchange, key);
+  } else if (!QueryValue(request.target, "watch_after").empty()) {
+    co_await HandleWatch(exchange, key);
+  } else {
+    co_await exchange.Respond(Get(key));
+  }
+}
+
+asio::awaitable<void> PlatformFace::HandleWrite(HttpExchange& exchange,
+                                                std::string key) {
+  const HttpRequest& request = exchange.request();
+  ConditionalWrite write;
+  write.key = std::move(key);
+  write.expected = VersionInQuery(request.target, "expected");
+  write.operation = OperationId(DecodedQuery(request.target, "operation"));
+  if (request.method == "PUT") {
+    write.value = request.body;
+  }
+  ObjectVersion present;
+  const absl::StatusOr<ObjectVersion> written =
+      model_.Put(write, SteadyNow(), &present);
+  const bool is_lost =
+      written.ok() && static_cast<int64_t>(random().Below(kPermilleWhole)) <
+                          faults().lost_answers.value();
+  if (is_lost) {
+    co_return;
+  }
+  HttpResponse response;
+  if (written.ok()) {
+    response = JsonResponse(200, VersionJson(*written));
+  } else if (absl::IsAborted(written.status())) {
+    response = JsonResponse(412, VersionJson(present));
+  } else {
+    response = StatusResponse(written.status());
+  }
+  co_await exchange.Respond(std::move(response));
+}
+
+asio::awaitable<void> PlatformFace::HandleWatch(HttpExchange& exchange,
+                                                std::string key) {
+  const auto watch = std::make_shared<WaitingWatch>(executor_);
+  const ObjectVersion after =
+      VersionInQuery(exchange.request().target, "watch_after");
+  const absl::Status started = model_.Watch(
+      key, after, SteadyNow(), [watch](std::optional<StoredObject> object) {
+        watch->is_over = true;
+        watch->object = std::move(object);
+        watch->woken.cancel();
+      });
+  if (!started.ok()) {
+    co_await exchange.Respond(StatusResponse(started));
+    co_return;
+  }
+  ScheduleAdvance();
+  if (!watch->is_over) {
+    boost::system::error_code ignored;
+    co_await watch->woken.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+  }
+  if (faults().outage) {
+    co_return;
+  }
+  HttpResponse response;
+  response.status = 204;
+  if (watch->object) {
+    response = JsonResponse(200, json::serialize(ObjectJson(*watch->object)));
+  }
+  co_await exchange.Respond(std::move(response));
+}
+
+HttpResponse PlatformFace::Get(const std::string& key) {
+  const absl::StatusOr<StoredObject> object = model_.Get(key, SteadyNow());
+  if (!object.ok()) {
+    return StatusResponse(object.status());
+  }
+  return JsonResponse(200, json::serialize(ObjectJson(*object)));
+}
+
+HttpResponse PlatformFace::List(const std::string& target) {
+  const absl::StatusOr<std::vector<StoredObject>> objects =
+      model_.List(DecodedQuery(target, "prefix"), SteadyNow());
+  if (!objects.ok()) {
+    return StatusResponse(objects.status());
+  }
+  json::array listed;
+  for (const StoredObject& object : *objects) {
+    listed.push_back(ObjectJson(object));
+  }
+  return JsonResponse(200, json::serialize(json::object{{"objects", listed}}));
+}
+
+HttpResponse PlatformFace::ListVms() {
+  const absl::StatusOr<std::vector<ListedVm>> vms =
+      model_.ListVms(SteadyNow(), faults().report_lag);
+  if (!vms.ok()) {
+    return StatusResponse(vms.status());
+  }
+  json::array listed;
+  for (const ListedVm& vm : *vms) {
+    listed.push_back(json::object{{"id", vm.id.value()},
+                                  {"state", vm.leaving ? "leaving" : "live"}});
+  }
+  return JsonResponse(200, json::serialize(json::object{{"vms", listed}}));
+}
+
+HttpResponse PlatformFace::ChangeVm(const std::string& body) {
+  boost::system::error_code error;
+  const json::value parsed = json::parse(body, error);
+  const json::object* vm = error ? nullptr : parsed.if_object();
+  const json::value* id = vm == nullptr ? nullptr : vm->if_contains("id");
+  const json::value* state = vm == nullptr ? nullptr : vm->if_contains("state");
+  if (id == nullptr || !id->is_string() || state == nullptr) {
+    return ErrorResponse(400, "expected {\"id\",\"state\"}");
+  }
+  const VmId vm_id{std::string(id->as_string())};
+  if (*state == "gone") {
+    model_.RemoveVm(vm_id, SteadyNow());
+  } else {
+    model_.SetVm({.id = vm_id, .leaving = *state == "leaving"}, SteadyNow());
+  }
+  return JsonResponse(200, "{}");
+}
+
+HttpResponse PlatformFace::Counts() const {
+  return JsonResponse(
+      200, json::serialize(json::object{{"reads", model_.reads()},
+                                        {"writes", model_.writes()},
+                                        {"watches", model_.watches()}}));
+}
+
+void PlatformFace::ScheduleAdvance() {
+  const std::optional<TimePoint> due = model_.NextDue();
+  if (!due || due_timer_.expiry() == ToSteadyClock(*due)) {
+    return;
+  }
+  due_timer_.expires_at(ToSteadyClock(*due));
+  due_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) {
+      model_.Advance(SteadyNow());
+      ScheduleAdvance();
+    }
+  });
+}
+
+}  // namespace papaya
--- /dev/null
+++ b/src/standin/service_face.cc
@@ -0,0 +1,89 @@
+#include "src/standin/service_face.h"
+
+#include <boost/json.hpp>
+
+#include "include/standin/standin_server.h"
+#include "include/wire/http_exchange.h"
+
+namespace papaya {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+HttpResponse LeavingResponse() {
+  HttpResponse response = ErrorResponse(503, "leaving");
+  response.headers.Set("papaya-leaving", "1");
+  response.headers.Set("papaya-not-run", "1");
+  return response;
+}
+
+}  // namespace
+
+ServiceFace::ServiceFace(const StandinOptions& options)
+    : StandinFace(options.faults, options.seed),
+      service_time_(options.service_time) {}
+
+asio::awaitable<void> ServiceFace::HandleRequest(HttpExchange& exchange) {
+  const std::string path = PathOfTarget(exchange.request().target);
+  if (path == "/healthz") {
+    co_await exchange.Respond(JsonResponse(faults().leaving ? 503 : 200, "{}"));
+  } else if (path == "/v1/load") {
+    co_await exchange.Respond(JsonResponse(200, LoadJson()));
+  } else if (path == "/ledger") {
+    co_await exchange.Respond(JsonResponse(200, LedgerJson()));
+  } else {
+    co_await HandleCall(exchange);
+  }
+}
+
+asio::awaitable<void> ServiceFace::HandleCall(HttpExchange& exchange) {
+  if (faults().leaving) {
+    co_await exchange.Respond(LeavingResponse());
+    co_return;
+  }
+  const HttpRequest& request = exchange.request();
+  const std::string key =
+      ServiceKeyOf(request.body, request.headers.Get("Idempotency-Key"));
+  model_.Run({.key = key,
+              .method = request.method,
+              .path = PathOfTarget(request.target)});
+  const FaultChoice fault = ChooseFault();
+  if (fault == FaultChoice::kCut) {
+    co_return;
+  }
+  ++running_;
+  if (fault == FaultChoice::kHang) {
+    co_await WaitUntilCallerGone(exchange);
+    --running_;
+    co_return;
+  }
+  co_await SleepFor(
+      SecondsToDuration(ToSeconds(service_time_) * faults().slow_factor));
+  --running_;
+  HttpResponse response = JsonResponse(200, ServiceAnswer(key));
+  if (fault == FaultChoice::kFail) {
+    response = ErrorResponse(500, "failed");
+  }
+  co_await exchange.Respond(std::move(response));
+}
+
+std::string ServiceFace::LoadJson() const {
+  return json::serialize(
+      json::object{{"running", running_},
+                   {"waiting", 0},
+                   {"age_ms", 0},
+                   {"state", faults().leaving ? "leaving" : "live"}});
+}
+
+std::string ServiceFace::LedgerJson() const {
+  json::object runs;
+  for (const auto& [key, count] : model_.ledger()) {
+    runs[key] = count;
+  }
+  return json::serialize(
+      json::object{{"runs", runs}, {"repeated_runs", model_.repeated_runs()}});
+}
+
+}  // namespace papaya
--- /dev/null
+++ b/src/standin/service_face.h
@@ -0,0 +1,30 @@
+#ifndef SRC_STANDIN_SERVICE_FACE_H_
+#define SRC_STANDIN_SERVICE_FACE_H_
+
+#include "include/base/units.h"
+#include "include/standin/service_model.h"
+#include "src/standin/standin_face.h"
+
+namespace papaya {
+
+struct StandinOptions;
+
+// A plain service behind HTTP.
+class ServiceFace : public StandinFace {
+ public:
+  explicit ServiceFace(const StandinOptions& options);
+
+ private:
+  boost::asio::awaitable<void> HandleRequest(HttpExchange& exchange) override;
+  boost::asio::awaitable<void> HandleCall(HttpExchange& exchange);
+  std::string LoadJson() const;
+  std::string LedgerJson() const;
+
+  const Duration service_time_;
+  ServiceModel model_;
+  int running_ = 0;
+};
+
+}  // namespace papaya
+
+#endif  // SRC_STANDIN_SERVICE_FACE_H_
--- /dev/null
+++ b/src/standin/standin_face.cc
@@ -0,0 +1,98 @@
+#include "src/standin/standin_face.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+#include <chrono>
+
+#include "include/wire/http_exchange.h"
+
+namespace papaya {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr uint64_t kPermilleWhole = 1000;
+
+}  // namespace
+
+asio::awaitable<void> StandinFace::Handle(HttpExchange& exchange) {
+  if (PathOfTarget(exchange.request().target) == "/faults") {
+    co_await HandleFaults(exchange);
+    co_return;
+  }
+  if (faults_.outage) {
+    co_await HandleOutage(exchange);
+    co_return;
+  }
+  if (faults_.delay > Duration::zero()) {
+    co_await SleepFor(faults_.delay);
+  }
+  co_await HandleRequest(exchange);
+}
+
+asio::awaitable<void> StandinFace::HandleFaults(HttpExchange& exchange) {
+  if (exchange.request().method == "POST") {
+    const absl::Status applied =
+        ApplyFaultsJson(exchange.request().body, faults_);
+    if (!applied.ok()) {
+      co_await exchange.Respond(
+          ErrorResponse(400, std::string(applied.message())));
+      co_return;
+    }
+    OnFaultsChanged();
+  }
+  co_await exchange.Respond(JsonResponse(200, FaultsToJson(faults_)));
+}
+
+asio::awaitable<void> StandinFace::HandleOutage(HttpExchange& /*exchange*/) {
+  co_return;
+}
+
+FaultChoice StandinFace::ChooseFault() {
+  int64_t draw = static_cast<int64_t>(random_.Below(kPermilleWhole));
+  draw -= faults_.failing.value();
+  if (draw < 0) {
+    return FaultChoice::kFail;
+  }
+  draw -= faults_.hanging.value();
+  if (draw < 0) {
+    return FaultChoice::kHang;
+  }
+  draw -= faults_.cutting.value();
+  return draw < 0 ? FaultChoice::kCut : FaultChoice::kNone;
+}
+
+asio::awaitable<void> SleepFor(Duration duration) {
+  asio::steady_timer timer(co_await asio::this_coro::executor);
+  timer.expires_after(
+      std::chrono::duration_cast<asio::steady_timer::duration>(duration));
+  co_await timer.async_wait(asio::use_awaitable);
+}
+
+asio::awaitable<void> WaitUntilCallerGone(HttpExchange& exchange) {
+  asio::steady_timer timer(co_await asio::this_coro::executor);
+  timer.expires_at(asio::steady_timer::time_point::max());
+  exchange.OnCallerGone([&timer] { timer.cancel(); });
+  boost::system::error_code ignored;
+  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+  exchange.OnCallerGone(nullptr);
+}
+
+HttpResponse JsonResponse(int status, const std::string& body) {
+  HttpResponse response;
+  response.status = status;
+  response.headers.Set("Content-Type", "application/json");
+  response.body = body;
+  return response;
+}
+
+HttpResponse ErrorResponse(int status, const std::string& message) {
+  return JsonResponse(status, boost::json::serialize(boost::json::object{
+                                  {"error", {{"message", message}}}}));
+}
+
+}  // namespace papaya
