--- a/include/rollout/engine_order.h
+++ b/include/rollout/engine_order.h
@@ -24,7 +24,7 @@
 
 // An order to one engine.
 struct EngineOrder {
-  // The same for repetitions of the same order under one lease.
+  // Unique, for the logs of both ends.
   OperationId id;
   UpstreamId upstream;
   FencingNumber fencing;
--- a/include/rollout/note_book.h
+++ b/include/rollout/note_book.h
@@ -54,7 +54,7 @@
   using ListDone =
       std::function<void(absl::Status, std::vector<StoredNote> notes)>;
 
-  // `store` must outlive the book and all its calls. `chart` is
+  // `store` must outlive the book, and the book all its calls. `chart` is
   // charts/release_note.chart.
   NoteBook(ObjectStore* store,
            const std::string& prefix,
@@ -75,8 +75,8 @@
   // All notes, by id; broken objects are passed over.
   void List(ListDone done);
 
-  // Writes the holder's progress; `record.state` must be reachable by one event
-  // of the chart from the state that was read, or the same.
+  // Writes the holder's progress. The holder takes `record.state` by the chart
+  // from the state that it read at `expected`.
   void Update(const NoteRecord& record,
               ObjectVersion expected,
               const OperationId& operation,
--- a/include/rollout/note_record.h
+++ b/include/rollout/note_record.h
@@ -19,6 +19,14 @@
 inline constexpr char kNoteTakingBack[] = "taking_back";
 inline constexpr char kNoteTakenBack[] = "taken_back";
 
+// The role of one engine.
+struct EngineRole {
+  UpstreamId upstream;
+  std::string role;
+
+  bool operator==(const EngineRole&) const = default;
+};
+
 // What stood before a note began, of the parts that it touches: what taking it
 // back restores.
 struct NoteBefore {
@@ -30,6 +38,8 @@
   std::vector<VersionShare> shares;
   // Pools that it touches.
   std::vector<PoolId> pools;
+  // Engines that it gives another role, and the one that they had.
+  std::vector<EngineRole> roles;
 
   bool operator==(const NoteBefore&) const = default;
 };
@@ -40,6 +50,9 @@
   NoteId id;
   // Who wrote the text, as the operator's client gave it.
   std::string author;
+  // The operator's last wish that took effect; kept over the holder's writes so
+  // that a lost answer can be read back later.
+  OperationId wish;
   std::string text;
   // Grows with each revision of the text, from 1.
   int text_revision = 1;
@@ -53,6 +66,9 @@
   // have; meaningful while moving.
   int stage = 0;
   Permille share;
+  // The versions that the stages bring in, as `pool=version`. A revision of the
+  // text that asks for others starts at the first stage again.
+  std::vector<std::string> stage_versions;
   // When that stage was fully in force; the epoch if it is not yet.
   WallTime stage_since;
   WallTime began;
--- a/include/rollout/version_stats.h
+++ b/include/rollout/version_stats.h
@@ -29,16 +29,20 @@
 
 // What a row counts. The order is that of the wire.
 struct StatsKey {
+  // The note in progress that the counts belong to.
+  NoteId note;
   PoolId pool;
   VersionId version;
   RouteId route;
+  // Of the upstream's hardware; versions are compared within one generation.
+  GenerationId generation;
   // Empty for the upstreams that are not counted one by one.
   UpstreamId upstream;
 
   auto operator<=>(const StatsKey&) const = default;
 };
 
-// Counts since the router started; never smaller than before.
+// Counts since the note began, or the router; never smaller than before.
 struct StatsCounts {
   uint32_t requests = 0;
   uint32_t failures = 0;
@@ -83,7 +87,8 @@
 
   VersionStats(const RouterId& router, Incarnation incarnation);
 
-  // Keeps rows of pools that have a note in progress in `config`, drops others.
+  // Counts for pools that have a note in progress in `config`. Rows go when
+  // another note takes their pool, or when there is no room.
   void OnConfig(const FleetConfig& config);
 
   // True if requests to `pool` are counted now.
@@ -98,8 +103,8 @@
                bool failed,
                Duration latency);
 
-  // All rows; a router sends it at the interval of ReportInterval. Empty rows
-  // need not be sent.
+  // The rows of pools with a note in progress. A router sends it to the pool's
+  // judges at the interval of ReportInterval; without rows it need not be sent.
   StatsReport MakeReport();
 
   // How often each router may report so that a receiver stays within
@@ -110,10 +115,17 @@
 
  private:
   struct Pool {
-    // Upstreams with rows of their own.
+    NoteId note;
+    // False while the note that was counted last is not in the configuration.
+    bool is_moving = false;
+    std::map<UpstreamId, GenerationId> generations;
+    // Upstreams with rows of their own, sorted.
     std::vector<UpstreamId> named;
   };
 
+  // Drops rows of pools that are not counted now.
+  void DropIdleRows();
+
   const RouterId router_;
   const Incarnation incarnation_;
   uint64_t sequence_ = 0;
--- /dev/null
+++ b/src/rollout/engine_keeper.cc
@@ -0,0 +1,270 @@
+#include "src/rollout/engine_keeper.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+
+namespace papaya {
+
+namespace {
+
+// Pause between two looks at an engine that is loading, and after a failure.
+constexpr Duration kLookAgain = std::chrono::seconds(2);
+constexpr double kLookSpread = 0.3;
+// A load that takes this many times its usual time is a failure.
+constexpr int kLongLoad = 6;
+
+template <typename T>
+bool Contains(const std::vector<T>& items, const T& item) {
+  return std::find(items.begin(), items.end(), item) != items.end();
+}
+
+// The next order towards a goal.
+struct NextOrder {
+  OrderAction action;
+  std::string argument;
+};
+
+std::optional<NextOrder> FindUnload(const EngineState& state,
+                                    const EngineGoal& goal) {
+  if (!goal.only_active || goal.active.empty()) {
+    return std::nullopt;
+  }
+  for (const VersionId& version : state.loaded) {
+    if (version != goal.active && version != state.active) {
+      return NextOrder{OrderAction::kUnloadVersion, version.value()};
+    }
+  }
+  return std::nullopt;
+}
+
+// What `state` lacks first; empty if the goal is reached.
+std::optional<NextOrder> FindNextOrder(const EngineState& state,
+                                       const EngineGoal& goal) {
+  for (const VersionId& version : {goal.active, goal.loaded}) {
+    if (!version.empty() && state.active != version &&
+        !Contains(state.loaded, version)) {
+      return NextOrder{OrderAction::kLoadVersion, version.value()};
+    }
+  }
+  for (const std::string& adapter : goal.adapters) {
+    if (!Contains(state.adapters, adapter)) {
+      return NextOrder{OrderAction::kLoadAdapter, adapter};
+    }
+  }
+  if (!goal.role.empty() && state.role != goal.role) {
+    return NextOrder{OrderAction::kSetRole, goal.role};
+  }
+  if (!goal.active.empty() && state.active != goal.active) {
+    return NextOrder{OrderAction::kActivateVersion, goal.active.value()};
+  }
+  return FindUnload(state, goal);
+}
+
+}  // namespace
+
+struct EngineKeeper::Engine {
+  std::optional<EngineState> state;
+  TimePoint read_at;
+  // True if an order was sent since it was read.
+  bool is_stale = true;
+  bool is_busy = false;
+  TimePoint next_try;
+  // Reads and orders have failed without a success of their kind since then.
+  std::optional<TimePoint> reads_failing_since;
+  std::optional<TimePoint> orders_failing_since;
+  std::optional<TimePoint> loading_since;
+};
+
+// Outlives the keeper in callbacks.
+struct EngineKeeper::Shared {
+  int calls = 0;
+};
+
+EngineKeeper::EngineKeeper(const NoteRunnerOptions& options,
+                           const NoteRunnerHooks& hooks,
+                           const NoteLease* lease,
+                           Random* random)
+    : options_(options),
+      hooks_(hooks),
+      lease_(lease),
+      random_(random),
+      shared_(std::make_shared<Shared>()) {}
+
+EngineKeeper::~EngineKeeper() = default;
+
+void EngineKeeper::BeginTerm(TimePoint now, FencingNumber epoch) {
+  now_ = now;
+  term_began_ = now;
+  epoch_ = epoch;
+  engines_.clear();
+  loading_.clear();
+}
+
+GoalProgress EngineKeeper::Pursue(const UpstreamSpec& upstream,
+                                  const EngineGoal& goal,
+                                  TimePoint read_after) {
+  if (upstream.kind == UpstreamKind::kPlainService) {
+    return GoalProgress::kReached;
+  }
+  std::shared_ptr<Engine>& slot = engines_[upstream.id];
+  if (slot == nullptr) {
+    slot = std::make_shared<Engine>();
+  }
+  Engine* const engine = slot.get();
+  const bool is_fresh =
+      engine->state && !engine->is_stale && engine->read_at >= read_after;
+  if (is_fresh && !FindNextOrder(*engine->state, goal)) {
+    loading_.erase(upstream.id);
+    engine->loading_since.reset();
+    return GoalProgress::kReached;
+  }
+  const bool may_call = !engine->is_busy && now_ >= engine->next_try &&
+                        shared_->calls < options_.concurrent_calls;
+  // An order of the last holder may still be on its way to an engine that would
+  // not refuse it.
+  const bool is_quiet =
+      upstream.checks_fencing || now_ >= term_began_ + options_.order_timeout;
+  if (may_call && is_quiet) {
+    if (is_fresh) {
+      TakeStep(upstream, goal, engine);
+    } else {
+      Read(upstream, engine);
+    }
+  }
+  return HasFailedLong(*engine) ? GoalProgress::kUnreachable
+                                : GoalProgress::kWorking;
+}
+
+bool EngineKeeper::HasFailedLong(const Engine& engine) const {
+  const auto lasts = [this](const std::optional<TimePoint>& since,
+                            Duration longest) {
+    return since && now_ - *since > longest;
+  };
+  return lasts(engine.reads_failing_since, options_.unreachable_after) ||
+         lasts(engine.orders_failing_since, options_.unreachable_after) ||
+         lasts(engine.loading_since, options_.load_time * kLongLoad);
+}
+
+const EngineState* EngineKeeper::LastState(const UpstreamId& upstream) const {
+  const auto found = engines_.find(upstream);
+  return found != engines_.end() && found->second->state
+             ? &*found->second->state
+             : nullptr;
+}
+
+std::optional<TimePoint> EngineKeeper::LastRead(
+    const UpstreamId& upstream) const {
+  const auto found = engines_.find(upstream);
+  return found != engines_.end() && found->second->state
+             ? std::optional<TimePoint>(found->second->read_at)
+             : std::nullopt;
+}
+
+void EngineKeeper::Prune(const FleetConfig& config) {
+  std::set<UpstreamId> wanted;
+  for (const UpstreamSpec& upstream : config.upstreams) {
+    wanted.insert(upstream.id);
+  }
+  std::erase_if(engines_, [&wanted](const auto& entry) {
+    return !wanted.contains(entry.first);
+  });
+  std::erase_if(loading_, [&wanted](const UpstreamId& id) {
+    return !wanted.contains(id);
+  });
+}
+
+void EngineKeeper::Read(const UpstreamSpec& upstream, Engine* engine) {
+  engine->is_busy = true;
+  ++shared_->calls;
+  const std::shared_ptr<Engine> kept = engines_.at(upstream.id);
+  const std::shared_ptr<Shared> shared = shared_;
+  const TimePoint asked = now_;
+  const Duration pause = random_->Jitter(kLookAgain, kLookSpread);
+  hooks_.read_state(upstream, [kept, shared, asked,
+                               pause](const absl::StatusOr<EngineState>& read) {
+    --shared->calls;
+    kept->is_busy = false;
+    if (!read.ok()) {
+      kept->reads_failing_since = kept->reads_failing_since.value_or(asked);
+      kept->next_try = asked + pause;
+      return;
+    }
+    kept->reads_failing_since.reset();
+    kept->state = *read;
+    kept->read_at = asked;
+    kept->is_stale = false;
+  });
+}
+
+bool EngineKeeper::MayLoad(const UpstreamSpec& upstream, Engine* engine) {
+  if (loading_.contains(upstream.id)) {
+    return true;
+  }
+  if (loading_.size() >= static_cast<size_t>(options_.concurrent_loads)) {
+    return false;
+  }
+  loading_.insert(upstream.id);
+  engine->loading_since = now_;
+  return true;
+}
+
+void EngineKeeper::TakeStep(const UpstreamSpec& upstream,
+                            const EngineGoal& goal,
+                            Engine* engine) {
+  const std::optional<NextOrder> next = FindNextOrder(*engine->state, goal);
+  const bool is_load = next->action == OrderAction::kLoadVersion;
+  if (!is_load) {
+    loading_.erase(upstream.id);
+    engine->loading_since.reset();
+  }
+  if (is_load && Contains(engine->state->loading, VersionId(next->argument))) {
+    engine->is_stale = true;
+    engine->next_try = now_ + random_->Jitter(kLookAgain, kLookSpread);
+    return;
+  }
+  if (is_load && !MayLoad(upstream, engine)) {
+    return;
+  }
+  if (lease_->HoldsUntil(now_ + options_.order_timeout)) {
+    Order(upstream, next->action, next->argument, engine);
+  }
+}
+
+void EngineKeeper::Order(const UpstreamSpec& upstream,
+                         OrderAction action,
+                         const std::string& argument,
+                         Engine* engine) {
+  EngineOrder order;
+  order.id = OperationId(absl::StrCat("order/", epoch_.value(), "/",
+                                      upstream.id.value(), "/", ++orders_));
+  order.upstream = upstream.id;
+  order.fencing = epoch_;
+  order.action = action;
+  order.argument = argument;
+  // Half of the timeout for sending leaves the other half for the answer.
+  order.send_before = now_ + options_.order_timeout / 2;
+  order.answer_before = now_ + options_.order_timeout;
+  engine->is_busy = true;
+  engine->is_stale = true;
+  ++shared_->calls;
+  const std::shared_ptr<Engine> kept = engines_.at(upstream.id);
+  const std::shared_ptr<Shared> shared = shared_;
+  const TimePoint sent = now_;
+  const Duration pause = random_->Jitter(kLookAgain, kLookSpread);
+  hooks_.order(order, [kept, shared, sent, pause](const absl::Status& status) {
+    --shared->calls;
+    kept->is_busy = false;
+    if (status.ok()) {
+      kept->orders_failing_since.reset();
+      return;
+    }
+    kept->next_try = sent + pause;
+    if (status.code() != absl::StatusCode::kResourceExhausted) {
+      kept->orders_failing_since = kept->orders_failing_since.value_or(sent);
+    }
+  });
+}
+
+}  // namespace papaya
--- /dev/null
+++ b/src/rollout/note_book.cc
@@ -0,0 +1,264 @@
+#include "include/rollout/note_book.h"
+
+#include <optional>
+#include <utility>
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+#include "include/base/error.h"
+#include "include/chart/chart_machine.h"
+#include "include/chart/state_chart.h"
+#include "include/config/fleet_config_text.h"
+#include "include/rollout/release_note.h"
+
+namespace papaya {
+
+namespace {
+
+constexpr char kStep[] = "note.write";
+
+// Error of one note, with the note as the peer.
+absl::Status NoteError(absl::StatusCode code,
+                       const NoteId& id,
+                       const std::string& message) {
+  return MakeError(code, {kStep, id.value()}, message);
+}
+
+// True if a write with this error may have taken effect all the same.
+bool IsDoubtful(const absl::Status& status) {
+  return status.code() == absl::StatusCode::kUnavailable ||
+         status.code() == absl::StatusCode::kDeadlineExceeded;
+}
+
+// The note in `object`, with its version and operation.
+absl::StatusOr<StoredNote> ReadNote(const StoredObject& object) {
+  absl::StatusOr<NoteRecord> record = ParseNoteRecord(object.value);
+  if (!record.ok()) {
+    return record.status();
+  }
+  return StoredNote{*std::move(record), object.version, object.operation};
+}
+
+// The state that `event` leads to from the record's; an error if the chart has
+// no such step.
+absl::Status Follow(const std::shared_ptr<const StateChart>& chart,
+                    const std::string& event,
+                    NoteRecord* record) {
+  ChartMachine machine(chart, record->state);
+  if (!machine.Fire(event)) {
+    return NoteError(
+        absl::StatusCode::kFailedPrecondition, record->id,
+        absl::StrCat("a note that is ", record->state, " takes no `", event,
+                     "`; submit a new note"));
+  }
+  record->state = machine.state();
+  return absl::OkStatus();
+}
+
+}  // namespace
+
+NoteBook::NoteBook(ObjectStore* store,
+                   const std::string& prefix,
+                   std::shared_ptr<const StateChart> chart)
+    : store_(store), prefix_(prefix), chart_(std::move(chart)) {}
+
+std::string NoteBook::KeyOf(const NoteId& id) const {
+  return absl::StrCat(prefix_, "/notes/", id.value());
+}
+
+void NoteBook::Submit(const NoteRequest& request, WallTime wall, Done done) {
+  CheckText(request, wall,
+            [this, request, wall, done](std::vector<TextFault> faults,
+                                        const absl::Status& status) {
+              if (!status.ok()) {
+                done({status, {}, std::move(faults)});
+                return;
+              }
+              NoteRecord record;
+              record.id = request.id;
+              record.author = request.author;
+              record.wish = request.operation;
+              record.text = request.text;
+              record.submitted = wall;
+              record.reason = "accepted, nothing has moved yet";
+              Write(record, ObjectVersion(0), request.operation, done);
+            });
+}
+
+void NoteBook::Revise(const NoteRequest& request, WallTime wall, Done done) {
+  CheckText(request, wall,
+            [this, request, done](std::vector<TextFault> faults,
+                                  const absl::Status& status) {
+              if (!status.ok()) {
+                done({status, {}, std::move(faults)});
+                return;
+              }
+              Change(
+                  request,
+                  [this, request](NoteRecord* record) {
+                    record->author = request.author;
+                    record->wish = request.operation;
+                    record->text = request.text;
+                    ++record->text_revision;
+                    record->reason =
+                        absl::StrCat("revised by ", request.author,
+                                     ", goes on from where it stands");
+                    return Follow(chart_, "revise", record);
+                  },
+                  done);
+            });
+}
+
+void NoteBook::Withdraw(const NoteRequest& request, WallTime wall, Done done) {
+  Change(
+      request,
+      [this, request, wall](NoteRecord* record) {
+        record->wish = request.operation;
+        record->reason = absl::StrCat("withdrawn by ", request.author);
+        const absl::Status followed = Follow(chart_, "withdraw", record);
+        if (IsFinalNoteState(record->state)) {
+          absl::StrAppend(&record->reason, " before anything moved");
+          record->ended = wall;
+        }
+        return followed;
+      },
+      std::move(done));
+}
+
+void NoteBook::Get(const NoteId& id, Done done) {
+  store_->Get(KeyOf(id), [id, done](const absl::StatusOr<StoredObject>& got) {
+    if (!got.ok()) {
+      done({got.status(), {}, {}});
+      return;
+    }
+    const absl::StatusOr<StoredNote> note = ReadNote(*got);
+    done({note.status(), note.ok() ? *note : StoredNote{}, {}});
+  });
+}
+
+void NoteBook::List(ListDone done) {
+  store_->List(
+      absl::StrCat(prefix_, "/notes/"),
+      [done](const absl::StatusOr<std::vector<StoredObject>>& objects) {
+        if (!objects.ok()) {
+          done(objects.status(), {});
+          return;
+        }
+        std::vector<StoredNote> notes;
+        for (const StoredObject& object : *objects) {
+          absl::StatusOr<StoredNote> note = ReadNote(object);
+          if (note.ok()) {
+            notes.push_back(*std::move(note));
+          }
+        }
+        done(absl::OkStatus(), std::move(notes));
+      });
+}
+
+void NoteBook::Update(const NoteRecord& record,
+                      ObjectVersion expected,
+                      const OperationId& operation,
+                      Done done) {
+  Write(record, expected, operation, std::move(done));
+}
+
+void NoteBook::CheckText(
+    const NoteRequest& request,
+    WallTime wall,
+    std::function<void(std::vector<TextFault>, absl::Status)> done) {
+  store_->Get(
+      absl::StrCat(prefix_, "/config"),
+      [request, wall, done](const absl::StatusOr<StoredObject>& got) {
+        std::optional<FleetConfig> present;
+        if (got.ok()) {
+          absl::StatusOr<FleetConfig> parsed = ParseFleetConfig(got->value);
+          if (!parsed.ok()) {
+            done({}, parsed.status());
+            return;
+          }
+          present = *std::move(parsed);
+        } else if (got.status().code() != absl::StatusCode::kNotFound) {
+          done({}, got.status());
+          return;
+        }
+        std::vector<TextFault> faults =
+            CheckReleaseNote(request.text, present ? &*present : nullptr, wall);
+        const absl::Status status =
+            faults.empty() ? absl::OkStatus()
+                           : NoteError(absl::StatusCode::kInvalidArgument,
+                                       request.id, "the note has faults");
+        done(std::move(faults), status);
+      });
+}
+
+void NoteBook::Change(const NoteRequest& request,
+                      std::function<absl::Status(NoteRecord*)> change,
+                      Done done) {
+  Get(request.id, [this, request, change, done](const NoteResult& result) {
+    // A repetition of a wish that has taken effect already.
+    if (!result.status.ok() || result.note.record.wish == request.operation) {
+      done(result);
+      return;
+    }
+    if (result.note.version != request.expected) {
+      done({NoteError(absl::StatusCode::kAborted, request.id,
+                      absl::StrCat("changed meanwhile by ",
+                                   result.note.record.author)),
+            result.note,
+            {}});
+      return;
+    }
+    NoteRecord record = result.note.record;
+    const absl::Status changed = change(&record);
+    if (!changed.ok()) {
+      done({changed, result.note, {}});
+      return;
+    }
+    Write(record, request.expected, request.operation, done);
+  });
+}
+
+void NoteBook::Write(const NoteRecord& record,
+                     ObjectVersion expected,
+                     const OperationId& operation,
+                     Done done) {
+  const ConditionalWrite write = {KeyOf(record.id), expected, operation,
+                                  FormatNoteRecord(record)};
+  store_->Put(write, [this, record, operation,
+                      done](const absl::StatusOr<ObjectVersion>& version) {
+    if (version.ok()) {
+      done({absl::OkStatus(), {record, *version, operation}, {}});
+      return;
+    }
+    if (version.status().code() == absl::StatusCode::kResourceExhausted) {
+      done({version.status(), {}, {}});
+      return;
+    }
+    ReadBack(record.id, operation, version.status(), done);
+  });
+}
+
+void NoteBook::ReadBack(const NoteId& id,
+                        const OperationId& operation,
+                        const absl::Status& write_error,
+                        Done done) {
+  Get(id, [id, operation, write_error, done](const NoteResult& result) {
+    if (result.status.ok() && (result.note.operation == operation ||
+                               result.note.record.wish == operation)) {
+      done(result);
+      return;
+    }
+    // A late write may still take effect, so doubt stays doubt.
+    if (IsDoubtful(write_error) || !result.status.ok()) {
+      done({write_error, result.note, {}});
+      return;
+    }
+    done({NoteError(
+              absl::StatusCode::kAborted, id,
+              absl::StrCat("changed meanwhile by ", result.note.record.author)),
+          result.note,
+          {}});
+  });
+}
+
+}  // namespace papaya
--- /dev/null
+++ b/src/rollout/note_check.cc
@@ -0,0 +1,237 @@
+// CheckReleaseNote: a note against the fleet as it is.
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "include/rollout/note_plan.h"
+#include "include/rollout/release_note.h"
+
+namespace papaya {
+
+namespace {
+
+// Collects the faults of one note against one fleet.
+class NoteChecker {
+ public:
+  NoteChecker(const ReleaseNote& note,
+              const FleetConfig& present,
+              WallTime wall,
+              std::vector<TextFault>* faults)
+      : note_(note),
+        present_(present),
+        target_(ApplyNote(note, present)),
+        wall_(wall),
+        faults_(faults) {}
+
+  void CheckAll() {
+    CheckTime();
+    CheckChangesSomething();
+    for (const UpstreamChange& change : note_.upstreams) {
+      CheckUpstream(change);
+    }
+    for (const PoolChange& change : note_.pools) {
+      CheckPool(change);
+    }
+    CheckVersions();
+    CheckAddresses();
+  }
+
+ private:
+  void Add(int line, const std::string& message) {
+    faults_->push_back({line, message});
+  }
+
+  void CheckTime() {
+    if (note_.traffic_by == WallTime()) {
+      return;  // already a fault of the text
+    }
+    if (note_.traffic_by <= wall_) {
+      Add(1, absl::StrCat("traffic_by: ", FormatWallTime(note_.traffic_by),
+                          " is past, it is ", FormatWallTime(wall_)));
+      return;
+    }
+    const NotePlan plan(NoteId("check"), note_, present_);
+    if (plan.IsJudged() && note_.traffic_by - wall_ < kShortestJudgedMove) {
+      Add(1,
+          "traffic_by: a new version needs at least 10 min to be judged; give "
+          "a later time");
+    }
+    if (note_.bake && *note_.bake > (note_.traffic_by - wall_) / 2) {
+      Add(1, "bake: takes more than half of the time up to traffic_by");
+    }
+  }
+
+  void CheckChangesSomething() {
+    if (note_.pools.empty() && note_.upstreams.empty()) {
+      Add(1, "the note changes nothing: no [pool NAME], no [upstream NAME]");
+    }
+  }
+
+  void CheckUpstream(const UpstreamChange& change) {
+    const UpstreamSpec* const stands = FindUpstream(present_, change.id);
+    if (change.withdrawn && stands == nullptr) {
+      Add(change.line, absl::StrCat("[upstream ", change.id.value(),
+                                    "] is withdrawn but is not in the fleet"));
+    }
+    if (!change.withdrawn && stands == nullptr) {
+      CheckAdded(change);
+    }
+    if (stands != nullptr && change.pool && *change.pool != stands->pool) {
+      Add(change.line,
+          absl::StrCat("[upstream ", change.id.value(), "] is of pool ",
+                       stands->pool.value(),
+                       "; withdraw it and add it under another name"));
+    }
+  }
+
+  void CheckAdded(const UpstreamChange& change) {
+    const std::pair<const char*, bool> required[] = {
+        {"vm", change.vm.has_value()},
+        {"address", change.address.has_value()},
+        {"zone", change.zone.has_value()},
+        {"pool", change.pool.has_value()},
+    };
+    for (const std::pair<const char*, bool>& key : required) {
+      if (!key.second) {
+        Add(change.line, absl::StrCat("[upstream ", change.id.value(),
+                                      "] is new and lacks `", key.first, "`"));
+      }
+    }
+    const UpstreamSpec* const spec = FindUpstream(target_, change.id);
+    if (change.pool && spec != nullptr && spec->version.empty()) {
+      Add(change.line,
+          absl::StrCat("[upstream ", change.id.value(),
+                       "] lacks `version`: ", "its pool has none yet"));
+    }
+  }
+
+  size_t CountIn(const FleetConfig& config, const PoolId& pool) const {
+    return static_cast<size_t>(std::count_if(
+        config.upstreams.begin(), config.upstreams.end(),
+        [&pool](const UpstreamSpec& spec) { return spec.pool == pool; }));
+  }
+
+  void CheckPool(const PoolChange& change) {
+    if (CountIn(present_, change.pool) == 0 &&
+        CountIn(target_, change.pool) == 0) {
+      Add(change.line, absl::StrCat("[pool ", change.pool.value(),
+                                    "] is not in the fleet and no upstream of "
+                                    "the note is of it"));
+    }
+    if (change.withdrawn && !change.version.empty()) {
+      Add(change.line, absl::StrCat("[pool ", change.pool.value(),
+                                    "] is withdrawn and has a version"));
+    }
+  }
+
+  bool IsWithdrawn(const PoolId& pool) const {
+    return std::any_of(note_.pools.begin(), note_.pools.end(),
+                       [&pool](const PoolChange& change) {
+                         return change.pool == pool && change.withdrawn;
+                       });
+  }
+
+  // The line that a fault about `pool` as a whole names.
+  int LineOf(const PoolId& pool) const {
+    for (const PoolChange& change : note_.pools) {
+      if (change.pool == pool) {
+        return change.line;
+      }
+    }
+    for (const UpstreamChange& change : note_.upstreams) {
+      const UpstreamSpec* spec = FindUpstream(target_, change.id);
+      spec = spec != nullptr ? spec : FindUpstream(present_, change.id);
+      if (spec != nullptr && spec->pool == pool) {
+        return change.line;
+      }
+    }
+    return 1;
+  }
+
+  void CheckVersions() {
+    const NotePlan plan(NoteId("check"), note_, present_);
+    for (const PoolId& pool : plan.pools()) {
+      if (pool.empty()) {
+        continue;  // already a fault of the upstream
+      }
+      std::set<VersionId> versions;
+      for (const UpstreamSpec& upstream : target_.upstreams) {
+        if (upstream.pool == pool) {
+          versions.insert(upstream.version);
+        }
+      }
+      if (versions.size() > 1) {
+        Add(LineOf(pool),
+            absl::StrCat("pool ", pool.value(),
+                         " would end with more than one version; say `version` "
+                         "in [pool ",
+                         pool.value(), "]"));
+      }
+      if (versions.empty() && !IsWithdrawn(pool) &&
+          CountIn(present_, pool) > 0) {
+        Add(LineOf(pool),
+            absl::StrCat("pool ", pool.value(),
+                         " would have no upstream left; withdraw the pool if "
+                         "that is meant"));
+      }
+    }
+    for (const PoolMove& move : plan.moves()) {
+      CheckMovable(move);
+    }
+  }
+
+  // A plain service takes no orders, so its version can't change in place.
+  void CheckMovable(const PoolMove& move) {
+    for (const UpstreamSpec& upstream : move.sequence) {
+      if (upstream.kind == UpstreamKind::kPlainService &&
+          FindUpstream(present_, upstream.id) != nullptr) {
+        Add(LineOf(move.pool),
+            absl::StrCat("upstream ", upstream.id.value(),
+                         " is a plain service and can't be ordered to version ",
+                         move.to.value(),
+                         "; add upstreams that run it and withdraw this one"));
+      }
+    }
+  }
+
+  void CheckAddresses() {
+    std::map<std::string, UpstreamId> owners;
+    for (const UpstreamSpec& upstream : target_.upstreams) {
+      const auto [owner, is_new] =
+          owners.emplace(upstream.address, upstream.id);
+      if (!is_new && !upstream.address.empty()) {
+        Add(LineOf(upstream.pool),
+            absl::StrCat("upstreams ", owner->second.value(), " and ",
+                         upstream.id.value(), " have the same address ",
+                         upstream.address));
+      }
+    }
+  }
+
+  const ReleaseNote& note_;
+  const FleetConfig& present_;
+  const FleetConfig target_;
+  const WallTime wall_;
+  std::vector<TextFault>* const faults_;
+};
+
+}  // namespace
+
+std::vector<TextFault> CheckReleaseNote(const std::string& text,
+                                        const FleetConfig* present,
+                                        WallTime wall) {
+  std::vector<TextFault> faults;
+  const ReleaseNote note = ReleaseNote::Parse(text, &faults);
+  const FleetConfig empty;
+  NoteChecker(note, present != nullptr ? *present : empty, wall, &faults)
+      .CheckAll();
+  std::stable_sort(
+      faults.begin(), faults.end(),
+      [](const TextFault& a, const TextFault& b) { return a.line < b.line; });
+  return faults;
+}
+
+}  // namespace papaya
--- /dev/null
+++ b/src/rollout/note_mover.cc
@@ -0,0 +1,412 @@
+#include "src/rollout/note_mover.h"
+
+#include <algorithm>
+#include <cassert>
+#include <set>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
+#include "include/chart/chart_machine.h"
+#include "include/chart/state_chart.h"
+#include "include/rollout/release_note.h"
+
+namespace papaya {
+
+namespace {
+
+// The part of the time up to `traffic_by` that is kept for the last change.
+constexpr int kReserveDivisor = 10;
+constexpr Duration kLongestReserve = std::chrono::minutes(2);
+// A version that could be watched for less than this at full share is in doubt.
+constexpr Duration kShortestBake = std::chrono::minutes(2);
+// A version that had fewer requests than this is in doubt.
+constexpr uint64_t kFewestRequests = 50;
+// Taking back waits so long for slow engines before it moves the others.
+constexpr Duration kPartialRestoreAfter = std::chrono::seconds(10);
+
+bool Contains(const std::vector<UpstreamId>& ids, const UpstreamId& id) {
+  return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
+// `a, b and c`.
+template <typename Id>
+std::string ListNames(const std::vector<Id>& ids) {
+  std::string text;
+  for (size_t i = 0; i < ids.size(); ++i) {
+    const char* const before =
+        i == 0 ? "" : (i + 1 == ids.size() ? " and " : ", ");
+    absl::StrAppend(&text, before, ids[i].value());
+  }
+  return text;
+}
+
+std::string DescribeStop(const StopFact& fact) {
+  const char* const what =
+      fact.cause == StopCause::kFailures ? "fails more often" : "is slower";
+  const std::string where =
+      fact.route.empty() ? "" : absl::StrCat(" on route ", fact.route.value());
+  return absl::StrCat("version ", fact.version.value(), " of ",
+                      fact.pool.value(), " ", what,
+                      " than the version before it", where);
+}
+
+size_t CountMembers(const NotePlan& plan, const PoolId& pool) {
+  return static_cast<size_t>(std::count_if(
+      plan.target().upstreams.begin(), plan.target().upstreams.end(),
+      [&pool](const UpstreamSpec& spec) { return spec.pool == pool; }));
+}
+
+ReleaseNote ParseAccepted(const std::string& text) {
+  std::vector<TextFault> faults;
+  return ReleaseNote::Parse(text, &faults);
+}
+
+// Takes `missing` out of `config`, but for pools that nothing would be left of.
+void LeaveOut(const std::vector<UpstreamId>& missing, FleetConfig* config) {
+  std::set<PoolId> present;
+  for (const UpstreamSpec& upstream : config->upstreams) {
+    if (!Contains(missing, upstream.id)) {
+      present.insert(upstream.pool);
+    }
+  }
+  std::erase_if(config->upstreams, [&](const UpstreamSpec& upstream) {
+    return Contains(missing, upstream.id) && present.contains(upstream.pool);
+  });
+}
+
+}  // namespace
+
+NoteMover::NoteMover(const NoteMoverContext& context) : context_(context) {}
+
+void NoteMover::Step(const StoredNote& note,
+                     uint64_t requests,
+                     TimePoint now,
+                     WallTime wall) {
+  assert(!IsFinalNoteState(note.record.state));
+  note_ = &note;
+  requests_ = requests;
+  now_ = now;
+  wall_ = wall;
+  has_saved_ = false;
+  if (!context_.desk->IsKnown()) {
+    return;
+  }
+  if (note.record.state == kNoteWaiting) {
+    Begin();
+  } else if (note.record.state == kNoteMoving) {
+    restoring_since_.reset();
+    Move();
+  } else {
+    settled_since_.reset();
+    TakeBack();
+  }
+}
+
+void NoteMover::Save(const std::string& event, NoteRecord record) {
+  ChartMachine machine(context_.chart, note_->record.state);
+  const bool followed = machine.Fire(event);
+  assert(followed);
+  static_cast<void>(followed);
+  record.state = machine.state();
+  if (IsFinalNoteState(record.state)) {
+    record.ended = wall_;
+  }
+  has_saved_ = true;
+  context_.save(*note_, record);
+}
+
+void NoteMover::Begin() {
+  NoteRecord record = note_->record;
+  const std::vector<TextFault> faults =
+      CheckReleaseNote(record.text, &context_.desk->config(), wall_);
+  if (!faults.empty()) {
+    record.reason = absl::StrCat("could not begin: line ", faults.front().line,
+                                 ": ", faults.front().message);
+    Save("withdraw", std::move(record));
+    return;
+  }
+  const ReleaseNote note = ParseAccepted(record.text);
+  record.before = CaptureBefore(note, context_.desk->config(), {});
+  record.began = wall_;
+  record.stage = 0;
+  record.stage_since = WallTime();
+  record.reason = "preparing the first stage";
+  Save("start", std::move(record));
+}
+
+void NoteMover::Move() {
+  const NoteRecord& record = note_->record;
+  const ReleaseNote note = ParseAccepted(record.text);
+  if (!CaptureMore(note)) {
+    return;
+  }
+  const NotePlan plan(record.id, note,
+                      RestoreBefore(context_.desk->config(), record.before));
+  if (!HeedRevision(plan) || !HeedStops(plan) || !HeedDeadline(plan)) {
+    return;
+  }
+  if (static_cast<size_t>(record.stage) >= plan.stage_count()) {
+    Finish(plan);
+    return;
+  }
+  settled_since_.reset();
+  if (!PrepareEngines(plan)) {
+    return;
+  }
+  if (!context_.desk->Publish(plan.StageConfig(
+          static_cast<size_t>(record.stage), record.set_aside))) {
+    return;
+  }
+  if (!ActivateEngines(plan)) {
+    return;
+  }
+  WaitOutStage(plan);
+  PreloadNext(plan);
+}
+
+bool NoteMover::CaptureMore(const ReleaseNote& note) {
+  NoteRecord record = note_->record;
+  NoteBefore before =
+      CaptureBefore(note, context_.desk->config(), record.before);
+  before.roles = record.before.roles;
+  for (const UpstreamChange& change : note.upstreams) {
+    const UpstreamSpec* const stood =
+        FindUpstream(RestoreBefore(context_.desk->config(), before), change.id);
+    const bool is_known = std::any_of(before.roles.begin(), before.roles.end(),
+                                      [&change](const EngineRole& role) {
+                                        return role.upstream == change.id;
+                                      });
+    if (!change.role || stood == nullptr || is_known) {
+      continue;
+    }
+    const EngineState* const state = context_.keeper->LastState(change.id);
+    if (state == nullptr) {
+      context_.keeper->Pursue(*stood, {}, now_);
+      return false;
+    }
+    before.roles.push_back({change.id, state->role});
+  }
+  if (before == record.before) {
+    return true;
+  }
+  record.before = std::move(before);
+  Save("advance", std::move(record));
+  return false;
+}
+
+bool NoteMover::HeedRevision(const NotePlan& plan) {
+  NoteRecord record = note_->record;
+  if (record.stage_versions == plan.StageVersions()) {
+    return true;
+  }
+  record.stage_versions = plan.StageVersions();
+  record.stage = 0;
+  record.stage_since = WallTime();
+  record.set_aside.clear();
+  Save("advance", std::move(record));
+  return false;
+}
+
+size_t NoteMover::CountAside(const NotePlan& plan, const PoolId& pool) const {
+  return static_cast<size_t>(std::count_if(
+      plan.target().upstreams.begin(), plan.target().upstreams.end(),
+      [this, &pool](const UpstreamSpec& upstream) {
+        return upstream.pool == pool &&
+               Contains(note_->record.set_aside, upstream.id);
+      }));
+}
+
+void NoteMover::StartTakingBack(const std::string& reason) {
+  NoteRecord record = note_->record;
+  record.reason = reason;
+  Save("withdraw", std::move(record));
+}
+
+void NoteMover::SetAside(const NotePlan& plan,
+                         const UpstreamId& upstream,
+                         const std::string& why) {
+  NoteRecord record = note_->record;
+  record.set_aside.push_back(upstream);
+  const UpstreamSpec* const spec = FindUpstream(plan.target(), upstream);
+  if (spec != nullptr) {
+    const size_t others = CountAside(plan, spec->pool);
+    if (others + 1 > NotePlan::AllowedAside(CountMembers(plan, spec->pool))) {
+      StartTakingBack(absl::StrCat(
+          "version ", spec->version.value(), " of ", spec->pool.value(),
+          " is in doubt: ", upstream.value(), " ", why,
+          others > 0 ? absl::StrCat(", after ", others, " set aside before")
+                     : std::string()));
+      return;
+    }
+  }
+  record.stage_since = WallTime();
+  record.reason = absl::StrCat("set aside ", upstream.value(), ", which ", why);
+  Save("advance", std::move(record));
+}
+
+bool NoteMover::HeedStops(const NotePlan& plan) {
+  for (const PoolMove& move : plan.moves()) {
+    const StopFact* const fact =
+        context_.stops->FindVersion(note_->record.id, move.pool, move.to);
+    if (fact != nullptr) {
+      StartTakingBack(DescribeStop(*fact));
+      return false;
+    }
+  }
+  for (const StopFact& fact : context_.stops->UpstreamsOf(note_->record.id)) {
+    const bool is_moved =
+        std::any_of(plan.moves().begin(), plan.moves().end(),
+                    [&fact](const PoolMove& move) {
+                      return move.pool == fact.pool && move.to == fact.version;
+                    });
+    if (is_moved && !Contains(note_->record.set_aside, fact.upstream)) {
+      SetAside(plan, fact.upstream,
+               fact.cause == StopCause::kFailures ? "fails more than others"
+                                                  : "is slower than others");
+      return false;
+    }
+  }
+  return true;
+}
+
+WallTime NoteMover::LastMoment(const NotePlan& plan) const {
+  const Duration window = plan.note().traffic_by - note_->record.began;
+  const Duration reserve = std::min(window / kReserveDivisor, kLongestReserve);
+  return plan.note().traffic_by -
+         std::chrono::duration_cast<std::chrono::milliseconds>(reserve);
+}
+
+bool NoteMover::HeedDeadline(const NotePlan& plan) {
+  const NoteRecord& record = note_->record;
+  const bool is_finishing =
+      static_cast<size_t>(record.stage) >= plan.stage_count();
+  // The last change gets the reserve; all before it must do without.
+  const WallTime limit =
+      is_finishing ? plan.note().traffic_by : LastMoment(plan);
+  if (wall_ < limit) {
+    return true;
+  }
+  StartTakingBack(absl::StrFormat(
+      "traffic could not be moved by %s: stage %d of %d was not over in time",
+      FormatWallTime(plan.note().traffic_by),
+      std::min<int>(record.stage + 1, static_cast<int>(plan.stage_count())),
+      static_cast<int>(plan.stage_count())));
+  return false;
+}
+
+void NoteMover::WaitOutStage(const NotePlan& plan) {
+  if (has_saved_) {
+    return;
+  }
+  NoteRecord record = note_->record;
+  const size_t stage = static_cast<size_t>(record.stage);
+  const size_t count = plan.stage_count();
+  if (record.stage_since == WallTime()) {
+    record.stage_since = wall_;
+    record.share = plan.StageShare(stage);
+    record.reason = absl::StrFormat(
+        "stage %d of %d: %d.%d%% of the traffic is on the new version",
+        record.stage + 1, static_cast<int>(count), record.share.value() / 10,
+        record.share.value() % 10);
+    Save("advance", std::move(record));
+    return;
+  }
+  const Duration left = LastMoment(plan) - record.stage_since;
+  const bool is_last = stage + 1 == count;
+  if (plan.IsJudged() && is_last && left < kShortestBake) {
+    StartTakingBack("too little time was left to judge the new version");
+    return;
+  }
+  const Duration length =
+      plan.IsJudged() ? plan.StageLength(stage, left) : Duration(0);
+  // The last stage ends a little early, so that its end is not a late one.
+  const Duration planned = is_last ? length - length / 20 : length;
+  if (wall_ - record.stage_since < planned) {
+    return;
+  }
+  if (plan.IsJudged() && is_last && requests_ < kFewestRequests) {
+    return;  // more may come before the last moment
+  }
+  ++record.stage;
+  record.stage_since = WallTime();
+  record.reason = is_last ? "judged good, moving the rest"
+                          : absl::StrCat("preparing stage ", record.stage + 1,
+                                         " of ", count);
+  Save("advance", std::move(record));
+}
+
+void NoteMover::Finish(const NotePlan& plan) {
+  const NoteRecord& record = note_->record;
+  FleetConfig wanted = plan.target();
+  wanted.note = record.id;
+  std::erase_if(wanted.upstreams, [&record](const UpstreamSpec& upstream) {
+    return Contains(record.set_aside, upstream.id);
+  });
+  bool is_ready = true;
+  for (const PoolMove& move : plan.moves()) {
+    for (const UpstreamSpec& upstream : move.sequence) {
+      if (Contains(record.set_aside, upstream.id)) {
+        continue;
+      }
+      EngineGoal goal = GoalOf(plan, upstream);
+      goal.active = move.to;
+      // Once all has moved, each engine has to say so again: an order of an
+      // earlier holder may have come late.
+      is_ready =
+          Bring(plan, upstream, goal, settled_since_.value_or(TimePoint())) &&
+          is_ready;
+    }
+  }
+  if (has_saved_ || !is_ready || !context_.desk->Publish(wanted)) {
+    return;
+  }
+  if (!settled_since_) {
+    settled_since_ = now_;
+    return;
+  }
+  NoteRecord done = record;
+  done.share = Permille(1000);
+  done.reason =
+      plan.IsJudged()
+          ? absl::StrCat("all traffic of ", ListNames(plan.pools()),
+                         " has moved; judged over ", requests_, " requests")
+          : absl::StrCat("all changes to ", ListNames(plan.pools()),
+                         " are in force");
+  if (!record.set_aside.empty()) {
+    absl::StrAppend(&done.reason, "; set aside and out of the fleet: ",
+                    ListNames(record.set_aside),
+                    ", look at their VMs and add them by another note");
+  }
+  Save("finish", std::move(done));
+}
+
+void NoteMover::TakeBack() {
+  if (!restoring_since_) {
+    restoring_since_ = now_;
+  }
+  const NoteRecord& record = note_->record;
+  const FleetConfig base =
+      RestoreBefore(context_.desk->config(), record.before);
+  std::vector<UpstreamId> missing;
+  const bool is_settled = RestoreEngines(base, &missing);
+  if (!is_settled && now_ - *restoring_since_ < kPartialRestoreAfter) {
+    return;
+  }
+  FleetConfig wanted = base;
+  wanted.note = record.id;
+  LeaveOut(missing, &wanted);
+  if (!context_.desk->Publish(wanted) || !is_settled) {
+    return;
+  }
+  NoteRecord back = record;
+  back.share = Permille(0);
+  absl::StrAppend(&back.reason, "; taken back, traffic is where it was before");
+  if (!missing.empty()) {
+    absl::StrAppend(&back.reason, ", without ", ListNames(missing),
+                    ", which take no orders");
+  }
+  Save("finish", std::move(back));
+}
+
+}  // namespace papaya
--- /dev/null
+++ b/src/rollout/note_runner.cc
@@ -0,0 +1,377 @@
+#include "include/rollout/note_runner.h"
+
+#include <algorithm>
+#include <optional>
+#include <set>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "include/chart/state_chart.h"
+#include "include/rollout/note_plan.h"
+#include "src/rollout/config_desk.h"
+#include "src/rollout/engine_keeper.h"
+#include "src/rollout/note_mover.h"
+
+namespace papaya {
+
+namespace {
+
+// A store write must have so much of the lease left when it is begun.
+constexpr Duration kWriteTime = std::chrono::seconds(2);
+// Engines outside of notes are looked at one by one, so often.
+constexpr Duration kAuditEvery = std::chrono::milliseconds(100);
+// What they said counts for so long.
+constexpr Duration kAuditAge = std::chrono::seconds(30);
+
+bool InOrder(const StoredNote* a, const StoredNote* b) {
+  return std::tie(a->record.submitted, a->record.id) <
+         std::tie(b->record.submitted, b->record.id);
+}
+
+// The pools that a note needs for itself.
+std::vector<PoolId> PoolsOf(const NoteRecord& record,
+                            const FleetConfig& config) {
+  std::vector<TextFault> faults;
+  const ReleaseNote note = ReleaseNote::Parse(record.text, &faults);
+  return CaptureBefore(note, config, record.before).pools;
+}
+
+}  // namespace
+
+// The runner's state; callbacks keep it alive and see `is_alive`.
+class NoteRunner::Core : public std::enable_shared_from_this<NoteRunner::Core> {
+ public:
+  Core(ObjectStore* store,
+       const std::string& prefix,
+       const std::string& owner,
+       std::shared_ptr<const StateChart> chart,
+       const NoteRunnerOptions& options,
+       const NoteRunnerHooks& hooks,
+       Random* random)
+      : options_(options),
+        hooks_(hooks),
+        owner_(owner),
+        prefix_(prefix),
+        store_(store),
+        chart_(chart),
+        book_(store, prefix, chart),
+        lease_(store, prefix, owner, options.lease, random),
+        desk_(store, prefix, owner, hooks.publish),
+        keeper_(options_, hooks, &lease_, random) {}
+
+  void OnTick(TimePoint now, WallTime wall, bool is_candidate) {
+    now_ = now;
+    wall_ = wall;
+    lease_.OnTick(now, is_candidate);
+    const std::optional<FencingNumber> epoch = lease_.HeldEpoch(now);
+    if (!epoch) {
+      return;
+    }
+    if (epoch != epoch_ || !held_last_) {
+      BeginTerm(*epoch);
+    }
+    held_last_ = true;
+    if (!lease_.HoldsUntil(now + kWriteTime)) {
+      return;  // too little is left to begin anything
+    }
+    desk_.OnTick(now);
+    keeper_.OnTick(now);
+    ListIfDue();
+    if (has_listed_ && desk_.IsKnown()) {
+      StepNotes();
+      Audit();
+      PruneNotes();
+    }
+  }
+
+  void NoteHeldState() {
+    if (!lease_.HeldEpoch(now_)) {
+      held_last_ = false;
+    }
+  }
+
+  void Stop() { is_alive_ = false; }
+
+  StopSet* stops() { return &stops_; }
+  std::map<NoteId, uint64_t>* evidence() { return &evidence_; }
+  const NoteLease& lease() const { return lease_; }
+
+  std::vector<StoredNote> Notes() const {
+    std::vector<StoredNote> notes;
+    for (const auto& [id, note] : notes_) {
+      if (!IsFinalNoteState(note.record.state)) {
+        notes.push_back(note);
+      }
+    }
+    return notes;
+  }
+
+ private:
+  void BeginTerm(FencingNumber epoch) {
+    epoch_ = epoch;
+    has_listed_ = false;
+    next_list_ = now_;
+    notes_.clear();
+    movers_.clear();
+    saving_.clear();
+    ++term_;
+    desk_.Forget();
+    keeper_.BeginTerm(now_, epoch);
+  }
+
+  void ListIfDue() {
+    if (is_listing_ || now_ < next_list_) {
+      return;
+    }
+    is_listing_ = true;
+    next_list_ = now_ + options_.list_every;
+    book_.List(
+        [self = shared_from_this(), term = term_](
+            const absl::Status& status, const std::vector<StoredNote>& notes) {
+          self->is_listing_ = false;
+          if (self->is_alive_ && status.ok() && term == self->term_) {
+            self->OnListed(notes);
+          }
+        });
+  }
+
+  void OnListed(const std::vector<StoredNote>& notes) {
+    has_listed_ = true;
+    for (const StoredNote& note : notes) {
+      StoredNote& known = notes_[note.record.id];
+      if (known.version < note.version) {
+        known = note;
+      }
+      if (IsFinalNoteState(known.record.state)) {
+        stops_.Forget(known.record.id);
+      }
+    }
+    // Writes in doubt were begun before this list was asked for.
+    std::erase_if(saving_, [](const auto& entry) {
+      return entry.second == SaveState::kDoubtful;
+    });
+  }
+
+  // Notes in progress, oldest first, each if its pools are free.
+  void StepNotes() {
+    std::vector<const StoredNote*> active;
+    for (const auto& [id, note] : notes_) {
+      if (!IsFinalNoteState(note.record.state)) {
+        active.push_back(&note);
+      }
+    }
+    // Those that have begun have their pools already.
+    std::sort(active.begin(), active.end(), &InOrder);
+    std::stable_partition(active.begin(), active.end(),
+                          [](const StoredNote* note) {
+                            return note->record.state != kNoteWaiting;
+                          });
+    busy_pools_.clear();
+    for (const StoredNote* const note : active) {
+      const std::vector<PoolId> pools = PoolsOf(note->record, desk_.config());
+      const bool is_free = std::none_of(
+          pools.begin(), pools.end(),
+          [this](const PoolId& pool) { return busy_pools_.contains(pool); });
+      busy_pools_.insert(pools.begin(), pools.end());
+      // One that waits for its pools past its time can only end.
+      const bool may_step =
+          is_free || note->record.state != kNoteWaiting || IsPast(note->record);
+      if (may_step && !saving_.contains(note->record.id)) {
+        StepNote(note->record.id);
+      }
+    }
+  }
+
+  bool IsPast(const NoteRecord& record) const {
+    std::vector<TextFault> faults;
+    return ReleaseNote::Parse(record.text, &faults).traffic_by <= wall_;
+  }
+
+  void StepNote(const NoteId& id) {
+    std::unique_ptr<NoteMover>& mover = movers_[id];
+    if (mover == nullptr) {
+      mover = std::make_unique<NoteMover>(NoteMoverContext{
+          &options_, chart_, &desk_, &keeper_, &stops_,
+          [this](const StoredNote& stands, const NoteRecord& record) {
+            Save(stands, record);
+          }});
+    }
+    // A copy, as saving may replace the entry.
+    const StoredNote note = notes_.at(id);
+    mover->Step(note, evidence_[id], now_, wall_);
+  }
+
+  void Save(const StoredNote& stands, const NoteRecord& record) {
+    saving_[record.id] = SaveState::kWriting;
+    const OperationId operation(absl::StrCat("note/", owner_, "/", ++writes_));
+    book_.Update(record, stands.version, operation,
+                 [self = shared_from_this(), id = record.id, term = term_,
+                  before = stands.record.state](const NoteResult& result) {
+                   if (self->is_alive_ && term == self->term_) {
+                     self->OnSaved(id, before, result);
+                   }
+                 });
+  }
+
+  void OnSaved(const NoteId& id,
+               const std::string& state_before,
+               const NoteResult& result) {
+    if (notes_[id].version < result.note.version) {
+      notes_[id] = result.note;
+    }
+    if (!result.status.ok()) {
+      // Nothing more is done for it until the store was read again.
+      saving_[id] = SaveState::kDoubtful;
+      next_list_ = std::min(next_list_, now_ + std::chrono::seconds(1));
+      return;
+    }
+    saving_.erase(id);
+    if (result.note.record.state != state_before) {
+      Log(result.note.record);
+    }
+    if (IsFinalNoteState(result.note.record.state)) {
+      movers_.erase(id);
+      evidence_.erase(id);
+      stops_.Forget(id);
+      settle_until_ = now_ + options_.drain_time;
+    }
+  }
+
+  void Log(const NoteRecord& record) const {
+    if (hooks_.log) {
+      hooks_.log({EventId::kNoteStateChanged,
+                  {{"note", record.id.value()},
+                   {"state", record.state},
+                   {"reason", record.reason}}});
+    }
+  }
+
+  // Looks at engines outside of notes, one after the other, and repairs what a
+  // stale order or a restart has left; unloads what no note needs any more.
+  void Audit() {
+    const FleetConfig& config = desk_.config();
+    if (config.upstreams.empty() || now_ < next_audit_) {
+      return;
+    }
+    next_audit_ = now_ + kAuditEvery;
+    audited_ = (audited_ + 1) % config.upstreams.size();
+    const UpstreamSpec& upstream = config.upstreams[audited_];
+    if (busy_pools_.contains(upstream.pool)) {
+      return;
+    }
+    EngineGoal goal;
+    goal.active = upstream.version;
+    goal.only_active = now_ >= settle_until_;
+    keeper_.Pursue(upstream, goal, now_ - kAuditAge);
+  }
+
+  // Removes the oldest ended notes beyond those that are kept, one at a time.
+  void PruneNotes() {
+    std::vector<const StoredNote*> ended;
+    for (const auto& [id, note] : notes_) {
+      if (IsFinalNoteState(note.record.state)) {
+        ended.push_back(&note);
+      }
+    }
+    if (is_pruning_ ||
+        ended.size() <= static_cast<size_t>(options_.kept_notes)) {
+      return;
+    }
+    const StoredNote oldest =
+        **std::min_element(ended.begin(), ended.end(), &InOrder);
+    is_pruning_ = true;
+    const ConditionalWrite removal = {
+        absl::StrCat(prefix_, "/notes/", oldest.record.id.value()),
+        oldest.version,
+        OperationId(absl::StrCat("prune/", owner_, "/", ++writes_)),
+        std::nullopt};
+    store_->Put(removal, [self = shared_from_this(), id = oldest.record.id](
+                             const absl::StatusOr<ObjectVersion>&) {
+      self->is_pruning_ = false;
+      self->notes_.erase(id);
+    });
+  }
+
+  enum class SaveState { kWriting, kDoubtful };
+
+  const NoteRunnerOptions options_;
+  const NoteRunnerHooks hooks_;
+  const std::string owner_;
+  const std::string prefix_;
+  ObjectStore* const store_;
+  const std::shared_ptr<const StateChart> chart_;
+  NoteBook book_;
+  NoteLease lease_;
+  ConfigDesk desk_;
+  EngineKeeper keeper_;
+  StopSet stops_;
+  std::map<NoteId, uint64_t> evidence_;
+
+  bool is_alive_ = true;
+  TimePoint now_;
+  WallTime wall_;
+  std::optional<FencingNumber> epoch_;
+  bool held_last_ = false;
+  // Grows with each term as holder, so that answers of an earlier one are told.
+  uint64_t term_ = 0;
+  uint64_t writes_ = 0;
+
+  bool is_listing_ = false;
+  bool has_listed_ = false;
+  bool is_pruning_ = false;
+  TimePoint next_list_;
+  std::map<NoteId, StoredNote> notes_;
+  std::map<NoteId, std::unique_ptr<NoteMover>> movers_;
+  std::map<NoteId, SaveState> saving_;
+  std::set<PoolId> busy_pools_;
+  TimePoint next_audit_;
+  // Until then work of the old version may still be under way.
+  TimePoint settle_until_;
+  size_t audited_ = 0;
+};
+
+NoteRunner::NoteRunner(ObjectStore* store,
+                       const std::string& prefix,
+                       const std::string& owner,
+                       std::shared_ptr<const StateChart> chart,
+                       const NoteRunnerOptions& options,
+                       const NoteRunnerHooks& hooks,
+                       Random* random)
+    : core_(std::make_shared<Core>(store,
+                                   prefix,
+                                   owner,
+                                   std::move(chart),
+                                   options,
+                                   hooks,
+                                   random)) {}
+
+NoteRunner::~NoteRunner() {
+  core_->Stop();
+}
+
+void NoteRunner::OnTick(TimePoint now, WallTime wall, bool is_candidate) {
+  core_->OnTick(now, wall, is_candidate);
+  core_->NoteHeldState();
+}
+
+void NoteRunner::OnStopFact(const StopFact& fact) {
+  core_->stops()->Add(fact);
+}
+
+void NoteRunner::OnEvidence(const NoteId& note, uint64_t requests) {
+  (*core_->evidence())[note] = requests;
+}
+
+bool NoteRunner::IsHolder(TimePoint now) const {
+  return core_->lease().HeldEpoch(now).has_value();
+}
+
+std::string NoteRunner::seen_holder() const {
+  return core_->lease().seen_owner();
+}
+
+std::vector<StoredNote> NoteRunner::Notes() const {
+  return core_->Notes();
+}
+
+}  // namespace papaya
