Judge new versions by an exact sequential test; keep the note in shares

Cause: a bad version must be told from chance, from load and from one bad VM, at whatever moment one looks. Change: VersionJudge with windowed Fisher likelihood ratios mixed over starts, effects, routes and quantities; JSON of the configuration carries the note of a share; kind names stand once.

--- a/include/rollout/version_judge.h
+++ b/include/rollout/version_judge.h
@@ -16,6 +16,8 @@
 
 namespace papaya {
 
+class PoolJudge;
+
 struct VersionJudgeOptions {
   // The chance that a version as good as the old one is ever called bad, over
   // all looks, routes, replicas and quantities together.
@@ -60,10 +62,11 @@
 
   // Starts judging versions that `config` brings in by a note, ends judging
   // those that it does not any more.
-  void OnConfig(const FleetConfig& config, TimePoint now);
+  void OnConfig(const FleetConfig& config);
 
-  // Merges a report, of this router or of another: the larger count of each
-  // row and incarnation stands.
+  // Merges a report, of this router or of another: of each router, incarnation
+  // and row the larger count stands. Of notes that are not in progress here it
+  // keeps nothing; the next report has the same counts again.
   void OnReport(const StatsReport& report);
 
   // Looks when it is time; calls the hook at most once for each finding.
@@ -76,8 +79,6 @@
   size_t ApproximateBytes() const;
 
  private:
-  class PoolJudge;
-
   const VersionJudgeOptions options_;
   const StopHook on_stop_;
   std::map<PoolId, std::unique_ptr<PoolJudge>> pools_;
--- a/src/config/fleet_config_json.cc
+++ b/src/config/fleet_config_json.cc
@@ -15,6 +15,7 @@
 #include "include/base/error.h"
 #include "include/config/fleet_config.h"
 #include "include/config/fleet_config_check.h"
+#include "include/config/upstream_kind.h"
 #include "src/config/json_reader.h"
 
 namespace papaya {
@@ -24,26 +25,9 @@
 namespace json = boost::json;
 
 constexpr int64_t kFormat = 1;
-constexpr char kModelEngineName[] = "model_engine";
-constexpr char kPlainServiceName[] = "plain_service";
 // Id, VM and address.
 constexpr size_t kMemberFields = 3;
 
-const char* KindName(UpstreamKind kind) {
-  return kind == UpstreamKind::kModelEngine ? kModelEngineName
-                                            : kPlainServiceName;
-}
-
-std::optional<UpstreamKind> ParseKind(const std::string& name) {
-  if (name == kModelEngineName) {
-    return UpstreamKind::kModelEngine;
-  }
-  if (name == kPlainServiceName) {
-    return UpstreamKind::kPlainService;
-  }
-  return std::nullopt;
-}
-
 // All that the members of one group have in common.
 using GroupKey = std::tuple<PoolId,
                             VersionId,
@@ -73,7 +57,7 @@
 
 json::object GroupToJson(const std::vector<const UpstreamSpec*>& upstreams) {
   const UpstreamSpec& first = *upstreams.front();
-  return {{"kind", KindName(first.kind)},
+  return {{"kind", UpstreamKindName(first.kind)},
           {"pool", first.pool.value()},
           {"version", first.version.value()},
           {"generation", first.generation.value()},
@@ -99,9 +83,13 @@
 json::array SharesToJson(const FleetConfig& config) {
   json::array array;
   for (const VersionShare& share : config.shares) {
-    array.emplace_back(json::object{{"pool", share.pool.value()},
-                                    {"version", share.version.value()},
-                                    {"permille", share.share.value()}});
+    json::object object = {{"pool", share.pool.value()},
+                           {"version", share.version.value()},
+                           {"permille", share.share.value()}};
+    if (!share.note.empty()) {
+      object["note"] = share.note.value();
+    }
+    array.emplace_back(std::move(object));
   }
   return array;
 }
@@ -196,7 +184,7 @@
   UpstreamSpec ReadCommon(const std::string& where, const json::object& group) {
     UpstreamSpec common;
     const std::string kind = reader_.ReadString(where, group, "kind");
-    const std::optional<UpstreamKind> parsed = ParseKind(kind);
+    const std::optional<UpstreamKind> parsed = ParseUpstreamKind(kind);
     if (!parsed.has_value()) {
       reader_.AddFault(where + ".kind",
                        "expected model_engine or plain_service");
@@ -231,12 +219,16 @@
   }
 
   VersionShare ReadShare(const std::string& where, const json::object& share) {
-    reader_.RefuseOtherKeys(where, share, {"pool", "version", "permille"});
+    reader_.RefuseOtherKeys(where, share,
+                            {"pool", "version", "permille", "note"});
     VersionShare result;
     result.pool = PoolId(reader_.ReadString(where, share, "pool"));
     result.version = VersionId(reader_.ReadString(where, share, "version"));
     result.share = Permille(static_cast<int32_t>(
         reader_.ReadInteger(where, share, "permille", 1000)));
+    if (share.contains("note")) {
+      result.note = NoteId(reader_.ReadString(where, share, "note"));
+    }
     return result;
   }
 
--- a/src/rollout/config_desk.cc
+++ b/src/rollout/config_desk.cc
@@ -4,7 +4,7 @@
 
 #include "absl/status/statusor.h"
 #include "absl/strings/str_cat.h"
-#include "include/config/fleet_config_text.h"
+#include "include/config/fleet_config_json.h"
 
 namespace papaya {
 
@@ -37,7 +37,7 @@
       version = is_known ? ObjectVersion(0) : version;
       return;
     }
-    absl::StatusOr<FleetConfig> parsed = ParseFleetConfig(object->value);
+    absl::StatusOr<FleetConfig> parsed = ParseFleetConfigJson(object->value);
     if (parsed.ok()) {
       config = *std::move(parsed);
       version = object->version;
@@ -99,7 +99,7 @@
   const ConditionalWrite write = {
       key_, state_->version,
       OperationId(absl::StrCat("config/", owner_, "/", ++state_->writes)),
-      FormatFleetConfig(next)};
+      FleetConfigToJson(next)};
   state_->is_busy = true;
   const std::shared_ptr<State> state = state_;
   store_->Put(
--- /dev/null
+++ b/src/rollout/evidence.cc
@@ -0,0 +1,114 @@
+#include "src/rollout/evidence.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace papaya {
+
+namespace {
+
+// The part of the mixture that is at stake from the beginning.
+constexpr double kFirstWeight = 0.4;
+
+// Odds ratios. Up to `tolerated` a version counts as good: replicas of one
+// version differ by as much.
+struct EffectSizes {
+  double tolerated;
+  std::array<double, kEffects> tried;
+};
+
+constexpr EffectSizes kSizes[kQuantities] = {
+    {1.2, {2.5, 8.0}},   // kFailure
+    {1.12, {1.6, 3.5}},  // kSlow
+    {1.12, {1.6, 3.5}},  // kVerySlow
+};
+
+// log(exp(a) + exp(b)).
+double LogAdd(double a, double b) {
+  const double larger = std::max(a, b);
+  if (std::isinf(larger)) {
+    return larger;
+  }
+  return larger + std::log1p(std::exp(std::min(a, b) - larger));
+}
+
+// Log of the sum over x of C(n1,x) C(n0,k-x) odds^x, but for a factor that does
+// not depend on the odds.
+double LogNormalizer(const EventTable& table, double odds) {
+  const int64_t n1 = table.new_requests;
+  const int64_t n0 = table.old_requests;
+  const int64_t k = int64_t{table.new_events} + table.old_events;
+  const int64_t first = std::max<int64_t>(0, k - n0);
+  const int64_t last = std::min(k, n1);
+  constexpr double kRescaleAbove = 1e200;
+  double term = 1.0;
+  double sum = 1.0;
+  double log_scale = static_cast<double>(first) * std::log(odds);
+  for (int64_t x = first; x < last; ++x) {
+    const double ratio = static_cast<double>((n1 - x) * (k - x)) /
+                         static_cast<double>((x + 1) * (n0 - k + x + 1));
+    term *= ratio * odds;
+    sum += term;
+    if (sum > kRescaleAbove) {
+      log_scale += std::log(sum);
+      term /= sum;
+      sum = 1.0;
+    }
+  }
+  return log_scale + std::log(sum);
+}
+
+}  // namespace
+
+LogRatios LogLikelihoodRatios(const EventTable& table, Quantity quantity) {
+  const uint32_t events = table.new_events + table.old_events;
+  const uint32_t requests = table.new_requests + table.old_requests;
+  LogRatios ratios{};
+  if (events == 0 || events == requests || table.new_requests == 0 ||
+      table.old_requests == 0) {
+    return ratios;
+  }
+  const EffectSizes& sizes = kSizes[static_cast<size_t>(quantity)];
+  const double tolerated = LogNormalizer(table, sizes.tolerated);
+  for (size_t i = 0; i < kEffects; ++i) {
+    const double gain =
+        table.new_events * std::log(sizes.tried[i] / sizes.tolerated);
+    ratios[i] = gain - (LogNormalizer(table, sizes.tried[i]) - tolerated);
+  }
+  return ratios;
+}
+
+std::array<double, kEffects> EvidenceTrack::InitialActive() {
+  std::array<double, kEffects> active;
+  active.fill(std::log(kFirstWeight / static_cast<double>(kEffects)));
+  return active;
+}
+
+void EvidenceTrack::Multiply(const LogRatios& ratios) {
+  for (size_t i = 0; i < kEffects; ++i) {
+    log_active_[i] += ratios[i];
+  }
+}
+
+void EvidenceTrack::AddStart() {
+  if (starts_left_ == 0) {
+    return;
+  }
+  --starts_left_;
+  const double weight = (1.0 - kFirstWeight) / kMostStarts;
+  for (double& active : log_active_) {
+    active = LogAdd(active, std::log(weight / static_cast<double>(kEffects)));
+  }
+}
+
+double EvidenceTrack::Log() const {
+  const double held =
+      (1.0 - kFirstWeight) * starts_left_ / static_cast<double>(kMostStarts);
+  double log = held > 0.0 ? std::log(held) : log_active_[0];
+  for (size_t i = held > 0.0 ? 0 : 1; i < kEffects; ++i) {
+    log = LogAdd(log, log_active_[i]);
+  }
+  return log;
+}
+
+}  // namespace papaya
--- /dev/null
+++ b/src/rollout/evidence.h
@@ -0,0 +1,67 @@
+#ifndef SRC_ROLLOUT_EVIDENCE_H_
+#define SRC_ROLLOUT_EVIDENCE_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+namespace papaya {
+
+// Events among requests of two versions over the same time.
+struct EventTable {
+  uint32_t new_events = 0;
+  uint32_t new_requests = 0;
+  uint32_t old_events = 0;
+  uint32_t old_requests = 0;
+};
+
+// What is counted as an event of a request.
+enum class Quantity : uint8_t {
+  kFailure,
+  kSlow,      // slower than about a quarter of all
+  kVerySlow,  // slower than about one in ten
+};
+
+inline constexpr size_t kQuantities = 3;
+
+// Odds ratios that are tried against the new version.
+inline constexpr size_t kEffects = 2;
+
+using LogRatios = std::array<double, kEffects>;
+
+// For each effect, the log of the likelihood ratio of `the new version's odds
+// are that much larger` against `they are at most a little larger`, given the
+// table's margins: the exact ratio of Fisher's noncentral hypergeometric
+// distribution. Its expectation is at most 1 if the odds are no larger.
+LogRatios LogLikelihoodRatios(const EventTable& table, Quantity quantity);
+
+// Evidence against one hypothesis that holds at every look: a mixture, over the
+// time at which badness began and over effects, of products of likelihood
+// ratios. A nonnegative supermartingale that starts at 1, so the chance that it
+// ever reaches 1/a is at most a if the new version is no worse.
+class EvidenceTrack {
+ public:
+  // Multiplies in one window's ratios.
+  void Multiply(const LogRatios& ratios);
+
+  // Starts another component of the mixture, for badness that begins now. Those
+  // beyond kMostStarts change nothing.
+  void AddStart();
+
+  // Natural log of the evidence.
+  double Log() const;
+
+ private:
+  static constexpr int kMostStarts = 240;
+
+  // Log of the mixture's part that is at stake, for each effect; and how much
+  // is still held back for later starts.
+  std::array<double, kEffects> log_active_ = InitialActive();
+  int starts_left_ = kMostStarts;
+
+  static std::array<double, kEffects> InitialActive();
+};
+
+}  // namespace papaya
+
+#endif  // SRC_ROLLOUT_EVIDENCE_H_
--- a/src/rollout/note_book.cc
+++ b/src/rollout/note_book.cc
@@ -8,7 +8,7 @@
 #include "include/base/error.h"
 #include "include/chart/chart_machine.h"
 #include "include/chart/state_chart.h"
-#include "include/config/fleet_config_text.h"
+#include "include/config/fleet_config_json.h"
 #include "include/rollout/release_note.h"
 
 namespace papaya {
@@ -171,7 +171,7 @@
       [request, wall, done](const absl::StatusOr<StoredObject>& got) {
         std::optional<FleetConfig> present;
         if (got.ok()) {
-          absl::StatusOr<FleetConfig> parsed = ParseFleetConfig(got->value);
+          absl::StatusOr<FleetConfig> parsed = ParseFleetConfigJson(got->value);
           if (!parsed.ok()) {
             done({}, parsed.status());
             return;
--- a/src/rollout/note_record.cc
+++ b/src/rollout/note_record.cc
@@ -5,7 +5,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "include/base/error.h"
-#include "include/config/fleet_config_text.h"
+#include "include/config/fleet_config_json.h"
 
 namespace papaya {
 
@@ -52,9 +52,10 @@
       std::chrono::milliseconds(object.at(key).to_number<int64_t>()));
 }
 
-// Upstreams and shares travel as a configuration without a revision.
+// Upstreams and shares travel as a configuration of their own.
 json::object WriteBefore(const NoteBefore& before) {
   FleetConfig config;
+  config.revision = Revision(1);
   config.upstreams = before.upstreams;
   config.shares = before.shares;
   json::array roles;
@@ -62,7 +63,7 @@
     roles.push_back(
         json::object{{"upstream", role.upstream.value()}, {"role", role.role}});
   }
-  return {{"config", FormatFleetConfig(config)},
+  return {{"config", FleetConfigToJson(config)},
           {"roles", std::move(roles)},
           {"added", WriteIds(before.added)},
           {"pools", WriteIds(before.pools)}};
@@ -70,7 +71,7 @@
 
 absl::StatusOr<NoteBefore> ReadBefore(const json::object& object) {
   absl::StatusOr<FleetConfig> config =
-      ParseFleetConfig(ReadText(object, "config"));
+      ParseFleetConfigJson(ReadText(object, "config"));
   if (!config.ok()) {
     return config.status();
   }
--- /dev/null
+++ b/src/rollout/pool_judge.cc
@@ -0,0 +1,346 @@
+#include "src/rollout/pool_judge.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdlib>
+
+namespace papaya {
+
+namespace {
+
+// Replicas beyond these, and those that are not named, are judged together.
+constexpr size_t kMostReplicas = 16;
+constexpr size_t kMostRouters = 512;
+// Badness may begin at any of these times.
+constexpr Duration kStartEvery = std::chrono::seconds(30);
+// Latency is compared where about so much of all requests is slower.
+constexpr double kSlowPart = 0.25;
+constexpr double kVerySlowPart = 0.08;
+// Requests of a stratum before its latency thresholds are chosen.
+constexpr uint32_t kFewestForEdges = 20;
+// The evidence that must be left without the worst replica, before a whole
+// version is called bad: a bad version is bad on others too.
+constexpr double kOthersFalseAlarm = 0.005;
+
+// Parts of one view's evidence. They add up to 1.
+constexpr double kQuantityWeights[kQuantities] = {0.5, 0.25, 0.25};
+constexpr double kOverallWeight = 0.5;
+
+double LogSum(const std::vector<double>& logs) {
+  const double largest = *std::max_element(logs.begin(), logs.end());
+  double sum = 0.0;
+  for (const double log : logs) {
+    sum += std::exp(log - largest);
+  }
+  return largest + std::log(sum);
+}
+
+uint32_t Succeeded(const StatsCounts& counts) {
+  return counts.requests - counts.failures;
+}
+
+uint32_t CountAbove(const StatsCounts& counts, size_t edge) {
+  uint32_t above = 0;
+  for (size_t i = edge; i < kLatencyBuckets; ++i) {
+    above += counts.latency[i];
+  }
+  return above;
+}
+
+// The bucket at and above which a part of `counts` lies that is nearest to
+// `part`.
+size_t ChooseEdge(const StatsCounts& counts, double part) {
+  const double all = Succeeded(counts);
+  size_t best = 1;
+  double best_gap = 2.0;
+  for (size_t edge = 1; edge < kLatencyBuckets; ++edge) {
+    const double gap = std::abs(CountAbove(counts, edge) / all - part);
+    if (gap < best_gap) {
+      best = edge;
+      best_gap = gap;
+    }
+  }
+  return best;
+}
+
+EventTable MakeTable(const StatsCounts& fresh,
+                     const StatsCounts& old,
+                     Quantity quantity,
+                     size_t edge) {
+  if (quantity == Quantity::kFailure) {
+    return {fresh.failures, fresh.requests, old.failures, old.requests};
+  }
+  return {CountAbove(fresh, edge), Succeeded(fresh), CountAbove(old, edge),
+          Succeeded(old)};
+}
+
+StatsCounts Minus(const StatsCounts& a, const StatsCounts& b) {
+  StatsCounts difference;
+  difference.requests = a.requests - b.requests;
+  difference.failures = a.failures - b.failures;
+  for (size_t i = 0; i < kLatencyBuckets; ++i) {
+    difference.latency[i] = a.latency[i] - b.latency[i];
+  }
+  return difference;
+}
+
+}  // namespace
+
+PoolJudge::PoolJudge(const VersionJudgeOptions& options,
+                     const NoteId& note,
+                     const PoolId& pool,
+                     const VersionId& version)
+    : options_(options), note_(note), pool_(pool), version_(version) {}
+
+void PoolJudge::AddCounts(const StatsCounts& more, StatsCounts* sum) {
+  sum->requests += more.requests;
+  sum->failures += more.failures;
+  for (size_t i = 0; i < kLatencyBuckets; ++i) {
+    sum->latency[i] += more.latency[i];
+  }
+}
+
+void PoolJudge::OnRow(const RouterId& router,
+                      Incarnation incarnation,
+                      const StatsRow& row) {
+  if (row.key.note != note_ || row.key.pool != pool_) {
+    return;
+  }
+  const std::pair<RouterId, Incarnation> source(router, incarnation);
+  if (!reported_.contains(source) && reported_.size() >= kMostRouters) {
+    return;
+  }
+  std::map<StatsKey, StatsCounts>& rows = reported_[source];
+  if (!rows.contains(row.key) && rows.size() >= VersionStats::kMaxRows) {
+    return;
+  }
+  StatsCounts& known = rows[row.key];
+  if (row.counts.requests <= known.requests) {
+    return;  // a repetition, or overtaken
+  }
+  const StatsCounts more = Minus(row.counts, known);
+  known = row.counts;
+  Counts& total = strata_[{row.key.route, row.key.generation}].total;
+  if (row.key.version != version_) {
+    AddCounts(more, &total.old);
+    return;
+  }
+  const bool is_named =
+      replicas_.contains(row.key.upstream) || replicas_.size() < kMostReplicas;
+  const UpstreamId replica = is_named ? row.key.upstream : UpstreamId();
+  replicas_.insert(replica);
+  AddCounts(more, &total.replicas[replica]);
+}
+
+bool PoolJudge::IsWindowDue(const Stratum& stratum, TimePoint now) const {
+  uint64_t fresh = 0;
+  for (const auto& [replica, counts] : stratum.total.replicas) {
+    const auto before = stratum.compared.replicas.find(replica);
+    fresh += counts.requests - (before == stratum.compared.replicas.end()
+                                    ? 0
+                                    : before->second.requests);
+  }
+  const uint64_t old =
+      stratum.total.old.requests - stratum.compared.old.requests;
+  if (fresh == 0 || old == 0) {
+    return false;
+  }
+  const uint64_t enough = static_cast<uint64_t>(options_.min_requests);
+  return (fresh >= enough && old >= enough) ||
+         now - stratum.opened.value_or(now) >= options_.longest_window;
+}
+
+void PoolJudge::CloseWindow(const StratumId& id,
+                            Stratum* stratum,
+                            TimePoint now) {
+  Counts window;
+  window.old = Minus(stratum->total.old, stratum->compared.old);
+  StatsCounts before = stratum->compared.old;
+  for (const auto& [replica, counts] : stratum->total.replicas) {
+    StatsCounts& compared = stratum->compared.replicas[replica];
+    AddCounts(compared, &before);
+    const StatsCounts more = Minus(counts, compared);
+    if (more.requests > 0) {
+      window.replicas[replica] = more;
+    }
+  }
+  // Thresholds come from earlier windows only, so that what is counted above
+  // them had no say in them.
+  std::array<size_t, kQuantities> edges{};
+  if (Succeeded(before) >= kFewestForEdges) {
+    edges[static_cast<size_t>(Quantity::kSlow)] = ChooseEdge(before, kSlowPart);
+    edges[static_cast<size_t>(Quantity::kVerySlow)] =
+        ChooseEdge(before, kVerySlowPart);
+  }
+  Compare(id, window, edges);
+  stratum->compared = stratum->total;
+  stratum->opened = now;
+}
+
+PoolJudge::View& PoolJudge::GetView(const ViewId& id) {
+  return views_[id];
+}
+
+void PoolJudge::Compare(const StratumId& id,
+                        const Counts& window,
+                        const std::array<size_t, kQuantities>& edges) {
+  std::map<ViewId, StatsCounts> sides;
+  for (const auto& [replica, counts] : window.replicas) {
+    AddCounts(counts, &sides[{ViewKind::kAll, UpstreamId()}]);
+    if (!replica.empty()) {
+      AddCounts(counts, &sides[{ViewKind::kOnly, replica}]);
+    }
+    for (const UpstreamId& other : replicas_) {
+      if (other != replica && !other.empty()) {
+        AddCounts(counts, &sides[{ViewKind::kWithout, other}]);
+      }
+    }
+    requests_ += counts.requests;
+  }
+  for (const auto& [view_id, fresh] : sides) {
+    View& view = GetView(view_id);
+    std::array<EvidenceTrack, kQuantities>& on_route = view.by_route[id.first];
+    for (size_t i = 0; i < kQuantities; ++i) {
+      const Quantity quantity = static_cast<Quantity>(i);
+      if (quantity != Quantity::kFailure && edges[i] == 0) {
+        continue;
+      }
+      const LogRatios ratios = LogLikelihoodRatios(
+          MakeTable(fresh, window.old, quantity, edges[i]), quantity);
+      view.overall[i].Multiply(ratios);
+      on_route[i].Multiply(ratios);
+    }
+  }
+}
+
+void PoolJudge::AddStarts(TimePoint now) {
+  if (next_start_ && now < *next_start_) {
+    return;
+  }
+  next_start_ = now + kStartEvery;
+  for (auto& [id, view] : views_) {
+    for (EvidenceTrack& track : view.overall) {
+      track.AddStart();
+    }
+    for (auto& [route, tracks] : view.by_route) {
+      for (EvidenceTrack& track : tracks) {
+        track.AddStart();
+      }
+    }
+  }
+}
+
+void PoolJudge::Look(TimePoint now, std::vector<StopFact>* found) {
+  AddStarts(now);
+  for (auto& [id, stratum] : strata_) {
+    stratum.opened = stratum.opened.value_or(now);
+    if (IsWindowDue(stratum, now)) {
+      CloseWindow(id, &stratum, now);
+    }
+  }
+  FindBad(found);
+}
+
+double PoolJudge::View::Log() const {
+  std::vector<double> logs;
+  for (size_t i = 0; i < kQuantities; ++i) {
+    const double weight = std::log(kQuantityWeights[i]);
+    logs.push_back(weight + std::log(kOverallWeight) + overall[i].Log());
+    const double route_weight =
+        std::log((1.0 - kOverallWeight) / static_cast<double>(by_route.size()));
+    for (const auto& [route, tracks] : by_route) {
+      logs.push_back(weight + route_weight + tracks[i].Log());
+    }
+  }
+  return LogSum(logs);
+}
+
+std::pair<StopCause, RouteId> PoolJudge::View::MainCause() const {
+  std::pair<StopCause, RouteId> cause;
+  double most = -HUGE_VAL;
+  const auto consider = [&](const EvidenceTrack& track, size_t quantity,
+                            const RouteId& route) {
+    if (track.Log() > most) {
+      most = track.Log();
+      cause.first = static_cast<Quantity>(quantity) == Quantity::kFailure
+                        ? StopCause::kFailures
+                        : StopCause::kLatency;
+      cause.second = route;
+    }
+  };
+  for (size_t i = 0; i < kQuantities; ++i) {
+    consider(overall[i], i, RouteId());
+    for (const auto& [route, tracks] : by_route) {
+      consider(tracks[i], i, route);
+    }
+  }
+  return cause;
+}
+
+StopFact PoolJudge::MakeFact(const View& view,
+                             const UpstreamId& upstream) const {
+  const std::pair<StopCause, RouteId> cause = view.MainCause();
+  return {note_, pool_, version_, upstream, cause.first, cause.second};
+}
+
+void PoolJudge::FindBad(std::vector<StopFact>* found) {
+  const auto all = views_.find({ViewKind::kAll, UpstreamId()});
+  if (is_version_stopped_ || all == views_.end()) {
+    return;
+  }
+  // Half of the false alarms are for the version, half for its replicas.
+  const double version_bound = -std::log(options_.false_alarm / 2);
+  const double replica_bound =
+      version_bound + std::log(static_cast<double>(replicas_.size()));
+  bool stands_without_each = true;
+  for (const UpstreamId& replica : replicas_) {
+    if (replica.empty()) {
+      continue;
+    }
+    const auto without = views_.find({ViewKind::kWithout, replica});
+    stands_without_each = stands_without_each && without != views_.end() &&
+                          without->second.Log() >= -std::log(kOthersFalseAlarm);
+  }
+  if (all->second.Log() >= version_bound && stands_without_each) {
+    is_version_stopped_ = true;
+    found->push_back(MakeFact(all->second, UpstreamId()));
+    return;
+  }
+  for (const UpstreamId& replica : replicas_) {
+    const auto only = views_.find({ViewKind::kOnly, replica});
+    if (only != views_.end() && !stopped_.contains(replica) &&
+        only->second.Log() >= replica_bound) {
+      stopped_.insert(replica);
+      found->push_back(MakeFact(only->second, replica));
+    }
+  }
+}
+
+VersionEvidence PoolJudge::Evidence() const {
+  VersionEvidence evidence;
+  evidence.note = note_;
+  evidence.pool = pool_;
+  evidence.version = version_;
+  evidence.requests = requests_;
+  const auto all = views_.find({ViewKind::kAll, UpstreamId()});
+  evidence.log_evidence = all == views_.end() ? 0.0 : all->second.Log();
+  return evidence;
+}
+
+size_t PoolJudge::ApproximateBytes() const {
+  size_t bytes = sizeof(*this);
+  for (const auto& [source, rows] : reported_) {
+    bytes += sizeof(source) + rows.size() * (sizeof(StatsRow) + 64);
+  }
+  for (const auto& [id, stratum] : strata_) {
+    const size_t replicas =
+        stratum.total.replicas.size() + stratum.compared.replicas.size();
+    bytes += sizeof(stratum) + replicas * (sizeof(StatsCounts) + 96);
+  }
+  for (const auto& [id, view] : views_) {
+    bytes += sizeof(view) + view.by_route.size() * (sizeof(view.overall) + 96);
+  }
+  return bytes;
+}
+
+}  // namespace papaya
--- /dev/null
+++ b/src/rollout/pool_judge.h
@@ -0,0 +1,107 @@
+#ifndef SRC_ROLLOUT_POOL_JUDGE_H_
+#define SRC_ROLLOUT_POOL_JUDGE_H_
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "include/base/ids.h"
+#include "include/base/units.h"
+#include "include/rollout/stop_fact.h"
+#include "include/rollout/version_judge.h"
+#include "include/rollout/version_stats.h"
+#include "src/rollout/evidence.h"
+
+namespace papaya {
+
+// Judges one new version of one pool for one note.
+class PoolJudge {
+ public:
+  PoolJudge(const VersionJudgeOptions& options,
+            const NoteId& note,
+            const PoolId& pool,
+            const VersionId& version);
+
+  bool IsFor(const NoteId& note, const VersionId& version) const {
+    return note == note_ && version == version_;
+  }
+
+  // Merges one row of one router's report, if it is of this note and pool.
+  void OnRow(const RouterId& router,
+             Incarnation incarnation,
+             const StatsRow& row);
+
+  // Takes in what has been counted since the last look; adds what it found bad
+  // for the first time to `found`.
+  void Look(TimePoint now, std::vector<StopFact>* found);
+
+  VersionEvidence Evidence() const;
+
+  size_t ApproximateBytes() const;
+
+ private:
+  // Requests are compared within one route and one generation.
+  using StratumId = std::pair<RouteId, GenerationId>;
+
+  // Counts of one stratum so far, over all routers.
+  struct Counts {
+    StatsCounts old;
+    std::map<UpstreamId, StatsCounts> replicas;
+  };
+
+  struct Stratum {
+    Counts total;
+    // What had been compared when the last window closed, and when that was.
+    Counts compared;
+    std::optional<TimePoint> opened;
+  };
+
+  // A set of replicas whose evidence is kept.
+  enum class ViewKind : uint8_t { kAll, kOnly, kWithout };
+
+  // Evidence of one view: over all routes, and on each.
+  struct View {
+    std::array<EvidenceTrack, kQuantities> overall;
+    std::map<RouteId, std::array<EvidenceTrack, kQuantities>> by_route;
+
+    double Log() const;
+    // The quantity and the route (empty: all) with most evidence.
+    std::pair<StopCause, RouteId> MainCause() const;
+  };
+
+  using ViewId = std::pair<ViewKind, UpstreamId>;
+
+  static void AddCounts(const StatsCounts& more, StatsCounts* sum);
+  bool IsWindowDue(const Stratum& stratum, TimePoint now) const;
+  void CloseWindow(const StratumId& id, Stratum* stratum, TimePoint now);
+  void Compare(const StratumId& id,
+               const Counts& window,
+               const std::array<size_t, kQuantities>& edges);
+  View& GetView(const ViewId& id);
+  void AddStarts(TimePoint now);
+  void FindBad(std::vector<StopFact>* found);
+  StopFact MakeFact(const View& view, const UpstreamId& upstream) const;
+
+  const VersionJudgeOptions options_;
+  const NoteId note_;
+  const PoolId pool_;
+  const VersionId version_;
+  // By router, incarnation and row: the largest counts seen.
+  std::map<std::pair<RouterId, Incarnation>, std::map<StatsKey, StatsCounts>>
+      reported_;
+  std::map<StratumId, Stratum> strata_;
+  std::map<ViewId, View> views_;
+  std::set<UpstreamId> replicas_;
+  std::set<UpstreamId> stopped_;
+  bool is_version_stopped_ = false;
+  std::optional<TimePoint> next_start_;
+  uint64_t requests_ = 0;
+};
+
+}  // namespace papaya
+
+#endif  // SRC_ROLLOUT_POOL_JUDGE_H_
--- a/src/rollout/release_note.cc
+++ b/src/rollout/release_note.cc
@@ -7,7 +7,7 @@
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
-#include "include/config/fleet_config_text.h"
+#include "include/config/upstream_kind.h"
 
 namespace papaya {
 
