Spread configuration and membership by gossip: first working cores

Cause: routers must know each other and follow the accepted configuration within seconds without a coordination service.

--- a/include/telemetry/event_catalog.h
+++ b/include/telemetry/event_catalog.h
@@ -25,6 +25,19 @@
 
   // Membership and configuration.
   kRevisionInForce = 4001,
+  kConfigRefused = 4002,
+  kConfigConflict = 4003,
+  kConfigBehindKnown = 4004,
+  kConfigReadFailed = 4005,
+  kVersionStopped = 4006,
+  kUpstreamLeaving = 4007,
+  kFactRefused = 4008,
+  kRouterJoined = 4021,
+  kRouterSuspected = 4022,
+  kRouterDead = 4023,
+  kRouterLeaving = 4024,
+  kSuspicionRefuted = 4025,
+  kRouterNameClash = 4026,
 
   // Routing and admission.
   kStragglerSetAside = 5001,
--- /dev/null
+++ b/src/config/config_spreader.cc
@@ -0,0 +1,524 @@
+#include "include/config/config_spreader.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+#include <variant>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
+#include "include/config/config_delta.h"
+#include "include/config/fleet_config_check.h"
+#include "include/config/rendezvous.h"
+#include "src/config/applied_table.h"
+#include "src/config/config_history.h"
+#include "src/config/config_reader.h"
+
+namespace papaya {
+
+namespace {
+
+constexpr double kPeriodSpread = 0.2;
+// Random neighbours that a periodic digest goes to.
+constexpr size_t kDigestFanout = 2;
+// Random neighbours that news of applied revisions goes to.
+constexpr size_t kAppliedFanout = 4;
+constexpr Duration kAppliedFlushPeriod = std::chrono::milliseconds(200);
+// Between two sendings of the whole table of applied revisions.
+constexpr Duration kAppliedTablePeriod = std::chrono::seconds(1);
+constexpr size_t kMaxFactsPerMessage = 256;
+// A starting router reads the store itself if peers gave nothing for so long.
+constexpr Duration kStartReadDelay = std::chrono::seconds(3);
+// A starting router knows the others by then, and so who reads the store.
+constexpr Duration kReaderDelay = std::chrono::milliseconds(800);
+// A starting router waits so long to hear of all its neighbours.
+constexpr Duration kSettleTime = std::chrono::seconds(1);
+// A router that knows of a higher revision and gets it from nobody for so long
+// reads the store itself.
+constexpr Duration kBehindLimit = std::chrono::seconds(4);
+
+std::vector<RouterId> RoutersOfZone(const FleetView& view,
+                                    const AvailabilityZoneId& zone) {
+  std::vector<RouterId> routers;
+  for (const RouterView& router : view.routers) {
+    if (router.zone == zone && router.state != RouterState::kDraining) {
+      routers.push_back(router.id);
+    }
+  }
+  return routers;
+}
+
+bool IsPickedReader(const FleetView& view, size_t readers_per_zone) {
+  const RouterView* self = FindRouter(view, view.self);
+  if (self == nullptr) {
+    return false;
+  }
+  const std::vector<RouterId> readers =
+      PickByRendezvous(absl::StrCat("config_reader ", self->zone.value()),
+                       RoutersOfZone(view, self->zone), readers_per_zone);
+  return std::find(readers.begin(), readers.end(), view.self) != readers.end();
+}
+
+// At most kMaxFactsPerMessage of `facts`, from the `cursor`-th on and round.
+template <typename Fact>
+void KeepSome(size_t cursor, std::vector<Fact>* facts) {
+  if (facts->size() <= kMaxFactsPerMessage) {
+    return;
+  }
+  const auto start = static_cast<std::ptrdiff_t>(cursor % facts->size());
+  std::rotate(facts->begin(), facts->begin() + start, facts->end());
+  facts->resize(kMaxFactsPerMessage);
+}
+
+Event FactEvent(const StoppedVersion& fact) {
+  return {EventId::kVersionStopped,
+          {{"note", fact.note.value()},
+           {"pool", fact.pool.value()},
+           {"version", fact.version.value()},
+           {"upstream", fact.upstream.value()},
+           {"reason", fact.reason}}};
+}
+
+Event FactEvent(const LeavingUpstream& fact) {
+  return {EventId::kUpstreamLeaving, {{"upstream", fact.id.value()}}};
+}
+
+void Append(const StoppedVersion& fact, FactNews* news) {
+  news->stopped.push_back(fact);
+}
+
+void Append(const LeavingUpstream& fact, FactNews* news) {
+  news->leaving.push_back(fact);
+}
+
+}  // namespace
+
+template <typename Fact>
+bool ConfigSpreader::LearnFact(const Fact& fact) {
+  const FactSet::AddResult result = facts_.Add(fact);
+  if (result == FactSet::AddResult::kFull) {
+    hooks_.event({EventId::kFactRefused, FactEvent(fact).fields});
+    return false;
+  }
+  if (result != FactSet::AddResult::kAdded) {
+    return false;
+  }
+  hooks_.event(FactEvent(fact));
+  Append(fact, &fact_news_);
+  return true;
+}
+
+template <typename Fact>
+bool ConfigSpreader::AddOwnFact(const Fact& fact, TimePoint now) {
+  now_ = now;
+  if (!LearnFact(fact)) {
+    return facts_.Add(fact) != FactSet::AddResult::kFull;
+  }
+  hooks_.facts_changed(facts_);
+  FlushNews();
+  return true;
+}
+
+ConfigSpreader::ConfigSpreader(Options options,
+                               ObjectStore* store,
+                               Hooks hooks,
+                               Random random,
+                               TimePoint now)
+    : options_(std::move(options)),
+      hooks_(std::move(hooks)),
+      random_(random),
+      now_(now),
+      started_(now),
+      history_(std::make_unique<ConfigHistory>()),
+      applied_(std::make_unique<AppliedTable>()),
+      behind_since_(now),
+      last_heard_(now) {
+  reader_ = std::make_unique<ConfigReader>(
+      options_.store_key, store,
+      ConfigReader::Hooks{
+          .read =
+              [this](std::shared_ptr<const FleetConfig> config) {
+                OnStoreConfig(std::move(config));
+              },
+          .failed =
+              [this](const absl::Status& status) {
+                Log(EventId::kConfigReadFailed, "error",
+                    std::string(status.message()));
+              }},
+      Random(random_.Next64()));
+}
+
+ConfigSpreader::~ConfigSpreader() = default;
+
+void ConfigSpreader::OnView(const FleetView& view, TimePoint now) {
+  now_ = now;
+  const std::vector<RouterId> old = std::move(view_.neighbours);
+  view_ = view;
+  applied_->OnView(view_, now);
+  LearnOwnRevision();
+  ChooseReaders();
+  for (const RouterId& neighbour : view_.neighbours) {
+    if (!std::binary_search(old.begin(), old.end(), neighbour)) {
+      hooks_.send(neighbour, MakeDigest());
+    }
+  }
+}
+
+void ConfigSpreader::OnMessage(const RouterId& from,
+                               const ConfigMessage& message,
+                               TimePoint now) {
+  now_ = now;
+  std::visit([&](const auto& body) { Handle(from, body); }, message);
+}
+
+void ConfigSpreader::OnTick(TimePoint now) {
+  now_ = now;
+  if (!is_reader_chosen_) {
+    ChooseReaders();
+  }
+  ReadStoreIfSilent();
+  reader_->OnTick(now);
+  EnforceIfDue();
+  FlushNews();
+  SendDigests();
+}
+
+bool ConfigSpreader::Offer(std::shared_ptr<const FleetConfig> config,
+                           TimePoint now) {
+  now_ = now;
+  const uint64_t hash = HashConfig(*config);
+  return Adopt(std::move(config), hash, "offer", {});
+}
+
+bool ConfigSpreader::AddFact(const StoppedVersion& fact, TimePoint now) {
+  return AddOwnFact(fact, now);
+}
+
+bool ConfigSpreader::AddFact(const LeavingUpstream& fact, TimePoint now) {
+  return AddOwnFact(fact, now);
+}
+
+RevisionReport ConfigSpreader::Report() const {
+  RevisionReport report;
+  report.highest = highest_known_;
+  for (const RouterView& router : view_.routers) {
+    const uint64_t key = RouterKey(router.id, router.incarnation);
+    report.routers.push_back({router.id, applied_->Find(key)});
+  }
+  return report;
+}
+
+bool ConfigSpreader::IsReader() const {
+  return reader_->is_watching();
+}
+
+void ConfigSpreader::Handle(const RouterId& from, const ConfigDigest& digest) {
+  last_heard_ = now_;
+  if (config_ == nullptr) {
+    heard_.insert(from);
+  }
+  NoteKnown(std::max(digest.highest_known, digest.revision));
+  if (digest.revision > HeldRevision()) {
+    Ask(from, HeldRevision());
+  } else if (config_ != nullptr && digest.revision < config_->revision) {
+    hooks_.send(from, MakeDigest());
+  } else if (digest.revision == HeldRevision() && digest.hash != held_hash_) {
+    Log(EventId::kConfigConflict, "router", from.value());
+  }
+  if (digest.facts_hash != facts_.hash()) {
+    SendFacts(from);
+  }
+  if (digest.applied_hash != applied_->hash()) {
+    SendApplied(from);
+  }
+}
+
+void ConfigSpreader::Handle(const RouterId& from,
+                            const ConfigRequest& request) {
+  if (config_ == nullptr || request.base >= config_->revision) {
+    return;
+  }
+  std::vector<ConfigDelta> deltas =
+      history_->Find(request.base, request.base_hash);
+  if (deltas.empty()) {
+    SendSnapshot(from);
+    return;
+  }
+  hooks_.send(from, ConfigDeltas{std::move(deltas)});
+}
+
+void ConfigSpreader::Handle(const RouterId& from, const ConfigDeltas& message) {
+  if (held_ == nullptr || message.deltas.empty()) {
+    return;
+  }
+  const auto start = std::find_if(
+      message.deltas.begin(), message.deltas.end(),
+      [this](const ConfigDelta& d) { return d.base == held_->revision; });
+  if (start == message.deltas.end()) {
+    return;
+  }
+  FleetConfig result = *held_;
+  uint64_t hash = held_hash_;
+  for (auto delta = start; delta != message.deltas.end(); ++delta) {
+    absl::StatusOr<FleetConfig> next = ApplyDelta(result, hash, *delta);
+    if (!next.ok()) {
+      pending_until_ = {};
+      Ask(from, Revision(0));
+      return;
+    }
+    result = *std::move(next);
+    hash = delta->result_hash;
+  }
+  Adopt(std::make_shared<const FleetConfig>(std::move(result)), hash,
+        from.value(), {start, message.deltas.end()});
+}
+
+void ConfigSpreader::Handle(const RouterId& from,
+                            const ConfigSnapshot& message) {
+  assert(message.config != nullptr);
+  if (message.config->revision <= HeldRevision()) {
+    return;
+  }
+  if (HashConfig(*message.config) != message.hash) {
+    Log(EventId::kConfigRefused, "router", from.value());
+    return;
+  }
+  Adopt(message.config, message.hash, from.value(), {});
+}
+
+void ConfigSpreader::Handle(const RouterId& /*from*/, const FactNews& message) {
+  last_heard_ = now_;
+  bool is_changed = false;
+  for (const StoppedVersion& fact : message.stopped) {
+    is_changed |= LearnFact(fact);
+  }
+  for (const LeavingUpstream& fact : message.leaving) {
+    is_changed |= LearnFact(fact);
+  }
+  if (is_changed) {
+    hooks_.facts_changed(facts_);
+  }
+}
+
+void ConfigSpreader::Handle(const RouterId& /*from*/,
+                            const AppliedNews& message) {
+  applied_->Learn(message, now_);
+  for (const AppliedGroup& group : message.groups) {
+    NoteKnown(group.revision);
+  }
+}
+
+bool ConfigSpreader::Adopt(std::shared_ptr<const FleetConfig> config,
+                           uint64_t hash,
+                           const std::string& source,
+                           std::vector<ConfigDelta> steps) {
+  if (config->revision <= HeldRevision()) {
+    if (config->revision == HeldRevision() && hash != held_hash_) {
+      Log(EventId::kConfigConflict, "source", source);
+    }
+    return false;
+  }
+  const std::vector<std::string> faults = CheckFleetConfig(*config);
+  if (!faults.empty()) {
+    Log(EventId::kConfigRefused, "faults", absl::StrJoin(faults, "; "));
+    return false;
+  }
+  if (held_ != nullptr && steps.empty()) {
+    steps.push_back(DiffConfigs(*held_, *config));
+  }
+  for (ConfigDelta& step : steps) {
+    history_->Add(std::move(step));
+  }
+  held_ = std::move(config);
+  held_hash_ = hash;
+  pending_until_ = {};
+  NoteKnown(held_->revision);
+  EnforceIfDue();
+  return true;
+}
+
+void ConfigSpreader::OnStoreConfig(std::shared_ptr<const FleetConfig> config) {
+  store_revision_ = std::max(store_revision_, config->revision);
+  const uint64_t hash = HashConfig(*config);
+  Adopt(std::move(config), hash, "store", {});
+  EnforceIfDue();
+}
+
+void ConfigSpreader::EnforceIfDue() {
+  if (held_ == nullptr || held_ == config_) {
+    return;
+  }
+  if (config_ != nullptr || MayEnforceFirst()) {
+    Enforce();
+  }
+}
+
+bool ConfigSpreader::MayEnforceFirst() const {
+  if (now_ - started_ >= options_.start_limit) {
+    return true;
+  }
+  if (held_->revision < highest_known_) {
+    return false;
+  }
+  if (store_revision_ > Revision(0)) {
+    return true;
+  }
+  const size_t neighbours = view_.neighbours.size();
+  const bool is_settled = now_ - started_ >= kSettleTime;
+  const size_t needed = is_settled ? neighbours / 2 + 1 : neighbours;
+  return neighbours > 0 && heard_.size() >= needed;
+}
+
+void ConfigSpreader::Enforce() {
+  if (held_->revision < highest_known_) {
+    Log(EventId::kConfigBehindKnown, "highest_known",
+        absl::StrCat(highest_known_.value()));
+  }
+  config_ = held_;
+  heard_.clear();
+  LearnOwnRevision();
+  const uint64_t old_facts = facts_.hash();
+  facts_.OnConfig(config_);
+  Log(EventId::kRevisionInForce, "revision",
+      absl::StrCat(config_->revision.value()));
+  hooks_.in_force(config_);
+  if (facts_.hash() != old_facts) {
+    hooks_.facts_changed(facts_);
+  }
+  SendToSome(view_.neighbours.size(), MakeDigest());
+}
+
+void ConfigSpreader::LearnOwnRevision() {
+  const RouterView* self = FindRouter(view_, options_.self);
+  if (self != nullptr && config_ != nullptr) {
+    applied_->Learn(RouterKey(self->id, self->incarnation), config_->revision,
+                    now_);
+  }
+}
+
+Revision ConfigSpreader::HeldRevision() const {
+  return held_ == nullptr ? Revision(0) : held_->revision;
+}
+
+ConfigDigest ConfigSpreader::MakeDigest() const {
+  ConfigDigest digest;
+  if (config_ != nullptr) {
+    digest.revision = config_->revision;
+    digest.hash = held_hash_;
+  }
+  digest.highest_known = highest_known_;
+  digest.facts_hash = facts_.hash();
+  digest.applied_hash = applied_->hash();
+  return digest;
+}
+
+void ConfigSpreader::Ask(const RouterId& peer, Revision base) {
+  if (now_ < pending_until_) {
+    return;
+  }
+  const bool is_whole = base == Revision(0);
+  pending_until_ =
+      now_ + (is_whole ? options_.snapshot_timeout : options_.delta_timeout);
+  hooks_.send(peer, ConfigRequest{base, is_whole ? 0 : held_hash_});
+}
+
+void ConfigSpreader::SendSnapshot(const RouterId& to) {
+  if (now_ - snapshot_second_ >= std::chrono::seconds(1)) {
+    snapshot_second_ = now_;
+    snapshots_sent_ = 0;
+  }
+  if (snapshots_sent_ >= options_.snapshots_per_second) {
+    return;
+  }
+  ++snapshots_sent_;
+  hooks_.send(to, ConfigSnapshot{held_hash_, config_});
+}
+
+void ConfigSpreader::SendDigests() {
+  if (now_ < next_digest_) {
+    return;
+  }
+  next_digest_ = now_ + random_.Jitter(options_.digest_period, kPeriodSpread);
+  SendToSome(kDigestFanout, MakeDigest());
+}
+
+void ConfigSpreader::SendToSome(size_t count, const ConfigMessage& message) {
+  std::vector<RouterId> chosen = view_.neighbours;
+  for (size_t i = 0; i < chosen.size() && i < count; ++i) {
+    std::swap(chosen[i], chosen[i + random_.Below(chosen.size() - i)]);
+    hooks_.send(chosen[i], message);
+  }
+}
+
+void ConfigSpreader::SendFacts(const RouterId& to) {
+  FactNews news;
+  news.stopped = facts_.stopped();
+  for (const auto& [id, since] : facts_.leaving()) {
+    news.leaving.push_back({id, since});
+  }
+  KeepSome(fact_cursor_, &news.stopped);
+  KeepSome(fact_cursor_, &news.leaving);
+  fact_cursor_ += kMaxFactsPerMessage;
+  if (!news.stopped.empty() || !news.leaving.empty()) {
+    hooks_.send(to, news);
+  }
+}
+
+void ConfigSpreader::SendApplied(const RouterId& to) {
+  if (now_ < next_applied_table_) {
+    return;
+  }
+  next_applied_table_ = now_ + kAppliedTablePeriod;
+  hooks_.send(to, applied_->All());
+}
+
+void ConfigSpreader::FlushNews() {
+  if (!fact_news_.stopped.empty() || !fact_news_.leaving.empty()) {
+    SendToSome(view_.neighbours.size(), std::exchange(fact_news_, {}));
+  }
+  if (now_ < next_applied_flush_) {
+    return;
+  }
+  next_applied_flush_ = now_ + kAppliedFlushPeriod;
+  const AppliedNews news = applied_->TakeNews();
+  if (!news.groups.empty()) {
+    SendToSome(kAppliedFanout, news);
+  }
+}
+
+void ConfigSpreader::NoteKnown(Revision revision) {
+  if (revision <= highest_known_) {
+    return;
+  }
+  if (highest_known_ <= HeldRevision()) {
+    behind_since_ = now_;
+  }
+  highest_known_ = revision;
+}
+
+void ConfigSpreader::ChooseReaders() {
+  if (now_ - started_ < kReaderDelay) {
+    return;
+  }
+  is_reader_chosen_ = true;
+  reader_->SetWatching(IsPickedReader(view_, options_.readers_per_zone));
+}
+
+void ConfigSpreader::ReadStoreIfSilent() {
+  const bool is_starting =
+      held_ == nullptr && now_ - started_ >= kStartReadDelay;
+  const bool is_silent = now_ - last_heard_ >= options_.silence_limit;
+  const bool is_behind =
+      highest_known_ > HeldRevision() && now_ - behind_since_ >= kBehindLimit;
+  if (is_starting || is_silent || is_behind) {
+    reader_->RequestRead();
+  }
+}
+
+void ConfigSpreader::Log(EventId id,
+                         const std::string& key,
+                         const std::string& value) const {
+  hooks_.event({id, {{key, value}}});
+}
+
+}  // namespace papaya
--- /dev/null
+++ b/src/membership/membership.cc
@@ -0,0 +1,568 @@
+#include "include/membership/membership.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "src/membership/member_table.h"
+#include "src/membership/prober.h"
+
+namespace papaya {
+
+namespace {
+
+// Routers asked to probe one that does not answer.
+constexpr size_t kHelpers = 3;
+constexpr size_t kMaxRelays = 1024;
+constexpr Duration kRelayLifetime = std::chrono::seconds(2);
+// Routers told of in one tick; the rest waits for the next.
+constexpr size_t kMaxNewsPerTick = 16;
+// From one seed to the next while no other router is known.
+constexpr Duration kJoinPeriod = std::chrono::seconds(1);
+// A gap between ticks above this means that the process was paused.
+constexpr Duration kPauseLimit = std::chrono::milliseconds(600);
+// From one choice of neighbours to the next, when routers come and go at once.
+constexpr Duration kOverlayPeriod = std::chrono::milliseconds(400);
+// A router takes a later incarnation at most this often.
+constexpr Duration kIncarnationPeriod = std::chrono::seconds(1);
+constexpr double kPeriodSpread = 0.2;
+
+RouterView ToView(const MemberRecord& record) {
+  return {.id = record.id,
+          .incarnation = record.incarnation,
+          .state = record.state,
+          .address = record.address,
+          .region = record.region,
+          .zone = record.zone};
+}
+
+bool IsRunning(const MemberRecord& record) {
+  return record.state != RouterState::kDead;
+}
+
+bool HaveSameRouters(const std::vector<RouterView>& a,
+                     const std::vector<RouterView>& b) {
+  return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+                    [](const RouterView& x, const RouterView& y) {
+                      return x.id == y.id && x.zone == y.zone &&
+                             x.region == y.region;
+                    });
+}
+
+}  // namespace
+
+Membership::Membership(Options options,
+                       Hooks hooks,
+                       Random random,
+                       TimePoint now)
+    : options_(std::move(options)),
+      hooks_(std::move(hooks)),
+      random_(std::move(random)),
+      now_(now),
+      last_tick_(now),
+      table_(std::make_unique<MemberTable>(kMaxMembers)) {
+  table_->Apply(MemberRecord{.id = options_.self,
+                             .incarnation = options_.incarnation,
+                             .address = options_.address,
+                             .region = options_.region,
+                             .zone = options_.zone},
+                now);
+  prober_ = std::make_unique<Prober>(
+      options_.probe_period,
+      Prober::Hooks{
+          .probe =
+              [this](const RouterId& target, uint64_t sequence) {
+                Send(target, Probe{sequence, OwnStamp()});
+              },
+          .ask_others =
+              [this](const RouterId& target, uint64_t sequence) {
+                for (const RouterId& helper : PickHelpers(target)) {
+                  Send(helper, ProbeRequest{sequence, target});
+                }
+              },
+          .failed = [this](const RouterId& target) { Suspect(target); }},
+      Random(random_.Next64()));
+}
+
+Membership::~Membership() = default;
+
+void Membership::OnMessage(const RouterId& from,
+                           const MemberMessage& message,
+                           TimePoint now) {
+  now_ = now;
+  std::visit([&](const auto& body) { Handle(from, body); }, message);
+}
+
+void Membership::OnTick(TimePoint now) {
+  now_ = now;
+  SkipPause();
+  prober_->OnTick(now);
+  BurySuspects();
+  FlushNews();
+  RefreshView();
+  SendDigest();
+  JoinNextSeed();
+  Reconnect();
+}
+
+void Membership::OnVmList(const std::vector<RouterId>& running, TimePoint now) {
+  now_ = now;
+  vm_list_ = {running.begin(), running.end()};
+  has_vm_list_ = true;
+}
+
+void Membership::SetDraining(TimePoint now) {
+  now_ = now;
+  SetOwnState(RouterState::kDraining);
+}
+
+void Membership::Leave(TimePoint now) {
+  now_ = now;
+  SetOwnState(RouterState::kDead);
+  SendToNeighbours(MemberNews{.stamps = {OwnStamp()}});
+}
+
+Incarnation Membership::incarnation() const {
+  return Own().incarnation;
+}
+
+void Membership::Handle(const RouterId& from, const Probe& probe) {
+  Send(from, ProbeAck{probe.sequence, OwnStamp()});
+  TakeSelfStamp(from, probe.sender);
+}
+
+void Membership::Handle(const RouterId& from, const ProbeAck& ack) {
+  prober_->OnAck(ack.sequence);
+  const auto relay = relays_.find(ack.sequence);
+  if (relay != relays_.end()) {
+    Send(relay->second.requester, ProbeAck{relay->second.sequence, ack.target});
+    relays_.erase(relay);
+  }
+  if (ack.target.key == MemberKey(from)) {
+    TakeSelfStamp(from, ack.target);
+  }
+}
+
+void Membership::Handle(const RouterId& from, const ProbeRequest& request) {
+  const Member* target = table_->Find(request.target);
+  if (target == nullptr || relays_.size() >= kMaxRelays) {
+    return;
+  }
+  const uint64_t sequence = random_.Next64();
+  relays_[sequence] = {from, request.sequence, now_};
+  Send(request.target, Probe{sequence, OwnStamp()});
+}
+
+void Membership::Handle(const RouterId& from, const MemberNews& news) {
+  for (const MemberRecord& record : news.records) {
+    TakeRecord(from, record);
+  }
+  TakeStamps(from, news.stamps);
+}
+
+void Membership::Handle(const RouterId& from, const MemberJoin& join) {
+  if (join.sender.id != from) {
+    return;
+  }
+  TakeRecord(from, join.sender);
+  MemberNews news;
+  for (const auto& [id, member] : table_->members()) {
+    if (IsRunning(member.record) || id == from) {
+      news.records.push_back(member.record);
+    }
+  }
+  Send(from, news);
+}
+
+void Membership::Handle(const RouterId& from, const MemberRequest& request) {
+  MemberNews news;
+  for (uint64_t key : request.keys) {
+    const Member* member = table_->FindKey(key);
+    if (member != nullptr) {
+      news.records.push_back(member->record);
+    }
+  }
+  if (!news.records.empty()) {
+    Send(from, news);
+  }
+}
+
+void Membership::Handle(const RouterId& from, const MemberDigest& digest) {
+  const MemberDigest& own = table_->Digest();
+  if (own.hash == digest.hash) {
+    return;
+  }
+  if (digest.zones.empty()) {
+    Send(from, own);
+    return;
+  }
+  std::vector<AvailabilityZoneId> zones;
+  for (const ZoneDigest& zone : digest.zones) {
+    if (std::find(own.zones.begin(), own.zones.end(), zone) ==
+        own.zones.end()) {
+      zones.push_back(zone.zone);
+    }
+  }
+  for (const ZoneDigest& zone : own.zones) {
+    if (std::find(digest.zones.begin(), digest.zones.end(), zone) ==
+        digest.zones.end()) {
+      zones.push_back(zone.zone);
+    }
+  }
+  std::sort(zones.begin(), zones.end());
+  zones.erase(std::unique(zones.begin(), zones.end()), zones.end());
+  Send(from, table_->StampsOf(zones));
+}
+
+void Membership::Handle(const RouterId& from, const MemberStamps& message) {
+  MemberNews news;
+  std::map<uint64_t, const MemberStamp*> said;
+  for (const MemberStamp& stamp : message.stamps) {
+    said[stamp.key] = &stamp;
+  }
+  for (const MemberStamp& own : table_->StampsOf(message.zones).stamps) {
+    const auto theirs = said.find(own.key);
+    if (theirs != said.end() && !IsNewer(own, *theirs->second)) {
+      continue;
+    }
+    const bool knows_process =
+        theirs != said.end() && theirs->second->incarnation == own.incarnation;
+    if (knows_process) {
+      news.stamps.push_back(own);
+    } else if (own.state != RouterState::kDead) {
+      news.records.push_back(table_->FindKey(own.key)->record);
+    }
+  }
+  if (!news.records.empty() || !news.stamps.empty()) {
+    Send(from, news);
+  }
+  TakeStamps(from, message.stamps);
+}
+
+void Membership::TakeStamps(const RouterId& from,
+                            const std::vector<MemberStamp>& stamps) {
+  MemberRequest request;
+  MemberNews newer;
+  for (const MemberStamp& stamp : stamps) {
+    if (stamp.key == MemberKey(options_.self)) {
+      AnswerFor(stamp);
+      continue;
+    }
+    const MemberTable::Outcome outcome = table_->Apply(stamp, now_);
+    if (outcome == MemberTable::Outcome::kUnknown) {
+      request.keys.push_back(stamp.key);
+    } else if (outcome == MemberTable::Outcome::kChanged) {
+      OnChanged(table_->FindKey(stamp.key)->record, /*is_new=*/false);
+    } else if (outcome == MemberTable::Outcome::kOlder &&
+               stamp.state >= RouterState::kSuspect) {
+      newer.stamps.push_back(StampOf(table_->FindKey(stamp.key)->record));
+    }
+  }
+  if (!request.keys.empty()) {
+    Send(from, request);
+  }
+  if (!newer.stamps.empty()) {
+    Send(from, newer);
+  }
+}
+
+void Membership::TakeRecord(const RouterId& from, const MemberRecord& record) {
+  if (record.id == options_.self) {
+    AnswerFor(StampOf(record));
+    return;
+  }
+  const MemberTable::Outcome outcome = table_->Apply(record, now_);
+  if (outcome == MemberTable::Outcome::kChanged) {
+    OnChanged(record, /*is_new=*/true);
+  } else if (outcome == MemberTable::Outcome::kOlder && from == record.id) {
+    Send(from, MemberNews{.stamps = {StampOf(table_->Find(from)->record)}});
+  }
+}
+
+void Membership::TakeSelfStamp(const RouterId& from, const MemberStamp& stamp) {
+  if (from == options_.self || stamp.key != MemberKey(from)) {
+    return;
+  }
+  const Member* known = table_->Find(from);
+  if (known != nullptr && IsNewer(StampOf(known->record), stamp)) {
+    Send(from, MemberNews{.stamps = {StampOf(known->record)}});
+    return;
+  }
+  TakeStamps(from, {stamp});
+}
+
+void Membership::AnswerFor(const MemberStamp& said) {
+  MemberRecord own = Own();
+  if (!IsNewer(said, StampOf(own)) || own.state == RouterState::kDead) {
+    return;
+  }
+  if (said.incarnation > own.incarnation) {
+    if (now_ < next_incarnation_) {
+      return;
+    }
+    next_incarnation_ = now_ + kIncarnationPeriod;
+    own.incarnation = said.incarnation.Next();
+    own.refutations = 0;
+    Log(EventId::kRouterNameClash, options_.self);
+    hooks_.incarnation_changed(own.incarnation);
+  } else {
+    own.refutations = said.refutations + 1;
+    Log(EventId::kSuspicionRefuted, options_.self);
+  }
+  SetOwn(own);
+}
+
+void Membership::SetOwnState(RouterState state) {
+  MemberRecord own = Own();
+  own.state = state;
+  ++own.refutations;
+  SetOwn(own);
+}
+
+void Membership::SetOwn(const MemberRecord& record) {
+  const bool is_new = record.incarnation != Own().incarnation;
+  table_->Apply(record, now_);
+  news_[record.id] |= is_new;
+  is_view_stale_ = true;
+}
+
+const MemberRecord& Membership::Own() const {
+  return table_->Find(options_.self)->record;
+}
+
+MemberStamp Membership::OwnStamp() const {
+  return StampOf(Own());
+}
+
+void Membership::OnChanged(const MemberRecord& record, bool is_new) {
+  is_view_stale_ = true;
+  news_[record.id] |= is_new;
+  switch (record.state) {
+    case RouterState::kAlive:
+      if (is_new) {
+        Log(EventId::kRouterJoined, record.id);
+      }
+      break;
+    case RouterState::kDraining:
+      Log(EventId::kRouterLeaving, record.id);
+      break;
+    case RouterState::kSuspect:
+      suspects_.insert(record.id);
+      break;
+    case RouterState::kDead:
+      Log(EventId::kRouterDead, record.id);
+      break;
+  }
+}
+
+void Membership::Suspect(const RouterId& id) {
+  const Member* member = table_->Find(id);
+  if (member == nullptr || member->record.state >= RouterState::kSuspect) {
+    return;
+  }
+  MemberStamp stamp = StampOf(member->record);
+  stamp.state = RouterState::kSuspect;
+  table_->Apply(stamp, now_);
+  Log(EventId::kRouterSuspected, id);
+  OnChanged(member->record, /*is_new=*/false);
+  Send(id, MemberNews{.stamps = {stamp}});
+}
+
+void Membership::BurySuspects() {
+  std::vector<MemberStamp> due;
+  for (auto id = suspects_.begin(); id != suspects_.end();) {
+    const Member* member = table_->Find(*id);
+    const bool is_suspect =
+        member != nullptr && member->record.state == RouterState::kSuspect;
+    if (is_suspect && now_ - member->since < SuspicionTime(*id)) {
+      ++id;
+      continue;
+    }
+    if (is_suspect) {
+      due.push_back(StampOf(member->record));
+    }
+    id = suspects_.erase(id);
+  }
+  for (MemberStamp& stamp : due) {
+    stamp.state = RouterState::kDead;
+    table_->Apply(stamp, now_);
+    OnChanged(table_->FindKey(stamp.key)->record, /*is_new=*/false);
+  }
+}
+
+Duration Membership::SuspicionTime(const RouterId& id) const {
+  const bool is_gone = has_vm_list_ && !vm_list_.contains(id);
+  return is_gone ? options_.suspicion_time / 2 : options_.suspicion_time;
+}
+
+void Membership::FlushNews() {
+  if (news_.empty()) {
+    return;
+  }
+  MemberNews news;
+  for (size_t i = 0; i < kMaxNewsPerTick && !news_.empty(); ++i) {
+    const auto own = news_.find(options_.self);
+    const auto next = own != news_.end() ? own : news_.begin();
+    const Member* member = table_->Find(next->first);
+    if (member != nullptr && next->second) {
+      news.records.push_back(member->record);
+    } else if (member != nullptr) {
+      news.stamps.push_back(StampOf(member->record));
+    }
+    news_.erase(next);
+  }
+  SendToNeighbours(news);
+}
+
+void Membership::SendDigest() {
+  if (now_ < next_digest_) {
+    return;
+  }
+  next_digest_ = now_ + random_.Jitter(options_.digest_period, kPeriodSpread);
+  table_->ForgetDead(now_ - options_.dead_lifetime);
+  absl::erase_if(relays_, [this](const auto& entry) {
+    return now_ - entry.second.made > kRelayLifetime;
+  });
+  if (!view_.neighbours.empty()) {
+    const size_t chosen = random_.Below(view_.neighbours.size());
+    Send(view_.neighbours[chosen], MemberDigest{.hash = table_->Digest().hash});
+  }
+}
+
+void Membership::JoinNextSeed() {
+  const bool is_alone = view_.routers.size() <= 1;
+  if (!is_alone || options_.seeds.empty() || now_ < next_join_) {
+    return;
+  }
+  next_join_ = now_ + random_.Jitter(kJoinPeriod, kPeriodSpread);
+  const std::string& seed = options_.seeds[next_seed_ % options_.seeds.size()];
+  ++next_seed_;
+  if (seed != options_.address) {
+    hooks_.send(PeerAddress{RouterId(), seed}, MemberJoin{Own()});
+  }
+}
+
+void Membership::Reconnect() {
+  if (now_ < next_reconnect_) {
+    return;
+  }
+  next_reconnect_ =
+      now_ + random_.Jitter(options_.reconnect_period, kPeriodSpread);
+  const std::vector<PeerAddress> lost = LostPeers();
+  if (lost.empty()) {
+    return;
+  }
+  const PeerAddress& peer = lost[random_.Below(lost.size())];
+  hooks_.send(peer, Probe{random_.Next64(), OwnStamp()});
+  hooks_.send(peer, MemberDigest{.hash = table_->Digest().hash});
+}
+
+std::vector<PeerAddress> Membership::LostPeers() const {
+  std::vector<PeerAddress> listed;
+  std::vector<PeerAddress> lost;
+  std::set<std::string> running = {options_.address};
+  for (const auto& [id, member] : table_->members()) {
+    if (IsRunning(member.record)) {
+      running.insert(member.record.address);
+      continue;
+    }
+    lost.push_back({id, member.record.address});
+    if (vm_list_.contains(id)) {
+      listed.push_back(lost.back());
+    }
+  }
+  for (const std::string& seed : options_.seeds) {
+    if (!running.contains(seed)) {
+      lost.push_back({RouterId(), seed});
+    }
+  }
+  return listed.empty() ? lost : listed;
+}
+
+void Membership::RefreshView() {
+  const bool is_overlay_due = is_overlay_stale_ && now_ >= next_overlay_;
+  if (!is_view_stale_ && !is_overlay_due) {
+    return;
+  }
+  is_view_stale_ = false;
+  FleetView view{.self = options_.self};
+  for (const auto& [id, member] : table_->members()) {
+    if (IsRunning(member.record)) {
+      view.routers.push_back(ToView(member.record));
+    }
+  }
+  is_overlay_stale_ |= !HaveSameRouters(view.routers, view_.routers);
+  if (is_overlay_stale_ && now_ >= next_overlay_) {
+    view.neighbours = RefreshOverlay(view.routers);
+  } else {
+    view.neighbours = RunningNeighbours();
+  }
+  if (view != view_) {
+    view_ = std::move(view);
+    hooks_.view_changed(view_);
+  }
+}
+
+std::vector<RouterId> Membership::RefreshOverlay(
+    const std::vector<RouterView>& routers) {
+  is_overlay_stale_ = false;
+  next_overlay_ = now_ + kOverlayPeriod;
+  Overlay overlay = MakeOverlay(options_.self, routers, options_.overlay);
+  prober_->SetTargets(overlay.targets, now_);
+  return std::move(overlay.neighbours);
+}
+
+std::vector<RouterId> Membership::RunningNeighbours() const {
+  std::vector<RouterId> running;
+  for (const RouterId& neighbour : view_.neighbours) {
+    const Member* member = table_->Find(neighbour);
+    if (member != nullptr && IsRunning(member->record)) {
+      running.push_back(neighbour);
+    }
+  }
+  return running;
+}
+
+void Membership::SkipPause() {
+  const Duration gap = now_ - last_tick_;
+  last_tick_ = now_;
+  if (gap <= kPauseLimit) {
+    return;
+  }
+  table_->Shift(gap);
+  prober_->Restart(now_);
+  relays_.clear();
+}
+
+void Membership::Send(const RouterId& to, const MemberMessage& message) {
+  const Member* member = table_->Find(to);
+  hooks_.send({to, member == nullptr ? "" : member->record.address}, message);
+}
+
+void Membership::SendToNeighbours(const MemberMessage& message) {
+  for (const RouterId& neighbour : view_.neighbours) {
+    Send(neighbour, message);
+  }
+}
+
+std::vector<RouterId> Membership::PickHelpers(const RouterId& target) {
+  std::vector<RouterId> helpers;
+  for (const RouterId& neighbour : view_.neighbours) {
+    const Member* member = table_->Find(neighbour);
+    if (neighbour != target && member != nullptr &&
+        member->record.state < RouterState::kSuspect) {
+      helpers.push_back(neighbour);
+    }
+  }
+  for (size_t i = 0; i < helpers.size() && i < kHelpers; ++i) {
+    std::swap(helpers[i], helpers[i + random_.Below(helpers.size() - i)]);
+  }
+  helpers.resize(std::min(helpers.size(), kHelpers));
+  return helpers;
+}
+
+void Membership::Log(EventId id, const RouterId& router) {
+  hooks_.event({id, {{"router", router.value()}}});
+}
+
+}  // namespace papaya
--- a/src/telemetry/event_catalog.cc
+++ b/src/telemetry/event_catalog.cc
@@ -44,6 +44,38 @@
       // Membership and configuration.
       {EventId::kRevisionInForce, Severity::kInfo, "revision_in_force",
        "This router follows a newer revision of the configuration."},
+      {EventId::kConfigRefused, Severity::kError, "config_refused",
+       "A configuration has faults, all of them listed, and is not followed; "
+       "write a release note that mends it."},
+      {EventId::kConfigConflict, Severity::kError, "config_conflict",
+       "Another router has a different configuration of the same revision; "
+       "write a release note to bring both to the next one."},
+      {EventId::kConfigBehindKnown, Severity::kWarning, "config_behind_known",
+       "A starting router follows an older revision than it has heard of, as "
+       "neither the store nor a peer could give the newer one."},
+      {EventId::kConfigReadFailed, Severity::kWarning, "config_read_failed",
+       "The store did not give the configuration; the router tries again and "
+       "goes on with what it has."},
+      {EventId::kVersionStopped, Severity::kWarning, "version_stopped",
+       "A version was seen to be bad and gets no more work here."},
+      {EventId::kUpstreamLeaving, Severity::kInfo, "upstream_leaving",
+       "An upstream is leaving and gets no new work here."},
+      {EventId::kFactRefused, Severity::kError, "fact_refused",
+       "A fact found no room; withdraw upstreams that are gone from the "
+       "configuration."},
+      {EventId::kRouterJoined, Severity::kInfo, "router_joined",
+       "A router is known to run that was not before."},
+      {EventId::kRouterSuspected, Severity::kWarning, "router_suspected",
+       "A router does not answer; it is taken for dead unless it soon does."},
+      {EventId::kRouterDead, Severity::kWarning, "router_dead",
+       "A router is taken for dead; the platform replaces its VM if need be."},
+      {EventId::kRouterLeaving, Severity::kInfo, "router_leaving",
+       "Another router finishes what it has and will stop."},
+      {EventId::kSuspicionRefuted, Severity::kInfo, "suspicion_refuted",
+       "This router was suspected, and told the others that it runs."},
+      {EventId::kRouterNameClash, Severity::kError, "router_name_clash",
+       "Another process uses this router's name with a later start; give each "
+       "its own name in the settings."},
 
       // Routing and admission.
       {EventId::kStragglerSetAside, Severity::kWarning, "straggler_set_aside",
