--- a/src/standin/engine_face.cc
+++ b/src/standin/engine_face.cc
@@ -98,20 +98,20 @@
       co_await HandleResume(exchange, stream_id);
     }
   } else if (path == "/v1/load") {
-    co_await exchange.Respond(JsonResponse(200, LoadJson()));
+    co_await Answer(exchange, JsonResponse(200, LoadJson()));
   } else if (path == "/v1/state") {
-    co_await exchange.Respond(JsonResponse(200, StateJson()));
+    co_await Answer(exchange, JsonResponse(200, StateJson()));
   } else if (path == "/v1/cache_events") {
-    co_await exchange.Respond(JsonResponse(
-        200, CacheEventsJson(NumberInQuery(request.target, "after"))));
+    co_await Answer(exchange, JsonResponse(200, CacheEventsJson(NumberInQuery(
+                                                    request.target, "after"))));
   } else if (path == "/v1/orders") {
     co_await HandleOrder(exchange);
   } else if (path == "/badness") {
     co_await HandleBadness(exchange);
   } else if (path == "/healthz") {
-    co_await exchange.Respond(JsonResponse(faults().leaving ? 503 : 200, "{}"));
+    co_await Answer(exchange, JsonResponse(faults().leaving ? 503 : 200, "{}"));
   } else {
-    co_await exchange.Respond(ErrorResponse(404, "no such path"));
+    co_await Answer(exchange, ErrorResponse(404, "no such path"));
   }
 }
 
@@ -119,11 +119,11 @@
   const std::optional<ChatRequest> chat =
       ParseChatRequest(exchange.request().body);
   if (!chat) {
-    co_await exchange.Respond(ErrorResponse(400, "not a chat request"));
+    co_await Answer(exchange, ErrorResponse(400, "not a chat request"));
     co_return;
   }
   if (faults().leaving) {
-    co_await exchange.Respond(LeavingResponse());
+    co_await Answer(exchange, LeavingResponse());
     co_return;
   }
   std::string stream_id = exchange.request().headers.Get("papaya-stream-id");
@@ -134,7 +134,7 @@
                       .prompt = chat->prompt,
                       .max_tokens = chat->max_tokens},
                      SteadyNow())) {
-    co_await exchange.Respond(ErrorResponse(409, "stream id in use"));
+    co_await Answer(exchange, ErrorResponse(409, "stream id in use"));
     co_return;
   }
   ScheduleStep();
@@ -143,8 +143,8 @@
     co_await WaitUntilCallerGone(exchange);
   } else if (fault == FaultChoice::kFail) {
     co_await WaitForProgress(stream_id, Tokens(0));
-    co_await exchange.Respond(
-        WithVersion(ErrorResponse(500, "failed"), model_.versions().active()));
+    co_await Answer(exchange, WithVersion(ErrorResponse(500, "failed"),
+                                          model_.versions().active()));
   } else if (chat->stream) {
     co_await AnswerStream(exchange, stream_id, Tokens(0),
                           fault == FaultChoice::kCut);
@@ -182,7 +182,7 @@
       stream->state == StreamState::kDone
           ? JsonResponse(200, FormatChatAnswer(*stream, stream_id, model))
           : ErrorResponse(500, "the version failed");
-  co_await exchange.Respond(WithVersion(std::move(response), version));
+  co_await Answer(exchange, WithVersion(std::move(response), version));
 }
 
 asio::awaitable<void> EngineFace::AnswerStream(HttpExchange& exchange,
@@ -194,7 +194,8 @@
     co_return;
   }
   if (stream->state == StreamState::kFailed && offset == Tokens(0)) {
-    co_await exchange.Respond(
+    co_await Answer(
+        exchange,
         WithVersion(ErrorResponse(500, "the version failed"), stream->version));
     co_return;
   }
@@ -224,7 +225,7 @@
     }
     sent = co_await exchange.Write(std::move(events));
     if (is_done && sent.ok()) {
-      co_await exchange.EndStream();
+      sent = co_await exchange.EndStream();
     }
     if (is_done || is_cut) {
       co_return;
@@ -236,13 +237,13 @@
                                                std::string stream_id) {
   const EngineStream* stream = model_.Find(stream_id);
   if (stream == nullptr) {
-    co_await exchange.Respond(ErrorResponse(404, "no such stream"));
+    co_await Answer(exchange, ErrorResponse(404, "no such stream"));
     co_return;
   }
   const int64_t offset =
       static_cast<int64_t>(NumberInQuery(exchange.request().target, "offset"));
   if (offset > stream->max_tokens.value()) {
-    co_await exchange.Respond(ErrorResponse(400, "offset past the end"));
+    co_await Answer(exchange, ErrorResponse(400, "offset past the end"));
     co_return;
   }
   co_await AnswerStream(exchange, std::move(stream_id), Tokens(offset), false);
@@ -252,29 +253,29 @@
                                                const std::string& stream_id) {
   model_.Cancel(stream_id, SteadyNow());
   progress_.cancel();
-  co_await exchange.Respond(JsonResponse(200, "{}"));
+  co_await Answer(exchange, JsonResponse(200, "{}"));
 }
 
 asio::awaitable<void> EngineFace::HandleOrder(HttpExchange& exchange) {
   const std::optional<StandinOrder> order =
       ParseStandinOrder(exchange.request().body);
   if (!order) {
-    co_await exchange.Respond(ErrorResponse(400, "not an order"));
+    co_await Answer(exchange, ErrorResponse(400, "not an order"));
     co_return;
   }
   const OrderAnswer answer = model_.Order(*order, SteadyNow());
-  co_await exchange.Respond(JsonResponse(StatusOfOrder(answer), StateJson()));
+  co_await Answer(exchange, JsonResponse(StatusOfOrder(answer), StateJson()));
 }
 
 asio::awaitable<void> EngineFace::HandleBadness(HttpExchange& exchange) {
   const std::optional<VersionBadness> badness =
       ParseVersionBadness(exchange.request().body);
   if (!badness) {
-    co_await exchange.Respond(ErrorResponse(400, "no badness of a version"));
+    co_await Answer(exchange, ErrorResponse(400, "no badness of a version"));
     co_return;
   }
   model_.SetBadness(*badness);
-  co_await exchange.Respond(JsonResponse(200, "{}"));
+  co_await Answer(exchange, JsonResponse(200, "{}"));
 }
 
 void EngineFace::ScheduleStep() {
--- a/src/standin/platform_face.cc
+++ b/src/standin/platform_face.cc
@@ -85,18 +85,18 @@
 }
 
 asio::awaitable<void> PlatformFace::HandleOutage(HttpExchange& exchange) {
-  co_await exchange.Respond(ErrorResponse(503, "outage"));
+  co_await Answer(exchange, ErrorResponse(503, "outage"));
 }
 
 asio::awaitable<void> PlatformFace::HandleRequest(HttpExchange& exchange) {
   const HttpRequest& request = exchange.request();
   const std::string path = PathOfTarget(request.target);
   if (path == "/counts") {
-    co_await exchange.Respond(Counts());
+    co_await Answer(exchange, Counts());
     co_return;
   }
   if (path == "/vms" && request.method == "POST") {
-    co_await exchange.Respond(ChangeVm(request.body));
+    co_await Answer(exchange, ChangeVm(request.body));
     co_return;
   }
   const FaultChoice fault = ChooseFault();
@@ -108,11 +108,11 @@
   } else if (fault == FaultChoice::kFail) {
     co_await HandleOutage(exchange);
   } else if (path == "/vms") {
-    co_await exchange.Respond(ListVms());
+    co_await Answer(exchange, ListVms());
   } else if (path.starts_with(kObjectsPath)) {
     co_await HandleObjects(exchange, path);
   } else {
-    co_await exchange.Respond(ErrorResponse(404, "no such path"));
+    co_await Answer(exchange, ErrorResponse(404, "no such path"));
   }
 }
 
@@ -121,18 +121,18 @@
   const HttpRequest& request = exchange.request();
   const std::string rest = path.substr(std::string(kObjectsPath).size());
   if (rest.empty()) {
-    co_await exchange.Respond(List(request.target));
+    co_await Answer(exchange, List(request.target));
     co_return;
   }
   const std::string key = DecodeUrlText(rest.substr(1)).value_or("");
   if (rest.front() != '/' || key.empty()) {
-    co_await exchange.Respond(ErrorResponse(400, "not a key"));
+    co_await Answer(exchange, ErrorResponse(400, "not a key"));
   } else if (request.method == "PUT" || request.method == "DELETE") {
     co_await HandleWrite(exchange, key);
   } else if (!QueryValue(request.target, "watch_after").empty()) {
     co_await HandleWatch(exchange, key);
   } else {
-    co_await exchange.Respond(Get(key));
+    co_await Answer(exchange, Get(key));
   }
 }
 
@@ -163,7 +163,7 @@
   } else {
     response = StatusResponse(written.status());
   }
-  co_await exchange.Respond(std::move(response));
+  co_await Answer(exchange, std::move(response));
 }
 
 asio::awaitable<void> PlatformFace::HandleWatch(HttpExchange& exchange,
@@ -178,7 +178,7 @@
         watch->woken.cancel();
       });
   if (!started.ok()) {
-    co_await exchange.Respond(StatusResponse(started));
+    co_await Answer(exchange, StatusResponse(started));
     co_return;
   }
   ScheduleAdvance();
@@ -195,7 +195,7 @@
   if (watch->object) {
     response = JsonResponse(200, json::serialize(ObjectJson(*watch->object)));
   }
-  co_await exchange.Respond(std::move(response));
+  co_await Answer(exchange, std::move(response));
 }
 
 HttpResponse PlatformFace::Get(const std::string& key) {
--- a/src/standin/service_face.cc
+++ b/src/standin/service_face.cc
@@ -28,11 +28,11 @@
 asio::awaitable<void> ServiceFace::HandleRequest(HttpExchange& exchange) {
   const std::string path = PathOfTarget(exchange.request().target);
   if (path == "/healthz") {
-    co_await exchange.Respond(JsonResponse(faults().leaving ? 503 : 200, "{}"));
+    co_await Answer(exchange, JsonResponse(faults().leaving ? 503 : 200, "{}"));
   } else if (path == "/v1/load") {
-    co_await exchange.Respond(JsonResponse(200, LoadJson()));
+    co_await Answer(exchange, JsonResponse(200, LoadJson()));
   } else if (path == "/ledger") {
-    co_await exchange.Respond(JsonResponse(200, LedgerJson()));
+    co_await Answer(exchange, JsonResponse(200, LedgerJson()));
   } else {
     co_await HandleCall(exchange);
   }
@@ -40,7 +40,7 @@
 
 asio::awaitable<void> ServiceFace::HandleCall(HttpExchange& exchange) {
   if (faults().leaving) {
-    co_await exchange.Respond(LeavingResponse());
+    co_await Answer(exchange, LeavingResponse());
     co_return;
   }
   const HttpRequest& request = exchange.request();
@@ -66,7 +66,7 @@
   if (fault == FaultChoice::kFail) {
     response = ErrorResponse(500, "failed");
   }
-  co_await exchange.Respond(std::move(response));
+  co_await Answer(exchange, std::move(response));
 }
 
 std::string ServiceFace::LoadJson() const {
--- a/src/standin/standin_face.cc
+++ b/src/standin/standin_face.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 #include <chrono>
+#include <utility>
 
 #include "include/wire/http_exchange.h"
 
@@ -39,13 +40,13 @@
     const absl::Status applied =
         ApplyFaultsJson(exchange.request().body, faults_);
     if (!applied.ok()) {
-      co_await exchange.Respond(
-          ErrorResponse(400, std::string(applied.message())));
+      co_await Answer(exchange,
+                      ErrorResponse(400, std::string(applied.message())));
       co_return;
     }
     OnFaultsChanged();
   }
-  co_await exchange.Respond(JsonResponse(200, FaultsToJson(faults_)));
+  co_await Answer(exchange, JsonResponse(200, FaultsToJson(faults_)));
 }
 
 asio::awaitable<void> StandinFace::HandleOutage(HttpExchange& /*exchange*/) {
@@ -82,6 +83,11 @@
   exchange.OnCallerGone(nullptr);
 }
 
+asio::awaitable<void> Answer(HttpExchange& exchange, HttpResponse response) {
+  const absl::Status sent = co_await exchange.Respond(std::move(response));
+  sent.IgnoreError();
+}
+
 HttpResponse JsonResponse(int status, const std::string& body) {
   HttpResponse response;
   response.status = status;
--- a/src/standin/standin_face.h
+++ b/src/standin/standin_face.h
@@ -61,6 +61,10 @@
 // Waits until the caller has closed the connection.
 boost::asio::awaitable<void> WaitUntilCallerGone(HttpExchange& exchange);
 
+// Sends `response`. A caller that is gone by then makes no difference.
+boost::asio::awaitable<void> Answer(HttpExchange& exchange,
+                                    HttpResponse response);
+
 // An answer with a JSON body.
 HttpResponse JsonResponse(int status, const std::string& body);
 
