Send mixed load and check each answer: papaya_load

Change: a seeded plan, a caller that resumes streams and repeats bookings under their own key only, a tally by tier, outcome and version in one JSON line. Conclusion: against a stand-in engine alone, good answers count as whole, and cut or failed ones as such; a property test drops, doubles and swaps tokens.

--- /dev/null
+++ b/src/papaya_load_main.cc
@@ -0,0 +1,100 @@
+// papaya_load: sends mixed traffic over several routers and checks the answers.
+
+#include <gflags/gflags.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <iostream>
+
+#include "include/base/text_file.h"
+#include "include/settings/value_parsers.h"
+#include "include/standin/load_runner.h"
+
+DEFINE_string(routers,
+              "",
+              "Callers' addresses of the routers, IP:PORT, between commas.");
+DEFINE_string(token, "", "Bearer token of the client account.");
+DEFINE_string(run, "run", "Part of all booking keys; new for each run.");
+DEFINE_uint64(seed, 1, "Seed of the plan.");
+DEFINE_double(seconds, 10, "Requests are sent for so long, or until SIGTERM.");
+DEFINE_double(chat_rate, 10, "Chats a second.");
+DEFINE_double(report_rate, 1, "Reports a second.");
+DEFINE_double(booking_rate, 5, "Bookings a second.");
+DEFINE_string(chat_model, "assistant", "Model of chats.");
+DEFINE_string(report_model, "assistant", "Model of reports.");
+DEFINE_string(report_route, "plan", "Value of papaya-route on reports.");
+DEFINE_string(booking_path, "/svc/booking/hires", "Path of bookings.");
+DEFINE_int32(report_tokens, 400, "Length of a report.");
+DEFINE_int32(ticket_permille, 500, "Bookings under a ticket.");
+DEFINE_int32(stream_permille, 700, "Chats and reports that are streamed.");
+DEFINE_double(call_timeout_seconds, 60, "A call without end counts as cut.");
+
+namespace papaya {
+namespace {
+
+constexpr int kUsageError = 2;
+constexpr int kNotAllWhole = 1;
+
+// True if `summary` has no call that ended otherwise than whole.
+bool IsAllWhole(const LoadTally& tally) {
+  for (const LoadKind kind : kAllLoadKinds) {
+    for (size_t end = 0; end < kCallEndCount; ++end) {
+      if (static_cast<CallEnd>(end) != CallEnd::kWhole &&
+          tally.Count(kind, static_cast<CallEnd>(end)) > 0) {
+        return false;
+      }
+    }
+  }
+  return true;
+}
+
+LoadOptions OptionsFromFlags() {
+  LoadOptions options;
+  options.routers = SplitList(FLAGS_routers);
+  options.token = FLAGS_token;
+  options.run = FLAGS_run;
+  options.seed = FLAGS_seed;
+  options.rates = {FLAGS_chat_rate, FLAGS_report_rate, FLAGS_booking_rate};
+  options.duration = SecondsToDuration(FLAGS_seconds);
+  options.chat_model = FLAGS_chat_model;
+  options.report_model = FLAGS_report_model;
+  options.report_route = FLAGS_report_route;
+  options.booking_path = FLAGS_booking_path;
+  options.report_tokens = Tokens(FLAGS_report_tokens);
+  options.with_ticket = Permille(FLAGS_ticket_permille);
+  options.streamed = Permille(FLAGS_stream_permille);
+  options.call_timeout = SecondsToDuration(FLAGS_call_timeout_seconds);
+  return options;
+}
+
+int Run() {
+  const LoadOptions options = OptionsFromFlags();
+  if (options.routers.empty()) {
+    std::cerr << "papaya_load: --routers names at least one IP:PORT\n";
+    return kUsageError;
+  }
+  boost::asio::io_context context(1);
+  boost::asio::signal_set signals(context, SIGINT, SIGTERM);
+  LoadRunner runner(&context, options, [&signals] { signals.cancel(); });
+  signals.async_wait([&runner](const boost::system::error_code& error, int) {
+    if (!error) {
+      runner.Stop();
+    }
+  });
+  runner.Start();
+  context.run();
+  std::cout << runner.tally().ToJson() << std::endl;
+  return IsAllWhole(runner.tally()) ? 0 : kNotAllWhole;
+}
+
+}  // namespace
+}  // namespace papaya
+
+int main(int argc, char** argv) {
+  gflags::SetUsageMessage(
+      "sends mixed traffic over several routers and checks the answers; exits "
+      "0 if all were whole, 1 if not, 2 on wrong flags");
+  gflags::SetVersionString(PAPAYA_VERSION);
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  return papaya::Run();
+}
--- /dev/null
+++ b/tests/load_test.cc
@@ -0,0 +1,164 @@
+#include <rapidcheck/catch.h>
+#include <catch2/catch.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <set>
+#include <string>
+
+#include "absl/strings/str_cat.h"
+#include "include/standin/answer_check.h"
+#include "include/standin/answer_text.h"
+#include "include/standin/load_plan.h"
+#include "include/standin/load_runner.h"
+#include "include/standin/load_tally.h"
+#include "include/standin/standin_server.h"
+
+namespace papaya {
+namespace {
+
+SseEvent TokenEvent(const std::string& prompt, int64_t index) {
+  return {.index = index,
+          .data = absl::StrCat(R"({"choices":[{"delta":{"content":")",
+                               AnswerToken(prompt, index), R"("}}]})")};
+}
+
+const SseEvent kEnd = {.data = "[DONE]"};
+
+TEST_CASE("AnswerCheck: a whole stream is whole, in pieces too", "[standin]") {
+  AnswerCheck check("p", Tokens(3));
+  check.OnEvent(TokenEvent("p", 0));
+  CHECK(check.next() == 1);
+  check.OnEvent(TokenEvent("p", 1));
+  check.OnEvent(TokenEvent("p", 2));
+  CHECK_FALSE(check.is_whole());
+  check.OnEvent(kEnd);
+  CHECK(check.is_whole());
+}
+
+TEST_CASE(
+    "AnswerCheck: what is missing, doubled, another's or after the end "
+    "is wrong",
+    "[standin]") {
+  const std::vector<std::vector<SseEvent>> streams = {
+      {kEnd},
+      {TokenEvent("p", 0), kEnd},
+      {TokenEvent("p", 0), TokenEvent("p", 0)},
+      {TokenEvent("p", 1)},
+      {TokenEvent("other", 0)},
+      {TokenEvent("p", 0), TokenEvent("p", 1), TokenEvent("p", 2)},
+      {TokenEvent("p", 0), TokenEvent("p", 1), kEnd, kEnd},
+      {{.data = "not json"}},
+  };
+  for (const std::vector<SseEvent>& events : streams) {
+    AnswerCheck check("p", Tokens(2));
+    for (const SseEvent& event : events) {
+      check.OnEvent(event);
+    }
+    CHECK(check.is_wrong());
+    CHECK_FALSE(check.is_whole());
+  }
+}
+
+TEST_CASE("AnswerCheck: any change of a whole stream shows", "[standin]") {
+  rc::prop("a token dropped, doubled or swapped", [] {
+    const int64_t length = *rc::gen::inRange<int64_t>(2, 20);
+    std::vector<SseEvent> events;
+    for (int64_t index = 0; index < length; ++index) {
+      events.push_back(TokenEvent("p", index));
+    }
+    events.push_back(kEnd);
+    const size_t at = *rc::gen::inRange<size_t>(0, events.size() - 1);
+    switch (*rc::gen::inRange(0, 3)) {
+      case 0:
+        events.erase(events.begin() + static_cast<ptrdiff_t>(at));
+        break;
+      case 1:
+        events.insert(events.begin() + static_cast<ptrdiff_t>(at), events[at]);
+        break;
+      default:
+        std::swap(events[at], events[at + 1]);
+    }
+    AnswerCheck check("p", Tokens(length));
+    for (const SseEvent& event : events) {
+      check.OnEvent(event);
+    }
+    RC_ASSERT(check.is_wrong());
+  });
+}
+
+TEST_CASE("PlanLoad: is the same for a seed, with unique prompts and keys",
+          "[standin]") {
+  LoadOptions options;
+  options.routers = {"a", "b"};
+  const std::vector<PlannedCall> plan = PlanLoad(options);
+  CHECK(plan.size() > 100);
+  const std::vector<PlannedCall> again = PlanLoad(options);
+  REQUIRE(plan.size() == again.size());
+  std::set<std::string> names;
+  for (size_t index = 0; index < plan.size(); ++index) {
+    CHECK(plan[index].prompt == again[index].prompt);
+    CHECK(plan[index].at == again[index].at);
+    names.insert(plan[index].prompt + plan[index].key);
+  }
+  CHECK(names.size() == plan.size());
+}
+
+TEST_CASE("LoadTally: counts by tier and end", "[standin]") {
+  LoadTally tally;
+  tally.Add({.kind = LoadKind::kBooking, .end = CallEnd::kWhole});
+  tally.Add({.kind = LoadKind::kBooking, .end = CallEnd::kNotRun});
+  tally.Add({.kind = LoadKind::kChat,
+             .at = std::chrono::milliseconds(1500),
+             .end = CallEnd::kWhole,
+             .version = "v2",
+             .first_token = std::chrono::milliseconds(40)});
+  const std::string json = tally.ToJson();
+  INFO(json);
+  CHECK(json.find(R"("critical":{"whole":1,"not_run":1)") != std::string::npos);
+  CHECK(json.find(R"({"second":1,"v2":1})") != std::string::npos);
+  CHECK(json.find(R"("p50":4E1)") != std::string::npos);
+}
+
+// Runs `options` against a stand-in engine and gives the tally.
+LoadTally RunAgainstEngine(LoadOptions options, const std::string& faults) {
+  boost::asio::io_context context;
+  StandinOptions engine;
+  REQUIRE(ApplyFaultsJson(faults, engine.faults).ok());
+  engine.engine.time_per_token = std::chrono::microseconds(200);
+  StandinServer server(&context, engine);
+  REQUIRE(server.Start().ok());
+  options.routers = {server.address()};
+  options.rates = {50, 2, 0};
+  options.duration = std::chrono::milliseconds(500);
+  options.report_tokens = Tokens(50);
+  LoadRunner runner(&context, options, [&context] { context.stop(); });
+  runner.Start();
+  context.run();
+  return runner.tally();
+}
+
+TEST_CASE("LoadRunner: a good engine gives only whole answers", "[standin]") {
+  const LoadTally tally = RunAgainstEngine(LoadOptions(), "{}");
+  INFO(tally.ToJson());
+  CHECK(tally.Count(LoadKind::kChat, CallEnd::kWhole) > 10);
+  for (const CallEnd end : {CallEnd::kNotRun, CallEnd::kUnknown,
+                            CallEnd::kFailed, CallEnd::kWrong, CallEnd::kCut}) {
+    CHECK(tally.Count(LoadKind::kChat, end) == 0);
+  }
+}
+
+TEST_CASE("LoadRunner: an engine that cuts and fails is noticed", "[standin]") {
+  LoadOptions options;
+  options.streamed = Permille(1000);
+  const LoadTally cut =
+      RunAgainstEngine(options, R"({"cutting_permille":1000})");
+  INFO(cut.ToJson());
+  CHECK(cut.Count(LoadKind::kChat, CallEnd::kWhole) == 0);
+  CHECK(cut.Count(LoadKind::kChat, CallEnd::kCut) > 10);
+  const LoadTally failed =
+      RunAgainstEngine(options, R"({"failing_permille":1000})");
+  CHECK(failed.Count(LoadKind::kChat, CallEnd::kFailed) > 10);
+}
+
+}  // namespace
+}  // namespace papaya
