--- a/include/once/claim_keeper.h
+++ b/include/once/claim_keeper.h
@@ -26,8 +26,9 @@
   std::string claim;
   // No answer is of use after that.
   TimePoint deadline;
-  // The caller says that it never sent this key before. Only then can a
-  // request whose key could not be claimed be called `not-run`.
+  // The caller says that this is its first attempt with the key, and that it
+  // sends no other before it has the answer or has closed the connection. Only
+  // then can a request whose key could not be claimed be called `not-run`.
   bool is_first = false;
 };
 
--- a/src/once/claim_keeper.cc
+++ b/src/once/claim_keeper.cc
@@ -299,14 +299,16 @@
 void ClaimKeeper::GiveUp(Waiting& waiting, OnceReason reason) {
   const bool holds_claim =
       own_claims_[waiting.attempt.claim].version != ObjectVersion(0);
-  const bool is_sure_not_run =
-      holds_claim || (waiting.attempt.is_first && !waiting.is_foreign);
-  if (is_sure_not_run) {
+  if (holds_claim) {
     Close(waiting, Outcome::kNotRun, reason, {});
     return;
   }
+  // Not closed: the caller's word covers this attempt alone, and a later one
+  // may have overtaken it.
+  const bool is_not_run = waiting.attempt.is_first && !waiting.is_foreign;
   table_.Abandon(waiting.attempt.claim);
-  Decide(waiting, MakeAnswer(Outcome::kUnknown, reason));
+  Decide(waiting,
+         MakeAnswer(is_not_run ? Outcome::kNotRun : Outcome::kUnknown, reason));
 }
 
 void ClaimKeeper::Close(Waiting& waiting,
--- a/tests/fakes/fake_object_store.h
+++ b/tests/fakes/fake_object_store.h
@@ -51,6 +51,34 @@
                              scale);
   }
 
+  absl::StatusOr<StoredObject> Read(const std::string& key) const {
+    const auto found = objects.find(key);
+    if (found == objects.end()) {
+      return absl::NotFoundError(key);
+    }
+    return found->second;
+  }
+
+  absl::StatusOr<ObjectVersion> Write(const ConditionalWrite& write) {
+    const auto found = objects.find(write.key);
+    const ObjectVersion present =
+        found == objects.end() ? ObjectVersion(0) : found->second.version;
+    if (present != write.expected) {
+      return absl::AbortedError(write.key);
+    }
+    const ObjectVersion version = last_version.Next();
+    last_version = version;
+    if (!write.value.has_value()) {
+      objects.erase(write.key);
+      return version;
+    }
+    objects[write.key] = {.key = write.key,
+                          .version = version,
+                          .operation = write.operation,
+                          .value = *write.value};
+    return version;
+  }
+
   TimePoint now;
   Faults faults;
   Random random;
@@ -70,23 +98,26 @@
 
   void Get(const std::string& key, GetCallback done) override {
     ++backend_->reads;
-    Call<StoredObject>(false, std::move(done),
-                       [this, key] { return Read(key); });
+    Call<StoredObject>(false, std::move(done), [backend = backend_, key] {
+      return backend->Read(key);
+    });
   }
 
   void Put(const ConditionalWrite& write, PutCallback done) override {
     ++backend_->writes;
-    Call<ObjectVersion>(true, std::move(done),
-                        [this, write] { return Write(write); });
+    Call<ObjectVersion>(true, std::move(done), [backend = backend_, write] {
+      return backend->Write(write);
+    });
   }
 
   void List(const std::string& prefix, ListCallback done) override {
     ++backend_->reads;
     Call<std::vector<StoredObject>>(
         false, std::move(done),
-        [this, prefix]() -> absl::StatusOr<std::vector<StoredObject>> {
+        [backend = backend_,
+         prefix]() -> absl::StatusOr<std::vector<StoredObject>> {
           std::vector<StoredObject> found;
-          for (const auto& [key, object] : backend_->objects) {
+          for (const auto& [key, object] : backend->objects) {
             if (key.starts_with(prefix)) {
               found.push_back(object);
             }
@@ -100,7 +131,7 @@
              ObjectVersion after,
              GetCallback done) override {
     ++backend_->reads;
-    Poll(key, after, std::move(done), backend_->now + std::chrono::seconds(10));
+    Poll(backend_, key, after, done, backend_->now + std::chrono::seconds(10));
   }
 
  private:
@@ -109,9 +140,9 @@
             std::function<void(absl::StatusOr<T>)> done,
             std::function<absl::StatusOr<T>()> effect) {
     const TimePoint arrives = backend_->now + backend_->Delay();
-    backend_->At(arrives, [this, is_write, done = std::move(done),
-                           effect = std::move(effect)] {
-      FakeObjectStoreBackend& backend = *backend_;
+    backend_->At(arrives, [backend_pointer = backend_, is_write,
+                           done = std::move(done), effect = std::move(effect)] {
+      FakeObjectStoreBackend& backend = *backend_pointer;
       const bool is_refused = backend.faults.is_out ||
                               backend.random.Chance(backend.faults.lost_call);
       const absl::StatusOr<T> result =
@@ -126,56 +157,29 @@
     });
   }
 
-  absl::StatusOr<StoredObject> Read(const std::string& key) const {
-    const auto found = backend_->objects.find(key);
-    if (found == backend_->objects.end()) {
-      return absl::NotFoundError(key);
-    }
-    return found->second;
-  }
-
-  absl::StatusOr<ObjectVersion> Write(const ConditionalWrite& write) {
-    const auto found = backend_->objects.find(write.key);
-    const ObjectVersion present = found == backend_->objects.end()
-                                      ? ObjectVersion(0)
-                                      : found->second.version;
-    if (present != write.expected) {
-      return absl::AbortedError(write.key);
-    }
-    const ObjectVersion version = backend_->last_version.Next();
-    backend_->last_version = version;
-    if (!write.value.has_value()) {
-      backend_->objects.erase(write.key);
-      return version;
-    }
-    backend_->objects[write.key] = {.key = write.key,
-                                    .version = version,
-                                    .operation = write.operation,
-                                    .value = *write.value};
-    return version;
-  }
-
-  void Poll(const std::string& key,
-            ObjectVersion after,
-            GetCallback done,
-            TimePoint until) {
-    backend_->At(backend_->now + std::chrono::milliseconds(50),
-                 [this, key, after, done = std::move(done), until] {
-                   if (backend_->faults.is_out) {
-                     done(absl::UnavailableError("out"));
-                     return;
-                   }
-                   const absl::StatusOr<StoredObject> object = Read(key);
-                   if (object.ok() && object->version > after) {
-                     done(object);
-                     return;
-                   }
-                   if (backend_->now >= until) {
-                     done(absl::DeadlineExceededError("nothing changed"));
-                     return;
-                   }
-                   Poll(key, after, done, until);
-                 });
+  static void Poll(FakeObjectStoreBackend* backend,
+                   const std::string& key,
+                   ObjectVersion after,
+                   const GetCallback& done,
+                   TimePoint until) {
+    backend->At(backend->now + std::chrono::milliseconds(50),
+                [backend, key, after, done, until] {
+                  if (backend->faults.is_out) {
+                    done(absl::UnavailableError("out"));
+                    return;
+                  }
+                  const absl::StatusOr<StoredObject> object =
+                      backend->Read(key);
+                  if (object.ok() && object->version > after) {
+                    done(object);
+                    return;
+                  }
+                  if (backend->now >= until) {
+                    done(absl::DeadlineExceededError("nothing changed"));
+                    return;
+                  }
+                  Poll(backend, key, after, done, until);
+                });
   }
 
   FakeObjectStoreBackend* backend_;
