--- a/src/config/config_spreader.cc
+++ b/src/config/config_spreader.cc
@@ -31,8 +31,8 @@
 constexpr Duration kStartReadDelay = std::chrono::seconds(3);
 // A starting router knows the others by then, and so who reads the store.
 constexpr Duration kReaderDelay = std::chrono::milliseconds(800);
-// A starting router waits so long to hear of all its neighbours.
-constexpr Duration kSettleTime = std::chrono::seconds(1);
+// Without the store, a starting router hears its neighbours for so long.
+constexpr Duration kSettleTime = std::chrono::milliseconds(1500);
 // A router that knows of a higher revision and gets it from nobody for so long
 // reads the store itself.
 constexpr Duration kBehindLimit = std::chrono::seconds(4);
@@ -365,8 +365,7 @@
   }
   const size_t neighbours = view_.neighbours.size();
   const bool is_settled = now_ - started_ >= kSettleTime;
-  const size_t needed = is_settled ? neighbours / 2 + 1 : neighbours;
-  return neighbours > 0 && heard_.size() >= needed;
+  return is_settled && neighbours > 0 && heard_.size() > neighbours / 2;
 }
 
 void ConfigSpreader::Enforce() {
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -57,7 +57,7 @@
                        TimePoint now)
     : options_(std::move(options)),
       hooks_(std::move(hooks)),
-      random_(std::move(random)),
+      random_(random),
       now_(now),
       last_tick_(now),
       table_(std::make_unique<MemberTable>(kMaxMembers)) {
--- a/src/membership/overlay.cc
+++ b/src/membership/overlay.cc
@@ -107,6 +107,10 @@
   std::array<std::vector<Candidate>, kDistances> lists_;
 };
 
+uint64_t WeightOf(const Node& target, const Node& watcher) {
+  return CombineHashes(target.hash, watcher.hash);
+}
+
 // Indices of the routers that watch the `target`-th one.
 std::vector<uint32_t> ChooseWatchers(const std::vector<Node>& nodes,
                                      size_t target,
@@ -117,13 +121,41 @@
     if (i == target) {
       continue;
     }
-    best->Offer({.weight = CombineHashes(nodes[target].hash, nodes[i].hash),
+    best->Offer({.weight = WeightOf(nodes[target], nodes[i]),
                  .index = i,
                  .distance = DistanceOf(nodes[target], nodes[i])});
   }
   return best->Take(shape);
 }
 
+// False if at least `limit` routers as near to the target as the `watcher`-th
+// one outweigh it, so that it is surely not chosen. Most often a few routers
+// are enough to know.
+bool MayWatch(const std::vector<Node>& nodes,
+              size_t target,
+              size_t watcher,
+              size_t limit) {
+  const uint64_t weight = WeightOf(nodes[target], nodes[watcher]);
+  const Distance distance = DistanceOf(nodes[target], nodes[watcher]);
+  size_t above = 0;
+  for (size_t i = 0; i < nodes.size() && above < limit; ++i) {
+    if (i != target && DistanceOf(nodes[target], nodes[i]) == distance &&
+        WeightOf(nodes[target], nodes[i]) > weight) {
+      ++above;
+    }
+  }
+  return above < limit;
+}
+
+size_t IndexOf(const RouterId& id, const std::vector<RouterView>& routers) {
+  const auto found = std::lower_bound(
+      routers.begin(), routers.end(), id,
+      [](const RouterView& r, const RouterId& key) { return r.id < key; });
+  const bool is_there = found != routers.end() && found->id == id;
+  return static_cast<size_t>((is_there ? found : routers.end()) -
+                             routers.begin());
+}
+
 void SortAndUnite(std::vector<RouterId>* ids) {
   std::sort(ids->begin(), ids->end());
   ids->erase(std::unique(ids->begin(), ids->end()), ids->end());
@@ -135,19 +167,27 @@
                     const std::vector<RouterView>& routers,
                     const OverlayShape& shape) {
   const std::vector<Node> nodes = MakeNodes(routers);
-  Best best(shape.in_zone + shape.in_region + shape.in_fleet);
+  const size_t limit = shape.in_zone + shape.in_region + shape.in_fleet;
+  const size_t own = IndexOf(self, routers);
+  Best best(limit);
   Overlay overlay;
-  for (size_t target = 0; target < routers.size(); ++target) {
-    for (uint32_t watcher : ChooseWatchers(nodes, target, shape, &best)) {
-      if (routers[watcher].id == self) {
-        overlay.targets.push_back(routers[target].id);
-        overlay.neighbours.push_back(routers[target].id);
-      } else if (routers[target].id == self) {
-        overlay.neighbours.push_back(routers[watcher].id);
-      }
+  for (uint32_t target = 0; target < routers.size(); ++target) {
+    if (target == own || own == routers.size() ||
+        !MayWatch(nodes, target, own, limit)) {
+      continue;
+    }
+    const std::vector<uint32_t> watchers =
+        ChooseWatchers(nodes, target, shape, &best);
+    if (std::find(watchers.begin(), watchers.end(), own) != watchers.end()) {
+      overlay.targets.push_back(routers[target].id);
+    }
+  }
+  overlay.neighbours = overlay.targets;
+  if (own < routers.size()) {
+    for (uint32_t watcher : ChooseWatchers(nodes, own, shape, &best)) {
+      overlay.neighbours.push_back(routers[watcher].id);
     }
   }
-  SortAndUnite(&overlay.targets);
   SortAndUnite(&overlay.neighbours);
   return overlay;
 }
--- a/src/membership/prober.cc
+++ b/src/membership/prober.cc
@@ -18,7 +18,7 @@
 }  // namespace
 
 Prober::Prober(Duration period, Hooks hooks, Random random)
-    : period_(period), hooks_(std::move(hooks)), random_(std::move(random)) {}
+    : period_(period), hooks_(std::move(hooks)), random_(random) {}
 
 void Prober::SetTargets(const std::vector<RouterId>& targets, TimePoint now) {
   std::map<RouterId, Round> rounds;
--- a/tests/fakes/fake_link.h
+++ b/tests/fakes/fake_link.h
@@ -39,7 +39,7 @@
 
   FakeLink(EventQueue* queue, Random random, std::vector<LinkPlace> places)
       : queue_(queue),
-        random_(std::move(random)),
+        random_(random),
         places_(std::move(places)),
         use_(places_.size()) {}
 
--- a/tests/fakes/timed_object_store.h
+++ b/tests/fakes/timed_object_store.h
@@ -28,7 +28,7 @@
   static constexpr Duration kLongestWatch = std::chrono::seconds(30);
 
   TimedObjectStore(EventQueue* queue, Random random)
-      : queue_(queue), random_(std::move(random)) {}
+      : queue_(queue), random_(random) {}
 
   Faults faults;
 
