--- a/include/once/claim_keeper.h
+++ b/include/once/claim_keeper.h
@@ -66,6 +66,7 @@
     std::function<bool(const RouterId&, Incarnation)> is_alive;
     // The time now, for callbacks of the store.
     std::function<TimePoint()> now;
+    std::function<WallTime()> wall_now;
   };
 
   // `store` must outlive the keeper; its callbacks may come later still.
--- a/src/once/claim_keeper.cc
+++ b/src/once/claim_keeper.cc
@@ -170,7 +170,8 @@
   waiting.step = Step::kClaiming;
   const std::string claim = waiting.attempt.claim;
   const ClaimRecord record{.router = options_.router,
-                           .incarnation = options_.incarnation};
+                           .incarnation = options_.incarnation,
+                           .claimed_at = hooks_.wall_now()};
   const ConditionalWrite write{.key = StoreKey(claim),
                                .expected = ObjectVersion(0),
                                .operation = own_claims_[claim].operation,
@@ -339,6 +340,7 @@
   }
   const ClaimRecord record{.router = options_.router,
                            .incarnation = options_.incarnation,
+                           .claimed_at = hooks_.wall_now(),
                            .is_not_run = true};
   const ConditionalWrite write{.key = StoreKey(claim),
                                .expected = own->second.version,
--- a/src/once/claim_record.cc
+++ b/src/once/claim_record.cc
@@ -10,14 +10,21 @@
 
 constexpr char kRouter[] = "router";
 constexpr char kIncarnation[] = "incarnation";
+constexpr char kClaimedAt[] = "claimed_at_ms";
 constexpr char kNotRun[] = "not_run";
 
+absl::Status NotARecord() {
+  return MakeError(absl::StatusCode::kDataLoss, {.step = "claim.decode"},
+                   "is no claim record");
+}
+
 }  // namespace
 
 std::string EncodeClaimRecord(const ClaimRecord& record) {
   const boost::json::object object = {
       {kRouter, record.router.value()},
       {kIncarnation, record.incarnation.value()},
+      {kClaimedAt, record.claimed_at.time_since_epoch().count()},
       {kNotRun, record.is_not_run}};
   return boost::json::serialize(object);
 }
@@ -25,28 +32,28 @@
 absl::StatusOr<ClaimRecord> DecodeClaimRecord(const std::string& text) {
   boost::json::error_code error;
   const boost::json::value value = boost::json::parse(text, error);
-  const boost::json::object* object = error ? nullptr : value.if_object();
-  const boost::json::value* router =
-      object == nullptr ? nullptr : object->if_contains(kRouter);
-  const boost::json::value* incarnation =
-      object == nullptr ? nullptr : object->if_contains(kIncarnation);
-  const boost::json::value* not_run =
-      object == nullptr ? nullptr : object->if_contains(kNotRun);
-  const bool is_whole = router != nullptr && router->is_string() &&
-                        incarnation != nullptr && incarnation->is_number() &&
-                        not_run != nullptr && not_run->is_bool();
-  if (!is_whole) {
-    return MakeError(absl::StatusCode::kDataLoss, {.step = "claim.decode"},
-                     "is no claim record");
+  if (error || !value.is_object()) {
+    return NotARecord();
+  }
+  const boost::json::object& object = value.get_object();
+  const boost::json::value* router = object.if_contains(kRouter);
+  const boost::json::value* incarnation = object.if_contains(kIncarnation);
+  const boost::json::value* claimed_at = object.if_contains(kClaimedAt);
+  const boost::json::value* not_run = object.if_contains(kNotRun);
+  if (router == nullptr || incarnation == nullptr || claimed_at == nullptr ||
+      not_run == nullptr || !router->is_string() || !not_run->is_bool()) {
+    return NotARecord();
   }
-  boost::json::error_code number_error;
-  const uint64_t number = incarnation->to_number<uint64_t>(number_error);
-  if (number_error) {
-    return MakeError(absl::StatusCode::kDataLoss, {.step = "claim.decode"},
-                     "has no valid incarnation");
+  boost::json::error_code incarnation_error;
+  boost::json::error_code time_error;
+  const uint64_t number = incarnation->to_number<uint64_t>(incarnation_error);
+  const int64_t time_ms = claimed_at->to_number<int64_t>(time_error);
+  if (incarnation_error || time_error) {
+    return NotARecord();
   }
   return ClaimRecord{.router = RouterId(std::string(router->as_string())),
                      .incarnation = Incarnation(number),
+                     .claimed_at = WallTime(std::chrono::milliseconds(time_ms)),
                      .is_not_run = not_run->as_bool()};
 }
 
--- a/src/once/claim_record.h
+++ b/src/once/claim_record.h
@@ -5,6 +5,7 @@
 
 #include "absl/status/statusor.h"
 #include "include/base/ids.h"
+#include "include/base/units.h"
 
 namespace papaya {
 
@@ -12,6 +13,7 @@
 struct ClaimRecord {
   RouterId router;
   Incarnation incarnation;
+  WallTime claimed_at;
   // True once a caller was told `not-run`; the key is closed.
   bool is_not_run = false;
 };
--- a/tests/fakes/once_world.h
+++ b/tests/fakes/once_world.h
@@ -154,6 +154,11 @@
     std::map<RequestId, Attempt> attempts;
   };
 
+  static WallTime ToWallTime(TimePoint time) {
+    return WallTime(std::chrono::duration_cast<std::chrono::milliseconds>(
+        time.time_since_epoch()));
+  }
+
   static RouterId NameOf(int router) {
     return RouterId(absl::StrCat("r", router));
   }
@@ -240,7 +245,8 @@
                   SendQuery(index, to, query);
                 },
             .is_alive = is_alive,
-            .now = [this] { return backend.now; }},
+            .now = [this] { return backend.now; },
+            .wall_now = [this] { return ToWallTime(backend.now); }},
         router.store.get(), Random(random_.Next64()));
   }
 
