Compare callers' word on bookings with the services' ledgers

Cause: the demo and process tests must see a booking that ran twice, never, or against a told not-run. Conclusion: unit test for each kind of discrepancy.

--- a/include/standin/load_tally.h
+++ b/include/standin/load_tally.h
@@ -33,6 +33,8 @@
   // When it was sent, from the start of the run.
   Duration at{};
   CallEnd end = CallEnd::kCut;
+  // Of a booking.
+  std::string key;
   // The version that answered; empty if none did.
   std::string version;
   // From sending to the first token; zero if it was not streamed.
@@ -50,6 +52,9 @@
 
   uint64_t Count(LoadKind kind, CallEnd end) const;
 
+  // How each booking ended, by key.
+  const std::map<std::string, CallEnd>& bookings() const { return bookings_; }
+
   // The counts in one line of JSON:
   // `{"calls":n,"whole":n,"by_tier":{"critical":{"sent":n,"whole":n,…}},
   //   "retries":n,"versions":[{"second":0,"v1":n}],
@@ -60,6 +65,7 @@
   std::array<std::array<uint64_t, kCallEndCount>, kAllLoadKinds.size()>
       counts_{};
   uint64_t retries_ = 0;
+  std::map<std::string, CallEnd> bookings_;
   // Answers of each version by the second in which they were sent, of chats
   // and reports.
   std::map<int64_t, std::map<std::string, uint64_t>> versions_;
--- a/src/papaya_load_main.cc
+++ b/src/papaya_load_main.cc
@@ -2,17 +2,27 @@
 
 #include <gflags/gflags.h>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/json.hpp>
 #include <iostream>
+#include <map>
 
-#include "include/base/text_file.h"
 #include "include/settings/value_parsers.h"
+#include "include/standin/ledger_check.h"
 #include "include/standin/load_runner.h"
+#include "include/wire/http_client.h"
+#include "include/wire/steady_time.h"
 
 DEFINE_string(routers,
               "",
               "Callers' addresses of the routers, IP:PORT, between commas.");
+DEFINE_string(ledgers,
+              "",
+              "Addresses of stand-in services, between commas. Their ledgers "
+              "are compared with what callers were told of bookings.");
 DEFINE_string(token, "", "Bearer token of the client account.");
 DEFINE_string(run, "run", "Part of all booking keys; new for each run.");
 DEFINE_uint64(seed, 1, "Seed of the plan.");
@@ -34,8 +44,10 @@
 
 constexpr int kUsageError = 2;
 constexpr int kNotAllWhole = 1;
+constexpr int kLedgerAmiss = 3;
+constexpr Duration kLedgerTimeout = std::chrono::seconds(5);
 
-// True if `summary` has no call that ended otherwise than whole.
+// True if no call that ended otherwise than whole.
 bool IsAllWhole(const LoadTally& tally) {
   for (const LoadKind kind : kAllLoadKinds) {
     for (size_t end = 0; end < kCallEndCount; ++end) {
@@ -67,6 +79,40 @@
   return options;
 }
 
+// Reads the ledger of the service at `address` into `runs`.
+boost::asio::awaitable<void> ReadLedger(std::string address,
+                                        std::map<std::string, uint64_t>& runs) {
+  HttpRequest request;
+  request.target = "/ledger";
+  const absl::StatusOr<HttpResponse> response =
+      co_await FetchHttp(address, request, SteadyNow() + kLedgerTimeout);
+  const absl::Status read =
+      response.ok() ? AddLedger(response->body, runs) : response.status();
+  if (!read.ok()) {
+    std::cerr << "papaya_load: ledger of " << address << ": " << read.message()
+              << "\n";
+  }
+}
+
+// Prints the ledgers' line; true if nothing is amiss.
+bool CheckLedgers(const LoadTally& tally) {
+  boost::asio::io_context context(1);
+  std::map<std::string, uint64_t> runs;
+  for (const std::string& address : SplitList(FLAGS_ledgers)) {
+    boost::asio::co_spawn(context, ReadLedger(address, runs),
+                          boost::asio::detached);
+  }
+  context.run();
+  const LedgerCheck check = CheckLedger(tally.bookings(), runs);
+  std::cout << boost::json::serialize(boost::json::object{
+                   {"bookings_once", check.once},
+                   {"bookings_repeated", check.repeated},
+                   {"confirmed_without_run", check.confirmed_without_run},
+                   {"wrong_not_run", check.wrong_not_run}})
+            << std::endl;
+  return check.IsGood();
+}
+
 int Run() {
   const LoadOptions options = OptionsFromFlags();
   if (options.routers.empty()) {
@@ -84,6 +130,9 @@
   runner.Start();
   context.run();
   std::cout << runner.tally().ToJson() << std::endl;
+  if (!FLAGS_ledgers.empty() && !CheckLedgers(runner.tally())) {
+    return kLedgerAmiss;
+  }
   return IsAllWhole(runner.tally()) ? 0 : kNotAllWhole;
 }
 
@@ -93,7 +142,8 @@
 int main(int argc, char** argv) {
   gflags::SetUsageMessage(
       "sends mixed traffic over several routers and checks the answers; exits "
-      "0 if all were whole, 1 if not, 2 on wrong flags");
+      "0 if all were whole, 1 if not, 2 on wrong flags, 3 if a booking was not "
+      "run as its caller was told");
   gflags::SetVersionString(PAPAYA_VERSION);
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   return papaya::Run();
--- a/src/standin/load_caller.cc
+++ b/src/standin/load_caller.cc
@@ -43,6 +43,7 @@
   progress.deadline = progress.sent + options_.call_timeout;
   progress.result.kind = progress.call.kind;
   progress.result.at = progress.call.at;
+  progress.result.key = progress.call.key;
   AnswerCheck check(progress.call.prompt, progress.call.max_tokens);
   const bool is_booking = progress.call.kind == LoadKind::kBooking;
   for (; progress.attempt < kMaxAttempts; ++progress.attempt) {
--- a/src/standin/load_tally.cc
+++ b/src/standin/load_tally.cc
@@ -36,6 +36,9 @@
 void LoadTally::Add(const CallResult& result) {
   ++counts_[static_cast<size_t>(result.kind)][static_cast<size_t>(result.end)];
   retries_ += static_cast<uint64_t>(result.retries);
+  if (!result.key.empty()) {
+    bookings_[result.key] = result.end;
+  }
   if (!result.version.empty() && result.kind != LoadKind::kBooking) {
     const int64_t second =
         std::chrono::duration_cast<std::chrono::seconds>(result.at).count();
--- a/tests/load_test.cc
+++ b/tests/load_test.cc
@@ -8,6 +8,7 @@
 #include "absl/strings/str_cat.h"
 #include "include/standin/answer_check.h"
 #include "include/standin/answer_text.h"
+#include "include/standin/ledger_check.h"
 #include "include/standin/load_plan.h"
 #include "include/standin/load_runner.h"
 #include "include/standin/load_tally.h"
@@ -119,6 +120,21 @@
   CHECK(json.find(R"("p50":4E1)") != std::string::npos);
 }
 
+TEST_CASE("CheckLedger: finds what ran twice, never, or against its word",
+          "[standin]") {
+  const std::map<std::string, CallEnd> told = {
+      {"good", CallEnd::kWhole},     {"twice", CallEnd::kUnknown},
+      {"never", CallEnd::kWhole},    {"lie", CallEnd::kNotRun},
+      {"refused", CallEnd::kNotRun}, {"unsure", CallEnd::kUnknown}};
+  std::map<std::string, uint64_t> runs;
+  REQUIRE(AddLedger(R"({"runs":{"good":1,"twice":1,"lie":1}})", runs).ok());
+  REQUIRE(AddLedger(R"({"runs":{"twice":1}})", runs).ok());
+  CHECK(absl::IsInvalidArgument(AddLedger(R"({"runs":[]})", runs)));
+  const LedgerCheck expected = {
+      .once = 1, .repeated = 1, .confirmed_without_run = 1, .wrong_not_run = 1};
+  CHECK(CheckLedger(told, runs) == expected);
+}
+
 // Runs `options` against a stand-in engine and gives the tally.
 LoadTally RunAgainstEngine(LoadOptions options, const std::string& faults) {
   boost::asio::io_context context;
