Show the whole path in one command, as far as it goes: tools/demo.sh

Cause: a newcomer must see requests flow and a release note move traffic. Change: the demo starts stand-ins and routers on free ports, sends mixed load, submits a note and prints a table; it ends only what it started, by id.

--- /dev/null
+++ b/tools/demo.sh
@@ -0,0 +1,246 @@
+#!/usr/bin/env bash
+# Shows the whole path on loopback: stand-ins for three model engines, two
+# booking services and the platform, three routers, mixed traffic, and a release
+# note that moves the traffic to a new version. Installs and builds first.
+#
+# Usage: tools/demo.sh [--bad_version] [--skip_build] [--keep]
+#   --bad_version  the new version fails; ok only if the note is taken back
+#   --skip_build   takes the programs in build/ as they are
+#   --keep         leaves the directory with all logs
+#
+# Exits 0 only if every answer was whole, each booking reached an upstream
+# exactly once, and the note ended as it must. The last line says so.
+set -euo pipefail
+root=$(cd "$(dirname "$0")/.." && pwd)
+bin=$root/build
+bad=0 skip_build=0 keep=0
+for argument in "$@"; do
+  case $argument in
+    --bad_version) bad=1 ;;
+    --skip_build) skip_build=1 ;;
+    --keep) keep=1 ;;
+    *) echo "usage: tools/demo.sh [--bad_version] [--skip_build] [--keep]" >&2
+      exit 2 ;;
+  esac
+done
+
+work=$(mktemp -d "${TMPDIR:-/tmp}/papaya-demo.XXXXXX")
+declare -A pids address operators peer_port
+source "$root/tools/demo_lib.sh"
+operator_token=demo-operators
+caller_token=skokan-hire-desk
+reason="stopped early"
+step_number=0
+
+finish() {
+  local status=$?
+  stop_all
+  if ((keep)); then
+    echo "logs: $work"
+  else
+    rm -rf "$work"
+  fi
+  if ((status != 0)); then
+    echo "demo: FAILED $reason"
+  fi
+  exit "$status"
+}
+trap finish EXIT
+trap 'reason="interrupted"; exit 130' INT TERM
+
+fail() {
+  reason=$1
+  exit 1
+}
+
+step() {
+  printf '%2d. %s (%s s)\n' $((++step_number)) "$1" "$SECONDS"
+}
+
+build() {
+  "$root/tools/install.sh"
+  cmake -S "$root" -B "$bin" -G Ninja >/dev/null
+  cmake --build "$bin" --target papayad papayactl papaya_standin papaya_load -- \
+    --quiet
+}
+
+start_upstreams() {
+  local engine_flags=(--role=engine --first_version=v1 --load_ms=300)
+  if ((bad)); then
+    engine_flags+=(--bad_version=v2 --bad_failing_permille=300)
+  fi
+  start_standin platform --role=platform \
+    --vms=vm-r1,vm-r2,vm-r3,vm-e1,vm-e2,vm-e3,vm-b1,vm-b2
+  start_standin engine-1 "${engine_flags[@]}" --seed=1 --token_ms=2
+  start_standin engine-2 "${engine_flags[@]}" --seed=2 --token_ms=4
+  start_standin engine-3 "${engine_flags[@]}" --seed=3 --token_ms=6
+  start_standin booking-1 --role=service
+  start_standin booking-2 --role=service --service_ms=15
+}
+
+start_routers() {
+  local name
+  for name in r1 r2 r3; do
+    peer_port[$name]=$(free_port)
+  done
+  local seeds="127.0.0.1:${peer_port[r1]}, 127.0.0.1:${peer_port[r2]}"
+  start_router r1 sk-west-a "$seeds"
+  start_router r2 sk-west-b "$seeds"
+  start_router r3 sk-west-c "$seeds"
+}
+
+wait_for_routers() {
+  local name
+  for name in r1 r2 r3; do
+    wait_for_line "$work/$name.log" '"name":"router_ready"' 60 >/dev/null ||
+      fail "router $name did not get ready"
+  done
+}
+
+ctl() {
+  "$bin/papayactl" --router="${operators[r1]}" \
+    --token_file="$work/operator_token" "$@"
+}
+
+# UTC time SECONDS from now, as release notes want it.
+time_in() { # SECONDS
+  date -u -d "+$1 seconds" +%Y-%m-%dT%H:%M:%SZ
+}
+
+# One group of the fleet configuration with one upstream.
+config_group() { # NAME VM ZONE KIND POOL GENERATION SLOTS
+  printf '{"kind":"%s","pool":"%s","version":"v1","generation":"%s","zone":"%s","slots":%d,"checks_fencing":true,"refusal_means_not_run":true,"upstreams":[["%s","%s","%s"]]}' \
+    "$4" "$5" "$6" "$3" "$7" "$1" "$2" "${address[$1]}"
+}
+
+# Writes the first fleet configuration to the platform.
+put_first_config() {
+  local groups
+  groups=$(
+    config_group engine-1 vm-e1 sk-west-a model_engine assistant g3 16
+    printf ,
+    config_group engine-2 vm-e2 sk-west-b model_engine assistant g2 16
+    printf ,
+    config_group engine-3 vm-e3 sk-west-c model_engine assistant g1 16
+    printf ,
+    config_group booking-1 vm-b1 sk-west-a plain_service booking g1 32
+    printf ,
+    config_group booking-2 vm-b2 sk-west-b plain_service booking g1 32
+  )
+  http PUT "${address[platform]}" \
+    "/objects/skokan/papaya/config?expected=0&operation=demo" \
+    "{\"format\":1,\"revision\":1,\"note\":\"\",\"groups\":[$groups],\"shares\":[]}" |
+    grep -q '^HTTP/1.1 200'
+}
+
+write_move_note() {
+  printf '[note]\nsummary = The assistant moves to v2\ntraffic_by = %s\nbake = 10s\n\n[pool assistant]\nversion = v2\n' \
+    "$(time_in 180)" >"$work/move_to_v2.ini"
+}
+
+# Waits for a note's end and prints its state.
+await_note() { # NOTE
+  ctl note watch "$1" >"$work/watch-$1.txt" || true
+  ctl --json note show "$1" | json_text state
+}
+
+start_load() {
+  local routers="${address[r1]},${address[r2]},${address[r3]}"
+  start load "$bin/papaya_load" --routers="$routers" --token="$caller_token" \
+    --ledgers="${address[booking-1]},${address[booking-2]}" \
+    --seed=7 --seconds=400 --chat_rate=40 --report_rate=2 --booking_rate=10
+}
+
+# Lets the calls on their way end; sets load_status.
+stop_load() {
+  kill "${pids[load]}"
+  load_status=0
+  wait "${pids[load]}" || load_status=$?
+}
+
+print_table() {
+  local summary=$1 tier
+  printf '\n%-12s %7s %7s %8s %8s %7s %6s %4s\n' tier sent whole not_run \
+    unknown failed wrong cut
+  for tier in critical interactive standard; do
+    local row
+    row=$(grep -oE "\"$tier\":\{[^}]*\}" <<<"$summary")
+    printf '%-12s %7s %7s %8s %8s %7s %6s %4s\n' "$tier" \
+      "$(json_number sent <<<"$row")" "$(json_number whole <<<"$row")" \
+      "$(json_number not_run <<<"$row")" "$(json_number unknown <<<"$row")" \
+      "$(json_number failed <<<"$row")" "$(json_number wrong <<<"$row")" \
+      "$(json_number cut <<<"$row")"
+  done
+  printf '\nanswers by version, for each tenth of the run\n'
+  print_versions "$summary"
+}
+
+print_versions() {
+  grep -oE '\{"second":[^}]*\}' <<<"$1" | awk '
+    function count(name,  at) {
+      at = match($0, "\"" name "\":[0-9]+")
+      return at ? substr($0, RSTART + length(name) + 3, \
+                         RLENGTH - length(name) - 3) + 0 : 0
+    }
+    { second[NR] = count("second"); v1[NR] = count("v1"); v2[NR] = count("v2") }
+    END {
+      size = int((NR + 9) / 10)
+      printf "%8s %7s %7s\n", "second", "v1", "v2"
+      for (i = 1; i <= NR; i += size) {
+        a = b = 0
+        for (j = i; j < i + size && j <= NR; ++j) { a += v1[j]; b += v2[j] }
+        printf "%8d %7d %7d\n", second[i], a, b
+      }
+    }'
+}
+
+if ((!skip_build)); then
+  step "install and build"
+  build
+fi
+printf '%s' "$operator_token" >"$work/operator_token"
+step "start stand-ins: 3 engines, 2 booking services, the platform"
+start_upstreams
+step "start 3 routers"
+start_routers
+step "write the first fleet configuration"
+put_first_config || fail "the platform refused the configuration"
+wait_for_routers
+step "send mixed traffic over all routers"
+start_load
+step "submit the release note that moves the assistant from v1 to v2"
+write_move_note
+ctl note submit move_to_v2 "$work/move_to_v2.ini" ||
+  fail "the second release note was refused"
+move_state=$(await_note move_to_v2)
+cat "$work/watch-move_to_v2.txt"
+step "stop the traffic and count"
+stop_load
+summary=$(grep '"by_tier"' "$work/load.log") || fail "no summary of the load"
+ledger=$(grep '"bookings_once"' "$work/load.log") || fail "no check of ledgers"
+print_table "$summary"
+echo
+ctl note list
+step "stop the routers gracefully"
+for name in r1 r2 r3; do
+  kill "${pids[$name]}"
+done
+for name in r1 r2 r3; do
+  wait "${pids[$name]}" || fail "router $name did not end cleanly"
+done
+
+wanted="done"
+((!bad)) || wanted=taken_back
+once=$(json_number bookings_once <<<"$ledger")
+calls=$(json_number calls <<<"$summary")
+((load_status != 3)) || fail "a booking was not run as its caller was told: $ledger"
+((once > 0)) || fail "no booking was made"
+for kind in wrong cut; do
+  ! grep -qE "\"$kind\":[1-9]" <<<"$summary" || fail "some answers were $kind"
+done
+if ((!bad)); then
+  ((load_status == 0)) || fail "not every answer was whole"
+fi
+[[ $move_state == "$wanted" ]] ||
+  fail "the note ended as '$move_state', not as '$wanted'"
+echo "demo: ok $calls calls, $once bookings run once each, note $move_state, $SECONDS s"
