Drive the system by release notes from the command line: papayactl

Cause: operators need one command that says plainly what became of a note. Conclusion: commands are tested over a fake router, failover included.

--- /dev/null
+++ b/include/ctl/ctl_app.h
@@ -0,0 +1,124 @@
+#ifndef INCLUDE_CTL_CTL_APP_H_
+#define INCLUDE_CTL_CTL_APP_H_
+
+#include <functional>
+#include <iosfwd>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "include/base/units.h"
+#include "include/wire/http_message.h"
+
+namespace papaya {
+
+// What papayactl exits with.
+enum class CtlExit : int {
+  kOk = 0,
+  // A router answered with an error that has no code of its own.
+  kFailed = 1,
+  // The command line is wrong, or a file can't be read.
+  kUsage = 2,
+  // The note has faults; each is printed with its line.
+  kFaults = 3,
+  // Another operator was first; what they wrote is printed.
+  kConflict = 4,
+  // `note watch`: the note ended as taken back.
+  kTakenBack = 5,
+  // No router answered.
+  kUnreachable = 6,
+  kNotFound = 7,
+  // The operators' token is wrong.
+  kToken = 8,
+  // `note watch`: the note had not ended in the time given.
+  kTimeout = 9,
+};
+
+struct CtlOptions {
+  // Operators' addresses of routers; the next one is tried if one does not
+  // answer.
+  std::vector<std::string> routers;
+  // The operators' token.
+  std::string token;
+  // Prints the routers' JSON in place of tables.
+  bool json = false;
+  // Who writes notes.
+  std::string author;
+  // The note's version that `note revise` replaces; without it, the latest.
+  std::optional<uint64_t> expected;
+  // `note watch` looks this often, and gives up after `watch_limit` unless that
+  // is zero.
+  Duration watch_interval = std::chrono::milliseconds(500);
+  Duration watch_limit{};
+};
+
+// What the commands use of the outside.
+struct CtlHooks {
+  // One call of a router; an error if no answer came.
+  std::function<absl::StatusOr<HttpResponse>(const std::string& router,
+                                             const HttpRequest& request)>
+      fetch;
+  std::function<absl::StatusOr<std::string>(const std::string& path)> read_file;
+  std::function<void(Duration)> sleep;
+  // Names a write; another one for each call.
+  std::function<std::string()> make_operation;
+};
+
+// The commands of papayactl. Results go to `out`, complaints to `err`.
+class CtlApp {
+ public:
+  CtlApp(const CtlOptions& options,
+         CtlHooks hooks,
+         std::ostream* out,
+         std::ostream* err);
+
+  // Runs the command that `words` say, as `note`, `show`, `spring`.
+  CtlExit Run(const std::vector<std::string>& words);
+
+  // What the commands are, for --help.
+  static const char* Usage();
+
+ private:
+  using Words = std::vector<std::string>;
+
+  struct Command {
+    // The words that choose it.
+    Words name;
+    // How many words follow.
+    size_t arguments;
+    CtlExit (CtlApp::*run)(const Words& arguments);
+  };
+
+  static const std::vector<Command>& Commands();
+
+  CtlExit Status(const Words& arguments);
+  CtlExit Upstreams(const Words& arguments);
+  CtlExit Routers(const Words& arguments);
+  CtlExit NoteCheck(const Words& arguments);
+  CtlExit NoteSubmit(const Words& arguments);
+  CtlExit NoteRevise(const Words& arguments);
+  CtlExit NoteShow(const Words& arguments);
+  CtlExit NoteList(const Words& arguments);
+  CtlExit NoteWatch(const Words& arguments);
+
+  // Gets `target` and prints the array `key` of the answer as a table.
+  CtlExit ShowTable(const std::string& target, const std::string& key);
+  CtlExit PutNote(const std::string& note,
+                  uint64_t expected,
+                  const std::string& text);
+  // Sends a request to the first router that answers; false, with the exit in
+  // `exit`, if none does.
+  bool Call(HttpRequest request, HttpResponse& response, CtlExit& exit);
+  CtlExit ExitOf(const HttpResponse& response);
+  CtlExit PrintFaults(const std::string& file, const std::string& body);
+
+  const CtlOptions options_;
+  const CtlHooks hooks_;
+  std::ostream& out_;
+  std::ostream& err_;
+};
+
+}  // namespace papaya
+
+#endif  // INCLUDE_CTL_CTL_APP_H_
--- /dev/null
+++ b/src/ctl/ctl_app.cc
@@ -0,0 +1,163 @@
+#include "include/ctl/ctl_app.h"
+
+#include <algorithm>
+#include <ostream>
+#include <utility>
+
+#include "src/ctl/json_text.h"
+
+namespace papaya {
+
+namespace {
+
+namespace json = boost::json;
+
+HttpRequest GetRequest(const std::string& target) {
+  HttpRequest request;
+  request.target = target;
+  return request;
+}
+
+}  // namespace
+
+CtlApp::CtlApp(const CtlOptions& options,
+               CtlHooks hooks,
+               std::ostream* out,
+               std::ostream* err)
+    : options_(options), hooks_(std::move(hooks)), out_(*out), err_(*err) {}
+
+const char* CtlApp::Usage() {
+  return "papayactl [flags] COMMAND\n"
+         "  note check FILE         every fault of a release note, by line;\n"
+         "                          against the fleet too if --router is "
+         "given\n"
+         "  note submit NAME FILE   submits a new release note\n"
+         "  note revise NAME FILE   replaces the text of a release note\n"
+         "  note show NAME          one release note with its text\n"
+         "  note list               all release notes\n"
+         "  note watch NAME         each change, until it is done or taken "
+         "back\n"
+         "  status                  what is in force, and who lacks it\n"
+         "  upstreams               the upstreams as this router sees them\n"
+         "  routers                 the routers as this router sees them\n"
+         "Exit codes: 0 good, 1 failed, 2 usage, 3 the note has faults,\n"
+         "4 another operator was first, 5 the note was taken back,\n"
+         "6 no router answered, 7 not found, 8 wrong token, 9 out of time.";
+}
+
+const std::vector<CtlApp::Command>& CtlApp::Commands() {
+  static const std::vector<Command>& commands = *new std::vector<Command>{
+      {{"note", "check"}, 1, &CtlApp::NoteCheck},
+      {{"note", "submit"}, 2, &CtlApp::NoteSubmit},
+      {{"note", "revise"}, 2, &CtlApp::NoteRevise},
+      {{"note", "show"}, 1, &CtlApp::NoteShow},
+      {{"note", "list"}, 0, &CtlApp::NoteList},
+      {{"note", "watch"}, 1, &CtlApp::NoteWatch},
+      {{"status"}, 0, &CtlApp::Status},
+      {{"upstreams"}, 0, &CtlApp::Upstreams},
+      {{"routers"}, 0, &CtlApp::Routers},
+  };
+  return commands;
+}
+
+CtlExit CtlApp::Run(const Words& words) {
+  for (const Command& command : Commands()) {
+    const size_t named = command.name.size();
+    if (words.size() == named + command.arguments &&
+        std::equal(command.name.begin(), command.name.end(), words.begin())) {
+      return (this->*command.run)(Words(words.begin() + named, words.end()));
+    }
+  }
+  err_ << Usage() << "\n";
+  return CtlExit::kUsage;
+}
+
+bool CtlApp::Call(HttpRequest request, HttpResponse& response, CtlExit& exit) {
+  if (options_.routers.empty()) {
+    err_ << "papayactl: this command needs --router\n";
+    exit = CtlExit::kUsage;
+    return false;
+  }
+  request.headers.Set("Authorization", "Bearer " + options_.token);
+  for (const std::string& router : options_.routers) {
+    absl::StatusOr<HttpResponse> answer = hooks_.fetch(router, request);
+    if (answer.ok()) {
+      response = *std::move(answer);
+      return true;
+    }
+    err_ << "papayactl: " << answer.status().message() << "\n";
+  }
+  exit = CtlExit::kUnreachable;
+  return false;
+}
+
+CtlExit CtlApp::ExitOf(const HttpResponse& response) {
+  if (response.status == 200) {
+    return CtlExit::kOk;
+  }
+  const json::object body = ParseJsonObject(response.body);
+  const json::value* error = body.if_contains("error");
+  err_ << "papayactl: the router answered " << response.status;
+  if (error != nullptr && error->is_object()) {
+    err_ << ": " << JsonText(error->as_object(), "message");
+  }
+  err_ << "\n";
+  switch (response.status) {
+    case 401:
+      return CtlExit::kToken;
+    case 404:
+      return CtlExit::kNotFound;
+    default:
+      return CtlExit::kFailed;
+  }
+}
+
+CtlExit CtlApp::ShowTable(const std::string& target, const std::string& key) {
+  HttpResponse response;
+  CtlExit exit = CtlExit::kOk;
+  if (!Call(GetRequest(target), response, exit)) {
+    return exit;
+  }
+  if (response.status != 200) {
+    return ExitOf(response);
+  }
+  if (options_.json) {
+    out_ << response.body << "\n";
+    return CtlExit::kOk;
+  }
+  const json::object body = ParseJsonObject(response.body);
+  const json::value* rows = body.if_contains(key);
+  if (rows == nullptr || !rows->is_array()) {
+    err_ << "papayactl: the router's answer is broken\n";
+    return CtlExit::kFailed;
+  }
+  out_ << FormatJsonTable(rows->as_array());
+  return CtlExit::kOk;
+}
+
+CtlExit CtlApp::Status(const Words& /*arguments*/) {
+  HttpResponse response;
+  CtlExit exit = CtlExit::kOk;
+  if (!Call(GetRequest("/v1/status"), response, exit)) {
+    return exit;
+  }
+  if (response.status != 200) {
+    return ExitOf(response);
+  }
+  if (options_.json) {
+    out_ << response.body << "\n";
+  } else {
+    out_ << FormatJsonLines(ParseJsonObject(response.body));
+  }
+  return CtlExit::kOk;
+}
+
+CtlExit CtlApp::Upstreams(const Words& /*arguments*/) {
+  return ShowTable("/v1/upstreams", "upstreams");
+}
+
+CtlExit CtlApp::Routers(const Words& /*arguments*/) {
+  return ShowTable("/v1/routers", "routers");
+}
+
+}  // namespace papaya
--- /dev/null
+++ b/src/ctl/note_commands.cc
@@ -0,0 +1,237 @@
+#include <ostream>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "include/ctl/ctl_app.h"
+#include "include/rollout/note_record.h"
+#include "include/rollout/release_note.h"
+#include "include/settings/value_parsers.h"
+#include "src/ctl/json_text.h"
+
+namespace papaya {
+
+namespace {
+
+namespace json = boost::json;
+
+HttpRequest NoteRequestTo(const std::string& note) {
+  HttpRequest request;
+  request.target = absl::StrCat("/v1/notes/", note);
+  return request;
+}
+
+// A state's name as operators read it.
+std::string StateForPeople(std::string state) {
+  for (char& c : state) {
+    c = c == '_' ? ' ' : c;
+  }
+  return state;
+}
+
+// What `note watch` prints of a note; a new line is printed when it changes.
+std::string WatchLine(const json::object& note) {
+  const json::value* share = note.if_contains("share_permille");
+  std::string line = StateForPeople(JsonText(note, "state"));
+  if (JsonText(note, "state") == kNoteMoving && share != nullptr) {
+    absl::StrAppend(&line, ", new versions at ", JsonForPeople(*share),
+                    " permille");
+  }
+  return absl::StrCat(line, ": ", JsonText(note, "reason"));
+}
+
+void PrintFaultLines(std::ostream& err,
+                     const std::string& file,
+                     const std::vector<TextFault>& faults) {
+  for (const TextFault& fault : faults) {
+    err << file << ":" << fault.line << ": " << fault.message << "\n";
+  }
+}
+
+}  // namespace
+
+CtlExit CtlApp::NoteCheck(const Words& arguments) {
+  const std::string& file = arguments[0];
+  const absl::StatusOr<std::string> text = hooks_.read_file(file);
+  if (!text.ok()) {
+    err_ << "papayactl: " << text.status().message() << "\n";
+    return CtlExit::kUsage;
+  }
+  std::vector<TextFault> faults;
+  ReleaseNote::Parse(*text, &faults);
+  if (!faults.empty()) {
+    PrintFaultLines(err_, file, faults);
+    return CtlExit::kFaults;
+  }
+  if (options_.routers.empty()) {
+    out_ << file << ": good by itself; --router checks it against the fleet\n";
+    return CtlExit::kOk;
+  }
+  HttpRequest request;
+  request.method = "POST";
+  request.target = "/v1/notes/check";
+  request.body = *text;
+  HttpResponse response;
+  CtlExit exit = CtlExit::kOk;
+  if (!Call(request, response, exit)) {
+    return exit;
+  }
+  if (response.status == 422) {
+    return PrintFaults(file, response.body);
+  }
+  exit = ExitOf(response);
+  if (exit == CtlExit::kOk) {
+    out_ << file << ": good\n";
+  }
+  return exit;
+}
+
+CtlExit CtlApp::PrintFaults(const std::string& file, const std::string& body) {
+  const json::object answer = ParseJsonObject(body);
+  const json::value* faults = answer.if_contains("faults");
+  std::vector<TextFault> lines;
+  if (faults != nullptr && faults->is_array()) {
+    for (const json::value& fault : faults->as_array()) {
+      const json::object* object = fault.if_object();
+      const json::value* line =
+          object == nullptr ? nullptr : object->if_contains("line");
+      if (line != nullptr && line->is_int64()) {
+        lines.push_back({.line = static_cast<int>(line->as_int64()),
+                         .message = JsonText(*object, "message")});
+      }
+    }
+  }
+  PrintFaultLines(err_, file, lines);
+  return CtlExit::kFaults;
+}
+
+CtlExit CtlApp::NoteSubmit(const Words& arguments) {
+  return PutNote(arguments[0], 0, arguments[1]);
+}
+
+CtlExit CtlApp::NoteRevise(const Words& arguments) {
+  if (options_.expected) {
+    return PutNote(arguments[0], *options_.expected, arguments[1]);
+  }
+  HttpResponse response;
+  CtlExit exit = CtlExit::kOk;
+  if (!Call(NoteRequestTo(arguments[0]), response, exit)) {
+    return exit;
+  }
+  if (response.status != 200) {
+    return ExitOf(response);
+  }
+  const json::object note = ParseJsonObject(response.body);
+  const json::value* version = note.if_contains("version");
+  if (version == nullptr || !version->is_int64()) {
+    err_ << "papayactl: the router's answer is broken\n";
+    return CtlExit::kFailed;
+  }
+  return PutNote(arguments[0], static_cast<uint64_t>(version->as_int64()),
+                 arguments[1]);
+}
+
+CtlExit CtlApp::PutNote(const std::string& note,
+                        uint64_t expected,
+                        const std::string& file) {
+  const absl::StatusOr<std::string> text = hooks_.read_file(file);
+  if (!text.ok() || !IsName(note)) {
+    err_ << "papayactl: "
+         << (text.ok() ? "a note's name is of letters, digits, `-`, `_`, `.`"
+                       : std::string(text.status().message()))
+         << "\n";
+    return CtlExit::kUsage;
+  }
+  HttpRequest request = NoteRequestTo(note);
+  request.method = "PUT";
+  absl::StrAppend(&request.target, "?expected=", expected);
+  // The same over repetitions, so that a lost answer is no conflict.
+  request.headers.Set("papaya-operation", hooks_.make_operation());
+  request.headers.Set("papaya-author", options_.author);
+  request.body = *text;
+  HttpResponse response;
+  CtlExit exit = CtlExit::kOk;
+  if (!Call(request, response, exit)) {
+    return exit;
+  }
+  if (response.status == 422) {
+    return PrintFaults(file, response.body);
+  }
+  if (options_.json) {
+    out_ << response.body << "\n";
+  }
+  const json::object body = ParseJsonObject(response.body);
+  if (response.status == 409) {
+    const json::value* theirs = body.if_contains("note");
+    err_ << "papayactl: another operator was first; the note is now:\n";
+    if (theirs != nullptr && theirs->is_object()) {
+      err_ << FormatJsonLines(theirs->as_object());
+    }
+    return CtlExit::kConflict;
+  }
+  exit = ExitOf(response);
+  if (exit == CtlExit::kOk && !options_.json) {
+    out_ << note << ": " << WatchLine(body) << "\n";
+  }
+  return exit;
+}
+
+CtlExit CtlApp::NoteShow(const Words& arguments) {
+  HttpResponse response;
+  CtlExit exit = CtlExit::kOk;
+  if (!Call(NoteRequestTo(arguments[0]), response, exit)) {
+    return exit;
+  }
+  if (response.status != 200) {
+    return ExitOf(response);
+  }
+  if (options_.json) {
+    out_ << response.body << "\n";
+    return CtlExit::kOk;
+  }
+  json::object note = ParseJsonObject(response.body);
+  const std::string text = JsonText(note, "text");
+  note.erase("text");
+  out_ << FormatJsonLines(note) << "\n" << text;
+  return CtlExit::kOk;
+}
+
+CtlExit CtlApp::NoteList(const Words& /*arguments*/) {
+  return ShowTable("/v1/notes", "notes");
+}
+
+CtlExit CtlApp::NoteWatch(const Words& arguments) {
+  std::string last;
+  Duration waited{};
+  while (true) {
+    HttpResponse response;
+    CtlExit exit = CtlExit::kOk;
+    const bool is_answered = Call(NoteRequestTo(arguments[0]), response, exit);
+    if (!is_answered && exit != CtlExit::kUnreachable) {
+      return exit;
+    }
+    // A store outage, or a router that restarts, passes; the note goes on.
+    if (is_answered && response.status == 200) {
+      const json::object note = ParseJsonObject(response.body);
+      const std::string line = WatchLine(note);
+      if (line != last) {
+        out_ << (options_.json ? response.body : line) << std::endl;
+        last = line;
+      }
+      const std::string state = JsonText(note, "state");
+      if (IsFinalNoteState(state)) {
+        return state == kNoteDone ? CtlExit::kOk : CtlExit::kTakenBack;
+      }
+    } else if (is_answered && response.status < 500) {
+      return ExitOf(response);
+    }
+    if (options_.watch_limit > Duration::zero() &&
+        waited >= options_.watch_limit) {
+      err_ << "papayactl: the note has not ended yet\n";
+      return CtlExit::kTimeout;
+    }
+    hooks_.sleep(options_.watch_interval);
+    waited += options_.watch_interval;
+  }
+}
+
+}  // namespace papaya
--- /dev/null
+++ b/src/papayactl_main.cc
@@ -0,0 +1,113 @@
+// papayactl: what operators drive the system with.
+
+#include <gflags/gflags.h>
+#include <unistd.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <iostream>
+#include <optional>
+#include <random>
+#include <thread>
+
+#include "absl/strings/ascii.h"
+#include "absl/strings/str_cat.h"
+#include "include/base/text_file.h"
+#include "include/ctl/ctl_app.h"
+#include "include/settings/value_parsers.h"
+#include "include/wire/http_client.h"
+#include "include/wire/steady_time.h"
+
+DEFINE_string(router,
+              "",
+              "Operators' addresses of routers, IP:PORT, between commas; the "
+              "next one is tried if one does not answer.");
+DEFINE_string(token_file, "", "File with the operators' token.");
+DEFINE_bool(json, false, "Print JSON for scripts in place of tables.");
+DEFINE_string(author, "", "Who writes the note; the login name if left out.");
+DEFINE_int64(expected,
+             -1,
+             "note revise: the version that is replaced; the latest if left "
+             "out.");
+DEFINE_double(watch_seconds, 0, "note watch: longest wait; 0 is without end.");
+DEFINE_double(timeout_seconds, 10, "Longest wait for one answer.");
+
+namespace papaya {
+namespace {
+
+absl::StatusOr<HttpResponse> Fetch(const std::string& router,
+                                   const HttpRequest& request) {
+  boost::asio::io_context context(1);
+  std::optional<absl::StatusOr<HttpResponse>> result;
+  boost::asio::co_spawn(
+      context,
+      FetchHttp(router, request,
+                SteadyNow() + SecondsToDuration(FLAGS_timeout_seconds)),
+      [&result](const std::exception_ptr&,
+                absl::StatusOr<HttpResponse> response) {
+        result = std::move(response);
+      });
+  context.run();
+  return *std::move(result);
+}
+
+std::string MakeOperation() {
+  std::random_device device;
+  const uint64_t high = device();
+  return absl::StrCat("ctl-", absl::Hex((high << 32) | device()));
+}
+
+std::string AuthorFromFlags() {
+  if (!FLAGS_author.empty()) {
+    return FLAGS_author;
+  }
+  const char* login = getlogin();
+  return login == nullptr ? "operator" : login;
+}
+
+// The options; empty, with a line on stderr, if the token can't be read.
+std::optional<CtlOptions> OptionsFromFlags() {
+  CtlOptions options;
+  options.routers = SplitList(FLAGS_router);
+  options.json = FLAGS_json;
+  options.author = AuthorFromFlags();
+  options.watch_limit = SecondsToDuration(FLAGS_watch_seconds);
+  if (FLAGS_expected >= 0) {
+    options.expected = static_cast<uint64_t>(FLAGS_expected);
+  }
+  if (FLAGS_token_file.empty()) {
+    return options;
+  }
+  const absl::StatusOr<std::string> token = ReadTextFile(FLAGS_token_file);
+  if (!token.ok()) {
+    std::cerr << "papayactl: " << token.status().message() << "\n";
+    return std::nullopt;
+  }
+  options.token = std::string(absl::StripAsciiWhitespace(*token));
+  return options;
+}
+
+CtlExit Run(const std::vector<std::string>& words) {
+  const std::optional<CtlOptions> options = OptionsFromFlags();
+  if (!options) {
+    return CtlExit::kUsage;
+  }
+  const CtlHooks hooks = {
+      .fetch = Fetch,
+      .read_file = ReadTextFile,
+      .sleep = [](Duration time) { std::this_thread::sleep_for(time); },
+      .make_operation = MakeOperation};
+  return CtlApp(*options, hooks, &std::cout, &std::cerr).Run(words);
+}
+
+}  // namespace
+}  // namespace papaya
+
+int main(int argc, char** argv) {
+  gflags::SetUsageMessage(papaya::CtlApp::Usage());
+  gflags::SetVersionString(PAPAYA_VERSION);
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  const std::vector<std::string> words(argv + 1, argv + argc);
+  return static_cast<int>(papaya::Run(words));
+}
--- /dev/null
+++ b/tests/ctl_app_test.cc
@@ -0,0 +1,196 @@
+#include <catch2/catch.hpp>
+
+#include <deque>
+#include <map>
+#include <sstream>
+#include <string>
+
+#include "include/ctl/ctl_app.h"
+
+namespace papaya {
+namespace {
+
+constexpr const char* kGoodNote =
+    "[note]\ntraffic_by = 2026-12-04T18:00:00Z\n[pool plans]\nversion = v2\n";
+
+// A router that answers from a list, and remembers what it was asked.
+struct FakeRouter {
+  std::deque<HttpResponse> answers;
+  std::vector<HttpRequest> requests;
+  std::vector<std::string> asked;
+  // Routers that do not answer.
+  std::vector<std::string> dead;
+  std::map<std::string, std::string> files = {{"n.ini", kGoodNote}};
+  std::ostringstream out;
+  std::ostringstream err;
+  int sleeps = 0;
+
+  CtlHooks Hooks() {
+    return {
+        .fetch = [this](const std::string& router, const HttpRequest& request)
+            -> absl::StatusOr<HttpResponse> {
+          asked.push_back(router);
+          if (std::find(dead.begin(), dead.end(), router) != dead.end()) {
+            return absl::UnavailableError("no answer from " + router);
+          }
+          requests.push_back(request);
+          if (answers.empty()) {
+            return absl::UnavailableError("no answer");
+          }
+          HttpResponse answer = answers.front();
+          answers.pop_front();
+          return answer;
+        },
+        .read_file =
+            [this](const std::string& path) -> absl::StatusOr<std::string> {
+          const auto file = files.find(path);
+          if (file == files.end()) {
+            return absl::NotFoundError("no file " + path);
+          }
+          return file->second;
+        },
+        .sleep = [this](Duration) { ++sleeps; },
+        .make_operation = [] { return std::string("op-1"); }};
+  }
+
+  CtlExit Run(const std::vector<std::string>& words,
+              CtlOptions options = DefaultOptions()) {
+    return CtlApp(options, Hooks(), &out, &err).Run(words);
+  }
+
+  static CtlOptions DefaultOptions() {
+    CtlOptions options;
+    options.routers = {"r1", "r2"};
+    options.token = "secret";
+    options.author = "zuzana";
+    return options;
+  }
+};
+
+HttpResponse Reply(int status, const std::string& body) {
+  HttpResponse response;
+  response.status = status;
+  response.body = body;
+  return response;
+}
+
+TEST_CASE("CtlApp: unknown commands and wrong counts print the usage",
+          "[ctl]") {
+  for (const std::vector<std::string>& words : {std::vector<std::string>{},
+                                                {"note"},
+                                                {"note", "show"},
+                                                {"status", "x"},
+                                                {"nonsense"}}) {
+    FakeRouter router;
+    CHECK(router.Run(words) == CtlExit::kUsage);
+    CHECK(router.err.str().find("note submit NAME FILE") != std::string::npos);
+    CHECK(router.requests.empty());
+  }
+}
+
+TEST_CASE("CtlApp: goes to the next router, with the token", "[ctl]") {
+  FakeRouter router;
+  router.dead = {"r1"};
+  router.answers = {Reply(200, R"({"revision":7,"lacking":["r3","r4"]})")};
+  CHECK(router.Run({"status"}) == CtlExit::kOk);
+  CHECK(router.asked == std::vector<std::string>{"r1", "r2"});
+  CHECK(router.requests[0].headers.Get("Authorization") == "Bearer secret");
+  CHECK(router.out.str() == "revision  7\nlacking   r3, r4\n");
+  router.dead = {"r1", "r2"};
+  CHECK(router.Run({"status"}) == CtlExit::kUnreachable);
+}
+
+TEST_CASE("CtlApp: tables align, and --json prints what came", "[ctl]") {
+  const std::string body =
+      R"({"upstreams":[{"id":"a","state":"active"},{"id":"long-name"}]})";
+  FakeRouter router;
+  router.answers = {Reply(200, body), Reply(200, body), Reply(200, "[]")};
+  CHECK(router.Run({"upstreams"}) == CtlExit::kOk);
+  CHECK(router.out.str() ==
+        "id         state\na          active\nlong-name  \n");
+  router.out.str("");
+  CtlOptions options = FakeRouter::DefaultOptions();
+  options.json = true;
+  CHECK(router.Run({"upstreams"}, options) == CtlExit::kOk);
+  CHECK(router.out.str() == body + "\n");
+  CHECK(router.Run({"upstreams"}) == CtlExit::kFailed);
+}
+
+TEST_CASE("CtlApp: errors of routers have exit codes of their own", "[ctl]") {
+  const std::vector<std::pair<int, CtlExit>> cases = {{401, CtlExit::kToken},
+                                                      {404, CtlExit::kNotFound},
+                                                      {500, CtlExit::kFailed},
+                                                      {503, CtlExit::kFailed}};
+  for (const auto& [status, exit] : cases) {
+    FakeRouter router;
+    router.answers = {
+        Reply(status, R"({"error":{"message":"what was wrong"}})")};
+    CHECK(router.Run({"note", "show", "n"}) == exit);
+    CHECK(router.err.str().find("what was wrong") != std::string::npos);
+  }
+}
+
+TEST_CASE("CtlApp: note check works without a router, and with one", "[ctl]") {
+  FakeRouter router;
+  router.files["bad.ini"] = "[note]\nnonsense = 1\n";
+  CtlOptions alone = FakeRouter::DefaultOptions();
+  alone.routers.clear();
+  CHECK(router.Run({"note", "check", "n.ini"}, alone) == CtlExit::kOk);
+  CHECK(router.Run({"note", "check", "bad.ini"}, alone) == CtlExit::kFaults);
+  CHECK(router.err.str().find("bad.ini:2: ") != std::string::npos);
+  CHECK(router.Run({"note", "check", "none.ini"}, alone) == CtlExit::kUsage);
+  CHECK(router.requests.empty());
+  router.answers = {
+      Reply(422, R"({"faults":[{"line":3,"message":"no such pool"}]})")};
+  CHECK(router.Run({"note", "check", "n.ini"}) == CtlExit::kFaults);
+  CHECK(router.err.str().find("n.ini:3: no such pool\n") != std::string::npos);
+}
+
+TEST_CASE("CtlApp: submitting says who, and names its write", "[ctl]") {
+  FakeRouter router;
+  router.answers = {
+      Reply(200, R"({"id":"n","state":"waiting","reason":"accepted"})")};
+  CHECK(router.Run({"note", "submit", "n", "n.ini"}) == CtlExit::kOk);
+  const HttpRequest& request = router.requests[0];
+  CHECK(request.method == "PUT");
+  CHECK(request.target == "/v1/notes/n?expected=0");
+  CHECK(request.headers.Get("papaya-operation") == "op-1");
+  CHECK(request.headers.Get("papaya-author") == "zuzana");
+  CHECK(request.body == kGoodNote);
+  CHECK(router.out.str() == "n: waiting: accepted\n");
+  CHECK(router.Run({"note", "submit", "a/b", "n.ini"}) == CtlExit::kUsage);
+}
+
+TEST_CASE("CtlApp: a conflict shows the other operator's change", "[ctl]") {
+  FakeRouter router;
+  router.answers = {Reply(200, R"({"id":"n","version":4})"),
+                    Reply(409, R"({"note":{"author":"ali","text":"[note]"}})")};
+  CHECK(router.Run({"note", "revise", "n", "n.ini"}) == CtlExit::kConflict);
+  CHECK(router.requests[1].target == "/v1/notes/n?expected=4");
+  CHECK(router.err.str().find("author  ali\n") != std::string::npos);
+}
+
+TEST_CASE("CtlApp: watching prints changes until the end", "[ctl]") {
+  FakeRouter router;
+  router.answers = {
+      Reply(200, R"({"state":"waiting","reason":"a"})"),
+      Reply(200, R"({"state":"waiting","reason":"a"})"),
+      Reply(503, "{}"),
+      Reply(200, R"({"state":"moving","share_permille":50,"reason":"b"})"),
+      Reply(200, R"({"state":"taking_back","reason":"c"})"),
+      Reply(200, R"({"state":"taken_back","reason":"d"})")};
+  CHECK(router.Run({"note", "watch", "n"}) == CtlExit::kTakenBack);
+  CHECK(router.out.str() ==
+        "waiting: a\nmoving, new versions at 50 permille: b\n"
+        "taking back: c\ntaken back: d\n");
+  CHECK(router.sleeps == 5);
+  router.answers = {Reply(200, R"({"state":"done","reason":"e"})")};
+  CHECK(router.Run({"note", "watch", "n"}) == CtlExit::kOk);
+  CtlOptions limited = FakeRouter::DefaultOptions();
+  limited.watch_limit = std::chrono::seconds(2);
+  router.answers.assign(10, Reply(200, R"({"state":"moving","reason":"b"})"));
+  CHECK(router.Run({"note", "watch", "n"}, limited) == CtlExit::kTimeout);
+}
+
+}  // namespace
+}  // namespace papaya
