Serve the operators' pages of release notes

Cause: papayactl and the routers must agree on the JSON of notes. Change: NotePages over a NoteBook for /v1/notes, to be added to the operators' front; withdrawing by DELETE. A first try with async_initiate crashed under GCC 12; a timer that is cancelled when the result is there does the same.

--- /dev/null
+++ b/src/daemon/note_json.h
@@ -0,0 +1,24 @@
+#ifndef SRC_DAEMON_NOTE_JSON_H_
+#define SRC_DAEMON_NOTE_JSON_H_
+
+#include <boost/json/object.hpp>
+#include <string>
+#include <vector>
+
+#include "include/base/ini_document.h"
+#include "include/rollout/note_record.h"
+
+namespace papaya {
+
+// `note` as operators get it, without its text.
+boost::json::object NoteToJson(const StoredNote& note);
+
+// The same with its text.
+boost::json::object WholeNoteToJson(const StoredNote& note);
+
+// `{"faults":[{"line":n,"message":"…"}]}`.
+std::string FaultsToJson(const std::vector<TextFault>& faults);
+
+}  // namespace papaya
+
+#endif  // SRC_DAEMON_NOTE_JSON_H_
--- /dev/null
+++ b/src/daemon/note_pages.cc
@@ -0,0 +1,192 @@
+#include "src/daemon/note_pages.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+#include <cstdlib>
+#include <memory>
+#include <optional>
+#include <utility>
+
+#include "include/rollout/release_note.h"
+#include "include/wire/steady_time.h"
+#include "src/daemon/note_json.h"
+
+namespace papaya {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+constexpr const char* kNotesPath = "/v1/notes";
+constexpr const char* kCheckPath = "/v1/notes/check";
+constexpr const char* kRetryAfterSeconds = "2";
+
+// The one result of a call that gives it to a callback, once it is there.
+template <typename T>
+struct PendingResult {
+  explicit PendingResult(const asio::any_io_executor& executor)
+      : arrival(executor, asio::steady_timer::time_point::max()) {}
+
+  void Set(const T& result) {
+    value = result;
+    arrival.cancel();
+  }
+
+  std::optional<T> value;
+  // Never expires; cancelled when the result is there.
+  asio::steady_timer arrival;
+};
+
+template <typename T>
+asio::awaitable<T> Await(std::shared_ptr<PendingResult<T>> pending) {
+  if (!pending->value) {
+    boost::system::error_code ignored;
+    co_await pending->arrival.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+  }
+  co_return *pending->value;
+}
+
+HttpResponse JsonResponse(int status, const std::string& body) {
+  HttpResponse response;
+  response.status = status;
+  response.headers.Set("Content-Type", "application/json");
+  response.body = body;
+  return response;
+}
+
+json::object ErrorJson(const absl::Status& status) {
+  return {{"message", std::string(status.message())}};
+}
+
+HttpResponse ErrorResponse(int http_status, const absl::Status& status) {
+  return JsonResponse(
+      http_status, json::serialize(json::object{{"error", ErrorJson(status)}}));
+}
+
+// The answer to a request that the store could not serve.
+HttpResponse StoreError(const absl::Status& status) {
+  if (absl::IsNotFound(status)) {
+    return ErrorResponse(404, status);
+  }
+  HttpResponse response = ErrorResponse(503, status);
+  response.headers.Set("Retry-After", kRetryAfterSeconds);
+  return response;
+}
+
+HttpResponse ConflictResponse(const NoteResult& result) {
+  return JsonResponse(409, json::serialize(json::object{
+                               {"error", ErrorJson(result.status)},
+                               {"note", WholeNoteToJson(result.note)}}));
+}
+
+HttpResponse ChangeResponse(const NoteResult& result) {
+  switch (result.status.code()) {
+    case absl::StatusCode::kOk:
+      return JsonResponse(200, json::serialize(NoteToJson(result.note)));
+    case absl::StatusCode::kInvalidArgument:
+      return JsonResponse(422, FaultsToJson(result.faults));
+    case absl::StatusCode::kAborted:
+    case absl::StatusCode::kFailedPrecondition:
+      return ConflictResponse(result);
+    default:
+      return StoreError(result.status);
+  }
+}
+
+}  // namespace
+
+NotePages::NotePages(NoteBook* book, PresentHook present)
+    : book_(*book), present_(std::move(present)) {}
+
+asio::awaitable<HttpResponse> NotePages::Handle(HttpRequest request) {
+  const std::string path = PathOfTarget(request.target);
+  const bool is_read = request.method == "GET";
+  if (path == kCheckPath && request.method == "POST") {
+    co_return Check(request.body);
+  }
+  if (path == kNotesPath && is_read) {
+    co_return co_await List();
+  }
+  const std::string prefix = std::string(kNotesPath) + "/";
+  const NoteId id(path.starts_with(prefix) ? path.substr(prefix.size()) : "");
+  if (!id.empty() && is_read) {
+    co_return co_await Show(id);
+  }
+  if (!id.empty() && (request.method == "PUT" || request.method == "DELETE")) {
+    co_return co_await Change(std::move(request), id);
+  }
+  co_return ErrorResponse(404, absl::NotFoundError("there is no such page"));
+}
+
+HttpResponse NotePages::Check(const std::string& text) const {
+  const std::shared_ptr<const FleetConfig> present = present_();
+  const std::vector<TextFault> faults =
+      CheckReleaseNote(text, present.get(), WallNow());
+  return faults.empty() ? JsonResponse(200, "{}")
+                        : JsonResponse(422, FaultsToJson(faults));
+}
+
+asio::awaitable<HttpResponse> NotePages::List() {
+  using Notes = std::pair<absl::Status, std::vector<StoredNote>>;
+  const auto pending = std::make_shared<PendingResult<Notes>>(
+      co_await asio::this_coro::executor);
+  book_.List([pending](absl::Status status, std::vector<StoredNote> notes) {
+    pending->Set({std::move(status), std::move(notes)});
+  });
+  const Notes notes = co_await Await(pending);
+  if (!notes.first.ok()) {
+    co_return StoreError(notes.first);
+  }
+  json::array listed;
+  for (const StoredNote& note : notes.second) {
+    listed.push_back(NoteToJson(note));
+  }
+  co_return JsonResponse(200, json::serialize(json::object{{"notes", listed}}));
+}
+
+asio::awaitable<HttpResponse> NotePages::Show(NoteId id) {
+  const auto pending = std::make_shared<PendingResult<NoteResult>>(
+      co_await asio::this_coro::executor);
+  book_.Get(id, [pending](const NoteResult& result) { pending->Set(result); });
+  const NoteResult result = co_await Await(pending);
+  if (!result.status.ok()) {
+    co_return StoreError(result.status);
+  }
+  co_return JsonResponse(200, json::serialize(WholeNoteToJson(result.note)));
+}
+
+asio::awaitable<HttpResponse> NotePages::Change(HttpRequest request,
+                                                NoteId id) {
+  NoteRequest wish;
+  wish.id = std::move(id);
+  wish.author = request.headers.Get("papaya-author");
+  wish.operation = OperationId(request.headers.Get("papaya-operation"));
+  wish.expected = ObjectVersion(std::strtoull(
+      QueryValue(request.target, "expected").c_str(), nullptr, 10));
+  wish.text = request.body;
+  if (wish.operation.empty()) {
+    co_return ErrorResponse(400, absl::InvalidArgumentError(
+                                     "papaya-operation must name the write"));
+  }
+  const auto pending = std::make_shared<PendingResult<NoteResult>>(
+      co_await asio::this_coro::executor);
+  const NoteBook::Done done = [pending](const NoteResult& result) {
+    pending->Set(result);
+  };
+  if (request.method == "DELETE") {
+    book_.Withdraw(wish, WallNow(), done);
+  } else if (wish.expected == ObjectVersion()) {
+    book_.Submit(wish, WallNow(), done);
+  } else {
+    book_.Revise(wish, WallNow(), done);
+  }
+  const NoteResult result = co_await Await(pending);
+  co_return ChangeResponse(result);
+}
+
+}  // namespace papaya
--- /dev/null
+++ b/src/daemon/note_pages.h
@@ -0,0 +1,40 @@
+#ifndef SRC_DAEMON_NOTE_PAGES_H_
+#define SRC_DAEMON_NOTE_PAGES_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "include/config/fleet_config.h"
+#include "include/rollout/note_book.h"
+#include "include/wire/http_message.h"
+
+namespace papaya {
+
+// The operators' pages of release notes, `/v1/notes` and all below it, as
+// docs/PROTOCOLS.md has them. Runs on the control thread.
+class NotePages {
+ public:
+  // The configuration in force; null on an empty fleet.
+  using PresentHook = std::function<std::shared_ptr<const FleetConfig>()>;
+
+  // `book` must outlive the pages and the answers in progress.
+  NotePages(NoteBook* book, PresentHook present);
+
+  // Answers one request whose path starts with `/v1/notes`.
+  boost::asio::awaitable<HttpResponse> Handle(HttpRequest request);
+
+ private:
+  HttpResponse Check(const std::string& text) const;
+  boost::asio::awaitable<HttpResponse> List();
+  boost::asio::awaitable<HttpResponse> Show(NoteId id);
+  boost::asio::awaitable<HttpResponse> Change(HttpRequest request, NoteId id);
+
+  NoteBook& book_;
+  const PresentHook present_;
+};
+
+}  // namespace papaya
+
+#endif  // SRC_DAEMON_NOTE_PAGES_H_
