Test the stand-ins over HTTP, and start real binaries from tests

Cause: process tests need programs of their own, and the stand-ins' faults must be what their page says. Conclusion: whole, streamed and resumed answers, orders, faults and ledgers are as docs/PROTOCOLS.md has them.

--- /dev/null
+++ b/tests/standin_server_test.cc
@@ -0,0 +1,194 @@
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "include/standin/answer_check.h"
+#include "include/standin/answer_text.h"
+#include "include/standin/standin_server.h"
+#include "include/wire/http_client.h"
+#include "include/wire/sse_reader.h"
+#include "tests/child_process.h"
+#include "tests/loopback.h"
+
+namespace papaya {
+namespace {
+
+namespace asio = boost::asio;
+
+HttpRequest Post(const std::string& target, const std::string& body) {
+  HttpRequest request;
+  request.method = "POST";
+  request.target = target;
+  request.body = body;
+  return request;
+}
+
+HttpRequest Get(const std::string& target) {
+  HttpRequest request;
+  request.target = target;
+  return request;
+}
+
+HttpRequest Chat(const std::string& stream_id, int tokens, bool stream) {
+  HttpRequest request =
+      Post("/v1/chat/completions",
+           R"({"model":"m","messages":[{"role":"user","content":"hello"}],)"
+           R"("max_tokens":)" +
+               std::to_string(tokens) + (stream ? R"(,"stream":true})" : "}"));
+  request.headers.Set("papaya-stream-id", stream_id);
+  return request;
+}
+
+// A stand-in on loopback that a test asks.
+class StandinFixture {
+ public:
+  explicit StandinFixture(const StandinOptions& options)
+      : server_(&context_, options) {
+    REQUIRE(server_.Start().ok());
+  }
+
+  static StandinOptions Of(StandinRole role) {
+    StandinOptions options;
+    options.role = role;
+    options.engine.versions.version = VersionId("v1");
+    options.engine.time_per_token = std::chrono::milliseconds(1);
+    options.engine.versions.load_time = std::chrono::milliseconds(1);
+    return options;
+  }
+
+  absl::StatusOr<HttpResponse> Ask(const HttpRequest& request) {
+    absl::StatusOr<HttpResponse> response = absl::UnknownError("not asked");
+    RunOn(context_, [&]() -> asio::awaitable<void> {
+      response = co_await FetchHttp(server_.address(), request, TestDeadline());
+    });
+    return response;
+  }
+
+  HttpResponse MustAsk(const HttpRequest& request) {
+    absl::StatusOr<HttpResponse> response = Ask(request);
+    INFO(response.status());
+    REQUIRE(response.ok());
+    return *std::move(response);
+  }
+
+ private:
+  asio::io_context context_;
+  StandinServer server_;
+};
+
+// Feeds a whole SSE body to `check`.
+void Feed(const std::string& body, AnswerCheck& check) {
+  SseReader reader(Bytes(64 * 1024));
+  std::vector<SseEvent> events;
+  REQUIRE(reader.Feed(body, &events).ok());
+  for (const SseEvent& event : events) {
+    check.OnEvent(event);
+  }
+}
+
+TEST_CASE("StandinServer: an engine answers whole, in streams, and resumes",
+          "[standin]") {
+  StandinFixture engine(StandinFixture::Of(StandinRole::kEngine));
+  const HttpResponse whole = engine.MustAsk(Chat("a", 5, false));
+  CHECK(whole.status == 200);
+  CHECK(whole.headers.Get("papaya-version") == "v1");
+  CHECK(AnswerCheck::IsWholeAnswer(whole.body, "hello", Tokens(5)));
+  AnswerCheck streamed("hello", Tokens(5));
+  Feed(engine.MustAsk(Chat("b", 5, true)).body, streamed);
+  CHECK(streamed.is_whole());
+  AnswerCheck resumed("hello", Tokens(5));
+  resumed.OnEvent({.index = 0,
+                   .data = R"({"choices":[{"delta":{"content":")" +
+                           AnswerToken("hello", 0) + R"("}}]})"});
+  Feed(engine.MustAsk(Get("/v1/streams/b?offset=1")).body, resumed);
+  CHECK(resumed.is_whole());
+  CHECK(engine.MustAsk(Get("/v1/streams/none?offset=0")).status == 404);
+  CHECK(engine.MustAsk(Chat("a", 5, false)).status == 409);
+  CHECK(engine.MustAsk(Post("/v1/chat/completions", "{")).status == 400);
+}
+
+TEST_CASE("StandinServer: an engine takes orders and cancels", "[standin]") {
+  StandinFixture engine(StandinFixture::Of(StandinRole::kEngine));
+  const auto order = [&](const std::string& id, int fencing,
+                         const std::string& action) {
+    return engine
+        .MustAsk(
+            Post("/v1/orders", R"({"order_id":")" + id + R"(","fencing":)" +
+                                   std::to_string(fencing) + R"(,"action":")" +
+                                   action + R"(","argument":"v2"})"))
+        .status;
+  };
+  CHECK(order("1", 3, "load_version") == 200);
+  CHECK(order("2", 2, "activate_version") == 409);
+  while (engine.MustAsk(Get("/v1/state")).body.find(R"("loading":[])") ==
+         std::string::npos) {
+  }
+  CHECK(order("3", 3, "activate_version") == 200);
+  CHECK(engine.MustAsk(Get("/v1/load")).body.find(R"("version":"v2")") !=
+        std::string::npos);
+  HttpRequest cancel = Get("/v1/streams/unknown");
+  cancel.method = "DELETE";
+  CHECK(engine.MustAsk(cancel).status == 200);
+}
+
+TEST_CASE("StandinServer: faults are switched on and off while it runs",
+          "[standin]") {
+  StandinFixture engine(StandinFixture::Of(StandinRole::kEngine));
+  const auto set = [&](const std::string& faults) {
+    return engine.MustAsk(Post("/faults", faults)).status;
+  };
+  CHECK(set(R"({"nonsense":1})") == 400);
+  REQUIRE(set(R"({"cutting_permille":1000})") == 200);
+  CHECK_FALSE(engine.Ask(Chat("a", 5, false)).ok());
+  CHECK_FALSE(engine.Ask(Chat("b", 5, true)).ok());
+  REQUIRE(set(R"({"cutting_permille":0,"failing_permille":1000})") == 200);
+  CHECK(engine.MustAsk(Chat("c", 5, false)).status == 500);
+  REQUIRE(set(R"({"failing_permille":0,"leaving":true})") == 200);
+  const HttpResponse refused = engine.MustAsk(Chat("d", 5, false));
+  CHECK(refused.status == 503);
+  CHECK(refused.headers.Get("papaya-leaving") == "1");
+  CHECK(refused.headers.Get("papaya-not-run") == "1");
+  REQUIRE(set(R"({"leaving":false,"outage":true})") == 200);
+  CHECK_FALSE(engine.Ask(Chat("e", 5, false)).ok());
+  REQUIRE(set(R"({"outage":false})") == 200);
+  CHECK(engine.MustAsk(Chat("f", 5, false)).status == 200);
+}
+
+TEST_CASE("StandinServer: a service's ledger shows runs without an answer",
+          "[standin]") {
+  StandinFixture service(StandinFixture::Of(StandinRole::kService));
+  CHECK(service.MustAsk(Post("/hires", R"({"key":"k"})")).body ==
+        R"({"confirmed":"k"})");
+  REQUIRE(
+      service.MustAsk(Post("/faults", R"({"cutting_permille":1000})")).status ==
+      200);
+  CHECK_FALSE(service.Ask(Post("/hires", R"({"key":"k"})")).ok());
+  CHECK(service.MustAsk(Get("/ledger")).body ==
+        R"({"runs":{"k":2},"repeated_runs":1})");
+}
+
+TEST_CASE("papaya_standin: says where it listens, and ends on SIGTERM",
+          "[process]") {
+  ChildProcess standin({"papaya_standin", "--role=service", "--name=b1"});
+  const std::string line = standin.ReadLineWith("\"ready\":true");
+  CHECK(ChildProcess::TextIn(line, "name") == "b1");
+  const std::string address = ChildProcess::TextIn(line, "address");
+  asio::io_context context;
+  RunOn(context, [&]() -> asio::awaitable<void> {
+    const absl::StatusOr<HttpResponse> response =
+        co_await FetchHttp(address, Get("/healthz"), TestDeadline());
+    CHECK(response.ok());
+  });
+  standin.Signal(SIGTERM);
+  CHECK(standin.Wait() == 0);
+}
+
+TEST_CASE("papaya_standin: refuses wrong flags", "[process]") {
+  CHECK(ChildProcess({"papaya_standin", "--role=nonsense"}).Wait() == 2);
+  CHECK(ChildProcess({"papaya_standin", "--faults={\"x\":1}"}).Wait() == 2);
+  CHECK(ChildProcess({"papayactl", "nonsense"}).Wait() == 2);
+  CHECK(ChildProcess({"papaya_load"}).Wait() == 2);
+}
+
+}  // namespace
+}  // namespace papaya
