Withdraw release notes from the command line

Cause: a note that must not go on had no command; revising it needs a text. Change: papayactl note withdraw, by DELETE. Conclusion: tested against the pages; an ended note is a conflict.

--- a/include/ctl/ctl_app.h
+++ b/include/ctl/ctl_app.h
@@ -45,7 +45,8 @@
   bool json = false;
   // Who writes notes.
   std::string author;
-  // The note's version that `note revise` replaces; without it, the latest.
+  // The note's version that `note revise` and `note withdraw` replace; without
+  // it, the latest.
   std::optional<uint64_t> expected;
   // `note watch` looks this often, and gives up after `watch_limit` unless that
   // is zero.
@@ -98,15 +99,26 @@
   CtlExit NoteCheck(const Words& arguments);
   CtlExit NoteSubmit(const Words& arguments);
   CtlExit NoteRevise(const Words& arguments);
+  CtlExit NoteWithdraw(const Words& arguments);
   CtlExit NoteShow(const Words& arguments);
   CtlExit NoteList(const Words& arguments);
   CtlExit NoteWatch(const Words& arguments);
 
   // Gets `target` and prints the array `key` of the answer as a table.
   CtlExit ShowTable(const std::string& target, const std::string& key);
+  // Submits or revises a note by the text in `file`.
   CtlExit PutNote(const std::string& note,
                   uint64_t expected,
-                  const std::string& text);
+                  const std::string& file);
+  // Sends a change of a note, names it, and prints what came of it. `file` is
+  // named in faults.
+  CtlExit ChangeNote(HttpRequest request,
+                     const std::string& note,
+                     const std::string& file);
+  // The version that a change of `note` replaces: that of the flags, or the
+  // latest. Empty, with the exit in `exit`, if it can't be had.
+  std::optional<uint64_t> ExpectedVersion(const std::string& note,
+                                          CtlExit& exit);
   // Sends a request to the first router that answers; false, with the exit in
   // `exit`, if none does.
   bool Call(HttpRequest request, HttpResponse& response, CtlExit& exit);
--- a/src/ctl/ctl_app.cc
+++ b/src/ctl/ctl_app.cc
@@ -33,6 +33,7 @@
          "given\n"
          "  note submit NAME FILE   submits a new release note\n"
          "  note revise NAME FILE   replaces the text of a release note\n"
+         "  note withdraw NAME      takes a release note back\n"
          "  note show NAME          one release note with its text\n"
          "  note list               all release notes\n"
          "  note watch NAME         each change, until it is done or taken "
@@ -50,6 +51,7 @@
       {{"note", "check"}, 1, &CtlApp::NoteCheck},
       {{"note", "submit"}, 2, &CtlApp::NoteSubmit},
       {{"note", "revise"}, 2, &CtlApp::NoteRevise},
+      {{"note", "withdraw"}, 1, &CtlApp::NoteWithdraw},
       {{"note", "show"}, 1, &CtlApp::NoteShow},
       {{"note", "list"}, 0, &CtlApp::NoteList},
       {{"note", "watch"}, 1, &CtlApp::NoteWatch},
--- a/src/ctl/note_commands.cc
+++ b/src/ctl/note_commands.cc
@@ -109,25 +109,44 @@
 }
 
 CtlExit CtlApp::NoteRevise(const Words& arguments) {
+  CtlExit exit = CtlExit::kOk;
+  const std::optional<uint64_t> expected = ExpectedVersion(arguments[0], exit);
+  return expected ? PutNote(arguments[0], *expected, arguments[1]) : exit;
+}
+
+CtlExit CtlApp::NoteWithdraw(const Words& arguments) {
+  CtlExit exit = CtlExit::kOk;
+  const std::optional<uint64_t> expected = ExpectedVersion(arguments[0], exit);
+  if (!expected) {
+    return exit;
+  }
+  HttpRequest request = NoteRequestTo(arguments[0]);
+  request.method = "DELETE";
+  absl::StrAppend(&request.target, "?expected=", *expected);
+  return ChangeNote(std::move(request), arguments[0], "");
+}
+
+std::optional<uint64_t> CtlApp::ExpectedVersion(const std::string& note,
+                                                CtlExit& exit) {
   if (options_.expected) {
-    return PutNote(arguments[0], *options_.expected, arguments[1]);
+    return options_.expected;
   }
   HttpResponse response;
-  CtlExit exit = CtlExit::kOk;
-  if (!Call(NoteRequestTo(arguments[0]), response, exit)) {
-    return exit;
+  if (!Call(NoteRequestTo(note), response, exit)) {
+    return std::nullopt;
   }
   if (response.status != 200) {
-    return ExitOf(response);
+    exit = ExitOf(response);
+    return std::nullopt;
   }
-  const json::object note = ParseJsonObject(response.body);
-  const json::value* version = note.if_contains("version");
+  const json::object body = ParseJsonObject(response.body);
+  const json::value* version = body.if_contains("version");
   if (version == nullptr || !version->is_int64()) {
     err_ << "papayactl: the router's answer is broken\n";
-    return CtlExit::kFailed;
+    exit = CtlExit::kFailed;
+    return std::nullopt;
   }
-  return PutNote(arguments[0], static_cast<uint64_t>(version->as_int64()),
-                 arguments[1]);
+  return static_cast<uint64_t>(version->as_int64());
 }
 
 CtlExit CtlApp::PutNote(const std::string& note,
@@ -144,13 +163,19 @@
   HttpRequest request = NoteRequestTo(note);
   request.method = "PUT";
   absl::StrAppend(&request.target, "?expected=", expected);
+  request.body = *text;
+  return ChangeNote(std::move(request), note, file);
+}
+
+CtlExit CtlApp::ChangeNote(HttpRequest request,
+                           const std::string& note,
+                           const std::string& file) {
   // The same over repetitions, so that a lost answer is no conflict.
   request.headers.Set("papaya-operation", hooks_.make_operation());
   request.headers.Set("papaya-author", options_.author);
-  request.body = *text;
   HttpResponse response;
   CtlExit exit = CtlExit::kOk;
-  if (!Call(request, response, exit)) {
+  if (!Call(std::move(request), response, exit)) {
     return exit;
   }
   if (response.status == 422) {
@@ -162,7 +187,7 @@
   const json::object body = ParseJsonObject(response.body);
   if (response.status == 409) {
     const json::value* theirs = body.if_contains("note");
-    err_ << "papayactl: another operator was first; the note is now:\n";
+    err_ << "papayactl: the note is not as expected; it is now:\n";
     if (theirs != nullptr && theirs->is_object()) {
       err_ << FormatJsonLines(theirs->as_object());
     }
--- a/src/papayactl_main.cc
+++ b/src/papayactl_main.cc
@@ -26,10 +26,11 @@
 DEFINE_string(token_file, "", "File with the operators' token.");
 DEFINE_bool(json, false, "Print JSON for scripts in place of tables.");
 DEFINE_string(author, "", "Who writes the note; the login name if left out.");
-DEFINE_int64(expected,
-             -1,
-             "note revise: the version that is replaced; the latest if left "
-             "out.");
+DEFINE_int64(
+    expected,
+    -1,
+    "note revise, note withdraw: the version that is replaced; the latest if "
+    "left out.");
 DEFINE_double(watch_seconds, 0, "note watch: longest wait; 0 is without end.");
 DEFINE_double(timeout_seconds, 10, "Longest wait for one answer.");
 
--- a/tests/note_pages_test.cc
+++ b/tests/note_pages_test.cc
@@ -177,13 +177,10 @@
 TEST_CASE("NotePages: a waiting note can be withdrawn, once", "[daemon]") {
   NotePagesFixture fixture;
   REQUIRE(fixture.Ctl({"note", "submit", "n", "f"}, "o1") == CtlExit::kOk);
-  HttpRequest withdraw;
-  withdraw.method = "DELETE";
-  withdraw.target = "/v1/notes/n?expected=1";
-  withdraw.headers.Set("papaya-operation", "o2");
-  CHECK(fixture.Ask(withdraw).status == 200);
+  CHECK(fixture.Ctl({"note", "withdraw", "n"}, "o2") == CtlExit::kOk);
   CHECK(fixture.Ctl({"note", "watch", "n"}, "o") == CtlExit::kTakenBack);
   CHECK(fixture.out.str().find("taken back: withdrawn") == 0);
+  CHECK(fixture.Ctl({"note", "withdraw", "n"}, "o3") == CtlExit::kConflict);
 }
 
 }  // namespace
