Divide slots by tier and grant free ones to one router; measure overload

Cause: routers that follow stale reports took the same free slot, and the engines then queued critical work behind full batches. Change: SlotPlanner gives each free slot to the router that lacks most of its allotment, tier by tier. A small fake engine and fleet in bench/ under virtual time, sites of the two deployments, baselines, overload measures.

--- /dev/null
+++ b/bench/fake_engine.h
@@ -0,0 +1,236 @@
+#ifndef BENCH_FAKE_ENGINE_H_
+#define BENCH_FAKE_ENGINE_H_
+
+#include <algorithm>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "bench/virtual_loop.h"
+#include "include/admission/attempt_result.h"
+#include "include/base/units.h"
+
+namespace papaya::bench {
+
+// Work for a FakeEngine, with what is told of its progress.
+struct FakeJob {
+  // Unique among all jobs of the engine.
+  uint64_t key = 0;
+  Tokens prompt_tokens;
+  std::vector<uint64_t> prefix_hashes;
+  // For plain services, thousandths of a second of work.
+  Tokens output_tokens;
+  // It was begun, with so many prompt tokens that weren't in the cache.
+  std::function<void(int64_t prefilled)> on_begin;
+  std::function<void()> on_first_token;
+  std::function<void(Tokens total)> on_tokens;
+  std::function<void(AttemptEnd end, Tokens output)> on_end;
+};
+
+struct FakeEngineSpeed {
+  int slots = 8;
+  double prefill_seconds_per_token = 2e-4;
+  double decode_seconds_per_token = 0.03;
+  // What a full batch adds to the time of a token, as a part of it.
+  double batch_slowdown = 0.5;
+  // Prompt blocks that its prefix cache holds.
+  size_t cache_blocks = 600;
+};
+
+// An upstream under virtual time: prefills prompts one after the other, decodes
+// its batch together, queues first come first served what exceeds its slots,
+// knows no priorities, keeps an LRU cache of prompt prefixes.
+class FakeEngine {
+ public:
+  FakeEngine(VirtualLoop* loop, FakeEngineSpeed speed)
+      : loop_(loop), speed_(speed) {}
+
+  // Takes in `job`; its callbacks come later, on_end last and exactly once,
+  // unless the engine is crashed silently or the job cancelled.
+  void Submit(FakeJob job) {
+    if (is_crashed_ || is_leaving_) {
+      const AttemptEnd end =
+          is_leaving_ ? AttemptEnd::kLeaving : AttemptEnd::kNotRun;
+      loop_->After(Duration(), [job, end] { job.on_end(end, Tokens()); });
+      return;
+    }
+    waiting_.push_back(std::make_shared<Running>(Running{std::move(job)}));
+    StartWaiting();
+  }
+
+  // Stops the job, if it is still there; on_end is not called. True if so.
+  bool Cancel(uint64_t key) {
+    for (auto place = waiting_.begin(); place != waiting_.end(); ++place) {
+      if ((*place)->job.key == key) {
+        waiting_.erase(place);
+        return true;
+      }
+    }
+    auto found = running_.find(key);
+    if (found == running_.end()) {
+      return false;
+    }
+    found->second->is_stopped = true;
+    running_.erase(found);
+    StartWaiting();
+    return true;
+  }
+
+  // Ends all jobs as kUnknown and refuses new ones until Restart().
+  void Crash() {
+    is_crashed_ = true;
+    cache_.clear();
+    cache_places_.clear();
+    std::vector<std::shared_ptr<Running>> all(waiting_.begin(), waiting_.end());
+    for (const auto& [key, running] : running_) {
+      all.push_back(running);
+    }
+    waiting_.clear();
+    running_.clear();
+    for (const std::shared_ptr<Running>& running : all) {
+      running->is_stopped = true;
+      loop_->After(Duration(), [running] {
+        running->job.on_end(AttemptEnd::kUnknown, running->output);
+      });
+    }
+  }
+  void Restart() { is_crashed_ = false; }
+
+  // Refuses new jobs, finishes the others.
+  void Leave() { is_leaving_ = true; }
+  bool is_leaving() const { return is_leaving_; }
+
+  // All work takes `factor` times as long from now on.
+  void SetSlowness(double factor) { slowness_ = factor; }
+  double slowness() const { return slowness_; }
+
+  const FakeEngineSpeed& speed() const { return speed_; }
+  int running() const { return static_cast<int>(running_.size()); }
+  int waiting() const { return static_cast<int>(waiting_.size()); }
+
+  // Blocks of the prompt that are in the cache.
+  size_t CachedBlocks(const std::vector<uint64_t>& hashes) const {
+    size_t blocks = 0;
+    while (blocks < hashes.size() && cache_places_.contains(hashes[blocks])) {
+      ++blocks;
+    }
+    return blocks;
+  }
+
+  // Seconds until a prompt that came now would be begun to be prefilled, its
+  // slot being free.
+  double PrefillBacklog() const {
+    return std::max(0.0, ToSeconds(prefill_free_ - loop_->now()));
+  }
+
+ private:
+  struct Running {
+    FakeJob job;
+    Tokens output;
+    bool is_stopped = false;
+  };
+
+  static constexpr double kStepSeconds = 0.25;
+
+  void StartWaiting() {
+    while (!waiting_.empty() && running() < speed_.slots) {
+      std::shared_ptr<Running> next = waiting_.front();
+      waiting_.pop_front();
+      running_[next->job.key] = next;
+      Prefill(next);
+    }
+  }
+
+  void Prefill(const std::shared_ptr<Running>& running) {
+    const FakeJob& job = running->job;
+    const size_t blocks = job.prefix_hashes.size();
+    const size_t cached = CachedBlocks(job.prefix_hashes);
+    int64_t tokens = job.prompt_tokens.value();
+    if (blocks > 0) {
+      tokens -=
+          tokens * static_cast<int64_t>(cached) / static_cast<int64_t>(blocks);
+    }
+    Remember(job.prefix_hashes);
+    job.on_begin(tokens);
+    const Duration work =
+        SecondsToDuration(static_cast<double>(tokens) *
+                          speed_.prefill_seconds_per_token * slowness_);
+    prefill_free_ = std::max(prefill_free_, loop_->now()) + work;
+    loop_->After(prefill_free_ - loop_->now(), [this, running] {
+      if (running->is_stopped) {
+        return;
+      }
+      running->job.on_first_token();
+      Decode(running);
+    });
+  }
+
+  double TokenSeconds() const {
+    const double fill = static_cast<double>(running()) / speed_.slots;
+    return speed_.decode_seconds_per_token * slowness_ *
+           (1.0 + speed_.batch_slowdown * fill);
+  }
+
+  void Decode(const std::shared_ptr<Running>& running) {
+    const int64_t left =
+        running->job.output_tokens.value() - running->output.value();
+    const double token = TokenSeconds();
+    const int64_t in_step =
+        std::max<int64_t>(1, static_cast<int64_t>(kStepSeconds / token));
+    const int64_t tokens = std::min(left, in_step);
+    loop_->After(SecondsToDuration(static_cast<double>(tokens) * token),
+                 [this, running, tokens] { FinishStep(running, tokens); });
+  }
+
+  void FinishStep(const std::shared_ptr<Running>& running, int64_t tokens) {
+    if (running->is_stopped) {
+      return;
+    }
+    running->output += Tokens(tokens);
+    running->job.on_tokens(running->output);
+    if (running->output < running->job.output_tokens) {
+      Decode(running);
+      return;
+    }
+    running_.erase(running->job.key);
+    running->job.on_end(AttemptEnd::kOk, running->output);
+    StartWaiting();
+  }
+
+  void Remember(const std::vector<uint64_t>& hashes) {
+    // Last block first, so that the ends of prefixes are evicted first.
+    for (auto hash = hashes.rbegin(); hash != hashes.rend(); ++hash) {
+      auto place = cache_places_.find(*hash);
+      if (place != cache_places_.end()) {
+        cache_.erase(place->second);
+      }
+      cache_.push_front(*hash);
+      cache_places_[*hash] = cache_.begin();
+    }
+    while (cache_.size() > speed_.cache_blocks) {
+      cache_places_.erase(cache_.back());
+      cache_.pop_back();
+    }
+  }
+
+  VirtualLoop* loop_;
+  FakeEngineSpeed speed_;
+  bool is_crashed_ = false;
+  bool is_leaving_ = false;
+  double slowness_ = 1.0;
+  TimePoint prefill_free_;
+  std::deque<std::shared_ptr<Running>> waiting_;
+  std::map<uint64_t, std::shared_ptr<Running>> running_;
+  std::list<uint64_t> cache_;
+  std::unordered_map<uint64_t, std::list<uint64_t>::iterator> cache_places_;
+};
+
+}  // namespace papaya::bench
+
+#endif  // BENCH_FAKE_ENGINE_H_
--- /dev/null
+++ b/bench/fake_traffic.cc
@@ -0,0 +1,124 @@
+#include "bench/fake_traffic.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "include/base/stable_hash.h"
+
+namespace papaya::bench {
+
+namespace {
+
+// Conversations that go on at once, over all accounts.
+constexpr size_t kConversations = 160;
+// Blocks that all prompts of one account and route begin with.
+constexpr int64_t kSystemBlocks = 4;
+// Blocks that a turn adds, and blocks at which a conversation ends.
+constexpr int64_t kTurnBlocks = 2;
+
+}  // namespace
+
+void FakeTraffic::Start(TimePoint end) {
+  class_scale_.resize(site_->classes.size(), 1.0);
+  if (accounts_.empty()) {
+    accounts_ = site_->account_parts;
+  }
+  conversations_.resize(kConversations);
+  for (size_t i = 0; i < site_->classes.size(); ++i) {
+    const TrafficClass& traffic = site_->classes[i];
+    const double rate =
+        site_->Capacity(traffic.pool) * load_ * traffic.part * class_scale_[i];
+    ScheduleNext(i, rate, end);
+  }
+}
+
+void FakeTraffic::ScheduleNext(size_t traffic, double rate, TimePoint end) {
+  if (rate <= 0.0) {
+    return;
+  }
+  const Duration gap = SecondsToDuration(random_.Exponential(1.0 / rate));
+  fleet_->loop().After(gap, [this, traffic, rate, end] {
+    if (fleet_->loop().now() >= end) {
+      return;
+    }
+    Send(traffic);
+    ScheduleNext(traffic, rate, end);
+  });
+}
+
+size_t FakeTraffic::Draw(const std::vector<double>& parts) {
+  double total = 0.0;
+  for (double part : parts) {
+    total += part;
+  }
+  double point = random_.Uniform() * total;
+  for (size_t i = 0; i < parts.size(); ++i) {
+    if (point < parts[i]) {
+      return i;
+    }
+    point -= parts[i];
+  }
+  return parts.size() - 1;
+}
+
+// The balancer sends nothing to a router that has died.
+size_t FakeTraffic::DrawRouter() {
+  std::vector<double> parts = site_->router_parts;
+  for (size_t i = 0; i < parts.size(); ++i) {
+    parts[i] = fleet_->IsAlive(i) ? parts[i] : 0.0;
+  }
+  return Draw(parts);
+}
+
+std::vector<uint64_t> FakeTraffic::MakePrefix(const TrafficClass& traffic,
+                                              size_t account) {
+  const uint64_t system =
+      CombineHashes(StableHash(traffic.route.value()), account);
+  std::vector<uint64_t> hashes;
+  for (int64_t i = 0; i < kSystemBlocks; ++i) {
+    hashes.push_back(CombineHashes(system, static_cast<uint64_t>(i)));
+  }
+  const int64_t blocks = traffic.prompt / kBlockTokens;
+  if (!traffic.is_conversation) {
+    const uint64_t own = random_.Next64();
+    while (static_cast<int64_t>(hashes.size()) < blocks) {
+      hashes.push_back(CombineHashes(own, hashes.size()));
+    }
+    return hashes;
+  }
+  Conversation& conversation =
+      conversations_[random_.Below(conversations_.size())];
+  // A conversation grows from a third of the class's prompt to five thirds.
+  if (conversation.seed == 0 || conversation.blocks > blocks * 5 / 3) {
+    conversation = {random_.Next64(), blocks / 3};
+  }
+  conversation.blocks += kTurnBlocks;
+  const uint64_t own = CombineHashes(conversation.seed, system);
+  while (static_cast<int64_t>(hashes.size()) < conversation.blocks) {
+    hashes.push_back(CombineHashes(own, hashes.size()));
+  }
+  return hashes;
+}
+
+void FakeTraffic::Send(size_t number) {
+  const TrafficClass& traffic = site_->classes[number];
+  const size_t account = Draw(accounts_);
+  RequestSpec spec;
+  spec.account = AccountId("account-" + std::to_string(account));
+  spec.route = traffic.route;
+  spec.pool = traffic.pool;
+  spec.tier = traffic.tier;
+  spec.idempotent = traffic.idempotent;
+  spec.share_hash = random_.Next64();
+  if (traffic.prompt > 0) {
+    spec.prefix_hashes = MakePrefix(traffic, account);
+    spec.prompt_tokens =
+        Tokens(static_cast<int64_t>(spec.prefix_hashes.size()) * kBlockTokens);
+  }
+  const double output = random_.LogNormal(traffic.output, traffic.output_sigma);
+  const Tokens tokens(std::max<int64_t>(1, std::llround(output)));
+  fleet_->Offer(DrawRouter(), std::move(spec), tokens, traffic.limit);
+}
+
+}  // namespace papaya::bench
--- /dev/null
+++ b/bench/scheduling_run.cc
@@ -0,0 +1,121 @@
+#include "bench/scheduling_run.h"
+
+#include <algorithm>
+#include <future>
+#include <iterator>
+
+namespace papaya::bench {
+
+namespace {
+
+constexpr double kStragglerSlowness = 4.0;
+constexpr Duration kDetection = std::chrono::seconds(5);
+// Until the longest answer has ended.
+constexpr Duration kDrainTime = std::chrono::minutes(30);
+constexpr Duration kDrainStep = std::chrono::seconds(5);
+
+void AddFaults(FakeFleet* fleet, Duration duration) {
+  fleet->loop().After(duration / 4, [fleet] {
+    for (size_t i = 0; i < fleet->engine_count(); i += 4) {
+      fleet->engine(i).SetSlowness(kStragglerSlowness);
+    }
+  });
+  fleet->loop().After(duration / 2,
+                      [fleet] { fleet->KillRouter(1, kDetection); });
+}
+
+// True if some request may still be answered in time.
+bool MayBecomeGood(const FakeFleet& fleet, TimePoint now) {
+  return std::any_of(fleet.records().begin(), fleet.records().end(),
+                     [now](const auto& item) {
+                       const FleetRecord& record = item.second;
+                       return record.ends == 0 &&
+                              (record.spec.deadline > now ||
+                               (record.began.has_value() &&
+                                *record.began <= record.spec.deadline));
+                     });
+}
+
+}  // namespace
+
+std::unique_ptr<FakeFleet> RunFleet(const SchedulingRun& run, uint64_t seed) {
+  std::unique_ptr<FakeFleet> fleet =
+      MakeFleet(run.site, run.policy, run.links, seed);
+  FakeTraffic traffic(&run.site, fleet.get(), run.load, seed + 1);
+  if (run.prepare) {
+    run.prepare(fleet.get(), &traffic);
+  }
+  if (run.has_faults) {
+    AddFaults(fleet.get(), run.duration);
+  }
+  const TimePoint end = fleet->loop().now() + run.duration;
+  traffic.Start(end);
+  fleet->loop().RunUntil(end);
+  const TimePoint last = end + kDrainTime;
+  while (fleet->loop().now() < last &&
+         MayBecomeGood(*fleet, fleet->loop().now())) {
+    fleet->loop().RunUntil(fleet->loop().now() + kDrainStep);
+  }
+  return fleet;
+}
+
+double MeanOverSeeds(const std::function<double(uint64_t seed)>& body) {
+  std::vector<std::future<double>> results;
+  for (uint64_t seed : kSeeds) {
+    results.push_back(std::async(std::launch::async, body, seed));
+  }
+  double sum = 0.0;
+  for (std::future<double>& result : results) {
+    sum += result.get();
+  }
+  return sum / static_cast<double>(std::size(kSeeds));
+}
+
+double GoodPart(const FakeFleet& fleet, Tier tier) {
+  double offered = 0.0;
+  double good = 0.0;
+  for (const auto& [id, record] : fleet.records()) {
+    if (record.spec.tier == tier) {
+      offered += 1.0;
+      good += record.IsGood() ? 1.0 : 0.0;
+    }
+  }
+  return offered > 0.0 ? good / offered : 1.0;
+}
+
+double GoodTokens(const FakeFleet& fleet) {
+  double tokens = 0.0;
+  for (const auto& [id, record] : fleet.records()) {
+    tokens += record.IsGood() && record.spec.prompt_tokens.value() > 0
+                  ? record.Value()
+                  : 0.0;
+  }
+  return tokens;
+}
+
+double ShedBeforeLower(const FakeFleet& fleet) {
+  double count = 0.0;
+  for (const auto& [id, record] : fleet.records()) {
+    count += record.spec.tier == Tier::kCritical && record.is_shed_before_lower
+                 ? 1.0
+                 : 0.0;
+  }
+  return count;
+}
+
+double FirstTokenP95(const FakeFleet& fleet) {
+  std::vector<double> seconds;
+  for (const auto& [id, record] : fleet.records()) {
+    if (record.first_token.has_value() &&
+        record.spec.prompt_tokens.value() > 0) {
+      seconds.push_back(ToSeconds(*record.first_token - record.spec.arrival));
+    }
+  }
+  if (seconds.empty()) {
+    return 0.0;
+  }
+  std::sort(seconds.begin(), seconds.end());
+  return seconds[seconds.size() * 95 / 100];
+}
+
+}  // namespace papaya::bench
--- /dev/null
+++ b/bench/scheduling_run.h
@@ -0,0 +1,53 @@
+#ifndef BENCH_SCHEDULING_RUN_H_
+#define BENCH_SCHEDULING_RUN_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "bench/baseline_policies.h"
+#include "bench/fake_fleet.h"
+#include "bench/fake_site.h"
+#include "bench/fake_traffic.h"
+
+namespace papaya::bench {
+
+// One run of a site's traffic under one policy.
+struct SchedulingRun {
+  FakeSite site;
+  PolicyKind policy = PolicyKind::kScheduler;
+  // As a part of the site's capacity.
+  double load = 1.0;
+  // One upstream in four turns slow, and one router dies.
+  bool has_faults = false;
+  Duration duration = std::chrono::seconds(180);
+  FleetLinks links;
+  // Called before the start.
+  std::function<void(FakeFleet*, FakeTraffic*)> prepare;
+};
+
+// Runs it until the traffic has ended and nothing is left to do.
+std::unique_ptr<FakeFleet> RunFleet(const SchedulingRun& run, uint64_t seed);
+
+// The seeds that figures are taken over.
+inline constexpr uint64_t kSeeds[] = {11, 22, 33, 44, 55};
+
+// The mean of `body` over kSeeds, each in a thread of its own.
+double MeanOverSeeds(const std::function<double(uint64_t seed)>& body);
+
+// Answered in time over offered, of one tier, in requests.
+double GoodPart(const FakeFleet& fleet, Tier tier);
+
+// Tokens of answers in time.
+double GoodTokens(const FakeFleet& fleet);
+
+// Requests of the highest tier refused while a lower one was served.
+double ShedBeforeLower(const FakeFleet& fleet);
+
+// The 95th percentile of seconds from arrival to the first token.
+double FirstTokenP95(const FakeFleet& fleet);
+
+}  // namespace papaya::bench
+
+#endif  // BENCH_SCHEDULING_RUN_H_
--- /dev/null
+++ b/bench/virtual_loop.h
@@ -0,0 +1,42 @@
+#ifndef BENCH_VIRTUAL_LOOP_H_
+#define BENCH_VIRTUAL_LOOP_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <utility>
+
+#include "include/base/units.h"
+
+namespace papaya::bench {
+
+// Calls functions in the order of their virtual times; those of one time in
+// the order in which they were added.
+class VirtualLoop {
+ public:
+  TimePoint now() const { return now_; }
+
+  // Calls `body` after `delay`, which must not be negative.
+  void After(Duration delay, std::function<void()> body) {
+    queue_.emplace(std::pair(now_ + delay, next_++), std::move(body));
+  }
+
+  // Runs until nothing is left, or `end` is reached.
+  void RunUntil(TimePoint end) {
+    while (!queue_.empty() && queue_.begin()->first.first <= end) {
+      auto first = queue_.extract(queue_.begin());
+      now_ = first.key().first;
+      first.mapped()();
+    }
+    now_ = end;
+  }
+
+ private:
+  TimePoint now_ = TimePoint(std::chrono::hours(1));
+  uint64_t next_ = 0;
+  std::map<std::pair<TimePoint, uint64_t>, std::function<void()>> queue_;
+};
+
+}  // namespace papaya::bench
+
+#endif  // BENCH_VIRTUAL_LOOP_H_
--- a/src/admission/group_state.h
+++ b/src/admission/group_state.h
@@ -13,6 +13,7 @@
 #include "include/routing/routing_snapshot.h"
 #include "src/admission/fair_queue.h"
 #include "src/admission/request_entry.h"
+#include "src/admission/slot_division.h"
 
 namespace papaya {
 
@@ -46,7 +47,10 @@
   std::optional<Tier> peer_short;
   int peer_short_waiting = 0;
   // Own share of the slots while others have requests waiting.
-  double allotment = 0.0;
+  TierSlots allotment{};
+
+  // How long attempts take, in seconds.
+  double attempt_seconds = 0.0;
 
   std::optional<Tier> own_short;
   // Streams are given up for other routers no oftener than reports come.
--- a/src/admission/group_table.cc
+++ b/src/admission/group_table.cc
@@ -2,49 +2,8 @@
 
 #include <algorithm>
 
-#include "src/admission/slot_division.h"
-
 namespace papaya {
 
-namespace {
-
-const GroupDemand* FindGroup(const DemandReport& report,
-                             const PoolVersion& name) {
-  for (const GroupDemand& demand : report.groups) {
-    if (demand.group == name) {
-      return &demand;
-    }
-  }
-  return nullptr;
-}
-
-RouterDemand DemandOf(const DemandReport* report, const PoolVersion& name) {
-  RouterDemand demand;
-  demand.is_known = report != nullptr;
-  const GroupDemand* group =
-      demand.is_known ? FindGroup(*report, name) : nullptr;
-  if (group == nullptr) {
-    return demand;
-  }
-  for (size_t tier = 0; tier < kTierCount; ++tier) {
-    demand.tiers[tier] =
-        group->tiers[tier].running + group->tiers[tier].waiting;
-  }
-  return demand;
-}
-
-RouterDemand OwnDemand(const GroupState& state) {
-  RouterDemand demand;
-  demand.is_known = true;
-  for (size_t tier = 0; tier < kTierCount; ++tier) {
-    demand.tiers[tier] =
-        state.running[tier] + static_cast<double>(state.queues[tier].size());
-  }
-  return demand;
-}
-
-}  // namespace
-
 int32_t GroupTable::Add(const PoolVersion& name) {
   int32_t number = static_cast<int32_t>(groups_.size());
   if (unused_.empty()) {
@@ -118,44 +77,7 @@
   }
 }
 
-double GroupTable::WorkOutAllotment(const VersionGroup& group,
-                                    const GroupState& state,
-                                    const RoutingSnapshot& snapshot,
-                                    const PeerTable& peers,
-                                    TimePoint now) const {
-  double total_slots = 0.0;
-  for (UpstreamIndex index : group.upstreams) {
-    total_slots += snapshot.upstream(index).spec.slots;
-  }
-  const RouterId& self = snapshot.self().id;
-  const RouterDemand own = OwnDemand(state);
-  double allotment = 0.0;
-  for (UpstreamIndex index : group.upstreams) {
-    const RoutedUpstream& upstream = snapshot.upstream(index);
-    // A router's demand is spread over its upstreams by their slots; the
-    // others are taken to have as many slots in reach as this one.
-    const double part = upstream.spec.slots / total_slots;
-    std::vector<RouterDemand> demands;
-    size_t own_position = 0;
-    for (const RouterId& router : upstream.routers) {
-      if (router == self) {
-        own_position = demands.size();
-      }
-      RouterDemand demand =
-          router == self ? own : DemandOf(peers.Find(router, now), state.name);
-      for (double& tier : demand.tiers) {
-        tier *= part;
-      }
-      demands.push_back(demand);
-    }
-    allotment += DivideSlots(upstream.spec.slots, demands, own_position);
-  }
-  return allotment;
-}
-
-void GroupTable::ApplyPeers(const RoutingSnapshot& snapshot,
-                            const PeerTable& peers,
-                            TimePoint now) {
+void GroupTable::ApplyPeers(const PeerTable& peers, TimePoint now) {
   for (const auto& [name, number] : numbers_) {
     GroupState& state = at(number);
     state.peer_running.fill(0);
@@ -165,10 +87,6 @@
   }
   peers.ForEach(now,
                 [this](const DemandReport& report) { AddPeerDemand(report); });
-  for (const VersionGroup& group : snapshot.groups()) {
-    GroupState& state = at(Find(group.name));
-    state.allotment = WorkOutAllotment(group, state, snapshot, peers, now);
-  }
 }
 
 }  // namespace papaya
--- a/src/admission/group_table.h
+++ b/src/admission/group_table.h
@@ -32,20 +32,12 @@
   // Numbers run from 0 to below this; some may be unused.
   size_t size() const { return groups_.size(); }
 
-  // Works out anew what the reports of other routers say, and with it the own
-  // share of each group's slots.
-  void ApplyPeers(const RoutingSnapshot& snapshot,
-                  const PeerTable& peers,
-                  TimePoint now);
+  // Works out anew what the reports of other routers say.
+  void ApplyPeers(const PeerTable& peers, TimePoint now);
 
  private:
   int32_t Add(const PoolVersion& name);
   void AddPeerDemand(const DemandReport& report);
-  double WorkOutAllotment(const VersionGroup& group,
-                          const GroupState& state,
-                          const RoutingSnapshot& snapshot,
-                          const PeerTable& peers,
-                          TimePoint now) const;
 
   std::vector<std::unique_ptr<GroupState>> groups_;
   std::vector<int32_t> unused_;
--- a/src/admission/scheduler_core.cc
+++ b/src/admission/scheduler_core.cc
@@ -14,6 +14,8 @@
 constexpr double kPromptCost = 0.1;
 // Attempts at one request that may fail.
 constexpr int kMaxAttempts = 4;
+// How much of a new attempt's time goes into the usual one.
+constexpr double kAttemptStep = 0.05;
 // What a caller is told to wait before it tries again.
 constexpr Duration kRetryAfter = std::chrono::seconds(1);
 
@@ -181,14 +183,21 @@
 }
 
 void SchedulerCore::Dispatch(int32_t number, TimePoint now) {
+  GroupState& group = groups_.at(number);
+  ExpireDue(&group, now);
+  // Own slots that have just become free go first: by the others' reports
+  // they may seem to be anybody's.
+  DispatchTiers(&group, now);
   if (has_peer_news_) {
     ApplyPeers(now);
+    DispatchTiers(&group, now);
   }
-  GroupState& group = groups_.at(number);
-  ExpireDue(&group, now);
+}
+
+void SchedulerCore::DispatchTiers(GroupState* group, TimePoint now) {
   for (Tier tier : kAllTiers) {
-    DispatchTier(&group, tier, now);
-    if (group.queues[TierIndex(tier)].size() > 0) {
+    DispatchTier(group, tier, now);
+    if (group->queues[TierIndex(tier)].size() > 0) {
       return;
     }
   }
@@ -204,7 +213,8 @@
   if (group.peer_short.has_value() && tier > *group.peer_short) {
     return false;
   }
-  return !group.IsContended() || group.Running() < group.allotment;
+  const size_t index = TierIndex(tier);
+  return !group.IsContended() || group.running[index] < group.allotment[index];
 }
 
 void SchedulerCore::DispatchTier(GroupState* group, Tier tier, TimePoint now) {
@@ -212,7 +222,7 @@
   while (queue.size() > 0 && MayDispatch(*group, tier)) {
     RequestEntry* entry = queue.Front();
     const UpstreamChooser::Choice choice =
-        chooser_.Choose(*entry, group->upstreams, now);
+        chooser_.Choose(*entry, group->upstreams, group->IsContended(), now);
     if (choice.upstream < 0) {
       return;
     }
@@ -292,6 +302,9 @@
     return;
   }
   upstreams_.OnAttemptEnd(entry->upstream, /*failed=*/false, now);
+  double& usual = groups_.at(group).attempt_seconds;
+  const double seconds = ToSeconds(now - entry->dispatched);
+  usual += (seconds - usual) * (usual > 0.0 ? kAttemptStep : 1.0);
   if (entry->spec.prompt_tokens.value() > 0) {
     lengths_.Learn(entry->spec.account, entry->spec.route,
                    result.output_tokens);
--- a/src/admission/scheduler_core.h
+++ b/src/admission/scheduler_core.h
@@ -63,6 +63,7 @@
 
   // Dispatches from the queues of a group what may be dispatched now.
   void Dispatch(int32_t group, TimePoint now);
+  void DispatchTiers(GroupState* group, TimePoint now);
   void DispatchTier(GroupState* group, Tier tier, TimePoint now);
   bool MayDispatch(const GroupState& group, Tier tier) const;
   void Begin(RequestEntry* entry,
--- a/src/admission/scheduler_pressure.cc
+++ b/src/admission/scheduler_pressure.cc
@@ -9,6 +9,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "src/admission/scheduler_core.h"
+#include "src/admission/slot_planner.h"
 
 namespace papaya {
 
@@ -81,7 +82,13 @@
     return;
   }
   upstreams_.ApplyPeers(*snapshot_, peers_, now);
-  groups_.ApplyPeers(*snapshot_, peers_, now);
+  groups_.ApplyPeers(peers_, now);
+  SlotPlanner planner(snapshot_.get(), &peers_, options_.report_interval, now,
+                      &upstreams_);
+  for (const VersionGroup& group : snapshot_->groups()) {
+    GroupState& state = groups_.at(groups_.Find(group.name));
+    planner.Plan(group, &state);
+  }
 }
 
 void SchedulerCore::OnTick(TimePoint now) {
--- a/src/admission/slot_division.cc
+++ b/src/admission/slot_division.cc
@@ -1,34 +1,57 @@
 #include "src/admission/slot_division.h"
 
-#include <cassert>
-
 namespace papaya {
 
-double DivideSlots(double slots,
-                   const std::vector<RouterDemand>& routers,
-                   size_t self) {
-  assert(self < routers.size() && routers[self].is_known);
+namespace {
+
+// Gives each known router what it asks for in `tier`, or as much of `left` in
+// proportion as there is. Returns what is left then.
+double Grant(const std::vector<RouterDemand>& routers,
+             Tier tier,
+             double left,
+             std::vector<TierSlots>* shares) {
+  double demand = 0.0;
+  for (const RouterDemand& router : routers) {
+    demand += router.is_known ? router.tiers[TierIndex(tier)] : 0.0;
+  }
+  if (demand <= 0.0) {
+    return left;
+  }
+  const double part = demand > left ? left / demand : 1.0;
+  for (size_t i = 0; i < routers.size(); ++i) {
+    if (routers[i].is_known) {
+      (*shares)[i][TierIndex(tier)] = part * routers[i].tiers[TierIndex(tier)];
+    }
+  }
+  return left - part * demand;
+}
+
+}  // namespace
+
+std::vector<TierSlots> DivideSlots(double slots,
+                                   const std::vector<RouterDemand>& routers) {
+  std::vector<TierSlots> shares(routers.size(), TierSlots{});
+  if (routers.empty()) {
+    return shares;
+  }
   const double even_share = slots / static_cast<double>(routers.size());
   double left = slots;
   double known = 0.0;
-  for (const RouterDemand& router : routers) {
-    left -= router.is_known ? 0.0 : even_share;
-    known += router.is_known ? 1.0 : 0.0;
+  for (size_t i = 0; i < routers.size(); ++i) {
+    if (routers[i].is_known) {
+      known += 1.0;
+    } else {
+      shares[i].back() = even_share;
+      left -= even_share;
+    }
   }
-  double own = 0.0;
   for (Tier tier : kAllTiers) {
-    double demand = 0.0;
-    for (const RouterDemand& router : routers) {
-      demand += router.is_known ? router.tiers[TierIndex(tier)] : 0.0;
-    }
-    const double own_demand = routers[self].tiers[TierIndex(tier)];
-    if (demand > left) {
-      return own + left * (own_demand / demand);
-    }
-    own += own_demand;
-    left -= demand;
+    left = Grant(routers, tier, left, &shares);
+  }
+  for (size_t i = 0; i < routers.size(); ++i) {
+    shares[i].back() += routers[i].is_known ? left / known : 0.0;
   }
-  return own + left / known;
+  return shares;
 }
 
 }  // namespace papaya
--- a/src/admission/slot_division.h
+++ b/src/admission/slot_division.h
@@ -17,13 +17,16 @@
   std::array<double, kTierCount> tiers{};
 };
 
-// The slots of routers[self] when `slots` are divided among `routers`: upper
-// tiers first, within a tier in proportion to demand, what is left over
-// evenly. Routers that were not heard are left an even share. The shares of
-// all sum to `slots`; all routers that know the same come to the same result.
-double DivideSlots(double slots,
-                   const std::vector<RouterDemand>& routers,
-                   size_t self);
+// Slots by tier; fractions are kept.
+using TierSlots = std::array<double, kTierCount>;
+
+// The slots of each router when `slots` are divided among `routers`: upper
+// tiers first, within a tier in proportion to demand. What is left over counts
+// for the lowest tier and is spread evenly. Routers that were not heard are
+// left an even share. The shares sum to `slots`; all routers that know the same
+// come to the same result.
+std::vector<TierSlots> DivideSlots(double slots,
+                                   const std::vector<RouterDemand>& routers);
 
 }  // namespace papaya
 
--- a/src/admission/upstream_chooser.cc
+++ b/src/admission/upstream_chooser.cc
@@ -66,11 +66,12 @@
 void UpstreamChooser::Consider(const RequestEntry& entry,
                                const Cached& cached,
                                int32_t number,
+                               bool is_contended,
                                TimePoint now,
                                double* best,
                                Choice* choice) const {
   const UpstreamState& state = upstreams_->at(number);
-  if (!state.IsOpen(now) || !state.HasRoom()) {
+  if (!state.IsOpen(now) || !state.HasRoom(is_contended)) {
     return;
   }
   const double prompt = static_cast<double>(entry.spec.prompt_tokens.value());
@@ -92,6 +93,7 @@
 UpstreamChooser::Choice UpstreamChooser::Choose(
     const RequestEntry& entry,
     const std::vector<int32_t>& numbers,
+    bool is_contended,
     TimePoint now) const {
   Choice choice;
   if (numbers.empty()) {
@@ -105,8 +107,8 @@
   size_t with_room = 0;
   for (size_t i = 0; i < numbers.size() && with_room < kCandidates; ++i) {
     const int32_t number = numbers[(start + i) % numbers.size()];
-    with_room += upstreams_->at(number).HasRoom() ? 1 : 0;
-    Consider(entry, cached, number, now, &best, &choice);
+    with_room += upstreams_->at(number).HasRoom(is_contended) ? 1 : 0;
+    Consider(entry, cached, number, is_contended, now, &best, &choice);
   }
   if (numbers.size() <= kCandidates) {
     return choice;
@@ -114,7 +116,7 @@
   for (size_t i = 0; i < cached.count; ++i) {
     const int32_t holder = cached.matches[i].upstream;
     if (std::find(numbers.begin(), numbers.end(), holder) != numbers.end()) {
-      Consider(entry, cached, holder, now, &best, &choice);
+      Consider(entry, cached, holder, is_contended, now, &best, &choice);
     }
   }
   return choice;
--- a/src/admission/upstream_chooser.h
+++ b/src/admission/upstream_chooser.h
@@ -29,9 +29,12 @@
     bool is_probe = false;
   };
 
-  // One of `numbers`, the upstreams of one group, for `entry`.
+  // One of `numbers`, the upstreams of one group, for `entry`; if
+  // `is_contended`, within the limits that the division with other routers
+  // sets.
   Choice Choose(const RequestEntry& entry,
                 const std::vector<int32_t>& numbers,
+                bool is_contended,
                 TimePoint now) const;
 
  private:
@@ -48,6 +51,7 @@
   void Consider(const RequestEntry& entry,
                 const Cached& cached,
                 int32_t number,
+                bool is_contended,
                 TimePoint now,
                 double* best,
                 Choice* choice) const;
--- a/src/admission/upstream_state.h
+++ b/src/admission/upstream_state.h
@@ -32,10 +32,14 @@
   double prefill = 0.0;
 
   // The same of other routers, by their latest reports.
-  int peer_running = 0;
+  double peer_running = 0.0;
   double peer_prefill = 0.0;
   // Slots that routers without news are reckoned to fill.
   double silent_running = 0.0;
+  // Own share of its slots in the division with the other routers.
+  double share = 0.0;
+  // Own attempts that may run there while routers have to share its slots.
+  int limit = 0;
   bool suspected_by_peer = false;
 
   // This router has seen that it is leaving; then no new work goes there.
@@ -59,7 +63,11 @@
   double TotalRunning() const {
     return running + peer_running + silent_running;
   }
-  bool HasRoom() const { return TotalRunning() < slots; }
+  // True if one more own attempt may go there. If `is_contended`, other routers
+  // wait for its slots.
+  bool HasRoom(bool is_contended) const {
+    return is_contended ? running < limit : TotalRunning() < slots;
+  }
 
   // True if new work may go there, if there is room.
   bool IsOpen(TimePoint now) const {
--- a/src/admission/upstream_table.cc
+++ b/src/admission/upstream_table.cc
@@ -82,6 +82,8 @@
     at(item.second) = UpstreamState();
     return true;
   });
+  // The table's own order differs between runs.
+  std::sort(unused_.begin(), unused_.end());
   std::erase_if(kinds_,
                 [](const auto& item) { return item.second.use_count() == 1; });
 }
@@ -95,7 +97,7 @@
                                const PeerTable& peers,
                                TimePoint now) {
   for (const std::unique_ptr<UpstreamState>& state : states_) {
-    state->peer_running = 0;
+    state->peer_running = 0.0;
     state->peer_prefill = 0.0;
     state->silent_running = 0.0;
     state->suspected_by_peer = false;
