Set how release notes are carried out per fleet: [rollout]

Cause: the time to load a version, the weight store's rate and the shortest judged move differ by fleet, and the demo can't wait ten minutes. Change: a [rollout] section; CheckReleaseNote, NoteBook and NoteRunnerOptions take the shortest judged move, with the old constant as default.

--- a/include/rollout/note_book.h
+++ b/include/rollout/note_book.h
@@ -12,6 +12,7 @@
 #include "include/base/units.h"
 #include "include/config/object_store.h"
 #include "include/rollout/note_record.h"
+#include "include/rollout/release_note.h"
 
 namespace papaya {
 
@@ -55,10 +56,11 @@
       std::function<void(absl::Status, std::vector<StoredNote> notes)>;
 
   // `store` must outlive the book, and the book all its calls. `chart` is
-  // charts/release_note.chart.
+  // charts/release_note.chart. Texts are checked with `shortest_judged_move`.
   NoteBook(ObjectStore* store,
            const std::string& prefix,
-           std::shared_ptr<const StateChart> chart);
+           std::shared_ptr<const StateChart> chart,
+           Duration shortest_judged_move = kShortestJudgedMove);
 
   // Checks the text against the configuration in the store and creates the
   // note, waiting.
@@ -103,6 +105,7 @@
   ObjectStore* const store_;
   const std::string prefix_;
   const std::shared_ptr<const StateChart> chart_;
+  const Duration shortest_judged_move_;
 };
 
 }  // namespace papaya
--- a/include/rollout/note_plan.h
+++ b/include/rollout/note_plan.h
@@ -13,9 +13,6 @@
 
 namespace papaya {
 
-// A version that has to be judged needs at least this long.
-inline constexpr Duration kShortestJudgedMove = std::chrono::minutes(10);
-
 // One step of moving a pool.
 struct Stage {
   // Replicas of the new version that take part.
--- a/include/rollout/note_runner.h
+++ b/include/rollout/note_runner.h
@@ -18,6 +18,7 @@
 #include "include/rollout/note_book.h"
 #include "include/rollout/note_lease.h"
 #include "include/rollout/note_record.h"
+#include "include/rollout/release_note.h"
 #include "include/rollout/stop_fact.h"
 #include "include/telemetry/event.h"
 
@@ -42,6 +43,8 @@
   // Requests of the old version that were under way get this long before it is
   // unloaded.
   Duration drain_time = std::chrono::seconds(30);
+  // A note that leaves a judged version less time than this does not begin.
+  Duration shortest_judged_move = kShortestJudgedMove;
   // Ended notes that are kept in the store.
   int kept_notes = 50;
 };
--- a/include/settings/router_settings.h
+++ b/include/settings/router_settings.h
@@ -58,6 +58,19 @@
   int max_claims = 20000;
 };
 
+// How release notes are carried out. The same on all routers of a fleet.
+struct RolloutSettings {
+  // A note that brings in a new version is refused if it leaves less time.
+  Duration shortest_move = std::chrono::minutes(10);
+  // Loading one version from the weight store takes about this long.
+  Duration load_time = std::chrono::seconds(60);
+  // Loads that the weight store serves at the same time.
+  int concurrent_loads = 4;
+  // Requests of the old version that were under way get this long before it is
+  // unloaded.
+  Duration drain_time = std::chrono::seconds(30);
+};
+
 // The settings of one router process, checked.
 struct RouterSettings {
   FleetId fleet;
@@ -85,6 +98,7 @@
   std::vector<AccountSettings> accounts;
   std::vector<RouteSettings> routes;
   LimitSettings limits;
+  RolloutSettings rollout;
 };
 
 // Reads settings from INI `text`; `file` names it in faults. Fails with
--- a/src/daemon/note_pages.cc
+++ b/src/daemon/note_pages.cc
@@ -100,8 +100,12 @@
 
 }  // namespace
 
-NotePages::NotePages(NoteBook* book, PresentHook present)
-    : book_(*book), present_(std::move(present)) {}
+NotePages::NotePages(NoteBook* book,
+                     PresentHook present,
+                     Duration shortest_judged_move)
+    : book_(*book),
+      present_(std::move(present)),
+      shortest_judged_move_(shortest_judged_move) {}
 
 asio::awaitable<HttpResponse> NotePages::Handle(HttpRequest request) {
   const std::string path = PathOfTarget(request.target);
@@ -126,7 +130,7 @@
 HttpResponse NotePages::Check(const std::string& text) const {
   const std::shared_ptr<const FleetConfig> present = present_();
   const std::vector<TextFault> faults =
-      CheckReleaseNote(text, present.get(), WallNow());
+      CheckReleaseNote(text, present.get(), WallNow(), shortest_judged_move_);
   return faults.empty() ? JsonResponse(200, "{}")
                         : JsonResponse(422, FaultsToJson(faults));
 }
--- a/src/daemon/note_pages.h
+++ b/src/daemon/note_pages.h
@@ -8,6 +8,7 @@
 
 #include "include/config/fleet_config.h"
 #include "include/rollout/note_book.h"
+#include "include/rollout/release_note.h"
 #include "include/wire/http_message.h"
 
 namespace papaya {
@@ -19,8 +20,11 @@
   // The configuration in force; null on an empty fleet.
   using PresentHook = std::function<std::shared_ptr<const FleetConfig>()>;
 
-  // `book` must outlive the pages and the answers in progress.
-  NotePages(NoteBook* book, PresentHook present);
+  // `book` must outlive the pages and the answers in progress; it was made with
+  // the same `shortest_judged_move`.
+  NotePages(NoteBook* book,
+            PresentHook present,
+            Duration shortest_judged_move = kShortestJudgedMove);
 
   // Answers one request whose path starts with `/v1/notes`.
   boost::asio::awaitable<HttpResponse> Handle(HttpRequest request);
@@ -33,6 +37,7 @@
 
   NoteBook& book_;
   const PresentHook present_;
+  const Duration shortest_judged_move_;
 };
 
 }  // namespace papaya
--- a/src/daemon/rollout_plane.cc
+++ b/src/daemon/rollout_plane.cc
@@ -31,6 +31,15 @@
   return ids;
 }
 
+NoteRunnerOptions RunnerOptionsOf(const RolloutSettings& settings) {
+  NoteRunnerOptions options;
+  options.load_time = settings.load_time;
+  options.concurrent_loads = settings.concurrent_loads;
+  options.drain_time = settings.drain_time;
+  options.shortest_judged_move = settings.shortest_move;
+  return options;
+}
+
 }  // namespace
 
 RolloutPlane::RolloutPlane(boost::asio::io_context& context,
@@ -44,7 +53,10 @@
       hooks_(std::move(hooks)),
       random_(seed),
       orders_(context),
-      book_(store, settings.store_prefix, note_chart),
+      book_(store,
+            settings.store_prefix,
+            note_chart,
+            settings.rollout.shortest_move),
       stats_(settings.router, incarnation),
       judge_(VersionJudgeOptions(),
              [this](const StopFact& fact) { hooks_.stop(fact); }),
@@ -52,7 +64,7 @@
               settings.store_prefix,
               OwnerName(settings, incarnation),
               std::move(note_chart),
-              NoteRunnerOptions(),
+              RunnerOptionsOf(settings.rollout),
               MakeRunnerHooks(),
               &random_) {}
 
--- a/src/rollout/note_book.cc
+++ b/src/rollout/note_book.cc
@@ -59,8 +59,12 @@
 
 NoteBook::NoteBook(ObjectStore* store,
                    const std::string& prefix,
-                   std::shared_ptr<const StateChart> chart)
-    : store_(store), prefix_(prefix), chart_(std::move(chart)) {}
+                   std::shared_ptr<const StateChart> chart,
+                   Duration shortest_judged_move)
+    : store_(store),
+      prefix_(prefix),
+      chart_(std::move(chart)),
+      shortest_judged_move_(shortest_judged_move) {}
 
 std::string NoteBook::KeyOf(const NoteId& id) const {
   return absl::StrCat(prefix_, "/notes/", id.value());
@@ -168,7 +172,8 @@
     std::function<void(std::vector<TextFault>, absl::Status)> done) {
   store_->Get(
       absl::StrCat(prefix_, "/config"),
-      [request, wall, done](const absl::StatusOr<StoredObject>& got) {
+      [request, wall, done, shortest = shortest_judged_move_](
+          const absl::StatusOr<StoredObject>& got) {
         std::optional<FleetConfig> present;
         if (got.ok()) {
           absl::StatusOr<FleetConfig> parsed = ParseFleetConfigJson(got->value);
@@ -181,8 +186,8 @@
           done({}, got.status());
           return;
         }
-        std::vector<TextFault> faults =
-            CheckReleaseNote(request.text, present ? &*present : nullptr, wall);
+        std::vector<TextFault> faults = CheckReleaseNote(
+            request.text, present ? &*present : nullptr, wall, shortest);
         const absl::Status status =
             faults.empty() ? absl::OkStatus()
                            : NoteError(absl::StatusCode::kInvalidArgument,
--- a/src/rollout/note_check.cc
+++ b/src/rollout/note_check.cc
@@ -19,11 +19,13 @@
   NoteChecker(const ReleaseNote& note,
               const FleetConfig& present,
               WallTime wall,
+              Duration shortest_judged_move,
               std::vector<TextFault>* faults)
       : note_(note),
         present_(present),
         target_(ApplyNote(note, present)),
         wall_(wall),
+        shortest_judged_move_(shortest_judged_move),
         faults_(faults) {}
 
   void CheckAll() {
@@ -54,10 +56,10 @@
       return;
     }
     const NotePlan plan(NoteId("check"), note_, present_);
-    if (plan.IsJudged() && note_.traffic_by - wall_ < kShortestJudgedMove) {
-      Add(1,
-          "traffic_by: a new version needs at least 10 min to be judged; give "
-          "a later time");
+    if (plan.IsJudged() && note_.traffic_by - wall_ < shortest_judged_move_) {
+      Add(1, absl::StrCat("traffic_by: a new version needs at least ",
+                          ToSeconds(shortest_judged_move_),
+                          " s to be judged; give a later time"));
     }
     if (note_.bake && *note_.bake > (note_.traffic_by - wall_) / 2) {
       Add(1, "bake: takes more than half of the time up to traffic_by");
@@ -215,6 +217,7 @@
   const FleetConfig& present_;
   const FleetConfig target_;
   const WallTime wall_;
+  const Duration shortest_judged_move_;
   std::vector<TextFault>* const faults_;
 };
 
@@ -222,11 +225,13 @@
 
 std::vector<TextFault> CheckReleaseNote(const std::string& text,
                                         const FleetConfig* present,
-                                        WallTime wall) {
+                                        WallTime wall,
+                                        Duration shortest_judged_move) {
   std::vector<TextFault> faults;
   const ReleaseNote note = ReleaseNote::Parse(text, &faults);
   const FleetConfig empty;
-  NoteChecker(note, present != nullptr ? *present : empty, wall, &faults)
+  NoteChecker(note, present != nullptr ? *present : empty, wall,
+              shortest_judged_move, &faults)
       .CheckAll();
   std::stable_sort(
       faults.begin(), faults.end(),
--- a/src/rollout/note_mover.cc
+++ b/src/rollout/note_mover.cc
@@ -119,7 +119,8 @@
 void NoteMover::Begin() {
   NoteRecord record = note_->record;
   const std::vector<TextFault> faults =
-      CheckReleaseNote(record.text, &context_.desk->config(), wall_);
+      CheckReleaseNote(record.text, &context_.desk->config(), wall_,
+                       context_.options->shortest_judged_move);
   if (!faults.empty()) {
     record.reason = absl::StrCat("could not begin: line ", faults.front().line,
                                  ": ", faults.front().message);
--- a/src/settings/router_settings.cc
+++ b/src/settings/router_settings.cc
@@ -18,7 +18,7 @@
 constexpr Duration kDefaultAttemptTimeout = std::chrono::seconds(60);
 
 constexpr const char* kSectionsExpected =
-    "[router], [store], [limits], [account NAME] or [route NAME]";
+    "[router], [store], [limits], [rollout], [account NAME] or [route NAME]";
 
 // Reads one `[kind NAME]` section and appends it to `list`.
 template <typename T, typename Id>
@@ -54,6 +54,7 @@
             {"router", &SettingsReader::ReadRouter},
             {"store", &SettingsReader::ReadStore},
             {"limits", &SettingsReader::ReadLimits},
+            {"rollout", &SettingsReader::ReadRollout},
             {"account", &SettingsReader::ReadAccount},
             {"route", &SettingsReader::ReadRoute},
         };
@@ -96,6 +97,10 @@
     ReadSection(section, LimitRules(), settings_.limits, faults_);
   }
 
+  void ReadRollout(const IniSection& section) {
+    ReadSection(section, RolloutRules(), settings_.rollout, faults_);
+  }
+
   void ReadAccount(const IniSection& section) {
     ReadNamedSection(section, AccountRules(), AccountSettings(),
                      &AccountSettings::id, settings_.accounts, faults_);
--- a/src/settings/router_settings_rules.cc
+++ b/src/settings/router_settings_rules.cc
@@ -13,6 +13,7 @@
 
 constexpr int kMaxThreads = 64;
 constexpr int kMaxWeight = 1000;
+constexpr int kMaxConcurrentLoads = 1000;
 constexpr int kMaxCount = 10'000'000;
 constexpr size_t kMinSecretLength = 16;
 constexpr size_t kMaxPrefixLength = 64;
@@ -216,6 +217,21 @@
   return rules;
 }
 
+const std::vector<KeyRule<RolloutSettings>>& RolloutRules() {
+  using S = RolloutSettings;
+  static const std::vector<KeyRule<S>>& rules = *new std::vector<KeyRule<S>>{
+      {"shortest_move", kOptional, kDurationExpected,
+       ParsedInto(&S::shortest_move, ParseDuration)},
+      {"load_time", kOptional, kDurationExpected,
+       ParsedInto(&S::load_time, ParseDuration)},
+      {"concurrent_loads", kOptional, "a whole number from 1 to 1000",
+       NumberInto(&S::concurrent_loads, kMaxConcurrentLoads)},
+      {"drain_time", kOptional, kDurationExpected,
+       ParsedInto(&S::drain_time, ParseDuration)},
+  };
+  return rules;
+}
+
 const std::vector<KeyRule<AccountSettings>>& AccountRules() {
   using S = AccountSettings;
   static const std::vector<KeyRule<S>>& rules = *new std::vector<KeyRule<S>>{
--- a/src/settings/router_settings_rules.h
+++ b/src/settings/router_settings_rules.h
@@ -12,6 +12,7 @@
 const std::vector<KeyRule<RouterSettings>>& RouterRules();
 const std::vector<KeyRule<RouterSettings>>& StoreRules();
 const std::vector<KeyRule<LimitSettings>>& LimitRules();
+const std::vector<KeyRule<RolloutSettings>>& RolloutRules();
 const std::vector<KeyRule<AccountSettings>>& AccountRules();
 const std::vector<KeyRule<RouteSettings>>& RouteRules();
 
