--- a/src/rollout/note_mover.cc
+++ b/src/rollout/note_mover.cc
@@ -138,12 +138,10 @@
 
 void NoteMover::Move() {
   const NoteRecord& record = note_->record;
-  const ReleaseNote note = ParseAccepted(record.text);
-  if (!CaptureMore(note)) {
+  if (!RefreshPlan()) {
     return;
   }
-  const NotePlan plan(record.id, note,
-                      RestoreBefore(context_.desk->config(), record.before));
+  const NotePlan& plan = *plan_;
   if (!HeedRevision(plan) || !HeedStops(plan) || !HeedDeadline(plan)) {
     return;
   }
@@ -155,8 +153,7 @@
   if (!PrepareEngines(plan)) {
     return;
   }
-  if (!context_.desk->Publish(plan.StageConfig(
-          static_cast<size_t>(record.stage), record.set_aside))) {
+  if (!context_.desk->Publish(stage_config_)) {
     return;
   }
   if (!ActivateEngines(plan)) {
@@ -166,6 +163,25 @@
   PreloadNext(plan);
 }
 
+bool NoteMover::RefreshPlan() {
+  const std::pair<ObjectVersion, Revision> basis(
+      note_->version, context_.desk->config().revision);
+  if (plan_ != nullptr && plan_basis_ == basis) {
+    return true;
+  }
+  const NoteRecord& record = note_->record;
+  const ReleaseNote note = ParseAccepted(record.text);
+  if (!CaptureMore(note)) {
+    return false;
+  }
+  plan_ = std::make_unique<const NotePlan>(
+      record.id, note, RestoreBefore(context_.desk->config(), record.before));
+  plan_basis_ = basis;
+  stage_config_ =
+      plan_->StageConfig(static_cast<size_t>(record.stage), record.set_aside);
+  return true;
+}
+
 bool NoteMover::CaptureMore(const ReleaseNote& note) {
   NoteRecord record = note_->record;
   NoteBefore before =
--- a/src/rollout/note_mover.h
+++ b/src/rollout/note_mover.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "include/base/ids.h"
@@ -53,6 +54,7 @@
   void Finish(const NotePlan& plan);
 
   // Each gives true if there is nothing more to do in its part.
+  bool RefreshPlan();
   bool CaptureMore(const ReleaseNote& note);
   bool HeedRevision(const NotePlan& plan);
   bool HeedStops(const NotePlan& plan);
@@ -88,6 +90,12 @@
   WallTime wall_;
   bool has_saved_ = false;
 
+  // The plan and its configuration for the present stage, worked out anew when
+  // the note or the configuration in the store is another.
+  std::unique_ptr<const NotePlan> plan_;
+  FleetConfig stage_config_;
+  std::pair<ObjectVersion, Revision> plan_basis_;
+
   // When this holder first found all traffic moved, or began to take back: what
   // engines say counts from then on.
   std::optional<TimePoint> settled_since_;
--- a/src/rollout/note_mover_engines.cc
+++ b/src/rollout/note_mover_engines.cc
@@ -121,11 +121,8 @@
 // An upstream that an earlier text or stage had moved serves the old version
 // again before it is given the old version's work.
 bool NoteMover::ReturnToOld(const NotePlan& plan, const PoolMove& move) {
-  const NoteRecord& record = note_->record;
-  const FleetConfig wanted =
-      plan.StageConfig(static_cast<size_t>(record.stage), record.set_aside);
   bool is_ready = true;
-  for (const UpstreamSpec& upstream : wanted.upstreams) {
+  for (const UpstreamSpec& upstream : stage_config_.upstreams) {
     const bool is_old =
         upstream.pool == move.pool && upstream.version == move.from;
     if (is_old && !IsLabelled(upstream.id, move.from)) {
--- a/src/rollout/note_runner.cc
+++ b/src/rollout/note_runner.cc
@@ -28,13 +28,14 @@
          std::tie(b->record.submitted, b->record.id);
 }
 
-// The pools that a note needs for itself.
-std::vector<PoolId> PoolsOf(const NoteRecord& record,
-                            const FleetConfig& config) {
-  std::vector<TextFault> faults;
-  const ReleaseNote note = ReleaseNote::Parse(record.text, &faults);
-  return CaptureBefore(note, config, record.before).pools;
-}
+// What a note asks for that the runner itself needs to know.
+struct NoteNeeds {
+  ObjectVersion note;
+  Revision config;
+  // The pools that it needs for itself.
+  std::vector<PoolId> pools;
+  WallTime traffic_by;
+};
 
 }  // namespace
 
@@ -113,6 +114,7 @@
     next_list_ = now_;
     notes_.clear();
     movers_.clear();
+    needs_.clear();
     saving_.clear();
     ++term_;
     desk_.Forget();
@@ -168,23 +170,33 @@
                           });
     busy_pools_.clear();
     for (const StoredNote* const note : active) {
-      const std::vector<PoolId> pools = PoolsOf(note->record, desk_.config());
+      const NoteNeeds& needs = NeedsOf(*note);
+      const std::vector<PoolId>& pools = needs.pools;
       const bool is_free = std::none_of(
           pools.begin(), pools.end(),
           [this](const PoolId& pool) { return busy_pools_.contains(pool); });
       busy_pools_.insert(pools.begin(), pools.end());
       // One that waits for its pools past its time can only end.
-      const bool may_step =
-          is_free || note->record.state != kNoteWaiting || IsPast(note->record);
+      const bool may_step = is_free || note->record.state != kNoteWaiting ||
+                            needs.traffic_by <= wall_;
       if (may_step && !saving_.contains(note->record.id)) {
         StepNote(note->record.id);
       }
     }
   }
 
-  bool IsPast(const NoteRecord& record) const {
+  const NoteNeeds& NeedsOf(const StoredNote& note) {
+    NoteNeeds& needs = needs_[note.record.id];
+    if (needs.note == note.version && needs.config == desk_.config().revision) {
+      return needs;
+    }
     std::vector<TextFault> faults;
-    return ReleaseNote::Parse(record.text, &faults).traffic_by <= wall_;
+    const ReleaseNote text = ReleaseNote::Parse(note.record.text, &faults);
+    needs.note = note.version;
+    needs.config = desk_.config().revision;
+    needs.pools = CaptureBefore(text, desk_.config(), note.record.before).pools;
+    needs.traffic_by = text.traffic_by;
+    return needs;
   }
 
   void StepNote(const NoteId& id) {
@@ -231,6 +243,7 @@
     }
     if (IsFinalNoteState(result.note.record.state)) {
       movers_.erase(id);
+      needs_.erase(id);
       evidence_.erase(id);
       stops_.Forget(id);
       settle_until_ = now_ + options_.drain_time;
@@ -323,6 +336,7 @@
   std::map<NoteId, StoredNote> notes_;
   std::map<NoteId, std::unique_ptr<NoteMover>> movers_;
   std::map<NoteId, SaveState> saving_;
+  std::map<NoteId, NoteNeeds> needs_;
   std::set<PoolId> busy_pools_;
   TimePoint next_audit_;
   // Until then work of the old version may still be under way.
--- /dev/null
+++ b/tests/fakes/fake_rollout_fleet.h
@@ -0,0 +1,462 @@
+#ifndef TESTS_FAKES_FAKE_ROLLOUT_FLEET_H_
+#define TESTS_FAKES_FAKE_ROLLOUT_FLEET_H_
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "include/base/random.h"
+#include "include/chart/state_chart.h"
+#include "include/config/fleet_config_json.h"
+#include "include/rollout/note_book.h"
+#include "include/rollout/note_runner.h"
+#include "include/rollout/stop_fact.h"
+#include "include/rollout/version_judge.h"
+#include "include/rollout/version_stats.h"
+#include "tests/fakes/fake_object_store.h"
+
+namespace papaya {
+
+inline constexpr char kFakePrefix[] = "fleet";
+
+// One engine behind orders: what it has loaded, and which orders it takes.
+struct FakeEngine {
+  EngineState state;
+  bool checks_fencing = true;
+  bool is_alive = true;
+  std::map<VersionId, TimePoint> loads_ready;
+
+  // What the engine does with an order that reaches it at `now`.
+  absl::Status Take(const EngineOrder& order, TimePoint now, Duration load) {
+    if (checks_fencing && order.fencing < state.fencing) {
+      return absl::AbortedError("old fencing number");
+    }
+    state.fencing = checks_fencing ? order.fencing : FencingNumber(0);
+    const VersionId version(order.argument);
+    const bool has = HasLoaded(version);
+    switch (order.action) {
+      case OrderAction::kLoadVersion:
+        if (!has && !loads_ready.contains(version)) {
+          loads_ready[version] = now + load;
+          state.loading.push_back(version);
+        }
+        break;
+      case OrderAction::kActivateVersion:
+        if (!has) {
+          return absl::FailedPreconditionError("not loaded");
+        }
+        state.active = version;
+        break;
+      case OrderAction::kUnloadVersion:
+        if (state.active != version) {
+          std::erase(state.loaded, version);
+        }
+        break;
+      case OrderAction::kLoadAdapter:
+        state.adapters.push_back(order.argument);
+        break;
+      case OrderAction::kSetRole:
+        state.role = order.argument;
+        break;
+    }
+    return absl::OkStatus();
+  }
+
+  bool HasLoaded(const VersionId& version) const {
+    return std::find(state.loaded.begin(), state.loaded.end(), version) !=
+           state.loaded.end();
+  }
+
+  void FinishLoads(TimePoint now) {
+    std::erase_if(loads_ready, [this, now](const auto& load) {
+      if (load.second > now) {
+        return false;
+      }
+      std::erase(state.loading, load.first);
+      state.loaded.push_back(load.first);
+      return true;
+    });
+  }
+};
+
+// What an upstream does with one request.
+struct FakeReply {
+  bool failed = false;
+  Duration latency{};
+};
+
+struct FakeRollout;
+
+// One router: its cores and what it has learnt.
+struct FakeRouter {
+  RouterId id;
+  std::unique_ptr<FakeObjectStore> store;
+  std::unique_ptr<Random> random;
+  std::unique_ptr<NoteRunner> runner;
+  std::unique_ptr<VersionJudge> judge;
+  std::unique_ptr<VersionStats> stats;
+  StopSet stops;
+  FleetConfig config;
+  // `config` without what is stopped.
+  FleetConfig routed;
+  bool is_paused = false;
+  bool is_cut_off = false;
+  uint64_t incarnation = 0;
+};
+
+struct FakeRolloutOptions {
+  size_t routers = 7;
+  NoteRunnerOptions runner;
+  VersionJudgeOptions judge;
+  Duration tick = std::chrono::milliseconds(500);
+  std::vector<RouteId> routes = {RouteId("plan")};
+  PoolId pool{"plans"};
+  // Share of gossip messages that are lost, each repeated every second.
+  double lost_gossip = 0.1;
+  Duration load_time = std::chrono::seconds(40);
+  double lost_orders = 0.0;
+};
+
+// A fleet in virtual time: platform store, engines, routers with all cores of
+// the module, gossip as late messages, and requests of one pool.
+struct FakeRollout {
+  // Gives the reply of `upstream`, which really serves `version`.
+  using Serve = std::function<FakeReply(const UpstreamSpec& upstream,
+                                        const VersionId& version,
+                                        const RouteId& route)>;
+
+  FakeRollout(uint64_t seed,
+              const FakeRolloutOptions& fleet_options,
+              std::shared_ptr<const StateChart> note_chart)
+      : options(fleet_options),
+        chart(std::move(note_chart)),
+        random(seed),
+        backend(seed ^ 0x9e3779b97f4a7c15),
+        operator_store(&backend),
+        book(&operator_store, kFakePrefix, chart) {
+    backend.now = TimePoint(std::chrono::hours(1));
+    for (size_t i = 0; i < options.routers; ++i) {
+      routers.push_back(std::make_unique<FakeRouter>());
+      routers.back()->id = RouterId(absl::StrCat("router-", i));
+      Start(routers.back().get());
+    }
+  }
+
+  TimePoint now() const { return backend.now; }
+
+  WallTime wall() const {
+    return WallTime(std::chrono::duration_cast<std::chrono::milliseconds>(
+        backend.now.time_since_epoch() + std::chrono::hours(24 * 365 * 50)));
+  }
+
+  // Starts a router's process; its cores begin anew, with the configuration
+  // that others hold.
+  void Start(FakeRouter* router) {
+    ++router->incarnation;
+    retired_stores.push_back(std::move(router->store));
+    router->store = std::make_unique<FakeObjectStore>(&backend);
+    router->random = std::make_unique<Random>(random.Next64());
+    router->is_paused = false;
+    router->stops = StopSet();
+    router->config = FleetConfig();
+    router->judge = std::make_unique<VersionJudge>(
+        options.judge,
+        [this, router](const StopFact& fact) { Learn(router, fact); });
+    router->stats = std::make_unique<VersionStats>(
+        router->id, Incarnation(router->incarnation));
+    router->runner = std::make_unique<NoteRunner>(
+        router->store.get(), kFakePrefix,
+        absl::StrCat(router->id.value(), "#", router->incarnation), chart,
+        options.runner, MakeHooks(router), router->random.get());
+    for (const StopFact& fact : known_facts) {
+      Learn(router, fact);
+    }
+    Adopt(router, newest);
+  }
+
+  // Ends a router's process.
+  void Kill(FakeRouter* router) {
+    router->runner.reset();
+    router->judge.reset();
+  }
+
+  bool IsUp(const FakeRouter& router) const {
+    return router.runner != nullptr && !router.is_paused;
+  }
+
+  NoteRunnerHooks MakeHooks(FakeRouter* router) {
+    NoteRunnerHooks hooks;
+    hooks.order = [this](const EngineOrder& order,
+                         NoteRunnerHooks::OrderDone done) {
+      SendOrder(order, std::move(done));
+    };
+    hooks.read_state = [this](const UpstreamSpec& upstream,
+                              NoteRunnerHooks::StateDone done) {
+      backend.At(backend.now + LinkDelay(), [this, id = upstream.id, done] {
+        FakeEngine& engine = engines[id];
+        done(engine.is_alive ? absl::StatusOr<EngineState>(engine.state)
+                             : absl::UnavailableError("dead"));
+      });
+    };
+    hooks.publish = [this, router](const FleetConfig& config, ObjectVersion) {
+      Adopt(router, config);
+    };
+    return hooks;
+  }
+
+  // An order arrives late, by its timeout at the latest, or never; it may take
+  // effect although the answer is lost.
+  void SendOrder(const EngineOrder& order, NoteRunnerHooks::OrderDone done) {
+    const bool is_lost = random.Chance(options.lost_orders);
+    const bool is_late = is_lost && random.Chance(0.5);
+    const TimePoint arrives =
+        is_late ? std::max(backend.now,
+                           order.send_before - std::chrono::milliseconds(1))
+                : backend.now + LinkDelay();
+    ++orders;
+    if (is_lost && !is_late) {
+      backend.At(order.answer_before,
+                 [done] { done(absl::DeadlineExceededError("lost")); });
+      return;
+    }
+    backend.At(arrives, [this, order, done, is_late] {
+      FakeEngine& engine = engines[order.upstream];
+      const absl::Status status =
+          engine.is_alive ? engine.Take(order, backend.now, options.load_time)
+                          : absl::UnavailableError("dead");
+      if (!is_late) {
+        done(status);
+      }
+    });
+    if (is_late) {
+      backend.At(order.answer_before,
+                 [done] { done(absl::DeadlineExceededError("late")); });
+    }
+  }
+
+  Duration LinkDelay() {
+    return SecondsToDuration(0.005 + random.Exponential(0.02));
+  }
+
+  // A router learns a finding and tells the others until all have heard it.
+  void Learn(FakeRouter* router, const StopFact& fact) {
+    if (!router->stops.Add(fact)) {
+      return;
+    }
+    if (std::find(known_facts.begin(), known_facts.end(), fact) ==
+        known_facts.end()) {
+      known_facts.push_back(fact);
+      on_stop(fact);
+    }
+    router->runner->OnStopFact(fact);
+    router->routed = router->stops.Apply(router->config);
+    for (const std::unique_ptr<FakeRouter>& other : routers) {
+      TellStop(other.get(), fact);
+    }
+  }
+
+  void TellStop(FakeRouter* router, const StopFact& fact) {
+    const Duration repeat = random.Chance(options.lost_gossip)
+                                ? std::chrono::seconds(1)
+                                : std::chrono::seconds(0);
+    backend.At(backend.now + LinkDelay() + repeat, [this, router, fact] {
+      if (router->runner == nullptr) {
+        return;
+      }
+      if (router->is_paused || router->is_cut_off) {
+        TellStopLater(router, fact);
+        return;
+      }
+      Learn(router, fact);
+    });
+  }
+
+  void TellStopLater(FakeRouter* router, const StopFact& fact) {
+    backend.At(backend.now + std::chrono::seconds(1),
+               [this, router, fact] { TellStop(router, fact); });
+  }
+
+  void Adopt(FakeRouter* router, const FleetConfig& config) {
+    if (router->runner == nullptr ||
+        config.revision <= router->config.revision) {
+      return;
+    }
+    router->config = config;
+    router->routed = router->stops.Apply(config);
+    router->judge->OnConfig(config);
+    router->stats->OnConfig(config);
+    if (newest.revision < config.revision) {
+      newest = config;
+    }
+  }
+
+  // Routers learn the newest revision that any of them, or the store, has.
+  void SpreadConfig() {
+    const auto stored =
+        backend.objects.find(absl::StrCat(kFakePrefix, "/config"));
+    if (!backend.faults.is_out && stored != backend.objects.end() &&
+        stored->second.version != seen_config) {
+      seen_config = stored->second.version;
+      const absl::StatusOr<FleetConfig> config =
+          ParseFleetConfigJson(stored->second.value);
+      reverted = reverted || config->revision <= newest_stored;
+      newest_stored = config->revision;
+      newest = config->revision > newest.revision ? *config : newest;
+    }
+    for (const std::unique_ptr<FakeRouter>& router : routers) {
+      if (IsUp(*router) && !router->is_cut_off &&
+          !random.Chance(options.lost_gossip)) {
+        Adopt(router.get(), newest);
+      }
+    }
+  }
+
+  void SpreadReports() {
+    for (const std::unique_ptr<FakeRouter>& from : routers) {
+      if (!IsUp(*from)) {
+        continue;
+      }
+      const StatsReport report = from->stats->MakeReport();
+      from->judge->OnReport(report);
+      for (const std::unique_ptr<FakeRouter>& to : routers) {
+        const bool arrives = to != from && IsUp(*to) && !from->is_cut_off &&
+                             !to->is_cut_off &&
+                             !random.Chance(options.lost_gossip);
+        if (arrives && !report.rows.empty()) {
+          to->judge->OnReport(report);
+        }
+      }
+    }
+  }
+
+  // One tick of every router, then all that is due up to the next one.
+  void Tick() {
+    for (auto& [id, engine] : engines) {
+      engine.FinishLoads(backend.now);
+    }
+    const bool is_second =
+        ++ticks % (std::chrono::seconds(1) / options.tick) == 0;
+    if (is_second) {
+      SpreadConfig();
+      SpreadReports();
+    }
+    for (const std::unique_ptr<FakeRouter>& router : routers) {
+      if (!IsUp(*router)) {
+        continue;
+      }
+      router->judge->OnTick(backend.now);
+      for (const VersionEvidence& evidence : router->judge->Evidence()) {
+        router->runner->OnEvidence(evidence.note, evidence.requests);
+      }
+      router->runner->OnTick(backend.now, wall(), true);
+    }
+    SendRequests();
+    backend.RunUntil(backend.now + options.tick);
+  }
+
+  void RunFor(Duration length) {
+    const TimePoint end = backend.now + length;
+    while (backend.now < end) {
+      Tick();
+    }
+  }
+
+  void SendRequests() {
+    due += rate * ToSeconds(options.tick);
+    for (; due > 0.0; due -= random.Exponential(1.0)) {
+      FakeRouter* const router = routers[random.Below(routers.size())].get();
+      if (IsUp(*router) && !router->routed.upstreams.empty()) {
+        SendRequest(router);
+      }
+    }
+  }
+
+  const UpstreamSpec* ChooseUpstream(const FleetConfig& config) {
+    int64_t point = static_cast<int64_t>(random.Below(1000));
+    const VersionShare* chosen = nullptr;
+    for (const VersionShare& share : config.shares) {
+      if (share.pool == options.pool && chosen == nullptr) {
+        point -= share.share.value();
+        chosen = point < 0 ? &share : nullptr;
+      }
+    }
+    std::vector<const UpstreamSpec*> members;
+    for (const UpstreamSpec& upstream : config.upstreams) {
+      if (upstream.pool == options.pool &&
+          (chosen == nullptr || upstream.version == chosen->version)) {
+        members.push_back(&upstream);
+      }
+    }
+    return members.empty() ? nullptr : members[random.Below(members.size())];
+  }
+
+  void SendRequest(FakeRouter* router) {
+    const UpstreamSpec* const upstream = ChooseUpstream(router->routed);
+    if (upstream == nullptr) {
+      return;
+    }
+    const RouteId& route = options.routes[random.Below(options.routes.size())];
+    // A plain service is what the configuration says; an engine is what it was
+    // told last.
+    const VersionId& serving = upstream->kind == UpstreamKind::kPlainService
+                                   ? upstream->version
+                                   : engines[upstream->id].state.active;
+    const FakeReply reply = serve(*upstream, serving, route);
+    router->stats->OnReply(options.pool, upstream->version, route, upstream->id,
+                           reply.failed, reply.latency);
+  }
+
+  std::optional<NoteRecord> ReadNote(const NoteId& id) const {
+    const auto found =
+        backend.objects.find(absl::StrCat(kFakePrefix, "/notes/", id.value()));
+    if (found == backend.objects.end()) {
+      return std::nullopt;
+    }
+    return *ParseNoteRecord(found->second.value);
+  }
+
+  FakeRouter* Holder() {
+    for (const std::unique_ptr<FakeRouter>& router : routers) {
+      if (IsUp(*router) && router->runner->IsHolder(backend.now)) {
+        return router.get();
+      }
+    }
+    return nullptr;
+  }
+
+  const FakeRolloutOptions options;
+  const std::shared_ptr<const StateChart> chart;
+  Random random;
+  FakeObjectStoreBackend backend;
+  FakeObjectStore operator_store;
+  NoteBook book;
+  std::map<UpstreamId, FakeEngine> engines;
+  // Faces whose calls may still come back.
+  std::vector<std::unique_ptr<FakeObjectStore>> retired_stores;
+  std::vector<std::unique_ptr<FakeRouter>> routers;
+  Serve serve = [](const UpstreamSpec&, const VersionId&, const RouteId&) {
+    return FakeReply{false, std::chrono::milliseconds(200)};
+  };
+  std::function<void(const StopFact&)> on_stop = [](const StopFact&) {};
+  std::vector<StopFact> known_facts;
+  FleetConfig newest;
+  ObjectVersion seen_config;
+  Revision newest_stored;
+  bool reverted = false;
+  // Requests a second in all; 0 sends none.
+  double rate = 0.0;
+  uint64_t orders = 0;
+  uint64_t ticks = 0;
+  double due = 0.0;
+};
+
+}  // namespace papaya
+
+#endif  // TESTS_FAKES_FAKE_ROLLOUT_FLEET_H_
