Test notes, plans and the book; send only changed counts

Cause: faults, races of operators and lost answers must be shown; whole reports each second cost bytes and time for rows that had not changed. Change: property tests of checking, planning and the book; StatsReport carries changed rows, all of them in every tenth.

--- a/bench/rollout_scenario.cc
+++ b/bench/rollout_scenario.cc
@@ -188,7 +188,7 @@
   while (fleet.now() < traffic_by + kSettleTime * 2) {
     fleet.backend.faults.is_out = model.IsStoreOut(fleet.now());
     fleet.rate = model.Rate(fleet.now());
-    fleet.Tick();
+    fleet.RunFor(std::chrono::seconds(2));
     record = fleet.ReadNote(note.id);
     if (record && IsFinalNoteState(record->state)) {
       break;
--- a/include/rollout/version_stats.h
+++ b/include/rollout/version_stats.h
@@ -2,9 +2,11 @@
 #define INCLUDE_ROLLOUT_VERSION_STATS_H_
 
 #include <array>
+#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <tuple>
 #include <vector>
 
 #include "include/base/ids.h"
@@ -39,7 +41,15 @@
   // Empty for the upstreams that are not counted one by one.
   UpstreamId upstream;
 
-  auto operator<=>(const StatsKey&) const = default;
+  bool operator==(const StatsKey&) const = default;
+
+  // The parts that differ most come first, as rows are looked up by it.
+  friend std::strong_ordering operator<=>(const StatsKey& a,
+                                          const StatsKey& b) {
+    return std::tie(a.upstream, a.route, a.version, a.generation, a.pool,
+                    a.note) <=> std::tie(b.upstream, b.route, b.version,
+                                         b.generation, b.pool, b.note);
+  }
 };
 
 // Counts since the note began, or the router; never smaller than before.
@@ -84,6 +94,7 @@
   static constexpr size_t kNamedUpstreams = 12;
   // Rows in all; requests beyond them are not counted.
   static constexpr size_t kMaxRows = 512;
+  static constexpr uint64_t kWholeReportEvery = 10;
 
   VersionStats(const RouterId& router, Incarnation incarnation);
 
@@ -103,8 +114,10 @@
                bool failed,
                Duration latency);
 
-  // The rows of pools with a note in progress. A router sends it to the pool's
-  // judges at the interval of ReportInterval; without rows it need not be sent.
+  // The rows of pools with a note in progress that have changed since the last
+  // report, and all of them in every kWholeReportEvery-th, so that lost ones
+  // are made up for. A router sends it to the pool's judges at the interval of
+  // ReportInterval; without rows it need not be sent.
   StatsReport MakeReport();
 
   // How often each router may report so that a receiver stays within
@@ -130,7 +143,12 @@
   const Incarnation incarnation_;
   uint64_t sequence_ = 0;
   std::map<PoolId, Pool> pools_;
-  std::map<StatsKey, StatsCounts> rows_;
+  struct Row {
+    StatsCounts counts;
+    bool is_changed = true;
+  };
+
+  std::map<StatsKey, Row> rows_;
 };
 
 // The routers that judge a pool for all: those with the highest rendezvous
--- a/src/rollout/pool_judge.cc
+++ b/src/rollout/pool_judge.cc
@@ -120,33 +120,26 @@
   }
   const StatsCounts more = Minus(row.counts, known);
   known = row.counts;
-  Counts& total = strata_[{row.key.route, row.key.generation}].total;
+  Stratum& stratum = strata_[{row.key.route, row.key.generation}];
   if (row.key.version != version_) {
-    AddCounts(more, &total.old);
+    stratum.old += more.requests;
+    AddCounts(more, &stratum.total.old);
     return;
   }
   const bool is_named =
       replicas_.contains(row.key.upstream) || replicas_.size() < kMostReplicas;
   const UpstreamId replica = is_named ? row.key.upstream : UpstreamId();
   replicas_.insert(replica);
-  AddCounts(more, &total.replicas[replica]);
+  stratum.fresh += more.requests;
+  AddCounts(more, &stratum.total.replicas[replica]);
 }
 
 bool PoolJudge::IsWindowDue(const Stratum& stratum, TimePoint now) const {
-  uint64_t fresh = 0;
-  for (const auto& [replica, counts] : stratum.total.replicas) {
-    const auto before = stratum.compared.replicas.find(replica);
-    fresh += counts.requests - (before == stratum.compared.replicas.end()
-                                    ? 0
-                                    : before->second.requests);
-  }
-  const uint64_t old =
-      stratum.total.old.requests - stratum.compared.old.requests;
-  if (fresh == 0 || old == 0) {
+  if (stratum.fresh == 0 || stratum.old == 0) {
     return false;
   }
   const uint64_t enough = static_cast<uint64_t>(options_.min_requests);
-  return (fresh >= enough && old >= enough) ||
+  return (stratum.fresh >= enough && stratum.old >= enough) ||
          now - stratum.opened.value_or(now) >= options_.longest_window;
 }
 
@@ -175,6 +168,8 @@
   Compare(id, window, edges);
   stratum->compared = stratum->total;
   stratum->opened = now;
+  stratum->fresh = 0;
+  stratum->old = 0;
 }
 
 PoolJudge::View& PoolJudge::GetView(const ViewId& id) {
@@ -232,13 +227,17 @@
 
 void PoolJudge::Look(TimePoint now, std::vector<StopFact>* found) {
   AddStarts(now);
+  bool has_more = false;
   for (auto& [id, stratum] : strata_) {
     stratum.opened = stratum.opened.value_or(now);
     if (IsWindowDue(stratum, now)) {
       CloseWindow(id, &stratum, now);
+      has_more = true;
     }
   }
-  FindBad(found);
+  if (has_more) {
+    FindBad(found);
+  }
 }
 
 double PoolJudge::View::Log() const {
--- a/src/rollout/pool_judge.h
+++ b/src/rollout/pool_judge.h
@@ -58,6 +58,9 @@
     // What had been compared when the last window closed, and when that was.
     Counts compared;
     std::optional<TimePoint> opened;
+    // Requests since then.
+    uint64_t fresh = 0;
+    uint64_t old = 0;
   };
 
   // A set of replicas whose evidence is kept.
--- a/src/rollout/version_stats.cc
+++ b/src/rollout/version_stats.cc
@@ -170,7 +170,9 @@
       return;
     }
   }
-  StatsCounts& counts = rows_[key];
+  Row& row = rows_[key];
+  row.is_changed = true;
+  StatsCounts& counts = row.counts;
   ++counts.requests;
   if (failed) {
     ++counts.failures;
@@ -184,9 +186,11 @@
   report.router = router_;
   report.incarnation = incarnation_;
   report.sequence = ++sequence_;
-  for (const auto& [key, counts] : rows_) {
-    if (IsCounting(key.pool)) {
-      report.rows.push_back({key, counts});
+  const bool is_whole = sequence_ % kWholeReportEvery == 0;
+  for (auto& [key, row] : rows_) {
+    if ((row.is_changed || is_whole) && IsCounting(key.pool)) {
+      report.rows.push_back({key, row.counts});
+      row.is_changed = false;
     }
   }
   return report;
--- /dev/null
+++ b/tests/note_book_test.cc
@@ -0,0 +1,158 @@
+#include "include/rollout/note_book.h"
+
+#include <rapidcheck/catch.h>
+
+#include <catch2/catch.hpp>
+#include <optional>
+#include <vector>
+
+#include "include/config/fleet_config_json.h"
+#include "tests/fakes/rollout_notes.h"
+
+namespace papaya {
+namespace {
+
+// A NoteBook with a fleet of three engines in the store.
+struct Desk {
+  explicit Desk(uint64_t seed)
+      : backend(seed), store(&backend), book(&store, kFakePrefix, NoteChart()) {
+    FleetConfig config;
+    config.revision = Revision(1);
+    for (const char* const id : {"a", "b", "c"}) {
+      UpstreamSpec upstream;
+      upstream.id = UpstreamId(id);
+      upstream.address = absl::StrCat("10.0.0.1:", 8000 + id[0]);
+      upstream.zone = AvailabilityZoneId("z");
+      upstream.pool = PoolId("plans");
+      upstream.version = VersionId("v1");
+      config.upstreams.push_back(upstream);
+    }
+    backend.last_version = ObjectVersion(1);
+    backend.objects["fleet/config"] = {"fleet/config", ObjectVersion(1),
+                                       OperationId("x"),
+                                       FleetConfigToJson(config)};
+  }
+
+  NoteRequest Request(const std::string& author,
+                      const std::string& version,
+                      ObjectVersion expected) const {
+    const std::string text = absl::StrCat(
+        "[note]\ntraffic_by = ", FormatWallTime(wall + std::chrono::hours(1)),
+        "\n[pool plans]\nversion = ", version, "\n");
+    return {NoteId("n"), author, OperationId(author + "/" + version), expected,
+            text};
+  }
+
+  // Runs until the answer is there.
+  NoteResult Await(std::optional<NoteResult>* result) {
+    while (!result->has_value()) {
+      backend.RunUntil(backend.now + std::chrono::milliseconds(50));
+    }
+    return **result;
+  }
+
+  NoteResult Submit(const NoteRequest& request) {
+    std::optional<NoteResult> result;
+    book.Submit(request, wall, [&result](const NoteResult& r) { result = r; });
+    return Await(&result);
+  }
+
+  NoteResult Revise(const NoteRequest& request) {
+    std::optional<NoteResult> result;
+    book.Revise(request, wall, [&result](const NoteResult& r) { result = r; });
+    return Await(&result);
+  }
+
+  NoteResult Withdraw(const NoteRequest& request) {
+    std::optional<NoteResult> result;
+    book.Withdraw(request, wall,
+                  [&result](const NoteResult& r) { result = r; });
+    return Await(&result);
+  }
+
+  WallTime wall = WallTime(std::chrono::hours(24 * 365 * 50));
+  FakeObjectStoreBackend backend;
+  FakeObjectStore store;
+  NoteBook book;
+};
+
+TEST_CASE("NoteBook: faults come back with lines, nothing is written",
+          "[rollout]") {
+  Desk desk(1);
+  NoteRequest request = desk.Request("anna", "v2", ObjectVersion(0));
+  request.text += "[upstream q]\nwithdrawn = yes\n";
+  const NoteResult result = desk.Submit(request);
+  CHECK(result.status.code() == absl::StatusCode::kInvalidArgument);
+  REQUIRE(result.faults.size() == 1);
+  CHECK(result.faults[0].line == 5);
+  CHECK_FALSE(desk.backend.objects.contains("fleet/notes/n"));
+}
+
+TEST_CASE("NoteBook: of two operators one sees the other's change",
+          "[rollout]") {
+  Desk desk(2);
+  const NoteResult first =
+      desk.Submit(desk.Request("anna", "v2", ObjectVersion(0)));
+  REQUIRE(first.status.ok());
+  const NoteResult second =
+      desk.Submit(desk.Request("omar", "v3", ObjectVersion(0)));
+  CHECK(second.status.code() == absl::StatusCode::kAborted);
+  CHECK(second.note.record.author == "anna");
+  CHECK(second.note.record.text == first.note.record.text);
+  const NoteResult revised =
+      desk.Revise(desk.Request("omar", "v3", first.note.version));
+  REQUIRE(revised.status.ok());
+  CHECK(revised.note.record.text_revision == 2);
+  const NoteResult late =
+      desk.Withdraw(desk.Request("anna", "v2", first.note.version));
+  CHECK(late.status.code() == absl::StatusCode::kAborted);
+  CHECK(late.note.record.author == "omar");
+}
+
+TEST_CASE("NoteBook: an ended note takes no change", "[rollout]") {
+  Desk desk(3);
+  const NoteResult first =
+      desk.Submit(desk.Request("anna", "v2", ObjectVersion(0)));
+  NoteRequest withdraw = desk.Request("anna", "v4", first.note.version);
+  const NoteResult withdrawn = desk.Withdraw(withdraw);
+  CHECK(withdrawn.note.record.state == kNoteTakenBack);
+  CHECK_FALSE(withdrawn.note.record.reason.empty());
+  const NoteResult again =
+      desk.Revise(desk.Request("anna", "v3", withdrawn.note.version));
+  CHECK(again.status.code() == absl::StatusCode::kFailedPrecondition);
+}
+
+TEST_CASE("NoteBook: racing operators and lost answers", "[rollout]") {
+  rc::prop(
+      "each wish takes effect once or not at all, and is told so",
+      [](uint64_t seed) {
+        Desk desk(seed);
+        Random random(seed);
+        desk.backend.faults.lost_answer = 0.4;
+        desk.backend.faults.lost_call = 0.2;
+        const NoteRequest anna = desk.Request("anna", "v2", ObjectVersion(0));
+        const NoteRequest omar = desk.Request("omar", "v3", ObjectVersion(0));
+        // Each repeats the same wish until it has a clear answer.
+        std::vector<NoteResult> last(2);
+        for (int round = 0; round < 60; ++round) {
+          const size_t who = random.Below(2);
+          const bool is_clear =
+              last[who].status.code() == absl::StatusCode::kAborted ||
+              !last[who].note.record.id.empty();
+          if (!is_clear ||
+              last[who].status.code() == absl::StatusCode::kUnavailable) {
+            last[who] = desk.Submit(who == 0 ? anna : omar);
+          }
+        }
+        desk.backend.faults = {};
+        const NoteRecord stored =
+            *ParseNoteRecord(desk.backend.objects.at("fleet/notes/n").value);
+        RC_ASSERT(stored.text_revision == 1);
+        const size_t winner = stored.author == "anna" ? 0 : 1;
+        RC_ASSERT(last[winner].status.code() != absl::StatusCode::kAborted);
+        RC_ASSERT(!last[1 - winner].status.ok());
+      });
+}
+
+}  // namespace
+}  // namespace papaya
--- /dev/null
+++ b/tests/release_note_test.cc
@@ -0,0 +1,217 @@
+#include "include/rollout/release_note.h"
+
+#include <rapidcheck/catch.h>
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+#include "absl/strings/str_cat.h"
+#include "include/base/random.h"
+#include "include/rollout/note_plan.h"
+#include "include/rollout/note_record.h"
+
+namespace papaya {
+namespace {
+
+constexpr WallTime kToday = WallTime(std::chrono::hours(24 * 365 * 50));
+
+// A fleet of one pool in three availability zones.
+FleetConfig MakeFleet(size_t replicas, const std::string& version) {
+  FleetConfig config;
+  config.revision = Revision(1);
+  for (size_t i = 0; i < replicas; ++i) {
+    UpstreamSpec upstream;
+    upstream.id = UpstreamId(absl::StrCat("plans-", i));
+    upstream.vm = VmId(absl::StrCat("vm-", i));
+    upstream.address = absl::StrCat("10.0.0.", i + 1, ":8000");
+    upstream.zone = AvailabilityZoneId(absl::StrCat("zone-", i % 3));
+    upstream.pool = PoolId("plans");
+    upstream.version = VersionId(version);
+    upstream.slots = 8;
+    config.upstreams.push_back(upstream);
+  }
+  std::sort(
+      config.upstreams.begin(), config.upstreams.end(),
+      [](const UpstreamSpec& a, const UpstreamSpec& b) { return a.id < b.id; });
+  return config;
+}
+
+std::string Head(Duration window) {
+  return absl::StrCat(
+      "[note]\ntraffic_by = ",
+      FormatWallTime(
+          kToday +
+          std::chrono::duration_cast<std::chrono::milliseconds>(window)),
+      "\n");
+}
+
+ReleaseNote Parse(const std::string& text) {
+  std::vector<TextFault> faults;
+  return ReleaseNote::Parse(text, &faults);
+}
+
+TEST_CASE("ReleaseNote: every fault is told at once, with its line",
+          "[rollout]") {
+  const FleetConfig fleet = MakeFleet(3, "v1");
+  const std::vector<TextFault> faults = CheckReleaseNote(
+      "[note]\n"
+      "traffic_by = tomorrow\n"
+      "[pool plans]\n"
+      "verson = v2\n"
+      "[upstream plans-9]\n"
+      "withdrawn = yes\n"
+      "[upstream new-1]\n"
+      "slots = many\n"
+      "pool = plans\n"
+      "[shelf]\n",
+      &fleet, kToday);
+  std::vector<int> lines;
+  for (const TextFault& fault : faults) {
+    lines.push_back(fault.line);
+  }
+  // The new upstream lacks vm, address and zone.
+  CHECK(lines == std::vector<int>{2, 4, 5, 7, 7, 7, 8, 10});
+}
+
+TEST_CASE("ReleaseNote: is refused if it can't be carried out", "[rollout]") {
+  using Catch::Contains;
+  const FleetConfig fleet = MakeFleet(3, "v1");
+  const auto first = [&fleet](const std::string& text) {
+    const std::vector<TextFault> faults =
+        CheckReleaseNote(text, &fleet, kToday);
+    return faults.empty() ? std::string() : faults.front().message;
+  };
+  const std::string hour = Head(std::chrono::hours(1));
+  CHECK(first(hour + "[pool plans]\nversion = v2\n").empty());
+  CHECK_THAT(
+      first(Head(std::chrono::minutes(5)) + "[pool plans]\nversion = v2\n"),
+      Contains("at least 10 min"));
+  CHECK_THAT(
+      first(Head(-std::chrono::hours(1)) + "[pool plans]\nversion = v2\n"),
+      Contains("is past"));
+  CHECK_THAT(first(hour + "[upstream plans-0]\nversion = v2\n"),
+             Contains("more than one version"));
+  CHECK_THAT(first(hour + "[upstream plans-0]\nwithdrawn = yes\n"
+                          "[upstream plans-1]\nwithdrawn = yes\n"
+                          "[upstream plans-2]\nwithdrawn = yes\n"),
+             Contains("no upstream left"));
+  CHECK_THAT(first(hour + "[upstream x]\nvm = v\nzone = z\npool = plans\n"
+                          "address = 10.0.0.1:8000\n"),
+             Contains("same address"));
+  CHECK_THAT(first(hour), Contains("changes nothing"));
+  FleetConfig services = fleet;
+  for (UpstreamSpec& upstream : services.upstreams) {
+    upstream.kind = UpstreamKind::kPlainService;
+  }
+  const std::vector<TextFault> faults = CheckReleaseNote(
+      hour + "[pool plans]\nversion = v2\n", &services, kToday);
+  REQUIRE(faults.size() == 3);
+  CHECK_THAT(faults[0].message, Contains("is a plain service"));
+}
+
+TEST_CASE("ReleaseNote: times read back", "[rollout]") {
+  rc::prop("FormatWallTime and ParseWallTime agree", [] {
+    const WallTime time(
+        std::chrono::seconds(*rc::gen::inRange<int64_t>(0, 4102444800)));
+    RC_ASSERT(ParseWallTime(FormatWallTime(time)) == time);
+  });
+  CHECK_FALSE(ParseWallTime("2026-02-30T00:00:00Z").has_value());
+  CHECK_FALSE(ParseWallTime("2026-12-04T24:00:00Z").has_value());
+  CHECK_FALSE(ParseWallTime("2026-12-04 18:00:00Z").has_value());
+}
+
+// A note that adds, changes and withdraws at random.
+std::string RandomNote(Random* random, size_t replicas) {
+  std::string text = Head(std::chrono::hours(1));
+  if (random->Chance(0.7)) {
+    absl::StrAppend(&text, "[pool plans]\nversion = v",
+                    random->Chance(0.5) ? 2 : 3, "\n");
+  }
+  const size_t withdrawn = random->Below(replicas / 2 + 1);
+  for (size_t i = 0; i < withdrawn; ++i) {
+    absl::StrAppend(&text, "[upstream plans-", i, "]\nwithdrawn = yes\n");
+  }
+  const size_t added = random->Below(replicas) + (withdrawn == 0 ? 1 : 0);
+  for (size_t i = 0; i < added; ++i) {
+    absl::StrAppend(&text, "[upstream new-", i, "]\nvm = n", i,
+                    "\naddress = 10.1.0.", i + 1, ":8000\nzone = zone-", i % 3,
+                    "\npool = plans\nslots = 8\n");
+  }
+  return text;
+}
+
+TEST_CASE("NotePlan: taking back restores what stood, from any stage",
+          "[rollout]") {
+  rc::prop("RestoreBefore undoes each stage and the target", [](uint64_t seed) {
+    Random random(seed);
+    const size_t replicas = 2 + random.Below(40);
+    const FleetConfig base = MakeFleet(replicas, "v1");
+    const ReleaseNote note = Parse(RandomNote(&random, replicas));
+    const NoteBefore before = CaptureBefore(note, base, {});
+    const NotePlan plan(NoteId("n"), note, base);
+    for (size_t stage = 0; stage < plan.stage_count(); ++stage) {
+      const FleetConfig config = plan.StageConfig(stage, {});
+      const FleetConfig restored = RestoreBefore(config, before);
+      RC_ASSERT(restored.upstreams == base.upstreams);
+      RC_ASSERT(restored.shares == base.shares);
+    }
+    RC_ASSERT(RestoreBefore(plan.target(), before).upstreams == base.upstreams);
+    // A second text of the same note starts from the same base.
+    const ReleaseNote other = Parse(RandomNote(&random, replicas));
+    const NoteBefore both =
+        CaptureBefore(other, plan.StageConfig(0, {}), before);
+    const NotePlan second(NoteId("n"), other,
+                          RestoreBefore(plan.StageConfig(0, {}), both));
+    RC_ASSERT(second.base().upstreams == base.upstreams);
+  });
+}
+
+TEST_CASE("NotePlan: shares begin small, grow, and leave a control",
+          "[rollout]") {
+  rc::prop("stages are ordered and each adds up", [](uint64_t seed) {
+    Random random(seed);
+    const size_t replicas = 2 + random.Below(500);
+    const FleetConfig base = MakeFleet(replicas, "v1");
+    const NotePlan plan(
+        NoteId("n"),
+        Parse(Head(std::chrono::hours(1)) + "[pool plans]\nversion = v2\n"),
+        base);
+    RC_ASSERT(plan.moves().size() == 1);
+    const std::vector<Stage>& stages = plan.moves()[0].stages;
+    RC_ASSERT(stages.front().share < Permille(130));
+    RC_ASSERT(stages.back().share < Permille(1000));
+    RC_ASSERT(stages.back().share >= Permille(replicas >= 10 ? 850 : 500));
+    Duration left = std::chrono::hours(1);
+    for (size_t i = 0; i < stages.size(); ++i) {
+      RC_ASSERT(i == 0 || stages[i].share > stages[i - 1].share);
+      int sum = 0;
+      for (const VersionShare& share : plan.StageConfig(i, {}).shares) {
+        sum += share.share.value();
+      }
+      RC_ASSERT(sum == 1000);
+      const Duration length = plan.StageLength(i, left);
+      RC_ASSERT(length > Duration(0));
+      RC_ASSERT(length <= left);
+      left -= length;
+    }
+  });
+}
+
+TEST_CASE("NoteRecord: reads back", "[rollout]") {
+  NoteRecord record;
+  record.id = NoteId("n");
+  record.text = "[note]\n\"x\" = \\";
+  record.stage_versions = {"plans=v2"};
+  record.set_aside = {UpstreamId("u")};
+  record.before.upstreams = MakeFleet(3, "v1").upstreams;
+  record.before.roles = {{UpstreamId("u"), "serve"}};
+  const absl::StatusOr<NoteRecord> read =
+      ParseNoteRecord(FormatNoteRecord(record));
+  REQUIRE(read.ok());
+  CHECK(*read == record);
+  CHECK_FALSE(ParseNoteRecord("{}").ok());
+  CHECK_FALSE(ParseNoteRecord("[").ok());
+}
+
+}  // namespace
+}  // namespace papaya
