Start the demo's fleet by a release note

Cause: operators drive the system only by release notes, also at the start. Change: the first note brings in all upstreams; timings that fit a demo. Conclusion: red until the router carries out notes.

--- a/src/standin/load_tally.cc
+++ b/src/standin/load_tally.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/json.hpp>
+#include <cmath>
 
 namespace papaya {
 
@@ -14,8 +15,8 @@
   if (values.empty()) {
     return 0;
   }
-  const size_t index =
-      static_cast<size_t>(part * static_cast<double>(values.size() - 1) + 0.5);
+  const double last = static_cast<double>(values.size() - 1);
+  const size_t index = static_cast<size_t>(std::lround(part * last));
   return ToSeconds(values[index]) * 1000;
 }
 
--- a/tests/ctl_app_test.cc
+++ b/tests/ctl_app_test.cc
@@ -54,7 +54,7 @@
   }
 
   CtlExit Run(const std::vector<std::string>& words,
-              CtlOptions options = DefaultOptions()) {
+              const CtlOptions& options = DefaultOptions()) {
     return CtlApp(options, Hooks(), &out, &err).Run(words);
   }
 
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -107,40 +107,43 @@
   date -u -d "+$1 seconds" +%Y-%m-%dT%H:%M:%SZ
 }
 
-# One group of the fleet configuration with one upstream.
-config_group() { # NAME VM ZONE KIND POOL GENERATION SLOTS
-  printf '{"kind":"%s","pool":"%s","version":"v1","generation":"%s","zone":"%s","slots":%d,"checks_fencing":true,"refusal_means_not_run":true,"upstreams":[["%s","%s","%s"]]}' \
-    "$4" "$5" "$6" "$3" "$7" "$1" "$2" "${address[$1]}"
-}
-
-# Writes the first fleet configuration to the platform.
-put_first_config() {
-  local groups
-  groups=$(
-    config_group engine-1 vm-e1 sk-west-a model_engine assistant g3 16
-    printf ,
-    config_group engine-2 vm-e2 sk-west-b model_engine assistant g2 16
-    printf ,
-    config_group engine-3 vm-e3 sk-west-c model_engine assistant g1 16
-    printf ,
-    config_group booking-1 vm-b1 sk-west-a plain_service booking g1 32
-    printf ,
-    config_group booking-2 vm-b2 sk-west-b plain_service booking g1 32
-  )
-  http PUT "${address[platform]}" \
-    "/objects/skokan/papaya/config?expected=0&operation=demo" \
-    "{\"format\":1,\"revision\":1,\"note\":\"\",\"groups\":[$groups],\"shares\":[]}" |
-    grep -q '^HTTP/1.1 200'
+# Two upstream sections of a kind differ in four values only.
+upstream_section() { # NAME VM ZONE KIND POOL GENERATION SLOTS
+  cat <<EOF
+
+[upstream $1]
+vm = $2
+address = ${address[$1]}
+zone = $3
+kind = $4
+pool = $5
+version = v1
+generation = $6
+slots = $7
+checks_fencing = true
+refusal_means_not_run = true
+EOF
+}
+
+write_first_note() {
+  {
+    printf '[note]\nsummary = First fleet\ntraffic_by = %s\n' "$(time_in 300)"
+    upstream_section engine-1 vm-e1 sk-west-a model_engine assistant g3 16
+    upstream_section engine-2 vm-e2 sk-west-b model_engine assistant g2 16
+    upstream_section engine-3 vm-e3 sk-west-c model_engine assistant g1 16
+    upstream_section booking-1 vm-b1 sk-west-a plain_service booking g1 32
+    upstream_section booking-2 vm-b2 sk-west-b plain_service booking g1 32
+  } >"$work/first_fleet.ini"
 }
 
 write_move_note() {
-  printf '[note]\nsummary = The assistant moves to v2\ntraffic_by = %s\nbake = 10s\n\n[pool assistant]\nversion = v2\n' \
-    "$(time_in 180)" >"$work/move_to_v2.ini"
+  printf '[note]\nsummary = The assistant moves to v2\ntraffic_by = %s\nbake = 15s\n\n[pool assistant]\nversion = v2\n' \
+    "$(time_in 90)" >"$work/move_to_v2.ini"
 }
 
 # Waits for a note's end and prints its state.
 await_note() { # NOTE
-  ctl note watch "$1" >"$work/watch-$1.txt" || true
+  ctl --watch_seconds=240 note watch "$1" >"$work/watch-$1.txt" || true
   ctl --json note show "$1" | json_text state
 }
 
@@ -201,10 +204,15 @@
 printf '%s' "$operator_token" >"$work/operator_token"
 step "start stand-ins: 3 engines, 2 booking services, the platform"
 start_upstreams
-step "start 3 routers"
+step "start 3 routers on an empty fleet"
 start_routers
-step "write the first fleet configuration"
-put_first_config || fail "the platform refused the configuration"
+step "submit the release note that brings in the first fleet"
+write_first_note
+ctl note submit first_fleet "$work/first_fleet.ini" ||
+  fail "the first release note was refused"
+first_state=$(await_note first_fleet)
+[[ $first_state == "done" ]] ||
+  fail "the first release note ended as '$first_state', not as 'done'"
 wait_for_routers
 step "send mixed traffic over all routers"
 start_load
--- a/tools/demo_lib.sh
+++ b/tools/demo_lib.sh
@@ -96,16 +96,9 @@
     -e "s/^operator_token_sha256 = .*/operator_token_sha256 = $(sha256_of "$operator_token")/" \
     -e "s/^address = .*/address = ${address[platform]}/" \
     -e "s/^(; )?span_file = .*/span_file = ${work//\//\\/}\/$1.spans/" \
+    -e "s/^shortest_move = .*/shortest_move = 30s/" \
+    -e "s/^load_time = .*/load_time = 1s/" \
+    -e "s/^drain_time = .*/drain_time = 2s/" \
     -e "s/^chart_directory = .*/chart_directory = ${root//\//\\/}\/charts/" \
     "$root/settings/skokan.ini"
 }
-
-# Sends a request over /dev/tcp and prints the whole answer.
-http() { # METHOD ADDRESS TARGET BODY
-  local host=${2%:*} port=${2##*:}
-  exec 3<>"/dev/tcp/$host/$port"
-  printf '%s %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s' \
-    "$1" "$3" "$2" "${#4}" "$4" >&3
-  cat <&3
-  exec 3<&-
-}
