Say the shortest move in minutes where it is whole minutes

Cause: the fault's text had changed from minutes to seconds, which a test that landed beside it rightly refused. Change: whole minutes are printed as such. Conclusion: both tests pass.

--- a/src/rollout/note_check.cc
+++ b/src/rollout/note_check.cc
@@ -13,6 +13,14 @@
 
 namespace {
 
+// `10 min`, or `90 s` if it is not in whole minutes.
+std::string TextOf(Duration duration) {
+  if (duration % std::chrono::minutes(1) == Duration::zero()) {
+    return absl::StrCat(duration / std::chrono::minutes(1), " min");
+  }
+  return absl::StrCat(ToSeconds(duration), " s");
+}
+
 // Collects the faults of one note against one fleet.
 class NoteChecker {
  public:
@@ -58,8 +66,8 @@
     const NotePlan plan(NoteId("check"), note_, present_);
     if (plan.IsJudged() && note_.traffic_by - wall_ < shortest_judged_move_) {
       Add(1, absl::StrCat("traffic_by: a new version needs at least ",
-                          ToSeconds(shortest_judged_move_),
-                          " s to be judged; give a later time"));
+                          TextOf(shortest_judged_move_),
+                          " to be judged; give a later time"));
     }
     if (note_.bake && *note_.bake > (note_.traffic_by - wall_) / 2) {
       Add(1, "bake: takes more than half of the time up to traffic_by");
