Test that a pause does not count against a suspect

Change: a test of one Membership that is paused while it holds a suspicion. Conclusion: with the pause rule taken out this test fails, with it it passes.

--- a/tests/membership_test.cc
+++ b/tests/membership_test.cc
@@ -155,6 +155,32 @@
   }
 }
 
+TEST_CASE("Membership: time in a pause does not count against a suspect",
+          "[membership]") {
+  TimePoint now = TimePoint() + std::chrono::hours(1);
+  Membership membership(
+      {.self = RouterId("a"), .incarnation = Incarnation(1)},
+      {.send = [](const PeerAddress&, const MemberMessage&) {},
+       .view_changed = [](const FleetView&) {},
+       .incarnation_changed = [](Incarnation) {},
+       .event = [](const Event&) {}},
+      Random(1), now);
+  const MemberRecord other{.id = RouterId("b"), .incarnation = Incarnation(1)};
+  MemberStamp suspect = StampOf(other);
+  suspect.state = RouterState::kSuspect;
+  membership.OnTick(now);
+  membership.OnMessage(other.id, MemberNews{.records = {other}}, now);
+  membership.OnMessage(other.id, MemberNews{.stamps = {suspect}}, now);
+  now += std::chrono::minutes(3);
+  membership.OnTick(now);
+  CHECK(FindRouter(membership.view(), other.id) != nullptr);
+  for (int i = 0; i < 17; ++i) {
+    now += std::chrono::milliseconds(100);
+    membership.OnTick(now);
+  }
+  CHECK(FindRouter(membership.view(), other.id) == nullptr);
+}
+
 MemberRecord MakeRecord(uint64_t router, Random* random) {
   return {.id = RouterId("router-" + std::to_string(router)),
           .incarnation = Incarnation(1 + random->Below(3)),
