Split the cores of membership and spreading into parts with one job

Change: member_sync, view_keeper and fact_gossip come out; the own entry is kept at hand; dead routers are swept each half minute.

--- a/include/config/config_spreader.h
+++ b/include/config/config_spreader.h
@@ -22,6 +22,7 @@
 class AppliedTable;
 class ConfigHistory;
 class ConfigReader;
+class FactGossip;
 class ObjectStore;
 
 // Brings each accepted revision of the configuration to this router, and on to
@@ -101,7 +102,7 @@
 
   // In force here; null if none is yet.
   std::shared_ptr<const FleetConfig> config() const { return config_; }
-  const FactSet& facts() const { return facts_; }
+  const FactSet& facts() const;
 
   // Which revision is in force where, as far as known here.
   RevisionReport Report() const;
@@ -139,16 +140,12 @@
   void SendToSome(size_t count, const ConfigMessage& message);
   void SendFacts(const RouterId& to);
   void SendApplied(const RouterId& to);
-  void FlushNews();
+  void FlushFacts();
+  void FlushApplied();
   void NoteKnown(Revision revision);
   void ChooseReaders();
   void ReadStoreIfSilent();
   void Log(EventId id, const std::string& key, const std::string& value) const;
-  // True if the fact is new; it is told on with the next flush.
-  template <typename Fact>
-  bool LearnFact(const Fact& fact);
-  template <typename Fact>
-  bool AddOwnFact(const Fact& fact, TimePoint now);
 
   const Options options_;
   const Hooks hooks_;
@@ -164,9 +161,7 @@
   std::unique_ptr<ConfigHistory> history_;
   std::unique_ptr<AppliedTable> applied_;
   std::unique_ptr<ConfigReader> reader_;
-  FactSet facts_;
-  FactNews fact_news_;
-  size_t fact_cursor_ = 0;
+  std::unique_ptr<FactGossip> facts_;
 
   Revision highest_known_;
   // When highest_known_ first passed what is held here.
--- a/include/membership/member_messages.h
+++ b/include/membership/member_messages.h
@@ -12,6 +12,15 @@
 
 namespace papaya {
 
+// Whom to send to: a router, or the address of one whose name is not known.
+struct PeerAddress {
+  // Empty for a seed that was never met.
+  RouterId router;
+  std::string address;
+
+  bool operator==(const PeerAddress&) const = default;
+};
+
 // All that is told of one router. Of two records of a router the one with the
 // later incarnation holds, then the one with more refutations, then the one
 // with the larger state.
--- a/include/membership/membership.h
+++ b/include/membership/membership.h
@@ -22,15 +22,8 @@
 
 class MemberTable;
 class Prober;
-
-// Whom to send to: a router, or the address of one whose name is not known.
-struct PeerAddress {
-  // Empty for a seed that was never met.
-  RouterId router;
-  std::string address;
-
-  bool operator==(const PeerAddress&) const = default;
-};
+class ViewKeeper;
+struct Member;
 
 // Knows which routers of the fleet run, by gossip alone (after SWIM).
 //
@@ -103,7 +96,7 @@
   // Tells the neighbours that this router stops now; call nothing after it.
   void Leave(TimePoint now);
 
-  const FleetView& view() const { return view_; }
+  const FleetView& view() const;
   Incarnation incarnation() const;
 
  private:
@@ -142,15 +135,8 @@
   void FlushNews();
   void SendDigest();
   void Reconnect();
-  // Dead routers, and seeds that no running router has the address of; only
-  // those that the VM list shows, if it shows any.
-  std::vector<PeerAddress> LostPeers() const;
   void JoinNextSeed();
   void RefreshView();
-  // Chooses targets and neighbours anew; the latter are returned.
-  std::vector<RouterId> RefreshOverlay(const std::vector<RouterView>& routers);
-  // The neighbours of before that still run.
-  std::vector<RouterId> RunningNeighbours() const;
   void SkipPause();
   void Send(const RouterId& to, const MemberMessage& message);
   void SendToNeighbours(const MemberMessage& message);
@@ -164,11 +150,10 @@
   TimePoint last_tick_;
 
   std::unique_ptr<MemberTable> table_;
+  // This router's own entry in the table.
+  const Member* own_;
   std::unique_ptr<Prober> prober_;
-  FleetView view_;
-  bool is_view_stale_ = true;
-  bool is_overlay_stale_ = false;
-  TimePoint next_overlay_;
+  std::unique_ptr<ViewKeeper> view_;
   // Routers whose news is still to be told; true if with the whole record.
   std::map<RouterId, bool> news_;
   // Among them all routers that are suspect.
@@ -179,6 +164,7 @@
   bool has_vm_list_ = false;
   size_t next_seed_ = 0;
   TimePoint next_digest_;
+  TimePoint next_forget_;
   TimePoint next_reconnect_;
   TimePoint next_join_;
   TimePoint next_incarnation_;
--- a/src/config/config_spreader.cc
+++ b/src/config/config_spreader.cc
@@ -13,6 +13,7 @@
 #include "src/config/applied_table.h"
 #include "src/config/config_history.h"
 #include "src/config/config_reader.h"
+#include "src/config/fact_gossip.h"
 
 namespace papaya {
 
@@ -26,7 +27,6 @@
 constexpr Duration kAppliedFlushPeriod = std::chrono::milliseconds(200);
 // Between two sendings of the whole table of applied revisions.
 constexpr Duration kAppliedTablePeriod = std::chrono::seconds(1);
-constexpr size_t kMaxFactsPerMessage = 256;
 // A starting router reads the store itself if peers gave nothing for so long.
 constexpr Duration kStartReadDelay = std::chrono::seconds(3);
 // A starting router knows the others by then, and so who reads the store.
@@ -59,66 +59,12 @@
   return std::find(readers.begin(), readers.end(), view.self) != readers.end();
 }
 
-// At most kMaxFactsPerMessage of `facts`, from the `cursor`-th on and round.
-template <typename Fact>
-void KeepSome(size_t cursor, std::vector<Fact>* facts) {
-  if (facts->size() <= kMaxFactsPerMessage) {
-    return;
-  }
-  const auto start = static_cast<std::ptrdiff_t>(cursor % facts->size());
-  std::rotate(facts->begin(), facts->begin() + start, facts->end());
-  facts->resize(kMaxFactsPerMessage);
-}
-
-Event FactEvent(const StoppedVersion& fact) {
-  return {EventId::kVersionStopped,
-          {{"note", fact.note.value()},
-           {"pool", fact.pool.value()},
-           {"version", fact.version.value()},
-           {"upstream", fact.upstream.value()},
-           {"reason", fact.reason}}};
-}
-
-Event FactEvent(const LeavingUpstream& fact) {
-  return {EventId::kUpstreamLeaving, {{"upstream", fact.id.value()}}};
-}
-
-void Append(const StoppedVersion& fact, FactNews* news) {
-  news->stopped.push_back(fact);
-}
-
-void Append(const LeavingUpstream& fact, FactNews* news) {
-  news->leaving.push_back(fact);
+bool IsEmpty(const FactNews& news) {
+  return news.stopped.empty() && news.leaving.empty();
 }
 
 }  // namespace
 
-template <typename Fact>
-bool ConfigSpreader::LearnFact(const Fact& fact) {
-  const FactSet::AddResult result = facts_.Add(fact);
-  if (result == FactSet::AddResult::kFull) {
-    hooks_.event({EventId::kFactRefused, FactEvent(fact).fields});
-    return false;
-  }
-  if (result != FactSet::AddResult::kAdded) {
-    return false;
-  }
-  hooks_.event(FactEvent(fact));
-  Append(fact, &fact_news_);
-  return true;
-}
-
-template <typename Fact>
-bool ConfigSpreader::AddOwnFact(const Fact& fact, TimePoint now) {
-  now_ = now;
-  if (!LearnFact(fact)) {
-    return facts_.Add(fact) != FactSet::AddResult::kFull;
-  }
-  hooks_.facts_changed(facts_);
-  FlushNews();
-  return true;
-}
-
 ConfigSpreader::ConfigSpreader(Options options,
                                ObjectStore* store,
                                Hooks hooks,
@@ -131,6 +77,8 @@
       started_(now),
       history_(std::make_unique<ConfigHistory>()),
       applied_(std::make_unique<AppliedTable>()),
+      facts_(std::make_unique<FactGossip>(
+          FactGossip::Hooks{hooks_.facts_changed, hooks_.event})),
       behind_since_(now),
       last_heard_(now) {
   reader_ = std::make_unique<ConfigReader>(
@@ -179,7 +127,8 @@
   ReadStoreIfSilent();
   reader_->OnTick(now);
   EnforceIfDue();
-  FlushNews();
+  FlushFacts();
+  FlushApplied();
   SendDigests();
 }
 
@@ -191,11 +140,21 @@
 }
 
 bool ConfigSpreader::AddFact(const StoppedVersion& fact, TimePoint now) {
-  return AddOwnFact(fact, now);
+  now_ = now;
+  const bool is_kept = facts_->Add(fact);
+  FlushFacts();
+  return is_kept;
 }
 
 bool ConfigSpreader::AddFact(const LeavingUpstream& fact, TimePoint now) {
-  return AddOwnFact(fact, now);
+  now_ = now;
+  const bool is_kept = facts_->Add(fact);
+  FlushFacts();
+  return is_kept;
+}
+
+const FactSet& ConfigSpreader::facts() const {
+  return facts_->facts();
 }
 
 RevisionReport ConfigSpreader::Report() const {
@@ -225,7 +184,7 @@
   } else if (digest.revision == HeldRevision() && digest.hash != held_hash_) {
     Log(EventId::kConfigConflict, "router", from.value());
   }
-  if (digest.facts_hash != facts_.hash()) {
+  if (digest.facts_hash != facts().hash()) {
     SendFacts(from);
   }
   if (digest.applied_hash != applied_->hash()) {
@@ -288,16 +247,7 @@
 
 void ConfigSpreader::Handle(const RouterId& /*from*/, const FactNews& message) {
   last_heard_ = now_;
-  bool is_changed = false;
-  for (const StoppedVersion& fact : message.stopped) {
-    is_changed |= LearnFact(fact);
-  }
-  for (const LeavingUpstream& fact : message.leaving) {
-    is_changed |= LearnFact(fact);
-  }
-  if (is_changed) {
-    hooks_.facts_changed(facts_);
-  }
+  facts_->Take(message);
 }
 
 void ConfigSpreader::Handle(const RouterId& /*from*/,
@@ -376,14 +326,10 @@
   config_ = held_;
   heard_.clear();
   LearnOwnRevision();
-  const uint64_t old_facts = facts_.hash();
-  facts_.OnConfig(config_);
   Log(EventId::kRevisionInForce, "revision",
       absl::StrCat(config_->revision.value()));
   hooks_.in_force(config_);
-  if (facts_.hash() != old_facts) {
-    hooks_.facts_changed(facts_);
-  }
+  facts_->OnConfig(config_);
   SendToSome(view_.neighbours.size(), MakeDigest());
 }
 
@@ -406,7 +352,7 @@
     digest.hash = held_hash_;
   }
   digest.highest_known = highest_known_;
-  digest.facts_hash = facts_.hash();
+  digest.facts_hash = facts().hash();
   digest.applied_hash = applied_->hash();
   return digest;
 }
@@ -450,15 +396,8 @@
 }
 
 void ConfigSpreader::SendFacts(const RouterId& to) {
-  FactNews news;
-  news.stopped = facts_.stopped();
-  for (const auto& [id, since] : facts_.leaving()) {
-    news.leaving.push_back({id, since});
-  }
-  KeepSome(fact_cursor_, &news.stopped);
-  KeepSome(fact_cursor_, &news.leaving);
-  fact_cursor_ += kMaxFactsPerMessage;
-  if (!news.stopped.empty() || !news.leaving.empty()) {
+  const FactNews news = facts_->TakeSome();
+  if (!IsEmpty(news)) {
     hooks_.send(to, news);
   }
 }
@@ -471,10 +410,14 @@
   hooks_.send(to, applied_->All());
 }
 
-void ConfigSpreader::FlushNews() {
-  if (!fact_news_.stopped.empty() || !fact_news_.leaving.empty()) {
-    SendToSome(view_.neighbours.size(), std::exchange(fact_news_, {}));
+void ConfigSpreader::FlushFacts() {
+  const FactNews news = facts_->TakeNews();
+  if (!IsEmpty(news)) {
+    SendToSome(view_.neighbours.size(), news);
   }
+}
+
+void ConfigSpreader::FlushApplied() {
   if (now_ < next_applied_flush_) {
     return;
   }
--- a/src/membership/member_table.h
+++ b/src/membership/member_table.h
@@ -19,6 +19,11 @@
   TimePoint since;
 };
 
+// True unless the router is dead.
+inline bool IsRunning(const MemberRecord& record) {
+  return record.state != RouterState::kDead;
+}
+
 // True if `a` holds over `b`, which is of the same router.
 bool IsNewer(const MemberStamp& a, const MemberStamp& b);
 
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -4,8 +4,10 @@
 #include <utility>
 #include <variant>
 
+#include "src/membership/member_sync.h"
 #include "src/membership/member_table.h"
 #include "src/membership/prober.h"
+#include "src/membership/view_keeper.h"
 
 namespace papaya {
 
@@ -17,38 +19,15 @@
 constexpr Duration kRelayLifetime = std::chrono::seconds(2);
 // Routers told of in one tick; the rest waits for the next.
 constexpr size_t kMaxNewsPerTick = 16;
+constexpr Duration kForgetPeriod = std::chrono::seconds(30);
 // From one seed to the next while no other router is known.
 constexpr Duration kJoinPeriod = std::chrono::seconds(1);
 // A gap between ticks above this means that the process was paused.
 constexpr Duration kPauseLimit = std::chrono::milliseconds(600);
-// From one choice of neighbours to the next, when routers come and go at once.
-constexpr Duration kOverlayPeriod = std::chrono::milliseconds(400);
 // A router takes a later incarnation at most this often.
 constexpr Duration kIncarnationPeriod = std::chrono::seconds(1);
 constexpr double kPeriodSpread = 0.2;
 
-RouterView ToView(const MemberRecord& record) {
-  return {.id = record.id,
-          .incarnation = record.incarnation,
-          .state = record.state,
-          .address = record.address,
-          .region = record.region,
-          .zone = record.zone};
-}
-
-bool IsRunning(const MemberRecord& record) {
-  return record.state != RouterState::kDead;
-}
-
-bool HaveSameRouters(const std::vector<RouterView>& a,
-                     const std::vector<RouterView>& b) {
-  return std::equal(a.begin(), a.end(), b.begin(), b.end(),
-                    [](const RouterView& x, const RouterView& y) {
-                      return x.id == y.id && x.zone == y.zone &&
-                             x.region == y.region;
-                    });
-}
-
 }  // namespace
 
 Membership::Membership(Options options,
@@ -67,6 +46,8 @@
                              .region = options_.region,
                              .zone = options_.zone},
                 now);
+  own_ = table_->Find(options_.self);
+  view_ = std::make_unique<ViewKeeper>(options_.self, options_.overlay);
   prober_ = std::make_unique<Prober>(
       options_.probe_period,
       Prober::Hooks{
@@ -122,6 +103,10 @@
   SendToNeighbours(MemberNews{.stamps = {OwnStamp()}});
 }
 
+const FleetView& Membership::view() const {
+  return view_->view();
+}
+
 Incarnation Membership::incarnation() const {
   return Own().incarnation;
 }
@@ -165,23 +150,11 @@
     return;
   }
   TakeRecord(from, join.sender);
-  MemberNews news;
-  for (const auto& [id, member] : table_->members()) {
-    if (IsRunning(member.record) || id == from) {
-      news.records.push_back(member.record);
-    }
-  }
-  Send(from, news);
+  Send(from, MakeJoinAnswer(*table_, from));
 }
 
 void Membership::Handle(const RouterId& from, const MemberRequest& request) {
-  MemberNews news;
-  for (uint64_t key : request.keys) {
-    const Member* member = table_->FindKey(key);
-    if (member != nullptr) {
-      news.records.push_back(member->record);
-    }
-  }
+  const MemberNews news = MakeRecords(*table_, request);
   if (!news.records.empty()) {
     Send(from, news);
   }
@@ -196,43 +169,11 @@
     Send(from, own);
     return;
   }
-  std::vector<AvailabilityZoneId> zones;
-  for (const ZoneDigest& zone : digest.zones) {
-    if (std::find(own.zones.begin(), own.zones.end(), zone) ==
-        own.zones.end()) {
-      zones.push_back(zone.zone);
-    }
-  }
-  for (const ZoneDigest& zone : own.zones) {
-    if (std::find(digest.zones.begin(), digest.zones.end(), zone) ==
-        digest.zones.end()) {
-      zones.push_back(zone.zone);
-    }
-  }
-  std::sort(zones.begin(), zones.end());
-  zones.erase(std::unique(zones.begin(), zones.end()), zones.end());
-  Send(from, table_->StampsOf(zones));
+  Send(from, table_->StampsOf(FindDifferingZones(digest, own)));
 }
 
 void Membership::Handle(const RouterId& from, const MemberStamps& message) {
-  MemberNews news;
-  std::map<uint64_t, const MemberStamp*> said;
-  for (const MemberStamp& stamp : message.stamps) {
-    said[stamp.key] = &stamp;
-  }
-  for (const MemberStamp& own : table_->StampsOf(message.zones).stamps) {
-    const auto theirs = said.find(own.key);
-    if (theirs != said.end() && !IsNewer(own, *theirs->second)) {
-      continue;
-    }
-    const bool knows_process =
-        theirs != said.end() && theirs->second->incarnation == own.incarnation;
-    if (knows_process) {
-      news.stamps.push_back(own);
-    } else if (own.state != RouterState::kDead) {
-      news.records.push_back(table_->FindKey(own.key)->record);
-    }
-  }
+  const MemberNews news = MakeRepairs(*table_, message);
   if (!news.records.empty() || !news.stamps.empty()) {
     Send(from, news);
   }
@@ -323,11 +264,11 @@
   const bool is_new = record.incarnation != Own().incarnation;
   table_->Apply(record, now_);
   news_[record.id] |= is_new;
-  is_view_stale_ = true;
+  view_->MarkStale();
 }
 
 const MemberRecord& Membership::Own() const {
-  return table_->Find(options_.self)->record;
+  return own_->record;
 }
 
 MemberStamp Membership::OwnStamp() const {
@@ -335,7 +276,7 @@
 }
 
 void Membership::OnChanged(const MemberRecord& record, bool is_new) {
-  is_view_stale_ = true;
+  view_->MarkStale();
   news_[record.id] |= is_new;
   switch (record.state) {
     case RouterState::kAlive:
@@ -419,18 +360,22 @@
     return;
   }
   next_digest_ = now_ + random_.Jitter(options_.digest_period, kPeriodSpread);
-  table_->ForgetDead(now_ - options_.dead_lifetime);
+  if (now_ >= next_forget_) {
+    next_forget_ = now_ + kForgetPeriod;
+    table_->ForgetDead(now_ - options_.dead_lifetime);
+  }
   absl::erase_if(relays_, [this](const auto& entry) {
     return now_ - entry.second.made > kRelayLifetime;
   });
-  if (!view_.neighbours.empty()) {
-    const size_t chosen = random_.Below(view_.neighbours.size());
-    Send(view_.neighbours[chosen], MemberDigest{.hash = table_->Digest().hash});
+  if (!view_->view().neighbours.empty()) {
+    const size_t chosen = random_.Below(view_->view().neighbours.size());
+    Send(view_->view().neighbours[chosen],
+         MemberDigest{.hash = table_->Digest().hash});
   }
 }
 
 void Membership::JoinNextSeed() {
-  const bool is_alone = view_.routers.size() <= 1;
+  const bool is_alone = view_->view().routers.size() <= 1;
   if (!is_alone || options_.seeds.empty() || now_ < next_join_) {
     return;
   }
@@ -448,7 +393,8 @@
   }
   next_reconnect_ =
       now_ + random_.Jitter(options_.reconnect_period, kPeriodSpread);
-  const std::vector<PeerAddress> lost = LostPeers();
+  const std::vector<PeerAddress> lost =
+      FindLostPeers(*table_, options_.seeds, vm_list_);
   if (lost.empty()) {
     return;
   }
@@ -457,70 +403,11 @@
   hooks_.send(peer, MemberDigest{.hash = table_->Digest().hash});
 }
 
-std::vector<PeerAddress> Membership::LostPeers() const {
-  std::vector<PeerAddress> listed;
-  std::vector<PeerAddress> lost;
-  std::set<std::string> running = {options_.address};
-  for (const auto& [id, member] : table_->members()) {
-    if (IsRunning(member.record)) {
-      running.insert(member.record.address);
-      continue;
-    }
-    lost.push_back({id, member.record.address});
-    if (vm_list_.contains(id)) {
-      listed.push_back(lost.back());
-    }
-  }
-  for (const std::string& seed : options_.seeds) {
-    if (!running.contains(seed)) {
-      lost.push_back({RouterId(), seed});
-    }
-  }
-  return listed.empty() ? lost : listed;
-}
-
 void Membership::RefreshView() {
-  const bool is_overlay_due = is_overlay_stale_ && now_ >= next_overlay_;
-  if (!is_view_stale_ && !is_overlay_due) {
-    return;
-  }
-  is_view_stale_ = false;
-  FleetView view{.self = options_.self};
-  for (const auto& [id, member] : table_->members()) {
-    if (IsRunning(member.record)) {
-      view.routers.push_back(ToView(member.record));
-    }
-  }
-  is_overlay_stale_ |= !HaveSameRouters(view.routers, view_.routers);
-  if (is_overlay_stale_ && now_ >= next_overlay_) {
-    view.neighbours = RefreshOverlay(view.routers);
-  } else {
-    view.neighbours = RunningNeighbours();
-  }
-  if (view != view_) {
-    view_ = std::move(view);
-    hooks_.view_changed(view_);
-  }
-}
-
-std::vector<RouterId> Membership::RefreshOverlay(
-    const std::vector<RouterView>& routers) {
-  is_overlay_stale_ = false;
-  next_overlay_ = now_ + kOverlayPeriod;
-  Overlay overlay = MakeOverlay(options_.self, routers, options_.overlay);
-  prober_->SetTargets(overlay.targets, now_);
-  return std::move(overlay.neighbours);
-}
-
-std::vector<RouterId> Membership::RunningNeighbours() const {
-  std::vector<RouterId> running;
-  for (const RouterId& neighbour : view_.neighbours) {
-    const Member* member = table_->Find(neighbour);
-    if (member != nullptr && IsRunning(member->record)) {
-      running.push_back(neighbour);
-    }
+  if (view_->Refresh(*table_, now_)) {
+    prober_->SetTargets(view_->targets(), now_);
+    hooks_.view_changed(view_->view());
   }
-  return running;
 }
 
 void Membership::SkipPause() {
@@ -540,14 +427,14 @@
 }
 
 void Membership::SendToNeighbours(const MemberMessage& message) {
-  for (const RouterId& neighbour : view_.neighbours) {
+  for (const RouterId& neighbour : view_->view().neighbours) {
     Send(neighbour, message);
   }
 }
 
 std::vector<RouterId> Membership::PickHelpers(const RouterId& target) {
   std::vector<RouterId> helpers;
-  for (const RouterId& neighbour : view_.neighbours) {
+  for (const RouterId& neighbour : view_->view().neighbours) {
     const Member* member = table_->Find(neighbour);
     if (neighbour != target && member != nullptr &&
         member->record.state < RouterState::kSuspect) {
