Plan slots by what all routers know, and free engines for critical work

Cause: routers planned by their own newest state, so two took one free slot; critical work then waited inside a full engine, where tiers do not count. Change: the plan goes by what was last reported, a rendezvous hash names the taker of a free slot, and a critical attempt that its engine holds back has one stream of a lower tier given up there, by this router or another; the stream that loses least goes.

--- a/src/admission/group_state.h
+++ b/src/admission/group_state.h
@@ -48,6 +48,8 @@
   int peer_short_waiting = 0;
   // Own share of the slots while others have requests waiting.
   TierSlots allotment{};
+  // False for tiers whose whole demand is met.
+  std::array<bool, kTierCount> is_scarce{};
 
   // How long attempts take, in seconds.
   double attempt_seconds = 0.0;
--- a/src/admission/request_entry.h
+++ b/src/admission/request_entry.h
@@ -36,6 +36,10 @@
   Tokens tokens_seen;
   TimePoint tokens_time;
   bool is_preempting = false;
+  // Its slot is not to be used again by this router.
+  bool gives_slot_away = false;
+  // It was found to be queued by its upstream, and a slot given up for it.
+  bool is_relieved = false;
 
   // Of all attempts.
   int attempts = 0;
--- a/src/admission/scheduler_core.cc
+++ b/src/admission/scheduler_core.cc
@@ -238,6 +238,8 @@
                           TimePoint now) {
   entry->is_running = true;
   entry->is_preempting = false;
+  entry->gives_slot_away = false;
+  entry->is_relieved = false;
   entry->upstream = choice.upstream;
   entry->prefill_tokens = choice.prefill_tokens;
   if (entry->attempts == 0) {
@@ -279,6 +281,9 @@
 void SchedulerCore::EndAttempt(RequestEntry* entry) {
   GroupState& group = groups_.at(entry->group);
   upstreams_.End(*entry);
+  if (entry->gives_slot_away) {
+    ++upstreams_.at(entry->upstream).given_away;
+  }
   --group.running[TierIndex(entry->spec.tier)];
   group.preempting -= entry->is_preempting ? 1 : 0;
   entry->is_running = false;
--- a/src/admission/scheduler_core.h
+++ b/src/admission/scheduler_core.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <vector>
 
 #include "absl/container/flat_hash_map.h"
 #include "include/admission/scheduler.h"
@@ -80,7 +81,24 @@
   void UpdateShortTier(GroupState* group, TimePoint now);
   int CountPressing(const GroupState& group, TimePoint now) const;
   int FreeSlots(const GroupState& group, TimePoint now) const;
-  void PreemptLower(int32_t group, Tier than, int count, TimePoint now);
+  // Critical attempts that seem to be queued by their upstreams.
+  std::vector<RequestEntry*> FindStuck(int32_t group, TimePoint now);
+  // Gives up a stream for each of them that shares its upstream with a lower
+  // tier of this router; true if others would have to.
+  bool RelieveStuck(int32_t group, TimePoint now);
+  // Gives up streams where upstreams have more than they can work on.
+  void RelieveOverfull(const GroupState& group, TimePoint now);
+  bool IsOwnTurn(const UpstreamId& upstream,
+                 uint64_t draw,
+                 TimePoint now) const;
+  // Preempts up to `count` streams of the group that are of lower tiers and
+  // lose least; of one upstream only, unless that is -1. Their slots may be
+  // used again at once unless `gives_slots_away`.
+  int PreemptLower(int32_t group,
+                   int32_t upstream,
+                   int count,
+                   bool gives_slots_away,
+                   TimePoint now);
 
   void ApplyPeers(TimePoint now);
   void UpdateStragglers(GroupState* group, TimePoint now);
@@ -103,7 +121,8 @@
   bool has_peer_news_ = false;
   bool has_short_news_ = false;
   TimePoint last_report_;
-  uint64_t report_sequence_ = 0;
+  // What the other routers were told last.
+  DemandReport own_report_;
 };
 
 }  // namespace papaya
--- a/src/admission/scheduler_pressure.cc
+++ b/src/admission/scheduler_pressure.cc
@@ -7,7 +7,7 @@
 #include <utility>
 #include <vector>
 
-#include "absl/strings/str_cat.h"
+#include "include/base/stable_hash.h"
 #include "src/admission/scheduler_core.h"
 #include "src/admission/slot_planner.h"
 
@@ -17,10 +17,13 @@
 
 // A request of the highest tier that has waited for this part of its time may
 // take the slots of lower tiers.
-constexpr double kPressingPart = 0.2;
+constexpr double kPressingPart = 0.35;
 // Once a request has waited for this part of its time, the router is short of
 // slots for its tier.
-constexpr double kShortPart = 0.35;
+constexpr double kShortPart = 0.5;
+// A critical attempt without a first token this long after it should have come
+// is queued by its upstream.
+constexpr double kStuckSeconds = 0.3;
 // Reports about a shortage that begins or ends go out at most this often.
 constexpr Duration kUrgentReportInterval = std::chrono::milliseconds(50);
 
@@ -31,14 +34,23 @@
   return limit > 0.0 ? waited / limit : 1.0;
 }
 
-// Lowest tier first; within it, what has had least done for it.
+// What was given up least often goes first, then what has had least done for
+// it, then the lower tier.
 bool LosesLess(const RequestEntry* a, const RequestEntry* b) {
   const double a_done = a->prefill_tokens * (a->has_first_token ? 1.0 : 0.5) +
                         static_cast<double>(a->tokens_seen.value());
   const double b_done = b->prefill_tokens * (b->has_first_token ? 1.0 : 0.5) +
                         static_cast<double>(b->tokens_seen.value());
-  return std::tuple(b->spec.tier, a_done, a->spec.id) <
-         std::tuple(a->spec.tier, b_done, b->spec.id);
+  return std::tuple(a->attempts, a_done, b->spec.tier, a->spec.id) <
+         std::tuple(b->attempts, b_done, a->spec.tier, b->spec.id);
+}
+
+bool IsShortOfCritical(const DemandReport& report, const PoolVersion& group) {
+  return std::any_of(report.groups.begin(), report.groups.end(),
+                     [&group](const GroupDemand& demand) {
+                       return demand.group == group &&
+                              demand.short_tier == Tier::kCritical;
+                     });
 }
 
 int LowerThan(const std::array<int, kTierCount>& counts, Tier tier) {
@@ -83,8 +95,8 @@
   }
   upstreams_.ApplyPeers(*snapshot_, peers_, now);
   groups_.ApplyPeers(peers_, now);
-  SlotPlanner planner(snapshot_.get(), &peers_, options_.report_interval, now,
-                      &upstreams_);
+  SlotPlanner planner(snapshot_.get(), &peers_, &own_report_,
+                      options_.report_interval, now, &upstreams_);
   for (const VersionGroup& group : snapshot_->groups()) {
     GroupState& state = groups_.at(groups_.Find(group.name));
     planner.Plan(group, &state);
@@ -127,6 +139,9 @@
       break;
     }
   }
+  if (RelieveStuck(groups_.Find(group->name), now)) {
+    short_tier = Tier::kCritical;
+  }
   if (short_tier == group->own_short) {
     return;
   }
@@ -161,13 +176,14 @@
   const int32_t number = groups_.Find(group->name);
   const int own = CountPressing(*group, now) - group->preempting;
   if (own > 0) {
-    PreemptLower(number, Tier::kCritical, own, now);
+    PreemptLower(number, -1, own, /*gives_slots_away=*/false, now);
     return;
   }
   if (group->peer_short != Tier::kCritical ||
       now - group->gave_up < options_.report_interval * 2) {
     return;
   }
+  RelieveOverfull(*group, now);
   const int own_lower = LowerThan(group->running, Tier::kCritical);
   const int all_lower =
       own_lower + LowerThan(group->peer_running, Tier::kCritical);
@@ -177,19 +193,97 @@
   }
   const double part = static_cast<double>(own_lower) / all_lower;
   group->gave_up = now;
-  PreemptLower(number, Tier::kCritical,
-               static_cast<int>(std::ceil(wanted * part)), now);
+  PreemptLower(number, -1, static_cast<int>(std::ceil(wanted * part)),
+               /*gives_slots_away=*/true, now);
 }
 
-void SchedulerCore::PreemptLower(int32_t group,
-                                 Tier than,
-                                 int count,
-                                 TimePoint now) {
+std::vector<RequestEntry*> SchedulerCore::FindStuck(int32_t group,
+                                                    TimePoint now) {
+  std::vector<RequestEntry*> stuck;
+  if (groups_.at(group).running[TierIndex(Tier::kCritical)] == 0) {
+    return stuck;
+  }
+  for (const auto& [id, entry] : entries_) {
+    if (entry->group != group || !entry->is_running ||
+        entry->spec.tier != Tier::kCritical || entry->has_first_token ||
+        entry->is_relieved || entry->spec.prompt_tokens.value() == 0) {
+      continue;
+    }
+    const UpstreamState& state = upstreams_.at(entry->upstream);
+    const double expected = (entry->prefill_tokens + entry->prefill_ahead) *
+                            upstreams_.PrefillSeconds(state);
+    if (WaitedPart(*entry, now) >= kPressingPart &&
+        ToSeconds(now - entry->dispatched) > kStuckSeconds + expected) {
+      stuck.push_back(entry.get());
+    }
+  }
+  return stuck;
+}
+
+bool SchedulerCore::RelieveStuck(int32_t group, TimePoint now) {
+  bool needs_others = false;
+  for (RequestEntry* entry : FindStuck(group, now)) {
+    entry->is_relieved = PreemptLower(group, entry->upstream, 1,
+                                      /*gives_slots_away=*/true, now) > 0;
+    needs_others = needs_others || !entry->is_relieved;
+  }
+  return needs_others;
+}
+
+// One router at a time gives up a stream: which one changes from report to
+// report of the router that is short.
+void SchedulerCore::RelieveOverfull(const GroupState& group, TimePoint now) {
+  const int32_t number = groups_.Find(group.name);
+  peers_.ForEach(now, [this, &group, number, now](const DemandReport& report) {
+    if (!IsShortOfCritical(report, group.name)) {
+      return;
+    }
+    for (const UpstreamUse& use : report.upstreams) {
+      const int32_t upstream = upstreams_.Find(use.upstream);
+      if (use.pending_prefill.value() > 0 && upstream >= 0 &&
+          upstreams_.at(upstream).TotalReported() >
+              upstreams_.at(upstream).slots &&
+          IsOwnTurn(use.upstream, report.sequence, now) &&
+          PreemptLower(number, upstream, 1, /*gives_slots_away=*/true, now) >
+              0) {
+        groups_.at(number).gave_up = now;
+      }
+    }
+  });
+}
+
+// True if of the routers with work at `upstream` this one is drawn by `draw`.
+bool SchedulerCore::IsOwnTurn(const UpstreamId& upstream,
+                              uint64_t draw,
+                              TimePoint now) const {
+  const auto weight = [draw](const RouterId& router) {
+    return StableHash(router.value(), draw);
+  };
+  const uint64_t own = weight(options_.router);
+  bool is_first = true;
+  peers_.ForEach(now, [&](const DemandReport& report) {
+    for (const UpstreamUse& use : report.upstreams) {
+      if (use.upstream == upstream && use.running > 0 &&
+          weight(report.router) > own) {
+        is_first = false;
+      }
+    }
+  });
+  return is_first;
+}
+
+int SchedulerCore::PreemptLower(int32_t group,
+                                int32_t upstream,
+                                int count,
+                                bool gives_slots_away,
+                                TimePoint now) {
   std::vector<RequestEntry*> candidates;
   for (const auto& [id, entry] : entries_) {
     // A slot of an upstream that gets no new work would be of no use.
-    if (entry->group == group && entry->spec.tier > than &&
-        entry->IsPreemptible() && upstreams_.at(entry->upstream).IsOpen(now)) {
+    if (entry->group == group && entry->spec.tier > Tier::kCritical &&
+        entry->IsPreemptible() &&
+        (upstream < 0 || entry->upstream == upstream) &&
+        upstreams_.at(entry->upstream).IsOpen(now)) {
       candidates.push_back(entry.get());
     }
   }
@@ -197,16 +291,18 @@
   candidates.resize(std::min(candidates.size(), static_cast<size_t>(count)));
   for (RequestEntry* entry : candidates) {
     entry->is_preempting = true;
+    entry->gives_slot_away = gives_slots_away;
     ++groups_.at(group).preempting;
     hooks_.preempt(entry->spec.id);
   }
+  return static_cast<int>(candidates.size());
 }
 
 DemandReport SchedulerCore::MakeReport() {
   DemandReport report;
   report.router = options_.router;
   report.incarnation = options_.incarnation;
-  report.sequence = ++report_sequence_;
+  report.sequence = own_report_.sequence + 1;
   for (size_t i = 0; i < groups_.size(); ++i) {
     const GroupState& group = groups_.at(static_cast<int32_t>(i));
     if (group.IsIdle()) {
@@ -236,7 +332,12 @@
 void SchedulerCore::SendReport(TimePoint now) {
   last_report_ = now;
   has_short_news_ = false;
-  hooks_.send_demand(MakeReport());
+  own_report_ = MakeReport();
+  for (size_t i = 0; i < upstreams_.size(); ++i) {
+    upstreams_.at(static_cast<int32_t>(i)).given_away = 0;
+  }
+  has_peer_news_ = true;
+  hooks_.send_demand(own_report_);
 }
 
 }  // namespace papaya
--- a/src/admission/slot_planner.cc
+++ b/src/admission/slot_planner.cc
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <numeric>
 
+#include "include/base/stable_hash.h"
+
 namespace papaya {
 
 namespace {
@@ -21,18 +23,9 @@
   return nullptr;
 }
 
-GroupDemand OwnDemand(const GroupState& state) {
-  GroupDemand demand;
-  for (size_t tier = 0; tier < kTierCount; ++tier) {
-    demand.tiers[tier] = {state.running[tier],
-                          static_cast<int32_t>(state.queues[tier].size())};
-  }
-  return demand;
-}
-
 }  // namespace
 
-size_t SlotPlanner::PositionOf(const RouterId& id, const GroupState& state) {
+size_t SlotPlanner::PositionOf(const RouterId& id, const PoolVersion& group) {
   auto found =
       std::find_if(routers_.begin(), routers_.end(),
                    [&id](const Router& router) { return router.id == id; });
@@ -40,15 +33,12 @@
     return static_cast<size_t>(found - routers_.begin());
   }
   const bool is_self = id == snapshot_->self().id;
-  const DemandReport* report = is_self ? nullptr : peers_->Find(id, now_);
-  const GroupDemand own = OwnDemand(state);
-  const GroupDemand* demand = is_self ? &own : nullptr;
-  if (report != nullptr) {
-    demand = FindGroup(*report, state.name);
-  }
+  const DemandReport* report = is_self ? own_ : peers_->Find(id, now_);
+  const GroupDemand* demand =
+      report != nullptr ? FindGroup(*report, group) : nullptr;
   Router router;
   router.id = id;
-  router.demand.is_known = is_self || report != nullptr;
+  router.demand.is_known = report != nullptr;
   for (size_t i = 0; demand != nullptr && i < kTierCount; ++i) {
     const TierDemand& tier = demand->tiers[i];
     router.demand.tiers[i] = tier.running + tier.waiting;
@@ -72,7 +62,7 @@
     std::vector<size_t> positions;
     std::vector<RouterDemand> demands;
     for (const RouterId& id : upstream.routers) {
-      positions.push_back(PositionOf(id, *state));
+      positions.push_back(PositionOf(id, state->name));
       demands.push_back(routers_[positions.back()].demand);
       for (double& tier : demands.back().tiers) {
         tier *= part;
@@ -94,22 +84,27 @@
   }
 }
 
-// Gives a free slot of `upstream` to the router that lacks most of its
-// allotment for `tier` and has requests of it waiting; `limit` grows if that is
-// this one. False if there is no such router.
+// Gives a free slot of `upstream` to a router that lacks some of its allotment
+// for `tier` and has requests of it waiting; `limit` grows if that is this one.
+// False if there is no such router. Of several, a rendezvous hash names one:
+// it stays the same while reports come in one by one, unlike the router that
+// lacks most, and so two routers seldom take one slot.
 bool SlotPlanner::GrantOne(const RoutedUpstream& upstream,
                            Tier tier,
                            int* limit) {
   const size_t index = TierIndex(tier);
+  const uint64_t seed = StableHash(upstream.spec.id.value());
   Router* most = nullptr;
-  double most_lacking = 0.0;
+  uint64_t most_weight = 0;
   for (Router& router : routers_) {
     const double lacking = router.allotment[index] - router.running[index];
-    if (router.waiting[index] > 0.0 && lacking > most_lacking &&
+    const uint64_t weight = StableHash(router.id.value(), seed);
+    if (router.waiting[index] > 0.0 && lacking > 0.0 &&
+        (most == nullptr || weight > most_weight) &&
         std::binary_search(upstream.routers.begin(), upstream.routers.end(),
                            router.id)) {
       most = &router;
-      most_lacking = lacking;
+      most_weight = weight;
     }
   }
   if (most == nullptr) {
@@ -121,6 +116,33 @@
   return true;
 }
 
+// A tier is scarce unless some tier below it gets slots too.
+void SlotPlanner::MarkScarce(GroupState* state) const {
+  TierSlots granted{};
+  for (const Router& router : routers_) {
+    for (size_t tier = 0; router.demand.is_known && tier < kTierCount; ++tier) {
+      granted[tier] += router.allotment[tier];
+    }
+  }
+  double below = 0.0;
+  for (size_t tier = kTierCount; tier-- > 0;) {
+    state->is_scarce[tier] = below < 1.0;
+    below += granted[tier];
+  }
+}
+
+void SlotPlanner::ApplyOwnReport(const VersionGroup& group) {
+  for (UpstreamIndex index : group.upstreams) {
+    StateOf(snapshot_->upstream(index)).reported_running = 0;
+  }
+  for (const UpstreamUse& use : own_->upstreams) {
+    const int32_t number = upstreams_->Find(use.upstream);
+    if (number >= 0) {
+      upstreams_->at(number).reported_running = use.running;
+    }
+  }
+}
+
 UpstreamState& SlotPlanner::StateOf(const RoutedUpstream& upstream) {
   return upstreams_->at(upstreams_->Find(upstream.spec.id));
 }
@@ -142,10 +164,10 @@
 void SlotPlanner::SetLimits(const VersionGroup& group, double trust) {
   for (UpstreamIndex index : group.upstreams) {
     UpstreamState& state = StateOf(snapshot_->upstream(index));
-    const bool is_over = state.TotalRunning() > state.slots;
-    state.limit = state.running;
-    if (is_over && state.running > state.share) {
-      state.limit = state.running - 1;
+    const bool is_over = state.TotalReported() > state.slots;
+    state.limit = state.reported_running;
+    if (is_over && state.reported_running > state.share) {
+      state.limit = state.reported_running - 1;
     }
     if (trust < kLowTrust) {
       state.limit = std::max(state.limit, static_cast<int>(state.share));
@@ -157,7 +179,7 @@
   for (UpstreamIndex index : group.upstreams) {
     const RoutedUpstream& upstream = snapshot_->upstream(index);
     UpstreamState& state = StateOf(upstream);
-    double free = state.slots - state.TotalRunning();
+    double free = state.slots - state.TotalReported();
     for (Tier tier : kAllTiers) {
       while (free >= 1.0 && GrantOne(upstream, tier, &state.limit)) {
         free -= 1.0;
@@ -168,7 +190,9 @@
 
 void SlotPlanner::Plan(const VersionGroup& group, GroupState* state) {
   routers_.clear();
+  ApplyOwnReport(group);
   Divide(group, state);
+  MarkScarce(state);
   double trust = 1.0;
   if (state->attempt_seconds > 0.0) {
     trust = std::exp(-ToSeconds(report_interval_) / state->attempt_seconds);
--- a/src/admission/slot_planner.h
+++ b/src/admission/slot_planner.h
@@ -20,14 +20,17 @@
 class SlotPlanner {
  public:
   // All must outlive the planner. The latest reports must have been applied to
-  // `upstreams`.
+  // `upstreams`. `own` is what this router reported last: the others know no
+  // more of it, and so the plan goes by no more.
   SlotPlanner(const RoutingSnapshot* snapshot,
               const PeerTable* peers,
+              const DemandReport* own,
               Duration report_interval,
               TimePoint now,
               UpstreamTable* upstreams)
       : snapshot_(snapshot),
         peers_(peers),
+        own_(own),
         report_interval_(report_interval),
         now_(now),
         upstreams_(upstreams) {}
@@ -45,7 +48,9 @@
     TierSlots allotment{};
   };
 
-  size_t PositionOf(const RouterId& id, const GroupState& state);
+  size_t PositionOf(const RouterId& id, const PoolVersion& group);
+  void MarkScarce(GroupState* state) const;
+  void ApplyOwnReport(const VersionGroup& group);
   void Divide(const VersionGroup& group, GroupState* state);
   void DiscountPeers(const VersionGroup& group, double trust);
   void SetLimits(const VersionGroup& group, double trust);
@@ -55,6 +60,7 @@
 
   const RoutingSnapshot* snapshot_;
   const PeerTable* peers_;
+  const DemandReport* own_;
   Duration report_interval_;
   TimePoint now_;
   UpstreamTable* upstreams_;
--- a/src/admission/upstream_state.h
+++ b/src/admission/upstream_state.h
@@ -30,6 +30,10 @@
   // through.
   int running = 0;
   double prefill = 0.0;
+  // Slots given away since the last report.
+  int given_away = 0;
+  // What was last told the other routers of `running`.
+  int reported_running = 0;
 
   // The same of other routers, by their latest reports.
   double peer_running = 0.0;
@@ -63,10 +67,19 @@
   double TotalRunning() const {
     return running + peer_running + silent_running;
   }
+  // The same by what the routers have told one another.
+  double TotalReported() const {
+    return reported_running + peer_running + silent_running;
+  }
+
   // True if one more own attempt may go there. If `is_contended`, other routers
   // wait for its slots.
   bool HasRoom(bool is_contended) const {
-    return is_contended ? running < limit : TotalRunning() < slots;
+    const bool is_within_limit = running < limit - given_away;
+    if (is_plain) {
+      return is_within_limit || TotalRunning() < slots;
+    }
+    return is_contended ? is_within_limit : TotalRunning() < slots;
   }
 
   // True if new work may go there, if there is room.
