Judge plain services by more answers before setting one aside

Cause: single calls of a service differ by their nature; two or three slow ones had a replica set aside, on each router another one. Change: an answer counts as 2 tokens instead of 32.

--- a/src/admission/upstream_table.cc
+++ b/src/admission/upstream_table.cc
@@ -23,6 +23,9 @@
 constexpr double kUsualStep = 0.01;
 // Of a kind's speed, observations of many upstreams make the mean.
 constexpr double kMaxObservedTokens = 32.0;
+// An answer of a plain service counts for as much as so many tokens: its time
+// says less, as calls differ.
+constexpr double kServiceAnswerTokens = 2.0;
 
 }  // namespace
 
@@ -170,8 +173,8 @@
 void UpstreamTable::OnServiceAnswer(const RequestEntry& entry, TimePoint now) {
   UpstreamState& state = at(entry.upstream);
   const double seconds = ToSeconds(now - entry.dispatched);
-  state.speed.decode.Add(seconds, kMaxObservedTokens, now);
-  state.kind->speed.decode.Add(seconds, kMaxObservedTokens, now);
+  state.speed.decode.Add(seconds, kServiceAnswerTokens, now);
+  state.kind->speed.decode.Add(seconds, kServiceAnswerTokens, now);
 }
 
 void UpstreamTable::MarkLeaving(int32_t number, TimePoint now) {
