Give new and old replicas the same load in each stage

Cause: a replica set aside left the others of its version with more work, which hid a slower version; and the last stage lost its control.

--- a/include/rollout/note_plan.h
+++ b/include/rollout/note_plan.h
@@ -17,8 +17,8 @@
 struct Stage {
   // Replicas of the new version that take part.
   size_t replicas = 0;
-  // Share of the pool's traffic that they get together.
-  Permille share;
+  // The load of each, as a part of what a replica of the old version carries.
+  double load = 1.0;
 
   bool operator==(const Stage&) const = default;
 };
@@ -33,8 +33,9 @@
   std::vector<UpstreamSpec> sequence;
   // Upstreams of the old version that go when the note is done.
   std::vector<UpstreamSpec> leaving;
-  // Small share first; the last one leaves some traffic with the old version to
-  // compare with.
+  // Few replicas first; the last one leaves some with the old version to
+  // compare with. New and old replicas carry the same load in all but the
+  // first, so that load alone makes neither look worse.
   std::vector<Stage> stages;
 
   bool operator==(const PoolMove&) const = default;
@@ -72,7 +73,8 @@
       const std::vector<UpstreamId>& set_aside) const;
 
   // The share that `stage` gives to new versions; the largest over its pools.
-  Permille StageShare(size_t stage) const;
+  Permille StageShare(size_t stage,
+                      const std::vector<UpstreamId>& set_aside) const;
 
   // True if some version is judged, so that time is needed.
   bool IsJudged() const { return !moves_.empty(); }
@@ -94,6 +96,10 @@
 
  private:
   void BuildMoves(const FleetConfig& base);
+  std::vector<UpstreamSpec> OldReplicas(
+      const PoolMove& move,
+      const std::vector<UpstreamSpec>& fresh,
+      const std::vector<UpstreamId>& set_aside) const;
 
   const NoteId id_;
   const ReleaseNote note_;
--- a/src/rollout/note_mover.cc
+++ b/src/rollout/note_mover.cc
@@ -321,7 +321,7 @@
   const size_t count = plan.stage_count();
   if (record.stage_since == WallTime()) {
     record.stage_since = wall_;
-    record.share = plan.StageShare(stage);
+    record.share = plan.StageShare(stage, record.set_aside);
     record.reason = absl::StrFormat(
         "stage %d of %d: %d.%d%% of the traffic is on the new version",
         record.stage + 1, static_cast<int>(count), record.share.value() / 10,
--- a/src/rollout/note_plan.cc
+++ b/src/rollout/note_plan.cc
@@ -23,11 +23,9 @@
 constexpr size_t kAsideDivisor = 10;
 // The first stage gives its replicas this part of a normal load.
 constexpr double kFirstStageLoad = 0.25;
-// While the last stage bakes the old version keeps at least this share.
-constexpr int kControlPermille = 60;
 // Relative lengths of the stages; pools with fewer stages leave out middle
 // ones.
-constexpr double kStageWeights[] = {0.10, 0.20, 0.15, 0.15, 0.40};
+constexpr double kStageWeights[] = {0.06, 0.34, 0.12, 0.12, 0.36};
 constexpr size_t kMostStages = std::size(kStageWeights);
 
 size_t CeilDivide(size_t value, size_t divisor) {
@@ -57,11 +55,20 @@
   return result;
 }
 
-Permille ShareOf(size_t replicas, size_t total, double load) {
-  const double share = 1000.0 * load * static_cast<double>(replicas) /
-                       static_cast<double>(total);
-  const int most = 1000 - kControlPermille;
-  return Permille(std::clamp(static_cast<int>(share), 1, most));
+// The share of `fresh` new replicas beside `old` ones, at a part of the load.
+Permille ShareOf(size_t fresh, size_t old, double load) {
+  if (old == 0) {
+    return Permille(1000);
+  }
+  const double share = 1000.0 * load * static_cast<double>(fresh) /
+                       static_cast<double>(fresh + old);
+  return Permille(std::clamp(static_cast<int>(share), 1, 999));
+}
+
+// Replicas that keep the old version until the note is done.
+size_t ControlOf(size_t total) {
+  return total <= 1 ? 0
+                    : std::max<size_t>(1, CeilDivide(total, kControlDivisor));
 }
 
 std::vector<Stage> MakeStages(size_t total) {
@@ -69,19 +76,20 @@
       total <= kSmallPool
           ? 1
           : std::max<size_t>(2, CeilDivide(total, kFirstStageDivisor));
-  const size_t control =
-      std::max<size_t>(1, CeilDivide(total, kControlDivisor));
-  const size_t last = std::max<size_t>(1, total - std::min(total, control));
-  std::vector<Stage> stages = {{first, ShareOf(first, total, kFirstStageLoad)},
-                               {first, ShareOf(first, total, 1.0)}};
+  const size_t last = std::max<size_t>(1, total - ControlOf(total));
+  std::vector<Stage> stages = {{first, kFirstStageLoad}, {first, 1.0}};
   for (const size_t count : {total / 3, total * 3 / 5, last}) {
     if (count > stages.back().replicas) {
-      stages.push_back({count, ShareOf(count, total, 1.0)});
+      stages.push_back({count, 1.0});
     }
   }
   return stages;
 }
 
+const Stage& StageOf(const PoolMove& move, size_t stage) {
+  return move.stages[std::min(stage, move.stages.size() - 1)];
+}
+
 // True if the only way to bring in the new version leaves nothing to compare
 // with: one upstream that is moved in place.
 bool IsLoneMover(const PoolMove& move) {
@@ -170,27 +178,59 @@
     const PoolMove& move,
     size_t stage,
     const std::vector<UpstreamId>& set_aside) const {
-  const size_t index = std::min(stage, move.stages.size() - 1);
   std::vector<UpstreamSpec> replicas;
   for (const UpstreamSpec& upstream : move.sequence) {
-    if (replicas.size() == move.stages[index].replicas) {
-      break;
-    }
     if (!Contains(set_aside, upstream.id)) {
       replicas.push_back(upstream);
     }
   }
+  // What was set aside must not cost the old version its last replicas.
+  const size_t control = ControlOf(replicas.size());
+  const size_t most = std::max<size_t>(1, replicas.size() - control);
+  replicas.resize(
+      std::min({replicas.size(), most, StageOf(move, stage).replicas}));
   return replicas;
 }
 
-Permille NotePlan::StageShare(size_t stage) const {
+// Old replicas that keep work beside `fresh` new ones. Those that leave anyway
+// make room for added ones, so that all carry the same load.
+std::vector<UpstreamSpec> NotePlan::OldReplicas(
+    const PoolMove& move,
+    const std::vector<UpstreamSpec>& fresh,
+    const std::vector<UpstreamId>& set_aside) const {
+  std::vector<UpstreamSpec> old;
+  for (const UpstreamSpec& upstream : base_.upstreams) {
+    const bool is_fresh = std::any_of(fresh.begin(), fresh.end(),
+                                      [&upstream](const UpstreamSpec& taken) {
+                                        return taken.id == upstream.id;
+                                      });
+    if (upstream.pool == move.pool && !is_fresh &&
+        !Contains(set_aside, upstream.id)) {
+      old.push_back(upstream);
+    }
+  }
+  if (move.leaving.empty()) {
+    return old;
+  }
+  const size_t total = move.sequence.size();
+  const size_t wanted =
+      std::max(ControlOf(total), total - std::min(total, fresh.size()));
+  old = SpreadOverZones(std::move(old));
+  old.resize(std::min(old.size(), std::max<size_t>(1, wanted)));
+  return old;
+}
+
+Permille NotePlan::StageShare(size_t stage,
+                              const std::vector<UpstreamId>& set_aside) const {
   if (moves_.empty()) {
     return Permille(1000);
   }
   Permille share;
   for (const PoolMove& move : moves_) {
-    share = std::max(
-        share, move.stages[std::min(stage, move.stages.size() - 1)].share);
+    const std::vector<UpstreamSpec> fresh = NewReplicas(move, stage, set_aside);
+    const size_t old = OldReplicas(move, fresh, set_aside).size();
+    share =
+        std::max(share, ShareOf(fresh.size(), old, StageOf(move, stage).load));
   }
   return share;
 }
@@ -203,20 +243,12 @@
     std::erase_if(config.upstreams, [&move](const UpstreamSpec& upstream) {
       return upstream.pool == move.pool;
     });
-    std::vector<UpstreamSpec> members = NewReplicas(move, stage, set_aside);
-    std::set<UpstreamId> taken;
-    for (const UpstreamSpec& member : members) {
-      taken.insert(member.id);
-    }
-    for (const UpstreamSpec& upstream : base_.upstreams) {
-      if (upstream.pool == move.pool && !taken.contains(upstream.id)) {
-        members.push_back(upstream);
-      }
-    }
-    config.upstreams.insert(config.upstreams.end(), members.begin(),
-                            members.end());
+    const std::vector<UpstreamSpec> fresh = NewReplicas(move, stage, set_aside);
+    const std::vector<UpstreamSpec> old = OldReplicas(move, fresh, set_aside);
+    config.upstreams.insert(config.upstreams.end(), fresh.begin(), fresh.end());
+    config.upstreams.insert(config.upstreams.end(), old.begin(), old.end());
     const Permille share =
-        move.stages[std::min(stage, move.stages.size() - 1)].share;
+        ShareOf(fresh.size(), old.size(), StageOf(move, stage).load);
     config.shares.push_back(
         {move.pool, move.from, Permille(1000) - share, NoteId()});
     config.shares.push_back({move.pool, move.to, share, id_});
