--- a/tests/fakes/fake_rollout_fleet.h
+++ b/tests/fakes/fake_rollout_fleet.h
@@ -121,7 +121,6 @@
   // Share of gossip messages that are lost, each repeated every second.
   double lost_gossip = 0.1;
   Duration load_time = std::chrono::seconds(40);
-  double lost_orders = 0.0;
 };
 
 // A fleet in virtual time: platform store, engines, routers with all cores of
@@ -214,7 +213,7 @@
   // An order arrives late, by its timeout at the latest, or never; it may take
   // effect although the answer is lost.
   void SendOrder(const EngineOrder& order, NoteRunnerHooks::OrderDone done) {
-    const bool is_lost = random.Chance(options.lost_orders);
+    const bool is_lost = random.Chance(lost_orders);
     const bool is_late = is_lost && random.Chance(0.5);
     const TimePoint arrives =
         is_late ? std::max(backend.now,
@@ -452,6 +451,8 @@
   bool reverted = false;
   // Requests a second in all; 0 sends none.
   double rate = 0.0;
+  // Share of orders that come late or never.
+  double lost_orders = 0.0;
   uint64_t orders = 0;
   uint64_t ticks = 0;
   double due = 0.0;
