--- a/include/telemetry/event_catalog.h
+++ b/include/telemetry/event_catalog.h
@@ -19,6 +19,7 @@
 
   // Wire.
   kListening = 2001,
+  kStreamCut = 2002,
 
   // Settings and store.
   kSettingsRefused = 3001,
--- a/include/wire/http_client.h
+++ b/include/wire/http_client.h
@@ -57,6 +57,10 @@
   // there is none.
   std::unique_ptr<HttpClient> TakeIdle(const std::string& address);
 
+  // Closes the idle connections and keeps none from now on. To be called
+  // before the io_context of the thread is destroyed.
+  void Shutdown();
+
   // Keeps `client` for later if it is reusable.
   void Give(const std::string& address, std::unique_ptr<HttpClient> client);
 
--- /dev/null
+++ b/src/daemon/account_directory.cc
@@ -0,0 +1,50 @@
+#include "src/daemon/account_directory.h"
+
+#include <openssl/rand.h>
+
+#include <algorithm>
+
+#include "absl/strings/escaping.h"
+#include "src/daemon/token_digest.h"
+
+namespace papaya {
+
+namespace {
+
+constexpr size_t kKeyBytes = 32;
+
+std::string RandomKey() {
+  std::string key(kKeyBytes, '\0');
+  RAND_bytes(reinterpret_cast<unsigned char*>(key.data()),
+             static_cast<int>(key.size()));
+  return key;
+}
+
+}  // namespace
+
+AccountDirectory::AccountDirectory(const std::vector<AccountSettings>& accounts)
+    : key_(RandomKey()) {
+  for (const AccountSettings& account : accounts) {
+    const std::string digest = absl::HexStringToBytes(account.token_sha256);
+    entries_[HmacSha256(key_, digest)] = {.digest = digest,
+                                          .account = &account};
+  }
+}
+
+const AccountSettings* AccountDirectory::Find(const std::string& token) const {
+  const std::string digest = Sha256(token);
+  const auto found = entries_.find(HmacSha256(key_, digest));
+  if (found == entries_.end() ||
+      !EqualInConstantTime(found->second.digest, digest)) {
+    return nullptr;
+  }
+  return found->second.account;
+}
+
+bool MayUseRoute(const AccountSettings& account, const RouteId& route) {
+  return account.routes.empty() ||
+         std::find(account.routes.begin(), account.routes.end(), route) !=
+             account.routes.end();
+}
+
+}  // namespace papaya
--- /dev/null
+++ b/src/daemon/caller_front.cc
@@ -0,0 +1,283 @@
+#include "src/daemon/caller_front.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "include/base/stable_hash.h"
+#include "include/wire/chat_body.h"
+#include "include/wire/http_exchange.h"
+#include "include/wire/prompt_blocks.h"
+#include "include/wire/steady_time.h"
+#include "src/daemon/route_table.h"
+#include "src/daemon/stream_id.h"
+#include "src/daemon/stream_relay.h"
+#include "src/daemon/token_digest.h"
+#include "src/daemon/traffic_services.h"
+
+namespace papaya {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr char kChatPath[] = "/v1/chat/completions";
+constexpr char kStreamsPath[] = "/v1/streams/";
+constexpr char kServicePath[] = "/svc/";
+// A caller's own deadline below this is taken as this.
+constexpr int64_t kMinDeadlineMs = 1;
+// Time that a resumed stream may take in all.
+constexpr std::chrono::minutes kResumedStreamTimeout{30};
+
+constexpr const char* kHopHeaders[] = {
+    kAuthorizationHeader, "Host",         kRouteHeader,    kTicketHeader,
+    kDeadlineHeader,      kOutcomeHeader, kStreamIdHeader, "Expect",
+};
+
+// `/svc/<service>/<path>` as the service sees it.
+std::string ServiceTarget(const std::string& target) {
+  const size_t path = target.find('/', sizeof(kServicePath) - 1);
+  return path == std::string::npos ? "/" : target.substr(path);
+}
+
+ErrorAnswer Malformed(const std::string& message) {
+  return {.status = 400,
+          .code = "malformed_request",
+          .message = message,
+          .step = "caller.check"};
+}
+
+// The deadline that the route gives, shortened by the caller's own.
+TimePoint DeadlineOf(const RouteSettings& route,
+                     const HttpRequest& request,
+                     TimePoint arrival) {
+  Duration allowed = route.deadline;
+  int64_t own_ms = 0;
+  if (absl::SimpleAtoi(request.headers.Get(kDeadlineHeader), &own_ms)) {
+    const auto own =
+        std::chrono::milliseconds(std::max(own_ms, kMinDeadlineMs));
+    allowed = own < allowed ? Duration(own) : allowed;
+  }
+  return arrival + allowed;
+}
+
+HttpRequest MakeForward(HttpRequest request) {
+  for (const char* name : kHopHeaders) {
+    request.headers.Remove(name);
+  }
+  if (absl::StartsWith(request.target, kServicePath)) {
+    request.target = ServiceTarget(request.target);
+  }
+  return request;
+}
+
+}  // namespace
+
+CallerFront::CallerFront(TrafficServices* services)
+    : services_(services), accounts_(services->settings.accounts) {}
+
+asio::awaitable<void> CallerFront::Serve(HttpExchange& exchange) {
+  ++services_->open_requests;
+  co_await ServeCounted(exchange);
+  --services_->open_requests;
+}
+
+asio::awaitable<void> CallerFront::ServeCounted(HttpExchange& exchange) {
+  const AccountSettings* account =
+      accounts_.Find(BearerToken(exchange.request().headers));
+  ErrorAnswer error{.status = 401,
+                    .code = "unknown_token",
+                    .message = "the bearer token is not known",
+                    .step = "caller.token"};
+  if (account != nullptr) {
+    if (absl::StartsWith(exchange.request().target, kStreamsPath)) {
+      co_await ResumeStream(exchange, *account);
+      co_return;
+    }
+    Checked checked = Check(exchange.TakeRequest(), *account);
+    if (std::holds_alternative<AcceptedRequest>(checked)) {
+      RequestSession session(services_, &exchange,
+                             std::get<AcceptedRequest>(std::move(checked)));
+      co_await session.Run();
+      co_return;
+    }
+    error = std::get<ErrorAnswer>(std::move(checked));
+  }
+  services_->metrics->rejected.Add();
+  co_await exchange.Respond(MakeErrorResponse(error));
+}
+
+CallerFront::Checked CallerFront::Check(HttpRequest request,
+                                        const AccountSettings& account) {
+  const RouteSettings* route = FindRoute(services_->settings.routes, request);
+  if (route == nullptr) {
+    return ErrorAnswer{.status = 404,
+                       .code = "unknown_path",
+                       .message = "no route has this method and path",
+                       .step = "caller.route"};
+  }
+  if (!MayUseRoute(account, route->id)) {
+    return ErrorAnswer{.status = 403,
+                       .code = "route_not_allowed",
+                       .message = "the account may not use this route",
+                       .step = "caller.route"};
+  }
+  AcceptedRequest accepted;
+  accepted.route = route;
+  accepted.spec = MakeSpec(*route, account, request);
+  if (PathOfTarget(request.target) == kChatPath) {
+    absl::StatusOr<ChatBody> chat = ParseChatBody(request.body);
+    if (!chat.ok()) {
+      return Malformed(std::string(chat.status().message()));
+    }
+    accepted.stream = chat->stream;
+    accepted.spec.prompt_tokens = EstimateTokens(chat->prompt);
+    accepted.spec.max_output_tokens = chat->max_tokens;
+    accepted.spec.prefix_hashes = HashPromptBlocks(chat->prompt);
+    if (route->pool.empty()) {
+      accepted.spec.pool = chat->model;
+    }
+  }
+  if (!route->idempotent &&
+      request.headers.Get(kIdempotencyKeyHeader).empty()) {
+    return ErrorAnswer{.status = 400,
+                       .code = "key_required",
+                       .message =
+                           "this route needs an Idempotency-Key header "
+                           "or a papaya-ticket",
+                       .step = "caller.check"};
+  }
+  std::optional<ErrorAnswer> no_pool = CheckPool(accepted.spec.pool);
+  if (no_pool.has_value()) {
+    return *std::move(no_pool);
+  }
+  accepted.name = absl::StrCat(services_->settings.router.value(), "-",
+                               absl::Hex(services_->incarnation.value()), "-",
+                               accepted.spec.id.value());
+  const std::optional<TraceContext> from_caller =
+      ParseTraceparent(request.headers.Get(kTraceparentHeader));
+  accepted.trace = from_caller.has_value() ? from_caller->NewChild()
+                                           : TraceContext::NewTrace();
+  accepted.parent_span = from_caller.has_value() ? from_caller->span_id : "";
+  accepted.forward = MakeForward(std::move(request));
+  return accepted;
+}
+
+std::optional<ErrorAnswer> CallerFront::CheckPool(const PoolId& pool) const {
+  const std::shared_ptr<const RoutingSnapshot> snapshot =
+      services_->snapshot.Get();
+  if (snapshot == nullptr) {
+    return ErrorAnswer{.status = 503,
+                       .code = "not_ready",
+                       .message = "this router has no configuration yet",
+                       .step = "caller.route",
+                       .retry_after = std::chrono::seconds(1)};
+  }
+  if (!snapshot->FindPool(pool).has_value()) {
+    return ErrorAnswer{.status = 404,
+                       .code = "unknown_pool",
+                       .message = absl::StrCat("there is no model or service `",
+                                               pool.value(), "`"),
+                       .step = "caller.route"};
+  }
+  return std::nullopt;
+}
+
+RequestSpec CallerFront::MakeSpec(const RouteSettings& route,
+                                  const AccountSettings& account,
+                                  const HttpRequest& request) {
+  RequestSpec spec;
+  spec.id = RequestId(++services_->last_request);
+  spec.account = account.id;
+  spec.route = route.id;
+  spec.pool = route.pool;
+  spec.tier = route.tier;
+  spec.arrival = SteadyNow();
+  spec.deadline = DeadlineOf(route, request, spec.arrival);
+  spec.idempotent = route.idempotent;
+  const std::string key = request.headers.Get(kIdempotencyKeyHeader);
+  const std::string share_name =
+      key.empty()
+          ? absl::StrCat(services_->settings.router.value(), "/",
+                         services_->incarnation.value(), "/", spec.id.value())
+          : absl::StrCat(account.id.value(), "/", key);
+  spec.share_hash = StableHash(share_name);
+  return spec;
+}
+
+asio::awaitable<void> CallerFront::ResumeStream(
+    HttpExchange& exchange,
+    const AccountSettings& account) {
+  const std::string target = exchange.request().target;
+  const std::string stream_id =
+      PathOfTarget(target).substr(sizeof(kStreamsPath) - 1);
+  ErrorAnswer error{.status = 404,
+                    .code = "unknown_stream",
+                    .message = "the stream is not known any more",
+                    .step = "stream.resume",
+                    .outcome = Outcome::kUnknown};
+  const std::string offset_text = QueryValue(target, "offset");
+  int64_t offset = 0;
+  if (!offset_text.empty() &&
+      (!absl::SimpleAtoi(offset_text, &offset) || offset < 0)) {
+    co_await exchange.Respond(
+        MakeErrorResponse(Malformed("`offset` is not a count")));
+    co_return;
+  }
+  const std::optional<UpstreamId> upstream =
+      UpstreamOfStream(stream_id, account.id, services_->settings.fleet_secret);
+  const std::shared_ptr<const RoutingSnapshot> snapshot =
+      services_->snapshot.Get();
+  std::optional<UpstreamSpec> spec;
+  if (upstream.has_value() && snapshot != nullptr) {
+    for (const UpstreamSpec& candidate : snapshot->config()->upstreams) {
+      if (candidate.id == *upstream) {
+        spec = candidate;
+      }
+    }
+  }
+  if (!spec.has_value()) {
+    co_await exchange.Respond(MakeErrorResponse(error));
+    co_return;
+  }
+  UpstreamAttempt::Options options;
+  options.upstream = *spec;
+  options.deadline = SteadyNow() + Duration(kResumedStreamTimeout);
+  UpstreamAttempt attempt(options,
+                          services_->PoolOf(exchange.executor().context()));
+  const absl::Status resumed = co_await attempt.Resume(stream_id, offset);
+  if (!resumed.ok()) {
+    if (!absl::IsNotFound(resumed)) {
+      error.status = 502;
+      error.code = "upstream_failed";
+      error.message = std::string(resumed.message());
+    }
+    co_await exchange.Respond(MakeErrorResponse(error));
+    co_return;
+  }
+  exchange.OnCallerGone([&attempt] { attempt.Close(); });
+  StreamRelay::Options relay_options;
+  relay_options.stream_id = stream_id;
+  relay_options.offset = offset;
+  StreamRelay::Hooks hooks;
+  hooks.starting = [] { return true; };
+  hooks.resuming = [this](bool begins) {
+    if (begins) {
+      services_->metrics->resumed.Add();
+    }
+  };
+  hooks.tokens = [](int64_t) {};
+  hooks.interrupted = [] { return false; };
+  HttpResponse head;
+  head.headers.Set("Content-Type", "text/event-stream");
+  head.headers.Set(kOutcomeHeader, OutcomeName(Outcome::kRan));
+  head.headers.Set(kStreamIdHeader, stream_id);
+  head.headers.Set(kUpstreamHeader, upstream->value());
+  StreamRelay relay(relay_options, hooks, &attempt, &exchange);
+  co_await relay.Run(std::move(head));
+  exchange.OnCallerGone(nullptr);
+}
+
+}  // namespace papaya
--- /dev/null
+++ b/src/daemon/caller_front.h
@@ -0,0 +1,45 @@
+#ifndef SRC_DAEMON_CALLER_FRONT_H_
+#define SRC_DAEMON_CALLER_FRONT_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <optional>
+#include <variant>
+
+#include "src/daemon/account_directory.h"
+#include "src/daemon/error_answer.h"
+#include "src/daemon/request_session.h"
+
+namespace papaya {
+
+class HttpExchange;
+struct TrafficServices;
+
+// What callers reach: checks the token, finds the route, reads what decisions
+// need, and starts a RequestSession. Any traffic thread.
+class CallerFront {
+ public:
+  // `services` must outlive the front.
+  explicit CallerFront(TrafficServices* services);
+
+  // Serves one request of a caller.
+  boost::asio::awaitable<void> Serve(HttpExchange& exchange);
+
+ private:
+  using Checked = std::variant<AcceptedRequest, ErrorAnswer>;
+
+  boost::asio::awaitable<void> ServeCounted(HttpExchange& exchange);
+  boost::asio::awaitable<void> ResumeStream(HttpExchange& exchange,
+                                            const AccountSettings& account);
+  Checked Check(HttpRequest request, const AccountSettings& account);
+  std::optional<ErrorAnswer> CheckPool(const PoolId& pool) const;
+  RequestSpec MakeSpec(const RouteSettings& route,
+                       const AccountSettings& account,
+                       const HttpRequest& request);
+
+  TrafficServices* services_;
+  AccountDirectory accounts_;
+};
+
+}  // namespace papaya
+
+#endif  // SRC_DAEMON_CALLER_FRONT_H_
--- /dev/null
+++ b/src/daemon/error_answer.cc
@@ -0,0 +1,89 @@
+#include "src/daemon/error_answer.h"
+
+#include <array>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+#include <chrono>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+
+namespace papaya {
+
+namespace {
+
+struct RefusalRow {
+  RefusalReason reason;
+  int status;
+  const char* message;
+};
+
+constexpr std::array<RefusalRow, 5> kRefusalRows = {{
+    {RefusalReason::kNoUpstream, 503, "no upstream can serve the request"},
+    {RefusalReason::kQueueFull, 429, "too many requests wait already"},
+    {RefusalReason::kShed, 429, "gave way to more important requests"},
+    {RefusalReason::kDeadline, 504, "could not begin in time"},
+    {RefusalReason::kAttemptsFailed, 502, "the upstream failed"},
+}};
+
+const RefusalRow& FindRow(RefusalReason reason) {
+  for (const RefusalRow& row : kRefusalRows) {
+    if (row.reason == reason) {
+      return row;
+    }
+  }
+  return kRefusalRows.back();
+}
+
+int64_t RoundUpSeconds(Duration duration) {
+  return std::chrono::ceil<std::chrono::seconds>(duration).count();
+}
+
+}  // namespace
+
+HttpResponse MakeJsonResponse(int status, std::string body) {
+  HttpResponse response;
+  response.status = status;
+  response.headers.Set("Content-Type", "application/json");
+  response.body = std::move(body);
+  return response;
+}
+
+HttpResponse MakeErrorResponse(const ErrorAnswer& error) {
+  const boost::json::object body = {
+      {"error", boost::json::object{{"code", error.code},
+                                    {"message", error.message},
+                                    {"step", error.step},
+                                    {"outcome", OutcomeName(error.outcome)}}}};
+  HttpResponse response =
+      MakeJsonResponse(error.status, boost::json::serialize(body));
+  response.headers.Set(kOutcomeHeader, OutcomeName(error.outcome));
+  if (error.retry_after > Duration::zero()) {
+    response.headers.Set("Retry-After",
+                         absl::StrCat(RoundUpSeconds(error.retry_after)));
+  }
+  return response;
+}
+
+HttpResponse MakeFaultResponse(const HttpFault& fault) {
+  ErrorAnswer answer{.status = fault.status,
+                     .code = fault.code,
+                     .message = fault.message,
+                     .step = "http.read"};
+  if (fault.status == 503) {
+    answer.retry_after = std::chrono::seconds(1);
+  }
+  return MakeErrorResponse(answer);
+}
+
+ErrorAnswer AnswerToRefusal(const Refusal& refusal) {
+  const RefusalRow& row = FindRow(refusal.reason);
+  return {.status = row.status,
+          .code = RefusalReasonName(refusal.reason),
+          .message = row.message,
+          .step = "admission",
+          .outcome = refusal.outcome,
+          .retry_after = refusal.retry_after};
+}
+
+}  // namespace papaya
--- /dev/null
+++ b/src/daemon/operator_front.cc
@@ -0,0 +1,74 @@
+#include "src/daemon/operator_front.h"
+
+#include <utility>
+
+#include "absl/strings/escaping.h"
+#include "absl/strings/match.h"
+#include "include/wire/http_exchange.h"
+#include "src/daemon/error_answer.h"
+#include "src/daemon/token_digest.h"
+
+namespace papaya {
+
+namespace asio = boost::asio;
+
+OperatorFront::OperatorFront(const std::string& token_sha256)
+    : token_digest_(absl::HexStringToBytes(token_sha256)) {}
+
+void OperatorFront::Add(const std::string& method,
+                        const std::string& path,
+                        Handler handler) {
+  entries_[method + " " + path] = {.handler = std::move(handler)};
+}
+
+void OperatorFront::AddOpen(const std::string& method,
+                            const std::string& path,
+                            Handler handler) {
+  entries_[method + " " + path] = {.handler = std::move(handler), .open = true};
+}
+
+asio::awaitable<void> OperatorFront::Serve(HttpExchange& exchange) {
+  const HttpRequest request = exchange.TakeRequest();
+  const Entry* entry = Find(request);
+  const bool open = entry != nullptr && entry->open;
+  HttpResponse response;
+  if (!open && !HasToken(request)) {
+    const ErrorAnswer error{.status = 401,
+                            .code = "unknown_token",
+                            .message = "the operators' token is needed",
+                            .step = "operator.token"};
+    response = MakeErrorResponse(error);
+  } else if (entry == nullptr) {
+    const ErrorAnswer error{.status = 404,
+                            .code = "unknown_path",
+                            .message = "there is no such page",
+                            .step = "operator.route"};
+    response = MakeErrorResponse(error);
+  } else {
+    response = co_await entry->handler(request);
+  }
+  co_await exchange.Respond(std::move(response));
+}
+
+const OperatorFront::Entry* OperatorFront::Find(
+    const HttpRequest& request) const {
+  const std::string wanted =
+      request.method + " " + PathOfTarget(request.target);
+  const Entry* best = nullptr;
+  size_t best_size = 0;
+  for (const auto& [path, entry] : entries_) {
+    const bool is_prefix = path.back() == '/' && absl::StartsWith(wanted, path);
+    if ((path == wanted || is_prefix) && path.size() >= best_size) {
+      best = &entry;
+      best_size = path.size();
+    }
+  }
+  return best;
+}
+
+bool OperatorFront::HasToken(const HttpRequest& request) const {
+  return EqualInConstantTime(Sha256(BearerToken(request.headers)),
+                             token_digest_);
+}
+
+}  // namespace papaya
--- /dev/null
+++ b/src/daemon/request_mailbox.cc
@@ -0,0 +1,59 @@
+#include "src/daemon/request_mailbox.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+
+namespace papaya {
+
+namespace asio = boost::asio;
+
+RequestMailbox::RequestMailbox(const asio::any_io_executor& executor)
+    : executor_(executor),
+      wake_(executor, asio::steady_timer::time_point::max()) {}
+
+void RequestMailbox::Push(RequestCommand command) {
+  const bool ends_attempt = command.kind == RequestCommand::Kind::kPreempt ||
+                            command.kind == RequestCommand::Kind::kCallerGone;
+  switch (command.kind) {
+    case RequestCommand::Kind::kPreempt:
+      preempted_ = true;
+      break;
+    case RequestCommand::Kind::kDispatch:
+      // What was asked of the attempt before is void.
+      preempted_ = false;
+      break;
+    case RequestCommand::Kind::kCallerGone:
+      caller_gone_ = true;
+      break;
+    case RequestCommand::Kind::kRefuse:
+      break;
+  }
+  if (command.kind != RequestCommand::Kind::kPreempt) {
+    commands_.push_back(std::move(command));
+    wake_.cancel();
+  }
+  if (ends_attempt && interrupt_ != nullptr) {
+    interrupt_();
+  }
+}
+
+asio::awaitable<RequestCommand> RequestMailbox::Next() {
+  while (commands_.empty()) {
+    boost::system::error_code cancelled;
+    co_await wake_.async_wait(
+        asio::redirect_error(asio::use_awaitable, cancelled));
+  }
+  RequestCommand command = std::move(commands_.front());
+  commands_.pop_front();
+  co_return command;
+}
+
+void RequestMailbox::SetInterrupt(std::function<void()> interrupt) {
+  interrupt_ = std::move(interrupt);
+  if (interrupt_ != nullptr && (caller_gone_ || preempted_)) {
+    interrupt_();
+  }
+}
+
+}  // namespace papaya
--- /dev/null
+++ b/src/daemon/request_session.cc
@@ -0,0 +1,334 @@
+#include "src/daemon/request_session.h"
+
+#include <cassert>
+#include <utility>
+
+#include "absl/strings/match.h"
+#include "include/base/error.h"
+#include "include/wire/http_exchange.h"
+#include "include/wire/prompt_blocks.h"
+#include "include/wire/steady_time.h"
+#include "src/daemon/error_answer.h"
+#include "src/daemon/request_mailbox.h"
+#include "src/daemon/scheduler_host.h"
+#include "src/daemon/stream_id.h"
+#include "src/daemon/traffic_services.h"
+
+namespace papaya {
+
+namespace {
+
+namespace asio = boost::asio;
+using SystemClock = std::chrono::system_clock;
+
+// The longest whole answer of an upstream that is passed on.
+constexpr Bytes kMaxAnswer{32 * 1024 * 1024};
+constexpr std::chrono::seconds kCancelTimeout{2};
+// Tokens between two reports of a stream's progress to the scheduler.
+constexpr int64_t kTokensPerReport = 16;
+
+bool IsEventStream(const HttpResponse& head) {
+  return absl::StartsWithIgnoreCase(head.headers.Get("Content-Type"),
+                                    "text/event-stream");
+}
+
+// The event of charts/request.chart that a refusal stands for.
+const char* EventOfRefusal(const Refusal& refusal) {
+  if (refusal.outcome != Outcome::kNotRun) {
+    return "fail_unknown";
+  }
+  return refusal.reason == RefusalReason::kShed ? "shed" : "expire";
+}
+
+Tokens TokensOfAnswer(const UpstreamSpec& upstream, const std::string& body) {
+  return upstream.kind == UpstreamKind::kModelEngine ? EstimateTokens(body)
+                                                     : Tokens(0);
+}
+
+}  // namespace
+
+RequestSession::RequestSession(TrafficServices* services,
+                               HttpExchange* exchange,
+                               AcceptedRequest request)
+    : services_(services),
+      exchange_(exchange),
+      request_(std::move(request)),
+      mailbox_(std::make_shared<RequestMailbox>(exchange->executor())),
+      life_(services->request_chart),
+      arrived_(request_.spec.arrival),
+      arrived_wall_(SystemClock::now()),
+      queued_wall_(arrived_wall_) {}
+
+RequestSession::~RequestSession() = default;
+
+asio::awaitable<void> RequestSession::Run() {
+  exchange_->OnCallerGone([mailbox = mailbox_] {
+    RequestCommand gone;
+    gone.kind = RequestCommand::Kind::kCallerGone;
+    mailbox->Push(std::move(gone));
+  });
+  Fire("queue");
+  services_->scheduler->Submit(request_.spec, mailbox_);
+  while (true) {
+    const RequestCommand command = co_await mailbox_->Next();
+    if (mailbox_->caller_gone()) {
+      services_->scheduler->Cancel(request_.spec.id);
+      EndAbandoned();
+      co_return;
+    }
+    if (command.kind == RequestCommand::Kind::kRefuse) {
+      co_await AnswerRefusal(command.refusal);
+      co_return;
+    }
+    const bool ended = co_await Attempt(command.upstream);
+    if (ended) {
+      co_return;
+    }
+  }
+}
+
+asio::awaitable<bool> RequestSession::Attempt(const UpstreamSpec& upstream) {
+  Fire("dispatch");
+  const SystemClock::time_point started = SystemClock::now();
+  WriteSpan(request_.trace.NewChild(), request_.trace.span_id, "queue_wait",
+            queued_wall_, "", "");
+  services_->metrics->of(request_.spec.tier)
+      .queue_wait->Record(SteadyNow() - arrived_);
+  const TraceContext span = request_.trace.NewChild();
+  stream_id_ = MakeStreamId(upstream.id, request_.name, request_.spec.account,
+                            services_->settings.fleet_secret);
+
+  UpstreamAttempt::Options options;
+  options.upstream = upstream;
+  options.idempotent = request_.spec.idempotent;
+  options.deadline = SteadyNow() + request_.route->attempt_timeout;
+  UpstreamAttempt attempt(options,
+                          services_->PoolOf(exchange_->executor().context()));
+  // What must not run twice is left to end by itself once it was handed over.
+  if (request_.spec.idempotent) {
+    mailbox_->SetInterrupt([&attempt] { attempt.Close(); });
+  }
+  const HttpRequest forward = MakeForward(span);
+  AttemptHead head = co_await attempt.Begin(forward);
+  bool ended = false;
+  if (head.end != AttemptEnd::kOk) {
+    if (head.response.status >= 500) {
+      failed_answer_ = head.response;
+    }
+    ReportFailure(head.end);
+  } else if (IsEventStream(head.response)) {
+    ended = co_await RelayStream(attempt, std::move(head.response));
+  } else {
+    ended = co_await RelayWhole(attempt, std::move(head.response));
+  }
+  mailbox_->SetInterrupt(nullptr);
+  if (request_.stream && (mailbox_->caller_gone() || mailbox_->preempted())) {
+    co_await CancelAtEngine(attempt);
+  }
+  WriteSpan(span, request_.trace.span_id, "attempt", started,
+            std::string(head.status.message()), upstream.id.value());
+  co_return ended;
+}
+
+asio::awaitable<bool> RequestSession::RelayWhole(UpstreamAttempt& attempt,
+                                                 HttpResponse head) {
+  while (true) {
+    const absl::StatusOr<std::string> piece = co_await attempt.ReadPiece();
+    const bool too_long = std::ssize(head.body) > kMaxAnswer.value();
+    if (!piece.ok() || too_long) {
+      ReportFailure(AttemptEnd::kUnknown);
+      co_return false;
+    }
+    if (piece->empty()) {
+      break;
+    }
+    head.body += *piece;
+  }
+  Fire("complete");
+  const AttemptResult result{
+      .end = AttemptEnd::kOk,
+      .output_tokens = TokensOfAnswer(attempt.upstream(), head.body)};
+  services_->scheduler->Finish(request_.spec.id, result);
+  AddAnswerHeaders(attempt.upstream(), &head.headers);
+  services_->metrics->of(request_.spec.tier)
+      .first_byte->Record(SteadyNow() - arrived_);
+  co_await exchange_->Respond(std::move(head));
+  EndAnswered();
+  co_return true;
+}
+
+asio::awaitable<bool> RequestSession::RelayStream(UpstreamAttempt& attempt,
+                                                  HttpResponse head) {
+  AddAnswerHeaders(attempt.upstream(), &head.headers);
+  head.headers.Set(kStreamIdHeader, stream_id_);
+  StreamRelay::Options options;
+  options.stream_id = stream_id_;
+  StreamRelay relay(options, MakeRelayHooks(attempt), &attempt, exchange_);
+  const StreamRelay::End end = co_await relay.Run(std::move(head));
+  switch (end) {
+    case StreamRelay::End::kNothingSent:
+      ReportFailure(AttemptEnd::kUnknown);
+      co_return false;
+    case StreamRelay::End::kWhole: {
+      Fire("complete");
+      const AttemptResult result{.end = AttemptEnd::kOk,
+                                 .output_tokens = Tokens(relay.tokens())};
+      services_->scheduler->Finish(request_.spec.id, result);
+      EndAnswered();
+      co_return true;
+    }
+    case StreamRelay::End::kCallerFailed:
+      services_->scheduler->Cancel(request_.spec.id);
+      EndAbandoned();
+      co_return true;
+    case StreamRelay::End::kCut:
+      break;
+  }
+  services_->scheduler->Cancel(request_.spec.id);
+  if (mailbox_->caller_gone()) {
+    EndAbandoned();
+    co_return true;
+  }
+  Fire("fail_unknown");
+  services_->metrics->CountOutcome(request_.spec.tier, Outcome::kUnknown);
+  Event event{.id = EventId::kStreamCut};
+  event.fields = {{"request", request_.name},
+                  {"upstream", attempt.upstream().id.value()},
+                  {"error", std::string(relay.status().message())}};
+  services_->event(event);
+  co_return true;
+}
+
+StreamRelay::Hooks RequestSession::MakeRelayHooks(UpstreamAttempt& attempt) {
+  StreamRelay::Hooks hooks;
+  hooks.resuming = [this](bool begins) {
+    Fire(begins ? "resume" : "resumed");
+    if (begins) {
+      services_->metrics->resumed.Add();
+    }
+  };
+  hooks.tokens = [this](int64_t tokens) {
+    const RequestId id = request_.spec.id;
+    if (!std::exchange(first_token_seen_, true)) {
+      Fire("first_byte");
+      services_->scheduler->FirstToken(id);
+      services_->metrics->of(request_.spec.tier)
+          .first_byte->Record(SteadyNow() - arrived_);
+    }
+    if (tokens - reported_tokens_ >= kTokensPerReport) {
+      reported_tokens_ = tokens;
+      services_->scheduler->SetTokens(id, Tokens(tokens));
+    }
+  };
+  hooks.starting = [this, &attempt] {
+    if (mailbox_->preempted() || mailbox_->caller_gone()) {
+      return false;
+    }
+    // A stream that the caller has begun to read isn't preempted any more.
+    mailbox_->SetInterrupt([mailbox = mailbox_, &attempt] {
+      if (mailbox->caller_gone()) {
+        attempt.Close();
+      }
+    });
+    return true;
+  };
+  hooks.interrupted = [this] { return mailbox_->caller_gone(); };
+  return hooks;
+}
+
+void RequestSession::ReportFailure(AttemptEnd end) {
+  const bool cancelled = mailbox_->preempted() && end == AttemptEnd::kUnknown;
+  AttemptResult result;
+  result.end = cancelled ? AttemptEnd::kPreempted : end;
+  Fire("retry");
+  queued_wall_ = SystemClock::now();
+  services_->scheduler->Finish(request_.spec.id, result);
+}
+
+asio::awaitable<void> RequestSession::AnswerRefusal(const Refusal& refusal) {
+  Fire(EventOfRefusal(refusal));
+  HttpResponse response = MakeErrorResponse(AnswerToRefusal(refusal));
+  if (refusal.reason == RefusalReason::kAttemptsFailed &&
+      failed_answer_.has_value() && !failed_answer_->body.empty()) {
+    response.body = failed_answer_->body;
+  }
+  response.headers.Set(kRequestIdHeader, request_.name);
+  services_->metrics->CountOutcome(request_.spec.tier, refusal.outcome);
+  co_await exchange_->Respond(std::move(response));
+  WriteSpan(request_.trace, request_.parent_span, "request", arrived_wall_,
+            RefusalReasonName(refusal.reason), "");
+}
+
+asio::awaitable<void> RequestSession::CancelAtEngine(
+    const UpstreamAttempt& attempt) {
+  HttpRequest request;
+  request.method = "DELETE";
+  request.target = "/v1/streams/" + stream_id_;
+  const TimePoint deadline = SteadyNow() + Duration(kCancelTimeout);
+  co_await FetchHttp(attempt.upstream().address, request, deadline);
+}
+
+HttpRequest RequestSession::MakeForward(const TraceContext& span) const {
+  HttpRequest forward = request_.forward;
+  forward.headers.Set(kRequestIdHeader, request_.name);
+  forward.headers.Set(kTraceparentHeader, FormatTraceparent(span));
+  if (request_.stream) {
+    forward.headers.Set(kStreamIdHeader, stream_id_);
+  }
+  return forward;
+}
+
+void RequestSession::AddAnswerHeaders(const UpstreamSpec& upstream,
+                                      HttpHeaders* headers) {
+  headers->Set(kOutcomeHeader, OutcomeName(Outcome::kRan));
+  headers->Set(kRequestIdHeader, request_.name);
+  headers->Set(kUpstreamHeader, upstream.id.value());
+  if (headers->Find(kVersionHeader) == nullptr) {
+    headers->Set(kVersionHeader, upstream.version.value());
+  }
+}
+
+void RequestSession::EndAnswered() {
+  services_->metrics->CountOutcome(request_.spec.tier, Outcome::kRan);
+  services_->metrics->of(request_.spec.tier)
+      .whole->Record(SteadyNow() - arrived_);
+  WriteSpan(request_.trace, request_.parent_span, "request", arrived_wall_, "",
+            "");
+}
+
+void RequestSession::EndAbandoned() {
+  Fire("caller_gone");
+  services_->metrics->of(request_.spec.tier).abandoned->Add();
+  WriteSpan(request_.trace, request_.parent_span, "request", arrived_wall_,
+            "the caller went away", "");
+}
+
+void RequestSession::Fire(const char* event) {
+  [[maybe_unused]] const bool accepted = life_.Fire(event);
+  assert(accepted);
+}
+
+void RequestSession::WriteSpan(const TraceContext& context,
+                               const std::string& parent,
+                               const char* name,
+                               SystemClock::time_point start,
+                               const std::string& error,
+                               const std::string& upstream) {
+  if (!services_->spans->is_open()) {
+    return;
+  }
+  Span span{.context = context,
+            .parent_id = parent,
+            .name = name,
+            .start = start,
+            .end = SystemClock::now(),
+            .error = error};
+  span.attributes = {{"papaya.request", request_.name},
+                     {"papaya.tier", TierName(request_.spec.tier)}};
+  if (!upstream.empty()) {
+    span.attributes.emplace_back("papaya.upstream", upstream);
+  }
+  services_->spans->Write(span);
+}
+
+}  // namespace papaya
--- /dev/null
+++ b/src/daemon/request_session.h
@@ -0,0 +1,97 @@
+#ifndef SRC_DAEMON_REQUEST_SESSION_H_
+#define SRC_DAEMON_REQUEST_SESSION_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "include/base/request_spec.h"
+#include "include/chart/chart_machine.h"
+#include "include/settings/router_settings.h"
+#include "include/telemetry/trace_context.h"
+#include "include/wire/http_message.h"
+#include "src/daemon/stream_relay.h"
+#include "src/daemon/upstream_attempt.h"
+
+namespace papaya {
+
+class HttpExchange;
+class RequestMailbox;
+struct RequestCommand;
+struct TrafficServices;
+
+// A request that was found good, with all that serving it needs.
+struct AcceptedRequest {
+  RequestSpec spec;
+  const RouteSettings* route = nullptr;
+  // As the caller may quote it.
+  std::string name;
+  // What goes to the upstream, but for headers of the attempt.
+  HttpRequest forward;
+  // The caller wants the answer as a stream.
+  bool stream = false;
+  // The span from the caller to this router, and its parent.
+  TraceContext trace;
+  std::string parent_span;
+};
+
+// The life of one request in this router, by charts/request.chart: waits for
+// the scheduler's word, makes the attempts that it asks for, and answers the
+// caller. Lives on the thread of the caller's connection.
+class RequestSession {
+ public:
+  // `services` and `exchange` must outlive the session.
+  RequestSession(TrafficServices* services,
+                 HttpExchange* exchange,
+                 AcceptedRequest request);
+  ~RequestSession();
+
+  // Runs the request to its end.
+  boost::asio::awaitable<void> Run();
+
+ private:
+  // Makes one attempt; true if the request has ended by it.
+  boost::asio::awaitable<bool> Attempt(const UpstreamSpec& upstream);
+  boost::asio::awaitable<bool> RelayWhole(UpstreamAttempt& attempt,
+                                          HttpResponse head);
+  boost::asio::awaitable<bool> RelayStream(UpstreamAttempt& attempt,
+                                           HttpResponse head);
+  boost::asio::awaitable<void> AnswerRefusal(const Refusal& refusal);
+  // Tells the engine to drop a stream that nobody wants any more.
+  boost::asio::awaitable<void> CancelAtEngine(const UpstreamAttempt& attempt);
+
+  HttpRequest MakeForward(const TraceContext& span) const;
+  void AddAnswerHeaders(const UpstreamSpec& upstream, HttpHeaders* headers);
+  StreamRelay::Hooks MakeRelayHooks(UpstreamAttempt& attempt);
+  // The attempt ended without an answer; the scheduler decides what follows.
+  void ReportFailure(AttemptEnd end);
+  void EndAnswered();
+  void EndAbandoned();
+  void Fire(const char* event);
+  void WriteSpan(const TraceContext& context,
+                 const std::string& parent,
+                 const char* name,
+                 std::chrono::system_clock::time_point start,
+                 const std::string& error,
+                 const std::string& upstream);
+
+  TrafficServices* services_;
+  HttpExchange* exchange_;
+  AcceptedRequest request_;
+  std::shared_ptr<RequestMailbox> mailbox_;
+  ChartMachine life_;
+  std::string stream_id_;
+  TimePoint arrived_;
+  std::chrono::system_clock::time_point arrived_wall_;
+  std::chrono::system_clock::time_point queued_wall_;
+  bool first_token_seen_ = false;
+  int64_t reported_tokens_ = 0;
+  // The last answer of an upstream that failed, for a caller who will get no
+  // better one.
+  std::optional<HttpResponse> failed_answer_;
+};
+
+}  // namespace papaya
+
+#endif  // SRC_DAEMON_REQUEST_SESSION_H_
--- /dev/null
+++ b/src/daemon/router_daemon.cc
@@ -0,0 +1,391 @@
+#include "include/daemon/router_daemon.h"
+
+#include <algorithm>
+#include <atomic>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <future>
+#include <utility>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "include/chart/chart_machine.h"
+#include "include/telemetry/logger.h"
+#include "include/telemetry/metrics.h"
+#include "include/wire/http_server.h"
+#include "include/wire/steady_time.h"
+#include "src/daemon/caller_front.h"
+#include "src/daemon/config_poller.h"
+#include "src/daemon/operator_front.h"
+#include "src/daemon/scheduler_host.h"
+#include "src/daemon/traffic_services.h"
+#include "src/daemon/worker_thread.h"
+
+namespace papaya {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr int kIdlePerUpstream = 64;
+// Time between "not ready" and the closing of the listening socket, in which
+// the balancer learns of it.
+constexpr std::chrono::milliseconds kDrainGrace{1500};
+constexpr std::chrono::milliseconds kDrainPoll{20};
+
+// Grows from one start of a router to the next, as long as its VM's clock does.
+Incarnation NewIncarnation() {
+  return Incarnation(static_cast<uint64_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count()));
+}
+
+std::string ChartPath(const RouterSettings& settings, const std::string& name) {
+  return absl::StrCat(settings.chart_directory, "/", name, ".chart");
+}
+
+SchedulerOptions MakeSchedulerOptions(const RouterSettings& settings,
+                                      Incarnation incarnation) {
+  SchedulerOptions options;
+  options.router = settings.router;
+  options.incarnation = incarnation;
+  options.max_queued = static_cast<size_t>(settings.limits.max_queued_requests);
+  for (const AccountSettings& account : settings.accounts) {
+    options.account_weights[account.id] = account.weight;
+  }
+  return options;
+}
+
+HttpServerOptions MakeCallerOptions(const RouterSettings& settings) {
+  HttpServerOptions options;
+  options.address = settings.caller_address;
+  options.max_connections = settings.limits.max_connections;
+  options.max_header_bytes = settings.limits.max_header_bytes;
+  options.max_body_bytes = settings.limits.max_body_bytes;
+  options.max_buffered_bytes = settings.limits.max_queued_bytes;
+  options.read_timeout = settings.limits.request_read_timeout;
+  return options;
+}
+
+HttpResponse MakeProbeResponse(bool good) {
+  return MakeJsonResponse(good ? 200 : 503,
+                          good ? "{\"ok\":true}" : "{\"ok\":false}");
+}
+
+}  // namespace
+
+class RouterDaemon::Impl {
+ public:
+  Impl(const RouterSettings& settings,
+       Logger* logger,
+       std::shared_ptr<const StateChart> request_chart,
+       std::shared_ptr<const StateChart> router_chart)
+      : settings_(settings),
+        logger_(logger),
+        life_(std::move(router_chart)),
+        metrics_(&registry_),
+        spans_(settings.router.value()),
+        operator_front_(settings.operator_token_sha256) {
+    services_.settings = settings;
+    services_.incarnation = NewIncarnation();
+    services_.request_chart = std::move(request_chart);
+    services_.metrics = &metrics_;
+    services_.spans = &spans_;
+    services_.event = logger->hook();
+    MakeThreads();
+    MakeScheduler();
+    MakeServers();
+    MakeControl();
+  }
+
+  ~Impl() {
+    for (const std::unique_ptr<WorkerThread>& thread : traffic_) {
+      thread->Stop();
+    }
+    control_.Stop();
+    for (auto& [context, pool] : services_.pools) {
+      pool->Shutdown();
+    }
+  }
+
+  absl::Status Start() {
+    Log(EventId::kRouterStarting, {{"router", settings_.router.value()}});
+    absl::Status status = spans_.Open(settings_.span_file);
+    if (status.ok()) {
+      status = operator_server_->Start();
+    }
+    if (status.ok()) {
+      status = caller_server_->Start();
+    }
+    if (!status.ok()) {
+      return status;
+    }
+    Log(EventId::kListening,
+        {{"role", "callers"}, {"port", absl::StrCat(caller_port())}});
+    Log(EventId::kListening,
+        {{"role", "operators"}, {"port", absl::StrCat(operator_port())}});
+    scheduler_->Start();
+    poller_->Start();
+    for (const std::unique_ptr<WorkerThread>& thread : traffic_) {
+      thread->Start();
+    }
+    control_.Start();
+    return absl::OkStatus();
+  }
+
+  void Drain() {
+    if (draining_.exchange(true)) {
+      return;
+    }
+    asio::post(control_.context(), [this] { BeginDrain(); });
+  }
+
+  void Wait() {
+    drained_.get_future().wait();
+    scheduler_->Stop();
+    for (const std::unique_ptr<WorkerThread>& thread : traffic_) {
+      thread->Stop();
+    }
+    control_.Stop();
+    Log(EventId::kRouterStopped, {});
+  }
+
+  bool IsReady() const { return ready_ && !draining_; }
+  uint16_t caller_port() const { return caller_server_->port(); }
+  uint16_t operator_port() const { return operator_server_->port(); }
+
+ private:
+  using Fields = std::vector<std::pair<std::string, std::string>>;
+
+  void Log(EventId id, Fields fields) {
+    Event event{.id = id};
+    event.fields = std::move(fields);
+    logger_->Log(event);
+  }
+
+  void MakeThreads() {
+    for (int i = 0; i < std::max(settings_.traffic_threads, 1); ++i) {
+      traffic_.push_back(std::make_unique<WorkerThread>());
+      services_.pools.emplace_back(
+          &traffic_.back()->context(),
+          std::make_unique<HttpClientPool>(kIdlePerUpstream));
+    }
+  }
+
+  void MakeScheduler() {
+    SchedulerHost::Hooks hooks;
+    hooks.send_demand = [](const DemandReport&) {};
+    hooks.event = logger_->hook();
+    scheduler_ = std::make_unique<SchedulerHost>(
+        traffic_.front()->context(),
+        MakeSchedulerOptions(settings_, services_.incarnation),
+        std::move(hooks));
+    services_.scheduler = scheduler_.get();
+  }
+
+  void MakeServers() {
+    caller_front_ = std::make_unique<CallerFront>(&services_);
+    std::vector<asio::io_context*> contexts;
+    for (const std::unique_ptr<WorkerThread>& thread : traffic_) {
+      contexts.push_back(&thread->context());
+    }
+    caller_server_ = std::make_unique<HttpServer>(
+        contexts, MakeCallerOptions(settings_),
+        [this](HttpExchange& exchange) {
+          return caller_front_->Serve(exchange);
+        },
+        &MakeFaultResponse);
+    HttpServerOptions options;
+    options.address = settings_.operator_address;
+    operator_server_ = std::make_unique<HttpServer>(
+        std::vector<asio::io_context*>{&control_.context()}, options,
+        [this](HttpExchange& exchange) {
+          return operator_front_.Serve(exchange);
+        },
+        &MakeFaultResponse);
+    AddOperatorPages();
+  }
+
+  void AddOperatorPages() {
+    operator_front_.AddOpen(
+        "GET", "/healthz",
+        [](const HttpRequest&) -> asio::awaitable<HttpResponse> {
+          co_return MakeProbeResponse(true);
+        });
+    operator_front_.AddOpen(
+        "GET", "/readyz",
+        [this](const HttpRequest&) -> asio::awaitable<HttpResponse> {
+          co_return MakeProbeResponse(IsReady());
+        });
+    operator_front_.Add(
+        "GET", "/metrics",
+        [this](const HttpRequest&) -> asio::awaitable<HttpResponse> {
+          HttpResponse response;
+          response.headers.Set("Content-Type", "text/plain; version=0.0.4");
+          response.body = ExportMetrics();
+          co_return response;
+        });
+    operator_front_.Add(
+        "GET", "/v1/status",
+        [this](const HttpRequest&) -> asio::awaitable<HttpResponse> {
+          co_return MakeJsonResponse(200, MakeStatus());
+        });
+  }
+
+  void MakeControl() {
+    poller_ = std::make_unique<ConfigPoller>(
+        control_.context(), settings_.store_address,
+        absl::StrCat(settings_.store_prefix, "/config"),
+        [this](std::shared_ptr<const FleetConfig> config) {
+          Adopt(std::move(config));
+        });
+  }
+
+  void Adopt(std::shared_ptr<const FleetConfig> config) {
+    const std::string revision = absl::StrCat(config->revision.value());
+    RoutingInput input;
+    input.config = std::move(config);
+    input.self = {.id = settings_.router, .zone = settings_.zone};
+    input.routers = {input.self};
+    const std::shared_ptr<const RoutingSnapshot> snapshot =
+        RoutingSnapshot::Build(input);
+    services_.snapshot.Set(snapshot);
+    scheduler_->SetSnapshot(snapshot);
+    revision_ = snapshot->config()->revision;
+    Log(EventId::kRevisionInForce, {{"revision", revision}});
+    if (life_.Fire("configured")) {
+      ready_ = true;
+      Log(EventId::kRouterReady, {{"revision", revision}});
+    }
+  }
+
+  void BeginDrain() {
+    Log(EventId::kRouterDraining,
+        {{"open_requests", absl::StrCat(services_.open_requests.load())}});
+    if (!life_.Fire("drain")) {
+      life_.Fire("stop");
+    }
+    caller_server_->AnnounceClose();
+    drain_timer_.expires_after(kDrainGrace);
+    drain_timer_.async_wait([this](const boost::system::error_code& error) {
+      if (!error) {
+        caller_server_->StopAccepting();
+        AwaitDrained();
+      }
+    });
+  }
+
+  void AwaitDrained() {
+    if (services_.open_requests == 0 && caller_server_->connections() == 0) {
+      poller_->Stop();
+      operator_server_->StopAccepting();
+      drained_.set_value();
+      return;
+    }
+    drain_timer_.expires_after(kDrainPoll);
+    drain_timer_.async_wait([this](const boost::system::error_code& error) {
+      if (!error) {
+        AwaitDrained();
+      }
+    });
+  }
+
+  std::string ExportMetrics() {
+    registry_.GetGauge("papaya_queued_requests", "Requests that wait here.")
+        .Set(static_cast<int64_t>(scheduler_->queued()));
+    registry_
+        .GetGauge("papaya_running_requests", "Attempts under way at upstreams.")
+        .Set(static_cast<int64_t>(scheduler_->running()));
+    registry_.GetGauge("papaya_caller_connections", "Callers connected.")
+        .Set(caller_server_->connections());
+    registry_
+        .GetGauge("papaya_revision_in_force",
+                  "Revision of the configuration that this router follows.")
+        .Set(static_cast<int64_t>(revision_.value()));
+    return registry_.Export();
+  }
+
+  std::string MakeStatus() const {
+    return absl::StrCat("{\"router\":\"", settings_.router.value(),
+                        "\",\"state\":\"", life_.state(),
+                        "\",\"revision\":", revision_.value(),
+                        ",\"queued\":", scheduler_->queued(),
+                        ",\"running\":", scheduler_->running(), "}");
+  }
+
+  RouterSettings settings_;
+  Logger* logger_;
+  // Control thread only.
+  ChartMachine life_;
+  Revision revision_;
+
+  MetricsRegistry registry_;
+  RequestMetrics metrics_;
+  SpanWriter spans_;
+  TrafficServices services_;
+  OperatorFront operator_front_;
+  std::atomic<bool> ready_ = false;
+  std::atomic<bool> draining_ = false;
+  std::promise<void> drained_;
+
+  WorkerThread control_;
+  asio::steady_timer drain_timer_{control_.context()};
+  std::vector<std::unique_ptr<WorkerThread>> traffic_;
+  std::unique_ptr<SchedulerHost> scheduler_;
+  std::unique_ptr<CallerFront> caller_front_;
+  std::unique_ptr<HttpServer> caller_server_;
+  std::unique_ptr<HttpServer> operator_server_;
+  std::unique_ptr<ConfigPoller> poller_;
+};
+
+absl::StatusOr<std::unique_ptr<RouterDaemon>> RouterDaemon::Create(
+    const RouterSettings& settings,
+    Logger* logger) {
+  const absl::StatusOr<StateChart> request =
+      StateChart::Load(ChartPath(settings, "request"));
+  if (!request.ok()) {
+    return request.status();
+  }
+  const absl::StatusOr<StateChart> router =
+      StateChart::Load(ChartPath(settings, "router"));
+  if (!router.ok()) {
+    return router.status();
+  }
+  auto impl = std::make_unique<Impl>(
+      settings, logger, std::make_shared<const StateChart>(*request),
+      std::make_shared<const StateChart>(*router));
+  return std::unique_ptr<RouterDaemon>(new RouterDaemon(std::move(impl)));
+}
+
+RouterDaemon::RouterDaemon(std::unique_ptr<Impl> impl)
+    : impl_(std::move(impl)) {}
+
+RouterDaemon::~RouterDaemon() = default;
+
+absl::Status RouterDaemon::Start() {
+  return impl_->Start();
+}
+
+void RouterDaemon::Drain() {
+  impl_->Drain();
+}
+
+void RouterDaemon::Wait() {
+  impl_->Wait();
+}
+
+bool RouterDaemon::IsReady() const {
+  return impl_->IsReady();
+}
+
+uint16_t RouterDaemon::caller_port() const {
+  return impl_->caller_port();
+}
+
+uint16_t RouterDaemon::operator_port() const {
+  return impl_->operator_port();
+}
+
+}  // namespace papaya
--- /dev/null
+++ b/src/daemon/scheduler_host.h
@@ -0,0 +1,83 @@
+#ifndef SRC_DAEMON_SCHEDULER_HOST_H_
+#define SRC_DAEMON_SCHEDULER_HOST_H_
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+
+#include "absl/container/flat_hash_map.h"
+#include "include/admission/scheduler.h"
+#include "include/base/request_spec.h"
+
+namespace papaya {
+
+class RequestMailbox;
+
+// Runs the Scheduler on one traffic thread and passes events to it, and its
+// decisions to the requests, from and to all of them. All public methods may
+// be called on any thread.
+class SchedulerHost {
+ public:
+  struct Hooks {
+    // Called on the host's thread.
+    std::function<void(const DemandReport&)> send_demand;
+    EventHook event;
+  };
+
+  // `context` must be run by one thread and outlive this.
+  SchedulerHost(boost::asio::io_context& context,
+                SchedulerOptions options,
+                Hooks hooks);
+
+  // Starts the ticks.
+  void Start();
+
+  // Stops the ticks, so that the context can run out of work.
+  void Stop();
+
+  void SetSnapshot(std::shared_ptr<const RoutingSnapshot> snapshot);
+
+  // Takes in a request; decisions on it go to `mailbox`.
+  void Submit(const RequestSpec& request,
+              std::shared_ptr<RequestMailbox> mailbox);
+
+  void FirstToken(RequestId id);
+  void SetTokens(RequestId id, Tokens total);
+  void Finish(RequestId id, const AttemptResult& result);
+
+  // The request has ended without an answer that could be whole.
+  void Cancel(RequestId id);
+
+  void AddLoadReport(const UpstreamId& upstream, const LoadReport& report);
+  void AddCacheEvent(const UpstreamId& upstream, const CacheEvent& event);
+  void AddDemandReport(const DemandReport& report);
+
+  size_t queued() const { return queued_; }
+  size_t running() const { return running_; }
+
+ private:
+  void Tick();
+  void PushTo(RequestId id, struct RequestCommand command, bool is_last);
+  void Dispatch(RequestId id, const UpstreamId& upstream);
+  void Refuse(RequestId id, const Refusal& refusal);
+  void Preempt(RequestId id);
+  SchedulerHooks MakeHooks();
+  // Runs `step` on the host's thread with the time then.
+  void Run(std::function<void(TimePoint)> step);
+
+  boost::asio::io_context& context_;
+  boost::asio::steady_timer timer_;
+  Hooks hooks_;
+  Scheduler scheduler_;
+  std::shared_ptr<const RoutingSnapshot> snapshot_;
+  absl::flat_hash_map<RequestId, std::shared_ptr<RequestMailbox>> mailboxes_;
+  std::atomic<size_t> queued_ = 0;
+  std::atomic<size_t> running_ = 0;
+  bool stopped_ = false;
+};
+
+}  // namespace papaya
+
+#endif  // SRC_DAEMON_SCHEDULER_HOST_H_
--- /dev/null
+++ b/src/papayad_main.cc
@@ -0,0 +1,75 @@
+// The router daemon.
+
+#include <gflags/gflags.h>
+#include <signal.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <iostream>
+#include <memory>
+
+#include "include/daemon/router_daemon.h"
+#include "include/settings/router_settings.h"
+#include "include/telemetry/logger.h"
+
+DEFINE_string(settings, "", "The router's settings file (INI).");
+DEFINE_bool(check_settings,
+            false,
+            "Check the settings file, print every fault, and end.");
+DEFINE_bool(debug_log, false, "Log events of severity `debug` too.");
+
+namespace {
+
+constexpr int kExitOk = 0;
+constexpr int kExitFailed = 1;
+constexpr int kExitBadSettings = 2;
+
+constexpr char kUsage[] =
+    "papayad --settings=FILE\n"
+    "Runs one router. SIGTERM or SIGINT shuts it down gracefully: it takes no\n"
+    "new connection, finishes all it has, and ends with 0.\n"
+    "Exit codes: 0 ended or settings good, 1 could not run, 2 bad settings.";
+
+int Run(const papaya::RouterSettings& settings, papaya::Logger& logger) {
+  absl::StatusOr<std::unique_ptr<papaya::RouterDaemon>> daemon =
+      papaya::RouterDaemon::Create(settings, &logger);
+  if (!daemon.ok()) {
+    std::cerr << daemon.status().message() << "\n";
+    return kExitBadSettings;
+  }
+  boost::asio::io_context signals;
+  boost::asio::signal_set stop(signals, SIGTERM, SIGINT);
+  const absl::Status started = (*daemon)->Start();
+  if (!started.ok()) {
+    std::cerr << started.message() << "\n";
+    return kExitFailed;
+  }
+  stop.async_wait(
+      [&daemon](const boost::system::error_code&, int) { (*daemon)->Drain(); });
+  signals.run();
+  (*daemon)->Wait();
+  return kExitOk;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  gflags::SetUsageMessage(kUsage);
+  gflags::SetVersionString(PAPAYA_VERSION);
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  signal(SIGPIPE, SIG_IGN);
+
+  papaya::Logger logger(std::cout, FLAGS_debug_log ? papaya::Severity::kDebug
+                                                   : papaya::Severity::kInfo);
+  const absl::StatusOr<papaya::RouterSettings> settings =
+      papaya::LoadRouterSettings(FLAGS_settings);
+  if (!settings.ok()) {
+    std::cerr << settings.status().message() << "\n";
+    return kExitBadSettings;
+  }
+  if (FLAGS_check_settings) {
+    std::cout << FLAGS_settings << ": good\n";
+    return kExitOk;
+  }
+  return Run(*settings, logger);
+}
--- a/src/telemetry/event_catalog.cc
+++ b/src/telemetry/event_catalog.cc
@@ -35,6 +35,9 @@
       // Wire.
       {EventId::kListening, Severity::kInfo, "listening",
        "A server socket is open on the address given."},
+      {EventId::kStreamCut, Severity::kWarning, "stream_cut",
+       "A stream broke after its caller had got a part of it, and could not be "
+       "resumed; look at the upstream named."},
 
       // Settings and store.
       {EventId::kSettingsRefused, Severity::kError, "settings_refused",
--- a/src/wire/http_client.cc
+++ b/src/wire/http_client.cc
@@ -178,6 +178,11 @@
   return nullptr;
 }
 
+void HttpClientPool::Shutdown() {
+  max_idle_ = 0;
+  idle_.clear();
+}
+
 void HttpClientPool::Give(const std::string& address,
                           std::unique_ptr<HttpClient> client) {
   std::vector<std::unique_ptr<HttpClient>>& idle = idle_[address];
--- a/src/wire/http_server.cc
+++ b/src/wire/http_server.cc
@@ -156,7 +156,10 @@
   impl_ = std::make_shared<Impl>(std::move(contexts), shared);
 }
 
-HttpServer::~HttpServer() = default;
+HttpServer::~HttpServer() {
+  StopAccepting();
+  Abort();
+}
 
 absl::Status HttpServer::Start() {
   return impl_->Listen();
--- /dev/null
+++ b/tests/router_daemon_test.cc
@@ -0,0 +1,205 @@
+#include "include/daemon/router_daemon.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <catch2/catch.hpp>
+
+#include "include/wire/http_client.h"
+#include "tests/loopback.h"
+#include "tests/router_harness.h"
+
+namespace papaya {
+namespace {
+
+namespace asio = boost::asio;
+using Catch::Contains;
+
+asio::awaitable<void> AnswerOk(HttpExchange& exchange) {
+  HttpResponse response;
+  response.body = exchange.request().method + " " + exchange.request().target +
+                  " " + exchange.request().body;
+  co_await exchange.Respond(std::move(response));
+}
+
+asio::awaitable<void> AnswerStream(HttpExchange& exchange) {
+  co_await SendStream(exchange, 0, 5);
+}
+
+asio::awaitable<void> CutAfterAccepting(HttpExchange&) {
+  co_return;
+}
+
+TEST_CASE("RouterDaemon: serves chat, whole and streamed", "[daemon]") {
+  FakeUpstream engine(
+      RouterHarness::context(),
+      [](HttpExchange& exchange) -> asio::awaitable<void> {
+        const bool stream =
+            exchange.request().headers.Find("papaya-stream-id") != nullptr;
+        if (stream) {
+          co_await AnswerStream(exchange);
+          co_return;
+        }
+        co_await AnswerOk(exchange);
+      });
+  RouterHarness router({RouterHarness::Engine("e1", engine)});
+  router.Run([&]() -> asio::awaitable<void> {
+    HttpRequest chat = RouterHarness::Chat(false);
+    chat.headers.Set("traceparent",
+                     "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01");
+    const HttpResponse whole = co_await router.Ask(chat);
+    INFO(whole.body);
+    REQUIRE(whole.status == 200);
+    CHECK(whole.headers.Get("papaya-outcome") == "ran");
+    CHECK(whole.headers.Get("papaya-upstream") == "e1");
+    CHECK(whole.headers.Get("papaya-version") == "v1");
+    CHECK_THAT(engine.seen().back().headers.Get("traceparent"),
+               Contains("0af7651916cd43dd8448eb211c80319c"));
+    CHECK(engine.seen().back().headers.Find("Authorization") == nullptr);
+    const HttpResponse streamed =
+        co_await router.Ask(RouterHarness::Chat(true));
+    CHECK(streamed.body == StreamText(0, 5) + "id: 5\ndata: [DONE]\n\n");
+    CHECK_THAT(streamed.headers.Get("papaya-stream-id"), Contains("e1~"));
+  });
+}
+
+TEST_CASE("RouterDaemon: passes path and body to a plain service", "[daemon]") {
+  FakeUpstream service(RouterHarness::context(), &AnswerOk);
+  RouterHarness router({RouterHarness::Service("b1", service)});
+  router.Run([&]() -> asio::awaitable<void> {
+    const HttpResponse answer =
+        co_await router.Ask(RouterHarness::Booking("k1"));
+    CHECK(answer.body == "POST /hires one van");
+    CHECK(service.seen().back().headers.Get("Idempotency-Key") == "k1");
+  });
+}
+
+TEST_CASE("RouterDaemon: refuses what it can't serve, with the reason",
+          "[daemon]") {
+  FakeUpstream engine(RouterHarness::context(), &AnswerOk);
+  RouterHarness router({RouterHarness::Engine("e1", engine)});
+  router.Run([&]() -> asio::awaitable<void> {
+    HttpRequest wrong_token = RouterHarness::Chat(false);
+    wrong_token.headers.Set("Authorization", "Bearer nobody");
+    HttpRequest unknown_path = RouterHarness::Chat(false);
+    unknown_path.target = "/v2/chat";
+    HttpRequest unknown_model = RouterHarness::Chat(false);
+    unknown_model.body = R"({"model":"x","messages":[{"content":"a"}]})";
+    HttpRequest broken = RouterHarness::Chat(false);
+    broken.body = "{";
+    HttpRequest without_key = RouterHarness::Booking("");
+    HttpRequest bad_offset;
+    bad_offset.target = "/v1/streams/e1~x~y?offset=a";
+    HttpRequest forged_stream;
+    forged_stream.target = "/v1/streams/e1~x~y?offset=1";
+    const std::vector<std::pair<HttpRequest, int>> cases = {
+        {wrong_token, 401},   {unknown_path, 404}, {unknown_model, 404},
+        {broken, 400},        {without_key, 400},  {bad_offset, 400},
+        {forged_stream, 404},
+    };
+    for (const auto& [request, status] : cases) {
+      const HttpResponse answer = co_await router.Ask(request);
+      CHECK(answer.status == status);
+      CHECK(answer.headers.Find("papaya-outcome") != nullptr);
+      CHECK_THAT(answer.body, Contains("\"error\""));
+    }
+    CHECK(engine.seen().empty());
+  });
+}
+
+TEST_CASE(
+    "RouterDaemon: what must not run twice is sent once and called "
+    "unknown when its answer is lost",
+    "[daemon]") {
+  FakeUpstream first(RouterHarness::context(), &CutAfterAccepting);
+  FakeUpstream second(RouterHarness::context(), &CutAfterAccepting);
+  RouterHarness router({RouterHarness::Service("b1", first),
+                        RouterHarness::Service("b2", second)});
+  router.Run([&]() -> asio::awaitable<void> {
+    const HttpResponse answer =
+        co_await router.Ask(RouterHarness::Booking("k1"));
+    CHECK(answer.status == 502);
+    CHECK(answer.headers.Get("papaya-outcome") == "unknown");
+    CHECK(first.seen().size() + second.seen().size() == 1);
+  });
+}
+
+TEST_CASE("RouterDaemon: a refusal that did nothing is tried elsewhere",
+          "[daemon]") {
+  FakeUpstream leaving(RouterHarness::context(),
+                       [](HttpExchange& exchange) -> asio::awaitable<void> {
+                         HttpResponse response;
+                         response.status = 503;
+                         response.headers.Set("papaya-not-run", "1");
+                         response.headers.Set("papaya-leaving", "1");
+                         co_await exchange.Respond(std::move(response));
+                       });
+  FakeUpstream good(RouterHarness::context(), &AnswerOk);
+  RouterHarness router({RouterHarness::Service("b1", leaving),
+                        RouterHarness::Service("b2", good)});
+  router.Run([&]() -> asio::awaitable<void> {
+    for (int i = 0; i < 4; ++i) {
+      const HttpResponse answer =
+          co_await router.Ask(RouterHarness::Booking("k" + std::to_string(i)));
+      CHECK(answer.status == 200);
+      CHECK(answer.headers.Get("papaya-upstream") == "b2");
+    }
+    CHECK(leaving.seen().size() <= 1);
+  });
+}
+
+TEST_CASE("RouterDaemon: a broken stream goes on at its offset", "[daemon]") {
+  FakeUpstream engine(RouterHarness::context(),
+                      [](HttpExchange& exchange) -> asio::awaitable<void> {
+                        const HttpRequest& request = exchange.request();
+                        if (request.method == "GET") {
+                          const int64_t offset =
+                              std::stoll(QueryValue(request.target, "offset"));
+                          co_await SendStream(exchange, offset, 6 - offset);
+                          co_return;
+                        }
+                        HttpResponse head;
+                        head.headers.Set("Content-Type", "text/event-stream");
+                        co_await exchange.StartStream(std::move(head));
+                        std::string text = StreamText(0, 2) + StreamText(1, 2);
+                        co_await exchange.Write(std::move(text));
+                      });
+  RouterHarness router({RouterHarness::Engine("e1", engine)});
+  router.Run([&]() -> asio::awaitable<void> {
+    const HttpResponse streamed =
+        co_await router.Ask(RouterHarness::Chat(true));
+    CHECK(streamed.body == StreamText(0, 6) + "id: 6\ndata: [DONE]\n\n");
+    HttpRequest resume;
+    resume.target =
+        "/v1/streams/" + streamed.headers.Get("papaya-stream-id") + "?offset=4";
+    const HttpResponse rest = co_await router.Ask(resume);
+    CHECK(rest.body == StreamText(4, 2) + "id: 6\ndata: [DONE]\n\n");
+  });
+}
+
+TEST_CASE(
+    "RouterDaemon: the operators' pages need the token, health checks "
+    "do not",
+    "[daemon]") {
+  FakeUpstream engine(RouterHarness::context(), &AnswerOk);
+  RouterHarness router({RouterHarness::Engine("e1", engine)});
+  router.Run([&]() -> asio::awaitable<void> {
+    for (const char* page : {"/metrics", "/v1/status", "/nothing"}) {
+      HttpRequest request;
+      request.target = page;
+      const absl::StatusOr<HttpResponse> refused = co_await FetchHttp(
+          router.operator_address(), request, TestDeadline());
+      CHECK(refused->status == 401);
+      request.headers.Set("Authorization", "Bearer operator");
+      const absl::StatusOr<HttpResponse> answer = co_await FetchHttp(
+          router.operator_address(), request, TestDeadline());
+      CHECK(answer->status == (std::string(page) == "/nothing" ? 404 : 200));
+    }
+    HttpRequest health;
+    health.target = "/healthz";
+    const absl::StatusOr<HttpResponse> healthy =
+        co_await FetchHttp(router.operator_address(), health, TestDeadline());
+    CHECK(healthy->status == 200);
+  });
+}
+
+}  // namespace
+}  // namespace papaya
--- /dev/null
+++ b/tests/router_harness.h
@@ -0,0 +1,86 @@
+#ifndef TESTS_ROUTER_HARNESS_H_
+#define TESTS_ROUTER_HARNESS_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "include/config/fleet_config.h"
+#include "include/daemon/router_daemon.h"
+#include "include/settings/router_settings.h"
+#include "include/telemetry/logger.h"
+#include "include/wire/http_exchange.h"
+#include "include/wire/http_message.h"
+#include "include/wire/http_server.h"
+
+namespace papaya {
+
+// An upstream on loopback that answers by a function and keeps all requests.
+class FakeUpstream {
+ public:
+  FakeUpstream(boost::asio::io_context& context, HttpServer::Handler handler);
+
+  std::string address() const;
+
+  // Requests seen, in order.
+  const std::vector<HttpRequest>& seen() const { return seen_; }
+
+ private:
+  std::vector<HttpRequest> seen_;
+  HttpServer::Handler handler_;
+  HttpServer server_;
+};
+
+// The text of a stream of `count` tokens from `first` on, without its end.
+std::string StreamText(int64_t first, int64_t count);
+
+// Sends a stream of `count` tokens from `first` on, with its end.
+boost::asio::awaitable<void> SendStream(HttpExchange& exchange,
+                                        int64_t first,
+                                        int64_t count);
+
+// A router in this process, with a fake Object API that holds `config`.
+class RouterHarness {
+ public:
+  explicit RouterHarness(std::vector<UpstreamSpec> upstreams);
+  ~RouterHarness();
+
+  // An upstream of pool `m` (model engine) or `booking` (plain service).
+  static UpstreamSpec Engine(const std::string& id, const FakeUpstream& fake);
+  static UpstreamSpec Service(const std::string& id, const FakeUpstream& fake);
+
+  // Runs `body` once the router is ready.
+  void Run(std::function<boost::asio::awaitable<void>()> body);
+
+  // Sends a request of the account `acme` to the router.
+  boost::asio::awaitable<HttpResponse> Ask(HttpRequest request);
+
+  // A chat request to model `m`.
+  static HttpRequest Chat(bool stream);
+
+  // A confirmation that must not run twice.
+  static HttpRequest Booking(const std::string& key);
+
+  std::string caller_address() const;
+  std::string operator_address() const;
+  RouterDaemon& daemon() { return *daemon_; }
+
+  // The context of the test's own thread; fakes live on it.
+  static boost::asio::io_context& context();
+
+ private:
+  boost::asio::awaitable<void> AwaitReady();
+
+  FleetConfig config_;
+  std::unique_ptr<FakeUpstream> store_;
+  std::ostringstream log_;
+  std::unique_ptr<Logger> logger_;
+  std::unique_ptr<RouterDaemon> daemon_;
+};
+
+}  // namespace papaya
+
+#endif  // TESTS_ROUTER_HARNESS_H_
