Drive the cores by the router: fleet, notes, tickets, claims, engine polls

Cause: the thin router polled the configuration by itself and let requests that must not run twice through on any key. Change: ControlPlane on the control thread composes membership, configuration, release notes, claims, tickets and polls; it replaces ConfigPoller. OnceGate and ForwardDesk carry decisions between threads and routers; POST /v1/tickets; pages of status, routers, upstreams and notes. A draining router stays until its last ticket has expired (30 s). Two faults found on the way, both of GCC 12: a lambda or an aggregate built inside a co_await expression is destroyed twice; they are locals now. Conclusion: what is missing is the connection between routers.

--- a/src/daemon/account_directory.cc
+++ b/src/daemon/account_directory.cc
@@ -41,6 +41,15 @@
   return found->second.account;
 }
 
+const AccountSettings* AccountDirectory::FindById(const AccountId& id) const {
+  for (const auto& [key, entry] : entries_) {
+    if (entry.account->id == id) {
+      return entry.account;
+    }
+  }
+  return nullptr;
+}
+
 bool MayUseRoute(const AccountSettings& account, const RouteId& route) {
   return account.routes.empty() ||
          std::find(account.routes.begin(), account.routes.end(), route) !=
--- a/src/daemon/account_directory.h
+++ b/src/daemon/account_directory.h
@@ -20,6 +20,9 @@
   // The account whose token this is; null if there is none.
   const AccountSettings* Find(const std::string& token) const;
 
+  // The account of that name; null if there is none.
+  const AccountSettings* FindById(const AccountId& id) const;
+
  private:
   struct Entry {
     std::string digest;
--- a/src/daemon/caller_front.cc
+++ b/src/daemon/caller_front.cc
@@ -11,9 +11,12 @@
 #include "include/wire/http_exchange.h"
 #include "include/wire/prompt_blocks.h"
 #include "include/wire/steady_time.h"
+#include "src/daemon/once_gate.h"
+#include "src/daemon/once_plane.h"
 #include "src/daemon/route_table.h"
 #include "src/daemon/stream_id.h"
 #include "src/daemon/stream_relay.h"
+#include "src/daemon/ticket_json.h"
 #include "src/daemon/token_digest.h"
 #include "src/daemon/traffic_services.h"
 
@@ -26,14 +29,17 @@
 constexpr char kChatPath[] = "/v1/chat/completions";
 constexpr char kStreamsPath[] = "/v1/streams/";
 constexpr char kServicePath[] = "/svc/";
+constexpr char kTicketsPath[] = "/v1/tickets";
+constexpr size_t kMaxKeyBytes = 128;
 // A caller's own deadline below this is taken as this.
 constexpr int64_t kMinDeadlineMs = 1;
 // Time that a resumed stream may take in all.
 constexpr std::chrono::minutes kResumedStreamTimeout{30};
 
 constexpr const char* kHopHeaders[] = {
-    kAuthorizationHeader, "Host",         kRouteHeader,    kTicketHeader,
-    kDeadlineHeader,      kOutcomeHeader, kStreamIdHeader, "Expect",
+    kAuthorizationHeader, "Host",          kRouteHeader,
+    kTicketHeader,        kAttemptHeader,  kDeadlineHeader,
+    kOutcomeHeader,       kStreamIdHeader, "Expect",
 };
 
 // `/svc/<service>/<path>` as the service sees it.
@@ -96,19 +102,75 @@
       co_await ResumeStream(exchange, *account);
       co_return;
     }
-    Checked checked = Check(exchange.TakeRequest(), *account);
-    if (std::holds_alternative<AcceptedRequest>(checked)) {
-      RequestSession session(services_, &exchange,
-                             std::get<AcceptedRequest>(std::move(checked)));
-      co_await session.Run();
+    if (PathOfTarget(exchange.request().target) == kTicketsPath) {
+      co_await GiveTickets(exchange, *account);
       co_return;
     }
-    error = std::get<ErrorAnswer>(std::move(checked));
+    co_await ServeAccepted(exchange, Check(exchange.TakeRequest(), *account));
+    co_return;
   }
   services_->metrics->rejected.Add();
   co_await exchange.Respond(MakeErrorResponse(error));
 }
 
+asio::awaitable<void> CallerFront::ServeForwarded(HttpExchange& exchange,
+                                                  AccountId account,
+                                                  std::string ticket) {
+  ++services_->open_requests;
+  const AccountSettings* found = accounts_.FindById(account);
+  HttpRequest request = exchange.TakeRequest();
+  request.headers.Set(kTicketHeader, ticket);
+  if (found != nullptr) {
+    co_await ServeAccepted(exchange, Check(std::move(request), *found));
+  } else {
+    const ErrorAnswer error{
+        .status = 401,
+        .code = "unknown_account",
+        .message = "this router does not know the client account",
+        .step = "caller.forwarded"};
+    co_await exchange.Respond(MakeErrorResponse(error));
+  }
+  --services_->open_requests;
+}
+
+asio::awaitable<void> CallerFront::ServeAccepted(HttpExchange& exchange,
+                                                 Checked checked) {
+  if (std::holds_alternative<AcceptedRequest>(checked)) {
+    RequestSession session(services_, &exchange,
+                           std::get<AcceptedRequest>(std::move(checked)));
+    co_await session.Run();
+    co_return;
+  }
+  services_->metrics->rejected.Add();
+  co_await exchange.Respond(MakeErrorResponse(std::get<ErrorAnswer>(checked)));
+}
+
+asio::awaitable<void> CallerFront::GiveTickets(HttpExchange& exchange,
+                                               const AccountSettings& account) {
+  const int count = ParseTicketCount(exchange.request().body);
+  if (exchange.request().method != "POST" || count < 1 ||
+      count > OncePlane::kMaxTicketsPerCall) {
+    const ErrorAnswer error =
+        Malformed(absl::StrCat("expected POST with {\"count\":N}, N from 1 to ",
+                               OncePlane::kMaxTicketsPerCall));
+    co_await exchange.Respond(MakeErrorResponse(error));
+    co_return;
+  }
+  const std::vector<std::string> tickets =
+      co_await services_->once->IssueTickets(account.id, count);
+  if (tickets.empty()) {
+    const ErrorAnswer error{.status = 429,
+                            .code = "tickets_full",
+                            .message = "too many tickets are out now",
+                            .step = "ticket.issue",
+                            .retry_after = std::chrono::seconds(5)};
+    co_await exchange.Respond(MakeErrorResponse(error));
+    co_return;
+  }
+  co_await exchange.Respond(MakeJsonResponse(
+      200, FormatTickets(tickets, OncePlane::kTicketLifetime)));
+}
+
 CallerFront::Checked CallerFront::Check(HttpRequest request,
                                         const AccountSettings& account) {
   const RouteSettings* route = FindRoute(services_->settings.routes, request);
@@ -140,14 +202,11 @@
       accepted.spec.pool = chat->model;
     }
   }
-  if (!route->idempotent &&
-      request.headers.Get(kIdempotencyKeyHeader).empty()) {
-    return ErrorAnswer{.status = 400,
-                       .code = "key_required",
-                       .message =
-                           "this route needs an Idempotency-Key header "
-                           "or a papaya-ticket",
-                       .step = "caller.check"};
+  if (!route->idempotent) {
+    std::optional<ErrorAnswer> no_key = CheckOnce(request, accepted);
+    if (no_key.has_value()) {
+      return *std::move(no_key);
+    }
   }
   std::optional<ErrorAnswer> no_pool = CheckPool(accepted.spec.pool);
   if (no_pool.has_value()) {
@@ -165,6 +224,35 @@
   return accepted;
 }
 
+std::optional<ErrorAnswer> CallerFront::CheckOnce(
+    const HttpRequest& request,
+    AcceptedRequest& accepted) const {
+  const std::string key = request.headers.Get(kIdempotencyKeyHeader);
+  const std::string ticket = request.headers.Get(kTicketHeader);
+  if (key.empty() && ticket.empty()) {
+    return ErrorAnswer{.status = 400,
+                       .code = "key_required",
+                       .message =
+                           "this route needs an Idempotency-Key header "
+                           "or a papaya-ticket",
+                       .step = "caller.check"};
+  }
+  if (key.size() > kMaxKeyBytes) {
+    return Malformed("the Idempotency-Key is longer than 128 bytes");
+  }
+  accepted.once = {.id = accepted.spec.id,
+                   .account = accepted.spec.account,
+                   .ticket = ticket,
+                   .key = IdempotencyKey(key),
+                   .is_first = request.headers.Get(kAttemptHeader) == "1",
+                   .deadline = accepted.spec.deadline};
+  if (!ticket.empty()) {
+    accepted.original = request;
+    accepted.original.headers.Remove(kAuthorizationHeader);
+  }
+  return std::nullopt;
+}
+
 std::optional<ErrorAnswer> CallerFront::CheckPool(const PoolId& pool) const {
   const std::shared_ptr<const RoutingSnapshot> snapshot =
       services_->snapshot.Get();
--- a/src/daemon/caller_front.h
+++ b/src/daemon/caller_front.h
@@ -24,13 +24,25 @@
   // Serves one request of a caller.
   boost::asio::awaitable<void> Serve(HttpExchange& exchange);
 
+  // Serves a request that another router handed over, as the issuer of its
+  // ticket. The other router has checked that it is of `account`.
+  boost::asio::awaitable<void> ServeForwarded(HttpExchange& exchange,
+                                              AccountId account,
+                                              std::string ticket);
+
  private:
   using Checked = std::variant<AcceptedRequest, ErrorAnswer>;
 
   boost::asio::awaitable<void> ServeCounted(HttpExchange& exchange);
+  boost::asio::awaitable<void> ServeAccepted(HttpExchange& exchange,
+                                             Checked checked);
+  boost::asio::awaitable<void> GiveTickets(HttpExchange& exchange,
+                                           const AccountSettings& account);
   boost::asio::awaitable<void> ResumeStream(HttpExchange& exchange,
                                             const AccountSettings& account);
   Checked Check(HttpRequest request, const AccountSettings& account);
+  std::optional<ErrorAnswer> CheckOnce(const HttpRequest& request,
+                                       AcceptedRequest& accepted) const;
   std::optional<ErrorAnswer> CheckPool(const PoolId& pool) const;
   RequestSpec MakeSpec(const RouteSettings& route,
                        const AccountSettings& account,
--- /dev/null
+++ b/src/daemon/control_plane.cc
@@ -0,0 +1,259 @@
+#include "src/daemon/control_plane.h"
+
+#include <boost/asio/post.hpp>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "include/base/stable_hash.h"
+#include "include/wire/steady_time.h"
+
+namespace papaya {
+
+namespace {
+
+constexpr std::chrono::milliseconds kTick{20};
+// The cores of the fleet and of release notes are ticked this often.
+constexpr std::chrono::milliseconds kSlowTick{100};
+constexpr std::chrono::seconds kVmReadInterval{5};
+
+HttpObjectStoreOptions MakeStoreOptions(const RouterSettings& settings) {
+  HttpObjectStoreOptions options;
+  options.address = settings.store_address;
+  return options;
+}
+
+// Differs between routers and between the runs of one.
+uint64_t SeedOf(const RouterSettings& settings,
+                Incarnation incarnation,
+                const char* part) {
+  return StableHash(absl::StrCat(settings.router.value(), "/", part),
+                    incarnation.value());
+}
+
+}  // namespace
+
+ControlPlane::ControlPlane(boost::asio::io_context& context,
+                           const RouterSettings& settings,
+                           Incarnation incarnation,
+                           std::shared_ptr<const StateChart> note_chart,
+                           Hooks hooks)
+    : context_(context),
+      timer_(context),
+      settings_(settings),
+      incarnation_(incarnation),
+      hooks_(std::move(hooks)),
+      store_(context.get_executor(), MakeStoreOptions(settings)),
+      forwards_([this](const RouterId& issuer, const ForwardRequest& request) {
+        SendTo(issuer, request);
+      }),
+      poller_(context,
+              {.load = hooks_.load,
+               .cache = hooks_.cache,
+               .leaving = [this](const UpstreamId& upstream) {
+                 fleet_->OnUpstreamLeaving(upstream, SteadyNow());
+               }}) {
+  MakeOnce();
+  MakeRollout(std::move(note_chart));
+}
+
+ControlPlane::~ControlPlane() = default;
+
+void ControlPlane::Start(const std::string& peer_address) {
+  MakeFleet(peer_address);
+  Tick();
+}
+
+void ControlPlane::Stop() {
+  stopped_ = true;
+  timer_.cancel();
+  fleet_->Leave(SteadyNow());
+}
+
+void ControlPlane::OnMessage(const RouterId& from, const PeerMessage& message) {
+  if (stopped_) {
+    return;
+  }
+  std::visit([this, &from](const auto& one) { Handle(from, one); }, message);
+}
+
+void ControlPlane::SendDemand(const DemandReport& report) {
+  if (snapshot_ == nullptr) {
+    return;
+  }
+  std::set<RouterId> sharing;
+  for (const RoutedUpstream& upstream : snapshot_->upstreams()) {
+    sharing.insert(upstream.routers.begin(), upstream.routers.end());
+  }
+  sharing.erase(settings_.router);
+  for (const RouterId& router : sharing) {
+    SendTo(router, report);
+  }
+}
+
+void ControlPlane::SetDraining() {
+  fleet_->SetDraining(SteadyNow());
+}
+
+void ControlPlane::CountReply(const ReplySample& sample) {
+  if (!rollout_->IsCounting()) {
+    return;
+  }
+  boost::asio::post(context_, [this, sample] { rollout_->OnReply(sample); });
+}
+
+void ControlPlane::Handle(const RouterId& from, const MemberMessage& message) {
+  fleet_->OnMessage(from, message, SteadyNow());
+}
+
+void ControlPlane::Handle(const RouterId& from, const ConfigMessage& message) {
+  fleet_->OnMessage(from, message, SteadyNow());
+}
+
+void ControlPlane::Handle(const RouterId&, const StatsReport& report) {
+  rollout_->OnReport(report);
+}
+
+void ControlPlane::Handle(const RouterId&, const DemandReport& report) {
+  hooks_.demand(report);
+}
+
+void ControlPlane::Handle(const RouterId&, const ClaimQuery& query) {
+  once_->OnQuery(query);
+}
+
+void ControlPlane::Handle(const RouterId&, const ClaimReply& reply) {
+  once_->OnReply(reply, SteadyNow());
+}
+
+void ControlPlane::Handle(const RouterId& from, const ForwardRequest& request) {
+  hooks_.forwarded(request, [this, alive = std::weak_ptr<bool>(alive_), from,
+                             serial = request.serial](HttpResponse response) {
+    boost::asio::post(context_, [this, alive, from, serial,
+                                 response = std::move(response)]() mutable {
+      if (alive.expired()) {
+        return;
+      }
+      ForwardReply reply{.serial = serial};
+      reply.response = std::move(response);
+      SendTo(from, reply);
+    });
+  });
+}
+
+void ControlPlane::Handle(const RouterId&, const ForwardReply& reply) {
+  forwards_.OnReply(reply);
+}
+
+void ControlPlane::MakeOnce() {
+  OncePlane::Hooks hooks;
+  hooks.send_query = [this](const RouterId& to, const ClaimQuery& query) {
+    SendTo(to, query);
+  };
+  hooks.send_reply = [this](const RouterId& to, const ClaimReply& reply) {
+    SendTo(to, reply);
+  };
+  hooks.is_alive = [this](const RouterId& router, Incarnation incarnation) {
+    return fleet_->IsAlive(router, incarnation);
+  };
+  hooks.is_sweeper = [this] { return fleet_->IsCandidate(); };
+  hooks.event = hooks_.event;
+  once_ = std::make_unique<OncePlane>(settings_, incarnation_, &store_,
+                                      std::move(hooks),
+                                      SeedOf(settings_, incarnation_, "once"));
+}
+
+void ControlPlane::MakeRollout(std::shared_ptr<const StateChart> note_chart) {
+  RolloutPlane::Hooks hooks;
+  hooks.send_stats = [this](const RouterId& to, const StatsReport& report) {
+    SendTo(to, report);
+  };
+  hooks.stop = [this](const StopFact& fact) {
+    fleet_->Stop(fact, SteadyNow());
+  };
+  hooks.offer = [this](const FleetConfig& config) {
+    fleet_->Offer(config, SteadyNow());
+  };
+  hooks.event = hooks_.event;
+  rollout_ = std::make_unique<RolloutPlane>(
+      context_, settings_, incarnation_, std::move(note_chart), &store_,
+      std::move(hooks), SeedOf(settings_, incarnation_, "rollout"));
+}
+
+void ControlPlane::MakeFleet(const std::string& peer_address) {
+  FleetPlane::Hooks hooks;
+  hooks.send = hooks_.send;
+  hooks.publish = [this](std::shared_ptr<const RoutingSnapshot> snapshot) {
+    Publish(std::move(snapshot));
+  };
+  hooks.in_force = [this](const std::shared_ptr<const FleetConfig>& config) {
+    rollout_->OnConfig(config);
+    hooks_.in_force(config->revision);
+  };
+  hooks.stopped = [this](const StopFact& fact) { rollout_->OnStopFact(fact); };
+  hooks.event = hooks_.event;
+  fleet_ = std::make_unique<FleetPlane>(
+      settings_, incarnation_, peer_address, &store_, std::move(hooks),
+      SeedOf(settings_, incarnation_, "fleet"), SteadyNow());
+}
+
+void ControlPlane::Publish(std::shared_ptr<const RoutingSnapshot> snapshot) {
+  snapshot_ = std::move(snapshot);
+  poller_.OnSnapshot(snapshot_);
+  hooks_.publish(snapshot_);
+}
+
+void ControlPlane::SendTo(const RouterId& router, const PeerMessage& message) {
+  const RouterView* view = FindRouter(fleet_->view(), router);
+  if (view != nullptr) {
+    hooks_.send({.router = router, .address = view->address}, message);
+  }
+}
+
+void ControlPlane::ScheduleTick() {
+  timer_.expires_after(kTick);
+  timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error && !stopped_) {
+      Tick();
+    }
+  });
+}
+
+void ControlPlane::Tick() {
+  const TimePoint now = SteadyNow();
+  once_->OnTick(now);
+  forwards_.OnTick(now);
+  if (now >= next_slow_tick_) {
+    next_slow_tick_ = now + kSlowTick;
+    fleet_->OnTick(now);
+    rollout_->OnTick(now, fleet_->view(), fleet_->IsCandidate());
+    poller_.OnTick(now);
+  }
+  if (now >= next_vm_read_) {
+    next_vm_read_ = now + kVmReadInterval;
+    ReadVmList(now);
+  }
+  ScheduleTick();
+}
+
+void ControlPlane::ReadVmList(TimePoint) {
+  // Only readers ask; what they find leaving goes round as facts.
+  if (!fleet_->IsCandidate()) {
+    return;
+  }
+  store_.ListVms([this, alive = std::weak_ptr<bool>(alive_)](
+                     const absl::StatusOr<std::vector<PlatformVm>>& vms) {
+    if (alive.expired() || !vms.ok()) {
+      return;
+    }
+    std::set<VmId> leaving;
+    std::set<VmId> running;
+    for (const PlatformVm& vm : *vms) {
+      (vm.leaving ? leaving : running).insert(vm.id);
+    }
+    fleet_->OnVmList(leaving, running, SteadyNow());
+  });
+}
+
+}  // namespace papaya
--- a/src/daemon/error_answer.cc
+++ b/src/daemon/error_answer.cc
@@ -41,6 +41,47 @@
 
 }  // namespace
 
+ErrorAnswer AnswerToVerdict(const OnceVerdict& verdict) {
+  ErrorAnswer answer{.status = 503,
+                     .code = OnceReasonName(verdict.reason),
+                     .message = "this request must not run twice",
+                     .step = "once.decide",
+                     .outcome = verdict.outcome};
+  switch (verdict.reason) {
+    case OnceReason::kRepeated:
+      answer.status = verdict.outcome == Outcome::kRan ? 200 : 409;
+      answer.message = "an earlier attempt has ended with this outcome";
+      break;
+    case OnceReason::kInProgress:
+      answer.status = 409;
+      answer.message = "an earlier attempt is still under way";
+      break;
+    case OnceReason::kExpired:
+      answer.status = 409;
+      answer.message = "the ticket was not used in time";
+      break;
+    case OnceReason::kTableFull:
+      answer.status = 429;
+      answer.message = "too many keys are remembered now";
+      answer.retry_after = std::chrono::seconds(1);
+      break;
+    case OnceReason::kStoreUnavailable:
+      answer.message =
+          "the Object API gives no answer; requests with a ticket go on";
+      answer.retry_after = std::chrono::seconds(1);
+      break;
+    case OnceReason::kNone:
+    case OnceReason::kForgotten:
+    case OnceReason::kIssuerGone:
+    case OnceReason::kClaimerGone:
+    case OnceReason::kClaimerUnreachable:
+      answer.status = 502;
+      answer.message = "nobody knows any more whether it has run";
+      break;
+  }
+  return answer;
+}
+
 HttpResponse MakeJsonResponse(int status, std::string body) {
   HttpResponse response;
   response.status = status;
--- a/src/daemon/error_answer.h
+++ b/src/daemon/error_answer.h
@@ -6,6 +6,7 @@
 #include "include/admission/attempt_result.h"
 #include "include/base/outcome.h"
 #include "include/base/units.h"
+#include "include/once/once_verdict.h"
 #include "include/wire/http_message.h"
 #include "include/wire/http_server.h"
 
@@ -21,6 +22,7 @@
 inline constexpr char kTicketHeader[] = "papaya-ticket";
 inline constexpr char kDeadlineHeader[] = "papaya-deadline-ms";
 inline constexpr char kIdempotencyKeyHeader[] = "Idempotency-Key";
+inline constexpr char kAttemptHeader[] = "papaya-attempt";
 inline constexpr char kNotRunHeader[] = "papaya-not-run";
 inline constexpr char kLeavingHeader[] = "papaya-leaving";
 inline constexpr char kTraceparentHeader[] = "traceparent";
@@ -49,6 +51,10 @@
 // What a caller is told of a refusal by the scheduler.
 ErrorAnswer AnswerToRefusal(const Refusal& refusal);
 
+// What a caller is told whose request was decided by an earlier attempt, or
+// could not be decided, and of which no answer is kept.
+ErrorAnswer AnswerToVerdict(const OnceVerdict& verdict);
+
 // A response with a JSON body.
 HttpResponse MakeJsonResponse(int status, std::string body);
 
--- /dev/null
+++ b/src/daemon/once_gate.cc
@@ -0,0 +1,85 @@
+#include "src/daemon/once_gate.h"
+
+#include <boost/asio/associated_executor.hpp>
+#include <boost/asio/async_result.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <memory>
+#include <utility>
+
+#include "include/wire/steady_time.h"
+
+namespace papaya {
+
+namespace {
+
+namespace asio = boost::asio;
+
+// Runs `start` on `context` with a function that resumes the caller, on the
+// caller's own executor, with a result.
+template <typename Result>
+asio::awaitable<Result> CallOn(
+    asio::io_context& context,
+    std::function<void(std::function<void(Result)>)> start) {
+  // A lambda inside the co_await expression would be destroyed twice by GCC 12.
+  auto initiate = [&context, &start](auto handler) {
+    using Handler = decltype(handler);
+    auto shared = std::make_shared<Handler>(std::move(handler));
+    const std::function<void(Result)> resume = [shared](Result result) {
+      const auto executor = asio::get_associated_executor(*shared);
+      asio::post(executor, [shared, result = std::move(result)]() mutable {
+        std::move (*shared)(std::move(result));
+      });
+    };
+    asio::post(context, [start, resume] { start(resume); });
+  };
+  co_return co_await asio::async_initiate<const asio::use_awaitable_t<>,
+                                          void(Result)>(initiate,
+                                                        asio::use_awaitable);
+}
+
+}  // namespace
+
+asio::awaitable<absl::StatusOr<OnceVerdict>> OnceGate::Decide(
+    OnceRequest request) {
+  using Result = absl::StatusOr<OnceVerdict>;
+  return CallOn<Result>(
+      context_, [this, request = std::move(request)](
+                    const std::function<void(Result)>& resume) {
+        const absl::Status status = plane_->Decide(
+            request, SteadyNow(),
+            [resume](const OnceVerdict& verdict) { resume(verdict); });
+        if (!status.ok()) {
+          resume(status);
+        }
+      });
+}
+
+void OnceGate::End(RequestId id, Outcome outcome, StoredAnswer answer) {
+  asio::post(context_,
+             [this, id, outcome, answer = std::move(answer)]() mutable {
+               plane_->End(id, outcome, std::move(answer));
+             });
+}
+
+asio::awaitable<absl::StatusOr<HttpResponse>>
+OnceGate::Forward(RouterId issuer, ForwardRequest request, TimePoint deadline) {
+  return CallOn<absl::StatusOr<HttpResponse>>(
+      context_, [this, issuer = std::move(issuer), request = std::move(request),
+                 deadline](const ReplyHook& resume) {
+        forward_(issuer, request, deadline, resume);
+      });
+}
+
+asio::awaitable<std::vector<std::string>> OnceGate::IssueTickets(
+    AccountId account,
+    int count) {
+  using Result = std::vector<std::string>;
+  return CallOn<Result>(
+      context_, [this, account = std::move(account),
+                 count](const std::function<void(Result)>& resume) {
+        resume(plane_->IssueTickets(account, count, SteadyNow()));
+      });
+}
+
+}  // namespace papaya
--- /dev/null
+++ b/src/daemon/once_gate.h
@@ -0,0 +1,62 @@
+#ifndef SRC_DAEMON_ONCE_GATE_H_
+#define SRC_DAEMON_ONCE_GATE_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "include/base/ids.h"
+#include "include/base/outcome.h"
+#include "include/once/once_verdict.h"
+#include "include/once/stored_answer.h"
+#include "include/wire/forward_messages.h"
+#include "src/daemon/once_plane.h"
+
+namespace papaya {
+
+// The traffic threads' way to the control thread's OncePlane, and to the
+// routers that issued tickets. All methods may be called on any thread; each
+// coroutine goes on where it was.
+class OnceGate {
+ public:
+  using ReplyHook = std::function<void(absl::StatusOr<HttpResponse>)>;
+  // Hands a request to another router; on the control thread. Calls back once,
+  // by the deadline at the latest.
+  using ForwardHook = std::function<
+      void(const RouterId&, ForwardRequest, TimePoint deadline, ReplyHook)>;
+
+  // `context` is the control thread's. `plane` must outlive this.
+  OnceGate(boost::asio::io_context& context,
+           OncePlane* plane,
+           ForwardHook forward)
+      : context_(context), plane_(plane), forward_(std::move(forward)) {}
+
+  // Decides on a request that must not run twice; the contract of
+  // OncePlane::Decide.
+  boost::asio::awaitable<absl::StatusOr<OnceVerdict>> Decide(
+      OnceRequest request);
+
+  // Notes how a request that proceeded ended.
+  void End(RequestId id, Outcome outcome, StoredAnswer answer);
+
+  // Hands a request to the issuer of its ticket and awaits its answer. Fails
+  // with kUnavailable or kDeadlineExceeded; the request may then have run.
+  boost::asio::awaitable<absl::StatusOr<HttpResponse>>
+  Forward(RouterId issuer, ForwardRequest request, TimePoint deadline);
+
+  boost::asio::awaitable<std::vector<std::string>> IssueTickets(
+      AccountId account,
+      int count);
+
+ private:
+  boost::asio::io_context& context_;
+  OncePlane* plane_;
+  ForwardHook forward_;
+};
+
+}  // namespace papaya
+
+#endif  // SRC_DAEMON_ONCE_GATE_H_
--- a/src/daemon/once_plane.h
+++ b/src/daemon/once_plane.h
@@ -81,7 +81,7 @@
   TimePoint last_ticket_expiry() const { return desk_.last_expiry(); }
 
   static constexpr int kMaxTicketsPerCall = 64;
-  static constexpr Duration kTicketLifetime = std::chrono::seconds(60);
+  static constexpr Duration kTicketLifetime = std::chrono::seconds(30);
 
  private:
   void OnClaimDecided(RequestId id, const OnceVerdict& verdict);
--- a/src/daemon/request_session.cc
+++ b/src/daemon/request_session.cc
@@ -9,6 +9,7 @@
 #include "include/wire/prompt_blocks.h"
 #include "include/wire/steady_time.h"
 #include "src/daemon/error_answer.h"
+#include "src/daemon/once_gate.h"
 #include "src/daemon/request_mailbox.h"
 #include "src/daemon/scheduler_host.h"
 #include "src/daemon/stream_id.h"
@@ -40,6 +41,19 @@
   return refusal.reason == RefusalReason::kShed ? "shed" : "expire";
 }
 
+// The event of charts/request.chart for an outcome that an earlier attempt had.
+const char* EventOfOutcome(Outcome outcome) {
+  switch (outcome) {
+    case Outcome::kNotRun:
+      return "refuse";
+    case Outcome::kRan:
+      return "repeat";
+    case Outcome::kUnknown:
+      return "doubt";
+  }
+  return "doubt";
+}
+
 Tokens TokensOfAnswer(const UpstreamSpec& upstream, const std::string& body) {
   return upstream.kind == UpstreamKind::kModelEngine ? EstimateTokens(body)
                                                      : Tokens(0);
@@ -67,6 +81,12 @@
     gone.kind = RequestCommand::Kind::kCallerGone;
     mailbox->Push(std::move(gone));
   });
+  if (!request_.spec.idempotent) {
+    const bool may_go_on = co_await PassOnce();
+    if (!may_go_on) {
+      co_return;
+    }
+  }
   Fire("queue");
   services_->scheduler->Submit(request_.spec, mailbox_);
   while (true) {
@@ -87,8 +107,118 @@
   }
 }
 
+asio::awaitable<bool> RequestSession::PassOnce() {
+  const absl::StatusOr<OnceVerdict> verdict =
+      co_await services_->once->Decide(request_.once);
+  if (!verdict.ok()) {
+    Fire("refuse");
+    co_await exchange_->Respond(
+        MakeErrorResponse({.status = 400,
+                           .code = "bad_ticket",
+                           .message = std::string(verdict.status().message()),
+                           .step = "once.decide"}));
+    co_return false;
+  }
+  switch (verdict->action) {
+    case OnceAction::kProceed:
+      owes_outcome_ = true;
+      co_return true;
+    case OnceAction::kAnswer:
+      co_await AnswerVerdict(*verdict);
+      co_return false;
+    case OnceAction::kForward:
+      co_await ForwardToIssuer(*verdict);
+      co_return false;
+  }
+  co_return false;
+}
+
+asio::awaitable<void> RequestSession::AnswerVerdict(
+    const OnceVerdict& verdict) {
+  Fire(EventOfOutcome(verdict.outcome));
+  services_->metrics->CountOutcome(request_.spec.tier, verdict.outcome);
+  HttpResponse response;
+  if (verdict.answer.status != 0) {
+    response.status = verdict.answer.status;
+    response.headers.Set("Content-Type", verdict.answer.content_type);
+    response.body = verdict.answer.body;
+    response.headers.Set(kOutcomeHeader, OutcomeName(verdict.outcome));
+  } else {
+    response = MakeErrorResponse(AnswerToVerdict(verdict));
+  }
+  response.headers.Set(kRequestIdHeader, request_.name);
+  co_await exchange_->Respond(std::move(response));
+  WriteSpan(request_.trace, request_.parent_span, "request", arrived_wall_,
+            OnceReasonName(verdict.reason), "");
+}
+
+asio::awaitable<void> RequestSession::ForwardToIssuer(
+    const OnceVerdict& verdict) {
+  Fire("forward");
+  const SystemClock::time_point started = SystemClock::now();
+  const TraceContext span = request_.trace.NewChild();
+  const TimePoint deadline =
+      request_.spec.deadline + request_.route->attempt_timeout;
+  ForwardRequest forward{.account = request_.spec.account,
+                         .ticket = request_.once.ticket,
+                         .request = std::move(request_.original),
+                         .time_left = request_.spec.deadline - SteadyNow()};
+  forward.request.headers.Set(kTraceparentHeader, FormatTraceparent(span));
+  absl::StatusOr<HttpResponse> answer = co_await services_->once->Forward(
+      verdict.router, std::move(forward), deadline);
+  HttpResponse response;
+  if (answer.ok()) {
+    Fire("complete");
+    response = *std::move(answer);
+  } else {
+    Fire("fail_unknown");
+    services_->metrics->CountOutcome(request_.spec.tier, Outcome::kUnknown);
+    response =
+        MakeErrorResponse({.status = 502,
+                           .code = "issuer_unreachable",
+                           .message = std::string(answer.status().message()),
+                           .step = "ticket.forward",
+                           .outcome = Outcome::kUnknown});
+  }
+  WriteSpan(span, request_.trace.span_id, "forward", started,
+            std::string(answer.status().message()), verdict.router.value());
+  co_await exchange_->Respond(std::move(response));
+  WriteSpan(request_.trace, request_.parent_span, "request", arrived_wall_, "",
+            "");
+}
+
+void RequestSession::EndOnce(Outcome outcome, const HttpResponse* response) {
+  if (!std::exchange(owes_outcome_, false)) {
+    return;
+  }
+  StoredAnswer answer;
+  if (response != nullptr) {
+    answer = {.status = response->status,
+              .content_type = response->headers.Get("Content-Type"),
+              .body = response->body};
+  }
+  services_->once->End(request_.spec.id, outcome, std::move(answer));
+}
+
+void RequestSession::CountReply(const UpstreamSpec& upstream,
+                                bool failed,
+                                Tokens tokens) {
+  const TimePoint now = SteadyNow();
+  const TimePoint first = first_token_seen_ ? first_token_at_ : now;
+  services_->count_reply({.pool = upstream.pool,
+                          .version = upstream.version,
+                          .route = request_.spec.route,
+                          .upstream = upstream.id,
+                          .failed = failed,
+                          .first_token = first - attempt_started_,
+                          .whole = now - attempt_started_,
+                          .tokens = tokens});
+}
+
 asio::awaitable<bool> RequestSession::Attempt(const UpstreamSpec& upstream) {
   Fire("dispatch");
+  attempt_started_ = SteadyNow();
+  first_token_at_ = TimePoint();
   const SystemClock::time_point started = SystemClock::now();
   WriteSpan(request_.trace.NewChild(), request_.trace.span_id, "queue_wait",
             queued_wall_, "", "");
@@ -115,6 +245,11 @@
     if (head.response.status >= 500) {
       failed_answer_ = head.response;
     }
+    const bool is_fault = head.end == AttemptEnd::kUnknown;
+    handed_over_ = handed_over_ || is_fault;
+    if (is_fault) {
+      CountReply(upstream, true, Tokens(0));
+    }
     ReportFailure(head.end);
   } else if (IsEventStream(head.response)) {
     ended = co_await RelayStream(attempt, std::move(head.response));
@@ -136,6 +271,8 @@
     const absl::StatusOr<std::string> piece = co_await attempt.ReadPiece();
     const bool too_long = std::ssize(head.body) > kMaxAnswer.value();
     if (!piece.ok() || too_long) {
+      handed_over_ = true;
+      CountReply(attempt.upstream(), true, Tokens(0));
       ReportFailure(AttemptEnd::kUnknown);
       co_return false;
     }
@@ -149,6 +286,8 @@
       .end = AttemptEnd::kOk,
       .output_tokens = TokensOfAnswer(attempt.upstream(), head.body)};
   services_->scheduler->Finish(request_.spec.id, result);
+  CountReply(attempt.upstream(), head.status >= 500, Tokens(0));
+  EndOnce(Outcome::kRan, &head);
   AddAnswerHeaders(attempt.upstream(), &head.headers);
   services_->metrics->of(request_.spec.tier)
       .first_byte->Record(SteadyNow() - arrived_);
@@ -167,6 +306,8 @@
   const StreamRelay::End end = co_await relay.Run(std::move(head));
   switch (end) {
     case StreamRelay::End::kNothingSent:
+      handed_over_ = true;
+      CountReply(attempt.upstream(), true, Tokens(0));
       ReportFailure(AttemptEnd::kUnknown);
       co_return false;
     case StreamRelay::End::kWhole: {
@@ -174,10 +315,13 @@
       const AttemptResult result{.end = AttemptEnd::kOk,
                                  .output_tokens = Tokens(relay.tokens())};
       services_->scheduler->Finish(request_.spec.id, result);
+      CountReply(attempt.upstream(), false, Tokens(relay.tokens()));
+      EndOnce(Outcome::kRan, nullptr);
       EndAnswered();
       co_return true;
     }
     case StreamRelay::End::kCallerFailed:
+      handed_over_ = true;
       services_->scheduler->Cancel(request_.spec.id);
       EndAbandoned();
       co_return true;
@@ -189,6 +333,8 @@
     EndAbandoned();
     co_return true;
   }
+  CountReply(attempt.upstream(), true, Tokens(0));
+  EndOnce(Outcome::kUnknown, nullptr);
   Fire("fail_unknown");
   services_->metrics->CountOutcome(request_.spec.tier, Outcome::kUnknown);
   Event event{.id = EventId::kStreamCut};
@@ -211,6 +357,7 @@
     const RequestId id = request_.spec.id;
     if (!std::exchange(first_token_seen_, true)) {
       Fire("first_byte");
+      first_token_at_ = SteadyNow();
       services_->scheduler->FirstToken(id);
       services_->metrics->of(request_.spec.tier)
           .first_byte->Record(SteadyNow() - arrived_);
@@ -246,6 +393,7 @@
 }
 
 asio::awaitable<void> RequestSession::AnswerRefusal(const Refusal& refusal) {
+  EndOnce(refusal.outcome, nullptr);
   Fire(EventOfRefusal(refusal));
   HttpResponse response = MakeErrorResponse(AnswerToRefusal(refusal));
   if (refusal.reason == RefusalReason::kAttemptsFailed &&
@@ -297,6 +445,7 @@
 }
 
 void RequestSession::EndAbandoned() {
+  EndOnce(handed_over_ ? Outcome::kUnknown : Outcome::kNotRun, nullptr);
   Fire("caller_gone");
   services_->metrics->of(request_.spec.tier).abandoned->Add();
   WriteSpan(request_.trace, request_.parent_span, "request", arrived_wall_,
--- a/src/daemon/request_session.h
+++ b/src/daemon/request_session.h
@@ -11,6 +11,7 @@
 #include "include/settings/router_settings.h"
 #include "include/telemetry/trace_context.h"
 #include "include/wire/http_message.h"
+#include "src/daemon/once_plane.h"
 #include "src/daemon/stream_relay.h"
 #include "src/daemon/upstream_attempt.h"
 
@@ -31,6 +32,10 @@
   HttpRequest forward;
   // The caller wants the answer as a stream.
   bool stream = false;
+  // With a route that is not idempotent: what it is decided by.
+  OnceRequest once;
+  // The request as the caller sent it, for the issuer of its ticket.
+  HttpRequest original;
   // The span from the caller to this router, and its parent.
   TraceContext trace;
   std::string parent_span;
@@ -51,6 +56,16 @@
   boost::asio::awaitable<void> Run();
 
  private:
+  // Asks whether a request that must not run twice may be scheduled; false if
+  // it has ended, answered without.
+  boost::asio::awaitable<bool> PassOnce();
+  boost::asio::awaitable<void> AnswerVerdict(const OnceVerdict& verdict);
+  boost::asio::awaitable<void> ForwardToIssuer(const OnceVerdict& verdict);
+  // Notes the outcome of a request that PassOnce let through.
+  void EndOnce(Outcome outcome, const HttpResponse* response);
+  // Counts the end of an attempt for the comparison of versions.
+  void CountReply(const UpstreamSpec& upstream, bool failed, Tokens tokens);
+
   // Makes one attempt; true if the request has ended by it.
   boost::asio::awaitable<bool> Attempt(const UpstreamSpec& upstream);
   boost::asio::awaitable<bool> RelayWhole(UpstreamAttempt& attempt,
@@ -85,7 +100,13 @@
   TimePoint arrived_;
   std::chrono::system_clock::time_point arrived_wall_;
   std::chrono::system_clock::time_point queued_wall_;
+  TimePoint attempt_started_;
+  TimePoint first_token_at_;
   bool first_token_seen_ = false;
+  // PassOnce let it through, and its outcome is not noted yet.
+  bool owes_outcome_ = false;
+  // An upstream may have it.
+  bool handed_over_ = false;
   int64_t reported_tokens_ = 0;
   // The last answer of an upstream that failed, for a caller who will get no
   // better one.
--- a/src/daemon/router_daemon.cc
+++ b/src/daemon/router_daemon.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <atomic>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
@@ -16,9 +18,13 @@
 #include "include/wire/http_server.h"
 #include "include/wire/steady_time.h"
 #include "src/daemon/caller_front.h"
-#include "src/daemon/config_poller.h"
+#include "src/daemon/control_plane.h"
+#include "src/daemon/forwarded_exchange.h"
+#include "src/daemon/note_pages.h"
+#include "src/daemon/once_gate.h"
 #include "src/daemon/operator_front.h"
 #include "src/daemon/scheduler_host.h"
+#include "src/daemon/status_pages.h"
 #include "src/daemon/traffic_services.h"
 #include "src/daemon/worker_thread.h"
 
@@ -33,6 +39,8 @@
 // the balancer learns of it.
 constexpr std::chrono::milliseconds kDrainGrace{1500};
 constexpr std::chrono::milliseconds kDrainPoll{20};
+// In the order of Impl's parameters.
+constexpr const char* kCharts[] = {"request", "router", "release_note"};
 
 // Grows from one start of a router to the next, as long as its VM's clock does.
 Incarnation NewIncarnation() {
@@ -81,7 +89,8 @@
   Impl(const RouterSettings& settings,
        Logger* logger,
        std::shared_ptr<const StateChart> request_chart,
-       std::shared_ptr<const StateChart> router_chart)
+       std::shared_ptr<const StateChart> router_chart,
+       std::shared_ptr<const StateChart> note_chart)
       : settings_(settings),
         logger_(logger),
         life_(std::move(router_chart)),
@@ -96,8 +105,8 @@
     services_.event = logger->hook();
     MakeThreads();
     MakeScheduler();
+    MakeControl(std::move(note_chart));
     MakeServers();
-    MakeControl();
   }
 
   ~Impl() {
@@ -127,7 +136,8 @@
     Log(EventId::kListening,
         {{"role", "operators"}, {"port", absl::StrCat(operator_port())}});
     scheduler_->Start();
-    poller_->Start();
+    asio::post(control_.context(),
+               [this] { plane_->Start(settings_.peer_address); });
     for (const std::unique_ptr<WorkerThread>& thread : traffic_) {
       thread->Start();
     }
@@ -176,7 +186,10 @@
 
   void MakeScheduler() {
     SchedulerHost::Hooks hooks;
-    hooks.send_demand = [](const DemandReport&) {};
+    hooks.send_demand = [this](const DemandReport& report) {
+      asio::post(control_.context(),
+                 [this, report] { plane_->SendDemand(report); });
+    };
     hooks.event = logger_->hook();
     scheduler_ = std::make_unique<SchedulerHost>(
         traffic_.front()->context(),
@@ -227,37 +240,91 @@
           response.body = ExportMetrics();
           co_return response;
         });
-    operator_front_.Add(
-        "GET", "/v1/status",
-        [this](const HttpRequest&) -> asio::awaitable<HttpResponse> {
-          co_return MakeJsonResponse(200, MakeStatus());
+    AddPage("/v1/status", [this] { return pages_->MakeStatus(life_.state()); });
+    AddPage("/v1/routers", [this] { return pages_->MakeRouters(); });
+    AddPage("/v1/upstreams", [this] { return pages_->MakeUpstreams(); });
+    for (const char* method : {"GET", "PUT", "POST", "DELETE"}) {
+      for (const char* path : {"/v1/notes", "/v1/notes/"}) {
+        operator_front_.Add(method, path, [this](const HttpRequest& request) {
+          return note_pages_->Handle(request);
         });
+      }
+    }
   }
 
-  void MakeControl() {
-    poller_ = std::make_unique<ConfigPoller>(
-        control_.context(), settings_.store_address,
-        absl::StrCat(settings_.store_prefix, "/config"),
-        [this](std::shared_ptr<const FleetConfig> config) {
-          Adopt(std::move(config));
+  void AddPage(const std::string& path, std::function<std::string()> make) {
+    operator_front_.Add("GET", path,
+                        [make = std::move(make)](const HttpRequest&)
+                            -> asio::awaitable<HttpResponse> {
+                          co_return MakeJsonResponse(200, make());
+                        });
+  }
+
+  void MakeControl(std::shared_ptr<const StateChart> note_chart) {
+    ControlPlane::Hooks hooks;
+    hooks.send = [](const PeerAddress&, const PeerMessage&) {};
+    hooks.publish = [this](std::shared_ptr<const RoutingSnapshot> snapshot) {
+      services_.snapshot.Set(snapshot);
+      scheduler_->SetSnapshot(std::move(snapshot));
+    };
+    hooks.in_force = [this](Revision revision) { OnRevision(revision); };
+    hooks.load = [this](const UpstreamId& upstream, const LoadReport& report) {
+      scheduler_->AddLoadReport(upstream, report);
+    };
+    hooks.cache = [this](const UpstreamId& upstream, const CacheEvent& event) {
+      scheduler_->AddCacheEvent(upstream, event);
+    };
+    hooks.demand = [this](const DemandReport& report) {
+      scheduler_->AddDemandReport(report);
+    };
+    hooks.forwarded = [this](const ForwardRequest& request,
+                             std::function<void(HttpResponse)> reply) {
+      ServeForwarded(request, std::move(reply));
+    };
+    hooks.event = logger_->hook();
+    plane_ = std::make_unique<ControlPlane>(
+        control_.context(), settings_, services_.incarnation,
+        std::move(note_chart), std::move(hooks));
+    once_gate_ = std::make_unique<OnceGate>(
+        control_.context(), &plane_->once(),
+        [this](const RouterId& issuer, const ForwardRequest& request,
+               TimePoint deadline, OnceGate::ReplyHook done) {
+          plane_->forwards().Forward(issuer, request, deadline,
+                                     std::move(done));
         });
+    services_.once = once_gate_.get();
+    services_.count_reply = [this](const ReplySample& sample) {
+      plane_->CountReply(sample);
+    };
+    pages_ = std::make_unique<StatusPages>(&settings_, plane_.get(),
+                                           scheduler_.get());
+    note_pages_ = std::make_unique<NotePages>(
+        &plane_->rollout().book(),
+        [this] { return plane_->fleet()->config(); });
   }
 
-  void Adopt(std::shared_ptr<const FleetConfig> config) {
-    const std::string revision = absl::StrCat(config->revision.value());
-    RoutingInput input;
-    input.config = std::move(config);
-    input.self = {.id = settings_.router, .zone = settings_.zone};
-    input.routers = {input.self};
-    const std::shared_ptr<const RoutingSnapshot> snapshot =
-        RoutingSnapshot::Build(input);
-    services_.snapshot.Set(snapshot);
-    scheduler_->SetSnapshot(snapshot);
-    revision_ = snapshot->config()->revision;
-    Log(EventId::kRevisionInForce, {{"revision", revision}});
+  // Serves, on a traffic thread, what another router handed over.
+  void ServeForwarded(const ForwardRequest& forward,
+                      std::function<void(HttpResponse)> reply) {
+    asio::io_context& context = traffic_.front()->context();
+    asio::co_spawn(
+        context,
+        [this, forward, reply = std::move(reply),
+         executor = context.get_executor()]() -> asio::awaitable<void> {
+          ForwardedExchange exchange(executor, forward.request, reply);
+          co_await caller_front_->ServeForwarded(exchange, forward.account,
+                                                 forward.ticket);
+        },
+        asio::detached);
+  }
+
+  void OnRevision(Revision revision) {
+    const std::string text = absl::StrCat(revision.value());
+    revision_ = revision;
+    Log(EventId::kRevisionInForce, {{"revision", text}});
     if (life_.Fire("configured")) {
       ready_ = true;
-      Log(EventId::kRouterReady, {{"revision", revision}});
+      Log(EventId::kRouterReady, {{"revision", text}});
     }
   }
 
@@ -267,6 +334,7 @@
     if (!life_.Fire("drain")) {
       life_.Fire("stop");
     }
+    plane_->SetDraining();
     caller_server_->AnnounceClose();
     drain_timer_.expires_after(kDrainGrace);
     drain_timer_.async_wait([this](const boost::system::error_code& error) {
@@ -278,8 +346,11 @@
   }
 
   void AwaitDrained() {
-    if (services_.open_requests == 0 && caller_server_->connections() == 0) {
-      poller_->Stop();
+    // Other routers may still hand over requests with tickets of this one.
+    const bool tickets_out = SteadyNow() < plane_->once().last_ticket_expiry();
+    if (services_.open_requests == 0 && caller_server_->connections() == 0 &&
+        !tickets_out) {
+      plane_->Stop();
       operator_server_->StopAccepting();
       drained_.set_value();
       return;
@@ -307,14 +378,6 @@
     return registry_.Export();
   }
 
-  std::string MakeStatus() const {
-    return absl::StrCat("{\"router\":\"", settings_.router.value(),
-                        "\",\"state\":\"", life_.state(),
-                        "\",\"revision\":", revision_.value(),
-                        ",\"queued\":", scheduler_->queued(),
-                        ",\"running\":", scheduler_->running(), "}");
-  }
-
   RouterSettings settings_;
   Logger* logger_;
   // Control thread only.
@@ -337,25 +400,26 @@
   std::unique_ptr<CallerFront> caller_front_;
   std::unique_ptr<HttpServer> caller_server_;
   std::unique_ptr<HttpServer> operator_server_;
-  std::unique_ptr<ConfigPoller> poller_;
+  std::unique_ptr<ControlPlane> plane_;
+  std::unique_ptr<OnceGate> once_gate_;
+  std::unique_ptr<StatusPages> pages_;
+  std::unique_ptr<NotePages> note_pages_;
 };
 
 absl::StatusOr<std::unique_ptr<RouterDaemon>> RouterDaemon::Create(
     const RouterSettings& settings,
     Logger* logger) {
-  const absl::StatusOr<StateChart> request =
-      StateChart::Load(ChartPath(settings, "request"));
-  if (!request.ok()) {
-    return request.status();
-  }
-  const absl::StatusOr<StateChart> router =
-      StateChart::Load(ChartPath(settings, "router"));
-  if (!router.ok()) {
-    return router.status();
+  std::vector<std::shared_ptr<const StateChart>> charts;
+  for (const char* name : kCharts) {
+    absl::StatusOr<StateChart> chart =
+        StateChart::Load(ChartPath(settings, name));
+    if (!chart.ok()) {
+      return chart.status();
+    }
+    charts.push_back(std::make_shared<const StateChart>(*std::move(chart)));
   }
-  auto impl = std::make_unique<Impl>(
-      settings, logger, std::make_shared<const StateChart>(*request),
-      std::make_shared<const StateChart>(*router));
+  auto impl =
+      std::make_unique<Impl>(settings, logger, charts[0], charts[1], charts[2]);
   return std::unique_ptr<RouterDaemon>(new RouterDaemon(std::move(impl)));
 }
 
--- a/src/daemon/traffic_services.h
+++ b/src/daemon/traffic_services.h
@@ -3,6 +3,7 @@
 
 #include <atomic>
 #include <boost/asio/io_context.hpp>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -17,9 +18,11 @@
 #include "include/telemetry/span_writer.h"
 #include "include/wire/http_client.h"
 #include "src/daemon/request_metrics.h"
+#include "src/daemon/rollout_plane.h"
 
 namespace papaya {
 
+class OnceGate;
 class SchedulerHost;
 
 // The latest RoutingSnapshot, handed from the control thread to the traffic
@@ -49,6 +52,9 @@
   std::shared_ptr<const StateChart> request_chart;
   SnapshotSlot snapshot;
   SchedulerHost* scheduler = nullptr;
+  OnceGate* once = nullptr;
+  // Takes the end of an attempt at an upstream. Any thread.
+  std::function<void(const ReplySample&)> count_reply;
   RequestMetrics* metrics = nullptr;
   SpanWriter* spans = nullptr;
   EventHook event;
--- a/tests/router_harness.cc
+++ b/tests/router_harness.cc
@@ -70,6 +70,18 @@
   return settings;
 }
 
+// The router's own questions to engines, which come at any time.
+bool IsPoll(const HttpRequest& request) {
+  return request.target == "/v1/load" ||
+         request.target.starts_with("/v1/cache_events");
+}
+
+asio::awaitable<void> AnswerAbsent(HttpExchange& exchange) {
+  HttpResponse response;
+  response.status = 404;
+  co_await exchange.Respond(std::move(response));
+}
+
 }  // namespace
 
 FakeUpstream::FakeUpstream(asio::io_context& context,
@@ -79,6 +91,9 @@
           {&context},
           LoopbackOptions(),
           [this](HttpExchange& exchange) {
+            if (IsPoll(exchange.request())) {
+              return AnswerAbsent(exchange);
+            }
             seen_.push_back(exchange.request());
             return handler_(exchange);
           },
@@ -127,6 +142,12 @@
               {"operation", "setup"},
               {"value", FleetConfigToJson(config_)}};
           response.body = boost::json::serialize(object);
+        } else if (exchange.request().method == "PUT") {
+          // Claims: each key is absent once.
+          const std::string key = exchange.request().target.substr(
+              0, exchange.request().target.find('?'));
+          response.status = claims_.insert(key).second ? 200 : 412;
+          response.body = R"({"version":1})";
         } else {
           response.status = 404;
         }
--- a/tests/router_harness.h
+++ b/tests/router_harness.h
@@ -4,6 +4,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <memory>
+#include <set>
 #include <sstream>
 #include <string>
 #include <vector>
@@ -18,7 +19,8 @@
 
 namespace papaya {
 
-// An upstream on loopback that answers by a function and keeps all requests.
+// An upstream on loopback that answers by a function and keeps all requests but
+// for polls of its load, which it refuses.
 class FakeUpstream {
  public:
   FakeUpstream(boost::asio::io_context& context, HttpServer::Handler handler);
@@ -75,6 +77,8 @@
   boost::asio::awaitable<void> AwaitReady();
 
   FleetConfig config_;
+  // Keys that were written to the fake Object API.
+  std::set<std::string> claims_;
   std::unique_ptr<FakeUpstream> store_;
   std::ostringstream log_;
   std::unique_ptr<Logger> logger_;
