--- a/include/telemetry/event_catalog.h
+++ b/include/telemetry/event_catalog.h
@@ -20,6 +20,7 @@
   // Wire.
   kListening = 2001,
   kStreamCut = 2002,
+  kPeerRefused = 2003,
 
   // Settings and store.
   kSettingsRefused = 3001,
--- a/src/telemetry/event_catalog.cc
+++ b/src/telemetry/event_catalog.cc
@@ -38,6 +38,9 @@
       {EventId::kStreamCut, Severity::kWarning, "stream_cut",
        "A stream broke after its caller had got a part of it, and could not be "
        "resumed; look at the upstream named."},
+      {EventId::kPeerRefused, Severity::kWarning, "peer_refused",
+       "A connection with another process was closed because it did not prove "
+       "the fleet secret or broke the protocol; check the settings of both."},
 
       // Settings and store.
       {EventId::kSettingsRefused, Severity::kError, "settings_refused",
--- /dev/null
+++ b/src/wire/peer_socket.cc
@@ -0,0 +1,138 @@
+#include "src/wire/peer_socket.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <chrono>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "include/base/error.h"
+
+namespace papaya {
+
+namespace {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+constexpr size_t kReadBytes = size_t{16} * 1024;
+
+std::string NameOf(const asio::ip::tcp::endpoint& endpoint) {
+  return absl::StrCat(endpoint.address().to_string(), ":", endpoint.port());
+}
+
+}  // namespace
+
+PeerSocket::PeerSocket(asio::ip::tcp::socket socket)
+    : socket_(std::move(socket)),
+      timer_(socket_.get_executor()),
+      reader_(kMaxHandshakeBytes) {
+  error_code error;
+  const asio::ip::tcp::endpoint remote = socket_.remote_endpoint(error);
+  peer_ = error ? "unknown" : NameOf(remote);
+}
+
+asio::awaitable<absl::Status> PeerSocket::Connect(
+    asio::ip::tcp::endpoint endpoint,
+    Duration timeout) {
+  peer_ = NameOf(endpoint);
+  Arm(timeout);
+  error_code error;
+  co_await socket_.async_connect(
+      endpoint, asio::redirect_error(asio::use_awaitable, error));
+  co_return ToStatus(error, "peer.connect");
+}
+
+asio::awaitable<absl::Status> PeerSocket::Prove(PeerHandshake* handshake,
+                                                Duration timeout) {
+  error_code ignored;
+  socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+  std::string hello = MakePeerFrame(handshake->Hello());
+  absl::Status status = co_await Write(std::move(hello), timeout);
+  if (!status.ok()) {
+    co_return status;
+  }
+  absl::StatusOr<std::string> frame = co_await ReadFrame(timeout);
+  status = frame.ok() ? handshake->CheckHello(*frame) : frame.status();
+  if (!status.ok()) {
+    co_return status;
+  }
+  std::string proof = MakePeerFrame(handshake->Proof());
+  status = co_await Write(std::move(proof), timeout);
+  if (!status.ok()) {
+    co_return status;
+  }
+  frame = co_await ReadFrame(timeout);
+  status = frame.ok() ? handshake->CheckProof(*frame) : frame.status();
+  if (status.ok()) {
+    reader_.set_max_content(kMaxPeerFrameBytes);
+  }
+  co_return status;
+}
+
+asio::awaitable<absl::StatusOr<std::string>> PeerSocket::ReadFrame(
+    Duration timeout) {
+  Arm(timeout);
+  std::string bytes;
+  while (true) {
+    absl::StatusOr<std::optional<std::string>> frame = reader_.Next();
+    if (!frame.ok()) {
+      co_return frame.status();
+    }
+    if (frame->has_value()) {
+      co_return **std::move(frame);
+    }
+    bytes.resize(kReadBytes);
+    error_code error;
+    const size_t size = co_await socket_.async_read_some(
+        asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+      co_return ToStatus(error, "peer.read");
+    }
+    bytes.resize(size);
+    reader_.Append(bytes);
+  }
+}
+
+asio::awaitable<absl::Status> PeerSocket::Write(std::string bytes,
+                                                Duration timeout) {
+  Arm(timeout);
+  error_code error;
+  co_await asio::async_write(socket_, asio::buffer(bytes),
+                             asio::redirect_error(asio::use_awaitable, error));
+  co_return ToStatus(error, "peer.write");
+}
+
+void PeerSocket::Close() {
+  error_code ignored;
+  socket_.close(ignored);
+  timer_.cancel();
+}
+
+void PeerSocket::Arm(Duration timeout) {
+  timer_.expires_after(
+      std::chrono::duration_cast<asio::steady_timer::duration>(timeout));
+  timer_.async_wait([weak = weak_from_this()](const error_code& error) {
+    const std::shared_ptr<PeerSocket> self = weak.lock();
+    if (error || self == nullptr ||
+        self->timer_.expiry() > asio::steady_timer::clock_type::now()) {
+      return;
+    }
+    self->timed_out_ = true;
+    self->Close();
+  });
+}
+
+absl::Status PeerSocket::ToStatus(const error_code& error,
+                                  const char* step) const {
+  if (!error) {
+    return absl::OkStatus();
+  }
+  const absl::StatusCode code = timed_out_ ? absl::StatusCode::kDeadlineExceeded
+                                           : absl::StatusCode::kUnavailable;
+  return MakeError(code, {.step = step, .peer = peer_}, error.message());
+}
+
+}  // namespace papaya
--- a/tools/generate.sh
+++ b/tools/generate.sh
@@ -4,3 +4,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 flatc --cpp --cpp-std c++17 --gen-object-api -o src/wire schemas/peer.fbs
+flatc --cpp --cpp-std c++17 -o src/wire schemas/handshake.fbs
