Check a sound upstream without making texts for its faults

Change: a sound upstream passes by one test; only an unsound one is gone through field by field. A test damages every field.

--- a/src/config/fleet_config_check.cc
+++ b/src/config/fleet_config_check.cc
@@ -28,6 +28,16 @@
   return name.empty() || IsName(name);
 }
 
+bool IsSound(const UpstreamSpec& upstream) {
+  return IsName(upstream.id.value()) && IsNameOrEmpty(upstream.vm.value()) &&
+         IsName(upstream.zone.value()) && IsName(upstream.pool.value()) &&
+         IsNameOrEmpty(upstream.version.value()) &&
+         IsNameOrEmpty(upstream.generation.value()) &&
+         IsName(upstream.address) &&
+         upstream.address.find(':') != std::string::npos &&
+         upstream.slots >= 1 && upstream.slots <= kMaxUpstreamSlots;
+}
+
 class Checker {
  public:
   void CheckName(const std::string& where, const std::string& name) {
@@ -42,7 +52,11 @@
     }
   }
 
+  // Looks for the faults of an upstream that is not sound, one by one.
   void CheckUpstream(const UpstreamSpec& upstream) {
+    if (IsSound(upstream)) {
+      return;
+    }
     const std::string at = absl::StrCat("upstream ", upstream.id.value());
     CheckName(at + " id", upstream.id.value());
     CheckNameOrEmpty(at + " vm", upstream.vm.value());
--- a/tests/fleet_config_json_test.cc
+++ b/tests/fleet_config_json_test.cc
@@ -90,5 +90,24 @@
   CHECK(CheckFleetConfig(none).size() == 3);
 }
 
+TEST_CASE("CheckFleetConfig: looks at every field of an upstream", "[config]") {
+  Random random(8);
+  const FleetConfig good = MakeSampleConfig(Revision(2), 1, &random);
+  const std::string bad = "two words";
+  std::vector<FleetConfig> faulty(9, good);
+  faulty[0].upstreams[0].id = UpstreamId(bad);
+  faulty[1].upstreams[0].vm = VmId(bad);
+  faulty[2].upstreams[0].zone = AvailabilityZoneId(bad);
+  faulty[3].upstreams[0].pool = PoolId(bad);
+  faulty[4].upstreams[0].version = VersionId(bad);
+  faulty[5].upstreams[0].generation = GenerationId(bad);
+  faulty[6].upstreams[0].address = "two words:1";
+  faulty[7].upstreams[0].address = "10.0.0.1";
+  faulty[8].upstreams[0].slots = kMaxUpstreamSlots + 1;
+  for (const FleetConfig& config : faulty) {
+    CHECK(CheckFleetConfig(config).size() == 1);
+  }
+}
+
 }  // namespace
 }  // namespace papaya
