Let the VM list shorten a suspicion only of routers that it has shown

Cause: a fleet whose routers are not named as their VMs would have every suspect router missing from the list, and so half the time to refute. Change: only a router that some list has shown, and the latest does not, has less time. Conclusion: tested with a listed router and one that the list never names.

--- a/include/membership/membership.h
+++ b/include/membership/membership.h
@@ -85,9 +85,10 @@
   // Call every 100 ms.
   void OnTick(TimePoint now);
 
-  // The routers that run according to the platform's VM list, which lags. A
-  // suspect router missing there has less time to refute, and a dead one that
-  // stands there is called first. Nothing else follows from it.
+  // The routers that run according to the platform's VM list, which lags; names
+  // of other machines do no harm. A suspect router that has gone from it has
+  // less time to refute, and a dead one that stands there is called first.
+  // Nothing else follows from it.
   void OnVmList(const std::vector<RouterId>& running, TimePoint now);
 
   // Tells the fleet that this router takes nothing new.
@@ -161,7 +162,8 @@
   // By the sequence of the probe made for the other router.
   absl::flat_hash_map<uint64_t, Relay> relays_;
   std::set<RouterId> vm_list_;
-  bool has_vm_list_ = false;
+  // Routers known here that some list has shown.
+  std::set<RouterId> listed_once_;
   size_t next_seed_ = 0;
   TimePoint next_digest_;
   TimePoint next_forget_;
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -89,7 +89,14 @@
 void Membership::OnVmList(const std::vector<RouterId>& running, TimePoint now) {
   now_ = now;
   vm_list_ = {running.begin(), running.end()};
-  has_vm_list_ = true;
+  std::erase_if(listed_once_, [this](const RouterId& id) {
+    return table_->Find(id) == nullptr;
+  });
+  for (const RouterId& id : running) {
+    if (table_->Find(id) != nullptr) {
+      listed_once_.insert(id);
+    }
+  }
 }
 
 void Membership::SetDraining(TimePoint now) {
@@ -332,7 +339,7 @@
 }
 
 Duration Membership::SuspicionTime(const RouterId& id) const {
-  const bool is_gone = has_vm_list_ && !vm_list_.contains(id);
+  const bool is_gone = listed_once_.contains(id) && !vm_list_.contains(id);
   return is_gone ? options_.suspicion_time / 2 : options_.suspicion_time;
 }
 
--- a/tests/membership_test.cc
+++ b/tests/membership_test.cc
@@ -155,6 +155,44 @@
   }
 }
 
+TEST_CASE("Membership: a suspect gone from the VM list has less time",
+          "[membership]") {
+  TimePoint now = TimePoint() + std::chrono::hours(1);
+  Membership membership(
+      {.self = RouterId("a"), .incarnation = Incarnation(1)},
+      {.send = [](const PeerAddress&, const MemberMessage&) {},
+       .view_changed = [](const FleetView&) {},
+       .incarnation_changed = [](Incarnation) {},
+       .event = [](const Event&) {}},
+      Random(1), now);
+  // Until the end of the wait, of one that the list has shown and of one that
+  // it names differently.
+  std::map<RouterId, int> ticks;
+  for (const char* name : {"listed", "unlisted"}) {
+    const MemberRecord other{.id = RouterId(name),
+                             .incarnation = Incarnation(1)};
+    membership.OnMessage(other.id, MemberNews{.records = {other}}, now);
+  }
+  membership.OnVmList({RouterId("listed"), RouterId("vm-9")}, now);
+  membership.OnVmList({RouterId("vm-9")}, now);
+  membership.OnTick(now);
+  for (const char* name : {"listed", "unlisted"}) {
+    MemberStamp suspect{.key = MemberKey(RouterId(name)),
+                        .incarnation = Incarnation(1),
+                        .state = RouterState::kSuspect};
+    membership.OnMessage(RouterId("c"), MemberNews{.stamps = {suspect}}, now);
+  }
+  for (int i = 0; i < 20; ++i) {
+    now += std::chrono::milliseconds(100);
+    membership.OnTick(now);
+    for (const RouterView& router : membership.view().routers) {
+      ++ticks[router.id];
+    }
+  }
+  CHECK(ticks[RouterId("listed")] == 7);
+  CHECK(ticks[RouterId("unlisted")] == 14);
+}
+
 TEST_CASE("Membership: time in a pause does not count against a suspect",
           "[membership]") {
   TimePoint now = TimePoint() + std::chrono::hours(1);
