Join the routers of a fleet by PeerNetwork

Cause: every router knew only itself; messages of its cores went nowhere. Change: RouterDaemon owns a PeerNetwork on the control thread: messages of the control plane go out by it and come in by it, the address told to others has the port really bound, and a router that ends gives its last messages 100 ms. Peer counts are metrics. Test: three routers of which one can read the store; the others get ready by gossip, and a ticket of one runs once through two others. Conclusion: the whole path runs over several routers.

--- a/include/daemon/router_daemon.h
+++ b/include/daemon/router_daemon.h
@@ -41,6 +41,7 @@
   // Ports listened on; 0 before Start.
   uint16_t caller_port() const;
   uint16_t operator_port() const;
+  uint16_t peer_port() const;
 
  private:
   class Impl;
--- a/src/daemon/router_daemon.cc
+++ b/src/daemon/router_daemon.cc
@@ -16,6 +16,7 @@
 #include "include/telemetry/logger.h"
 #include "include/telemetry/metrics.h"
 #include "include/wire/http_server.h"
+#include "include/wire/peer_network.h"
 #include "include/wire/steady_time.h"
 #include "src/daemon/caller_front.h"
 #include "src/daemon/control_plane.h"
@@ -39,6 +40,7 @@
 // the balancer learns of it.
 constexpr std::chrono::milliseconds kDrainGrace{1500};
 constexpr std::chrono::milliseconds kDrainPoll{20};
+constexpr std::chrono::milliseconds kFarewellTime{100};
 // In the order of Impl's parameters.
 constexpr const char* kCharts[] = {"request", "router", "release_note"};
 
@@ -77,6 +79,29 @@
   return options;
 }
 
+// `address` with `port` in place of its own.
+std::string WithPort(const std::string& address, uint16_t port) {
+  return absl::StrCat(address.substr(0, address.rfind(':')), ":", port);
+}
+
+void ExportPeerCounts(const PeerNetwork::Counts& counts,
+                      MetricsRegistry* registry) {
+  const auto set = [registry](const char* name, const char* help,
+                              uint64_t value) {
+    registry->GetGauge(name, help).Set(static_cast<int64_t>(value));
+  };
+  set("papaya_peer_sent_messages", "Messages sent to other routers.",
+      counts.sent_messages);
+  set("papaya_peer_sent_bytes", "Bytes sent to other routers.",
+      counts.sent_bytes);
+  set("papaya_peer_received_bytes", "Bytes received from other routers.",
+      counts.received_bytes);
+  set("papaya_peer_dropped_messages",
+      "Messages to other routers that were not sent.", counts.dropped_messages);
+  set("papaya_peer_refused", "Connections of other routers refused.",
+      counts.refused);
+}
+
 HttpResponse MakeProbeResponse(bool good) {
   return MakeJsonResponse(good ? 200 : 503,
                           good ? "{\"ok\":true}" : "{\"ok\":false}");
@@ -105,6 +130,7 @@
     services_.event = logger->hook();
     MakeThreads();
     MakeScheduler();
+    MakePeers();
     MakeControl(std::move(note_chart));
     MakeServers();
   }
@@ -128,6 +154,9 @@
     if (status.ok()) {
       status = caller_server_->Start();
     }
+    if (status.ok()) {
+      status = peers_->Start();
+    }
     if (!status.ok()) {
       return status;
     }
@@ -135,9 +164,12 @@
         {{"role", "callers"}, {"port", absl::StrCat(caller_port())}});
     Log(EventId::kListening,
         {{"role", "operators"}, {"port", absl::StrCat(operator_port())}});
+    Log(EventId::kListening,
+        {{"role", "routers"}, {"port", absl::StrCat(peer_port())}});
     scheduler_->Start();
-    asio::post(control_.context(),
-               [this] { plane_->Start(settings_.peer_address); });
+    asio::post(control_.context(), [this] {
+      plane_->Start(WithPort(settings_.peer_address, peer_port()));
+    });
     for (const std::unique_ptr<WorkerThread>& thread : traffic_) {
       thread->Start();
     }
@@ -165,6 +197,7 @@
   bool IsReady() const { return ready_ && !draining_; }
   uint16_t caller_port() const { return caller_server_->port(); }
   uint16_t operator_port() const { return operator_server_->port(); }
+  uint16_t peer_port() const { return peers_->port(); }
 
  private:
   using Fields = std::vector<std::pair<std::string, std::string>>;
@@ -260,9 +293,26 @@
                         });
   }
 
+  void MakePeers() {
+    PeerNetwork::Options options;
+    options.fleet = settings_.fleet;
+    options.self = settings_.router;
+    options.fleet_secret = settings_.fleet_secret;
+    options.listen_address = settings_.peer_address;
+    PeerNetwork::Hooks hooks;
+    hooks.receive = [this](const RouterId& from, const PeerMessage& message) {
+      plane_->OnMessage(from, message);
+    };
+    hooks.event = logger_->hook();
+    peers_ = std::make_unique<PeerNetwork>(
+        control_.context(), std::move(options), std::move(hooks));
+  }
+
   void MakeControl(std::shared_ptr<const StateChart> note_chart) {
     ControlPlane::Hooks hooks;
-    hooks.send = [](const PeerAddress&, const PeerMessage&) {};
+    hooks.send = [this](const PeerAddress& to, const PeerMessage& message) {
+      peers_->Send(to, message);
+    };
     hooks.publish = [this](std::shared_ptr<const RoutingSnapshot> snapshot) {
       services_.snapshot.Set(snapshot);
       scheduler_->SetSnapshot(std::move(snapshot));
@@ -352,7 +402,7 @@
         !tickets_out) {
       plane_->Stop();
       operator_server_->StopAccepting();
-      drained_.set_value();
+      EndAfterFarewell();
       return;
     }
     drain_timer_.expires_after(kDrainPoll);
@@ -363,6 +413,17 @@
     });
   }
 
+  // Gives the last messages to other routers time to go out.
+  void EndAfterFarewell() {
+    drain_timer_.expires_after(kFarewellTime);
+    drain_timer_.async_wait([this](const boost::system::error_code& error) {
+      if (!error) {
+        peers_->Stop();
+        drained_.set_value();
+      }
+    });
+  }
+
   std::string ExportMetrics() {
     registry_.GetGauge("papaya_queued_requests", "Requests that wait here.")
         .Set(static_cast<int64_t>(scheduler_->queued()));
@@ -375,6 +436,7 @@
         .GetGauge("papaya_revision_in_force",
                   "Revision of the configuration that this router follows.")
         .Set(static_cast<int64_t>(revision_.value()));
+    ExportPeerCounts(peers_->counts(), &registry_);
     return registry_.Export();
   }
 
@@ -400,6 +462,7 @@
   std::unique_ptr<CallerFront> caller_front_;
   std::unique_ptr<HttpServer> caller_server_;
   std::unique_ptr<HttpServer> operator_server_;
+  std::unique_ptr<PeerNetwork> peers_;
   std::unique_ptr<ControlPlane> plane_;
   std::unique_ptr<OnceGate> once_gate_;
   std::unique_ptr<StatusPages> pages_;
@@ -452,4 +515,8 @@
   return impl_->operator_port();
 }
 
+uint16_t RouterDaemon::peer_port() const {
+  return impl_->peer_port();
+}
+
 }  // namespace papaya
--- /dev/null
+++ b/tests/router_fleet_test.cc
@@ -0,0 +1,58 @@
+#include <boost/asio/awaitable.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/value.hpp>
+#include <catch2/catch.hpp>
+
+#include "include/daemon/router_daemon.h"
+#include "tests/router_harness.h"
+
+namespace papaya {
+namespace {
+
+namespace asio = boost::asio;
+
+asio::awaitable<void> Confirm(HttpExchange& exchange) {
+  HttpResponse response;
+  response.body = "confirmed";
+  co_await exchange.Respond(std::move(response));
+}
+
+std::string FirstTicket(const HttpResponse& response) {
+  const boost::json::value body = boost::json::parse(response.body);
+  return std::string(body.at("tickets").at(0).as_string());
+}
+
+TEST_CASE(
+    "RouterDaemon: three routers share a configuration that one of them "
+    "can read, and a ticket of one runs once through any",
+    "[daemon]") {
+  FakeUpstream service(RouterHarness::context(), &Confirm);
+  RouterHarness fleet({RouterHarness::Service("b1", service)});
+  RouterDaemon& second = fleet.AddRouter("router-2");
+  RouterDaemon& third = fleet.AddRouter("router-3");
+  fleet.Run([&]() -> asio::awaitable<void> {
+    HttpRequest tickets;
+    tickets.method = "POST";
+    tickets.target = "/v1/tickets";
+    tickets.body = R"({"count":1})";
+    const HttpResponse issued = co_await fleet.Ask(second, tickets);
+    REQUIRE(issued.status == 200);
+    HttpRequest booking = RouterHarness::Booking("");
+    booking.headers.Remove("Idempotency-Key");
+    booking.headers.Set("papaya-ticket", FirstTicket(issued));
+    const HttpResponse first = co_await fleet.Ask(third, booking);
+    INFO(first.body);
+    CHECK(first.status == 200);
+    CHECK(first.headers.Get("papaya-outcome") == "ran");
+    const HttpResponse again = co_await fleet.Ask(second, booking);
+    CHECK(again.headers.Get("papaya-outcome") == "ran");
+    int bookings = 0;
+    for (const HttpRequest& seen : service.seen()) {
+      bookings += seen.target == "/hires" ? 1 : 0;
+    }
+    CHECK(bookings == 1);
+  });
+}
+
+}  // namespace
+}  // namespace papaya
--- a/tests/router_harness.cc
+++ b/tests/router_harness.cc
@@ -154,11 +154,25 @@
         co_await exchange.Respond(std::move(response));
       });
   logger_ = std::make_unique<Logger>(log_, Severity::kInfo);
+  daemon_ = StartRouter(MakeSettings(store_->address()));
+}
+
+std::unique_ptr<RouterDaemon> RouterHarness::StartRouter(
+    const RouterSettings& settings) {
   absl::StatusOr<std::unique_ptr<RouterDaemon>> daemon =
-      RouterDaemon::Create(MakeSettings(store_->address()), logger_.get());
+      RouterDaemon::Create(settings, logger_.get());
   REQUIRE(daemon.ok());
-  daemon_ = *std::move(daemon);
-  REQUIRE(daemon_->Start().ok());
+  REQUIRE((*daemon)->Start().ok());
+  return *std::move(daemon);
+}
+
+RouterDaemon& RouterHarness::AddRouter(const std::string& id) {
+  // Port 1 of loopback refuses connections.
+  RouterSettings settings = MakeSettings("127.0.0.1:1");
+  settings.router = RouterId(id);
+  settings.seeds = {LoopbackAddress(daemon_->peer_port())};
+  others_.push_back(StartRouter(settings));
+  return *others_.back();
 }
 
 RouterHarness::~RouterHarness() = default;
@@ -187,29 +201,38 @@
 
 void RouterHarness::Run(std::function<asio::awaitable<void>()> body) {
   RunOn(context(), [this, &body]() -> asio::awaitable<void> {
-    co_await AwaitReady();
+    co_await AwaitReady(*daemon_);
+    for (const std::unique_ptr<RouterDaemon>& other : others_) {
+      co_await AwaitReady(*other);
+    }
     co_await body();
   });
 }
 
-asio::awaitable<void> RouterHarness::AwaitReady() {
+asio::awaitable<void> RouterHarness::AwaitReady(RouterDaemon& router) {
   HttpRequest probe;
   probe.target = "/readyz";
   int status = 0;
   while (status != 200) {
-    const absl::StatusOr<HttpResponse> response =
-        co_await FetchHttp(operator_address(), probe, TestDeadline());
+    const absl::StatusOr<HttpResponse> response = co_await FetchHttp(
+        LoopbackAddress(router.operator_port()), probe, TestDeadline());
     REQUIRE(response.ok());
     status = response->status;
   }
 }
 
 asio::awaitable<HttpResponse> RouterHarness::Ask(HttpRequest request) {
+  co_return co_await Ask(*daemon_, std::move(request));
+}
+
+asio::awaitable<HttpResponse> RouterHarness::Ask(RouterDaemon& router,
+                                                 HttpRequest request) {
   if (request.headers.Find("Authorization") == nullptr) {
     request.headers.Set("Authorization", "Bearer acme token");
   }
   const absl::StatusOr<HttpResponse> response =
-      co_await FetchHttp(caller_address(), std::move(request), TestDeadline());
+      co_await FetchHttp(LoopbackAddress(router.caller_port()),
+                         std::move(request), TestDeadline());
   REQUIRE(response.ok());
   co_return *response;
 }
--- a/tests/router_harness.h
+++ b/tests/router_harness.h
@@ -54,12 +54,20 @@
   static UpstreamSpec Engine(const std::string& id, const FakeUpstream& fake);
   static UpstreamSpec Service(const std::string& id, const FakeUpstream& fake);
 
-  // Runs `body` once the router is ready.
+  // Runs `body` once all routers are ready.
   void Run(std::function<boost::asio::awaitable<void>()> body);
 
   // Sends a request of the account `acme` to the router.
   boost::asio::awaitable<HttpResponse> Ask(HttpRequest request);
 
+  // The same to another router.
+  boost::asio::awaitable<HttpResponse> Ask(RouterDaemon& router,
+                                           HttpRequest request);
+
+  // Starts another router of the fleet that knows the first one's address and
+  // can't reach the Object API.
+  RouterDaemon& AddRouter(const std::string& id);
+
   // A chat request to model `m`.
   static HttpRequest Chat(bool stream);
 
@@ -74,7 +82,8 @@
   static boost::asio::io_context& context();
 
  private:
-  boost::asio::awaitable<void> AwaitReady();
+  std::unique_ptr<RouterDaemon> StartRouter(const RouterSettings& settings);
+  boost::asio::awaitable<void> AwaitReady(RouterDaemon& router);
 
   FleetConfig config_;
   // Keys that were written to the fake Object API.
@@ -83,6 +92,7 @@
   std::ostringstream log_;
   std::unique_ptr<Logger> logger_;
   std::unique_ptr<RouterDaemon> daemon_;
+  std::vector<std::unique_ptr<RouterDaemon>> others_;
 };
 
 }  // namespace papaya
