Judge versions by what is left without each replica, large effects only by replica

Change: that evidence starts from what was seen before the replica came; single replicas are stopped for large effects only; 16 named upstreams; a longer stage at half of the traffic.

--- a/include/rollout/version_stats.h
+++ b/include/rollout/version_stats.h
@@ -91,7 +91,7 @@
   // Rows that name their upstream, for each version of a pool; the rest of its
   // upstreams is counted together. Which ones are named depends on their ids
   // alone, so all routers name the same.
-  static constexpr size_t kNamedUpstreams = 12;
+  static constexpr size_t kNamedUpstreams = 16;
   // Rows in all; requests beyond them are not counted.
   static constexpr size_t kMaxRows = 512;
   static constexpr uint64_t kWholeReportEvery = 10;
--- a/src/rollout/evidence.cc
+++ b/src/rollout/evidence.cc
@@ -17,10 +17,16 @@
   std::array<double, kEffects> tried;
 };
 
-constexpr EffectSizes kSizes[kQuantities] = {
-    {1.2, {2.5, 8.0}},   // kFailure
-    {1.12, {1.6, 3.5}},  // kSlow
-    {1.12, {1.6, 3.5}},  // kVerySlow
+constexpr EffectSizes kVersionSizes[kQuantities] = {
+    {1.2, {2.5, 8.0}},  // kFailure
+    {1.2, {1.7, 3.5}},  // kSlow
+    {1.2, {1.7, 3.5}},  // kVerySlow
+};
+
+constexpr EffectSizes kReplicaSizes[kQuantities] = {
+    {2.0, {4.0, 12.0}},  // kFailure
+    {1.8, {3.0, 6.0}},   // kSlow
+    {1.8, {3.0, 6.0}},   // kVerySlow
 };
 
 // log(exp(a) + exp(b)).
@@ -60,7 +66,9 @@
 
 }  // namespace
 
-LogRatios LogLikelihoodRatios(const EventTable& table, Quantity quantity) {
+LogRatios LogLikelihoodRatios(const EventTable& table,
+                              Quantity quantity,
+                              Suspect suspect) {
   const uint32_t events = table.new_events + table.old_events;
   const uint32_t requests = table.new_requests + table.old_requests;
   LogRatios ratios{};
@@ -68,7 +76,10 @@
       table.old_requests == 0) {
     return ratios;
   }
-  const EffectSizes& sizes = kSizes[static_cast<size_t>(quantity)];
+  const size_t index = static_cast<size_t>(quantity);
+  const EffectSizes& sizes = suspect == Suspect::kVersion
+                                 ? kVersionSizes[index]
+                                 : kReplicaSizes[index];
   const double tolerated = LogNormalizer(table, sizes.tolerated);
   for (size_t i = 0; i < kEffects; ++i) {
     const double gain =
--- a/src/rollout/evidence.h
+++ b/src/rollout/evidence.h
@@ -29,11 +29,18 @@
 
 using LogRatios = std::array<double, kEffects>;
 
+// Whom the evidence is against. Single replicas differ from one another, by
+// hardware and by chance of load, more than versions do, so only large effects
+// count against one.
+enum class Suspect : uint8_t { kVersion, kReplica };
+
 // For each effect, the log of the likelihood ratio of `the new version's odds
 // are that much larger` against `they are at most a little larger`, given the
 // table's margins: the exact ratio of Fisher's noncentral hypergeometric
 // distribution. Its expectation is at most 1 if the odds are no larger.
-LogRatios LogLikelihoodRatios(const EventTable& table, Quantity quantity);
+LogRatios LogLikelihoodRatios(const EventTable& table,
+                              Quantity quantity,
+                              Suspect suspect);
 
 // Evidence against one hypothesis that holds at every look: a mixture, over the
 // time at which badness began and over effects, of products of likelihood
--- a/src/rollout/note_plan.cc
+++ b/src/rollout/note_plan.cc
@@ -25,7 +25,7 @@
 constexpr double kFirstStageLoad = 0.25;
 // Relative lengths of the stages; pools with fewer stages leave out middle
 // ones.
-constexpr double kStageWeights[] = {0.06, 0.34, 0.12, 0.12, 0.36};
+constexpr double kStageWeights[] = {0.06, 0.30, 0.10, 0.32, 0.22};
 constexpr size_t kMostStages = std::size(kStageWeights);
 
 size_t CeilDivide(size_t value, size_t divisor) {
--- a/src/rollout/pool_judge.cc
+++ b/src/rollout/pool_judge.cc
@@ -172,13 +172,18 @@
   stratum->old = 0;
 }
 
-PoolJudge::View& PoolJudge::GetView(const ViewId& id) {
-  return views_[id];
+void PoolJudge::AddViews() {
+  // A replica that comes later had no part in what was seen before.
+  const View so_far = views_[{ViewKind::kAll, UpstreamId()}];
+  for (const UpstreamId& replica : replicas_) {
+    views_.try_emplace({ViewKind::kWithout, replica}, so_far);
+  }
 }
 
 void PoolJudge::Compare(const StratumId& id,
                         const Counts& window,
                         const std::array<size_t, kQuantities>& edges) {
+  AddViews();
   std::map<ViewId, StatsCounts> sides;
   for (const auto& [replica, counts] : window.replicas) {
     AddCounts(counts, &sides[{ViewKind::kAll, UpstreamId()}]);
@@ -186,14 +191,17 @@
       AddCounts(counts, &sides[{ViewKind::kOnly, replica}]);
     }
     for (const UpstreamId& other : replicas_) {
-      if (other != replica && !other.empty()) {
+      if (other != replica) {
         AddCounts(counts, &sides[{ViewKind::kWithout, other}]);
       }
     }
     requests_ += counts.requests;
   }
   for (const auto& [view_id, fresh] : sides) {
-    View& view = GetView(view_id);
+    View& view = views_[view_id];
+    const Suspect suspect = view_id.first == ViewKind::kOnly
+                                ? Suspect::kReplica
+                                : Suspect::kVersion;
     std::array<EvidenceTrack, kQuantities>& on_route = view.by_route[id.first];
     for (size_t i = 0; i < kQuantities; ++i) {
       const Quantity quantity = static_cast<Quantity>(i);
@@ -201,7 +209,7 @@
         continue;
       }
       const LogRatios ratios = LogLikelihoodRatios(
-          MakeTable(fresh, window.old, quantity, edges[i]), quantity);
+          MakeTable(fresh, window.old, quantity, edges[i]), quantity, suspect);
       view.overall[i].Multiply(ratios);
       on_route[i].Multiply(ratios);
     }
@@ -293,9 +301,6 @@
       version_bound + std::log(static_cast<double>(replicas_.size()));
   bool stands_without_each = true;
   for (const UpstreamId& replica : replicas_) {
-    if (replica.empty()) {
-      continue;
-    }
     const auto without = views_.find({ViewKind::kWithout, replica});
     stands_without_each = stands_without_each && without != views_.end() &&
                           without->second.Log() >= -std::log(kOthersFalseAlarm);
--- a/src/rollout/pool_judge.h
+++ b/src/rollout/pool_judge.h
@@ -84,7 +84,7 @@
   void Compare(const StratumId& id,
                const Counts& window,
                const std::array<size_t, kQuantities>& edges);
-  View& GetView(const ViewId& id);
+  void AddViews();
   void AddStarts(TimePoint now);
   void FindBad(std::vector<StopFact>* found);
   StopFact MakeFact(const View& view, const UpstreamId& upstream) const;
