--- a/include/telemetry/event_catalog.h
+++ b/include/telemetry/event_catalog.h
@@ -9,7 +9,7 @@
 // The number of a log event. Numbers are never used again for another event.
 // Blocks: 1000 daemon, 2000 wire, 3000 settings and store, 4000 membership and
 // configuration, 5000 routing and admission, 6000 at-most-once, 7000 release
-// notes, 8000 stand-ins and tools.
+// notes.
 enum class EventId : uint16_t {
   // Daemon.
   kRouterStarting = 1001,
@@ -50,9 +50,6 @@
 
   // Release notes.
   kNoteStateChanged = 7001,
-
-  // Stand-ins and tools.
-  kStandinStarted = 8001,
 };
 
 enum class Severity : uint8_t { kDebug, kInfo, kWarning, kError };
--- a/src/papayad_main.cc
+++ b/src/papayad_main.cc
@@ -10,12 +10,14 @@
 
 #include "include/daemon/router_daemon.h"
 #include "include/settings/router_settings.h"
+#include "include/telemetry/event_page.h"
 #include "include/telemetry/logger.h"
 
 DEFINE_string(settings, "", "The router's settings file (INI).");
 DEFINE_bool(check_settings,
             false,
             "Check the settings file, print every fault, and end.");
+DEFINE_bool(list_events, false, "Print docs/EVENTS.md, and end.");
 DEFINE_bool(debug_log, false, "Log events of severity `debug` too.");
 
 namespace {
@@ -59,11 +61,18 @@
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   signal(SIGPIPE, SIG_IGN);
 
+  if (FLAGS_list_events) {
+    std::cout << papaya::RenderEventPage();
+    return kExitOk;
+  }
   papaya::Logger logger(std::cout, FLAGS_debug_log ? papaya::Severity::kDebug
                                                    : papaya::Severity::kInfo);
   const absl::StatusOr<papaya::RouterSettings> settings =
       papaya::LoadRouterSettings(FLAGS_settings);
   if (!settings.ok()) {
+    papaya::Event refused{.id = papaya::EventId::kSettingsRefused};
+    refused.fields = {{"faults", std::string(settings.status().message())}};
+    logger.Log(refused);
     std::cerr << settings.status().message() << "\n";
     return kExitBadSettings;
   }
--- a/src/telemetry/event_catalog.cc
+++ b/src/telemetry/event_catalog.cc
@@ -98,10 +98,6 @@
       // Release notes.
       {EventId::kNoteStateChanged, Severity::kInfo, "note_state_changed",
        "A release note went to another state, with the reason."},
-
-      // Stand-ins and tools.
-      {EventId::kStandinStarted, Severity::kInfo, "standin_started",
-       "A stand-in serves on the address given."},
   };
   return catalog;
 }
