--- a/include/config/config_delta.h
+++ b/include/config/config_delta.h
@@ -2,6 +2,7 @@
 #define INCLUDE_CONFIG_CONFIG_DELTA_H_
 
 #include <cstdint>
+#include <vector>
 
 #include "absl/status/statusor.h"
 #include "include/config/config_messages.h"
@@ -21,6 +22,12 @@
                                        uint64_t base_hash,
                                        const ConfigDelta& delta);
 
+// `base` with all of `deltas` applied, one after the other. Fails as ApplyDelta
+// does, at the first that does not fit.
+absl::StatusOr<FleetConfig> ApplyDeltas(const FleetConfig& base,
+                                        uint64_t base_hash,
+                                        const std::vector<ConfigDelta>& deltas);
+
 }  // namespace papaya
 
 #endif  // INCLUDE_CONFIG_CONFIG_DELTA_H_
--- a/src/config/config_delta.cc
+++ b/src/config/config_delta.cc
@@ -127,4 +127,21 @@
   return result;
 }
 
+absl::StatusOr<FleetConfig> ApplyDeltas(
+    const FleetConfig& base,
+    uint64_t base_hash,
+    const std::vector<ConfigDelta>& deltas) {
+  FleetConfig result = base;
+  uint64_t hash = base_hash;
+  for (const ConfigDelta& delta : deltas) {
+    absl::StatusOr<FleetConfig> next = ApplyDelta(result, hash, delta);
+    if (!next.ok()) {
+      return next;
+    }
+    result = *std::move(next);
+    hash = delta.result_hash;
+  }
+  return result;
+}
+
 }  // namespace papaya
--- a/src/config/config_spreader.cc
+++ b/src/config/config_spreader.cc
@@ -9,11 +9,11 @@
 #include "absl/strings/str_join.h"
 #include "include/config/config_delta.h"
 #include "include/config/fleet_config_check.h"
-#include "include/config/rendezvous.h"
 #include "src/config/applied_table.h"
 #include "src/config/config_history.h"
 #include "src/config/config_reader.h"
 #include "src/config/fact_gossip.h"
+#include "src/config/reader_choice.h"
 
 namespace papaya {
 
@@ -37,28 +37,6 @@
 // reads the store itself.
 constexpr Duration kBehindLimit = std::chrono::seconds(4);
 
-std::vector<RouterId> RoutersOfZone(const FleetView& view,
-                                    const AvailabilityZoneId& zone) {
-  std::vector<RouterId> routers;
-  for (const RouterView& router : view.routers) {
-    if (router.zone == zone && router.state != RouterState::kDraining) {
-      routers.push_back(router.id);
-    }
-  }
-  return routers;
-}
-
-bool IsPickedReader(const FleetView& view, size_t readers_per_zone) {
-  const RouterView* self = FindRouter(view, view.self);
-  if (self == nullptr) {
-    return false;
-  }
-  const std::vector<RouterId> readers =
-      PickByRendezvous(absl::StrCat("config_reader ", self->zone.value()),
-                       RoutersOfZone(view, self->zone), readers_per_zone);
-  return std::find(readers.begin(), readers.end(), view.self) != readers.end();
-}
-
 bool IsEmpty(const FactNews& news) {
   return news.stopped.empty() && news.leaving.empty();
 }
@@ -216,20 +194,16 @@
   if (start == message.deltas.end()) {
     return;
   }
-  FleetConfig result = *held_;
-  uint64_t hash = held_hash_;
-  for (auto delta = start; delta != message.deltas.end(); ++delta) {
-    absl::StatusOr<FleetConfig> next = ApplyDelta(result, hash, *delta);
-    if (!next.ok()) {
-      pending_until_ = {};
-      Ask(from, Revision(0));
-      return;
-    }
-    result = *std::move(next);
-    hash = delta->result_hash;
+  std::vector<ConfigDelta> steps(start, message.deltas.end());
+  absl::StatusOr<FleetConfig> result = ApplyDeltas(*held_, held_hash_, steps);
+  if (!result.ok()) {
+    pending_until_ = {};
+    Ask(from, Revision(0));
+    return;
   }
-  Adopt(std::make_shared<const FleetConfig>(std::move(result)), hash,
-        from.value(), {start, message.deltas.end()});
+  const uint64_t hash = steps.back().result_hash;
+  Adopt(std::make_shared<const FleetConfig>(*std::move(result)), hash,
+        from.value(), std::move(steps));
 }
 
 void ConfigSpreader::Handle(const RouterId& from,
