--- a/tests/router_daemon_test.cc
+++ b/tests/router_daemon_test.cc
@@ -29,17 +29,16 @@
 }
 
 TEST_CASE("RouterDaemon: serves chat, whole and streamed", "[daemon]") {
-  FakeUpstream engine(
-      RouterHarness::context(),
-      [](HttpExchange& exchange) -> asio::awaitable<void> {
-        const bool stream =
-            exchange.request().headers.Find("papaya-stream-id") != nullptr;
-        if (stream) {
-          co_await AnswerStream(exchange);
-          co_return;
-        }
-        co_await AnswerOk(exchange);
-      });
+  FakeUpstream engine(RouterHarness::context(),
+                      [](HttpExchange& exchange) -> asio::awaitable<void> {
+                        const bool stream = exchange.request().headers.Find(
+                                                "papaya-stream-id") != nullptr;
+                        if (stream) {
+                          co_await AnswerStream(exchange);
+                          co_return;
+                        }
+                        co_await AnswerOk(exchange);
+                      });
   RouterHarness router({RouterHarness::Engine("e1", engine)});
   router.Run([&]() -> asio::awaitable<void> {
     HttpRequest chat = RouterHarness::Chat(false);
@@ -201,5 +200,31 @@
   });
 }
 
+TEST_CASE("RouterDaemon: a drain ends nothing that is in flight", "[daemon]") {
+  RouterDaemon* daemon = nullptr;
+  FakeUpstream engine(
+      RouterHarness::context(),
+      [&daemon](HttpExchange& exchange) -> asio::awaitable<void> {
+        HttpResponse head;
+        head.headers.Set("Content-Type", "text/event-stream");
+        co_await exchange.StartStream(std::move(head));
+        std::string first = StreamText(0, 1);
+        co_await exchange.Write(std::move(first));
+        daemon->Drain();
+        std::string rest = StreamText(1, 4) + "data: [DONE]\n\n";
+        co_await exchange.Write(std::move(rest));
+        co_await exchange.EndStream();
+      });
+  RouterHarness router({RouterHarness::Engine("e1", engine)});
+  daemon = &router.daemon();
+  router.Run([&]() -> asio::awaitable<void> {
+    const HttpResponse streamed =
+        co_await router.Ask(RouterHarness::Chat(true));
+    CHECK(streamed.body == StreamText(0, 5) + "id: 5\ndata: [DONE]\n\n");
+  });
+  CHECK_FALSE(router.daemon().IsReady());
+  router.daemon().Wait();
+}
+
 }  // namespace
 }  // namespace papaya
