Split the router daemon by concern, and drop an answer that was never kept

Change: RouterDaemon::Impl is declared in router_impl.h and defined in router_impl.cc, router_drain.cc and router_pages.cc; failed_answer_ is gone.

--- a/src/daemon/request_session.cc
+++ b/src/daemon/request_session.cc
@@ -242,9 +242,6 @@
   AttemptHead head = co_await attempt.Begin(forward);
   bool ended = false;
   if (head.end != AttemptEnd::kOk) {
-    if (head.response.status >= 500) {
-      failed_answer_ = head.response;
-    }
     const bool is_fault = head.end == AttemptEnd::kUnknown;
     handed_over_ = handed_over_ || is_fault;
     if (is_fault) {
@@ -396,10 +393,6 @@
   EndOnce(refusal.outcome, nullptr);
   Fire(EventOfRefusal(refusal));
   HttpResponse response = MakeErrorResponse(AnswerToRefusal(refusal));
-  if (refusal.reason == RefusalReason::kAttemptsFailed &&
-      failed_answer_.has_value() && !failed_answer_->body.empty()) {
-    response.body = failed_answer_->body;
-  }
   response.headers.Set(kRequestIdHeader, request_.name);
   services_->metrics->CountOutcome(request_.spec.tier, refusal.outcome);
   co_await exchange_->Respond(std::move(response));
--- a/src/daemon/request_session.h
+++ b/src/daemon/request_session.h
@@ -108,9 +108,6 @@
   // An upstream may have it.
   bool handed_over_ = false;
   int64_t reported_tokens_ = 0;
-  // The last answer of an upstream that failed, for a caller who will get no
-  // better one.
-  std::optional<HttpResponse> failed_answer_;
 };
 
 }  // namespace papaya
--- /dev/null
+++ b/src/daemon/router_drain.cc
@@ -0,0 +1,84 @@
+#include <boost/asio/post.hpp>
+#include <chrono>
+
+#include "absl/strings/str_cat.h"
+#include "include/wire/steady_time.h"
+#include "src/daemon/router_impl.h"
+
+namespace papaya {
+
+namespace {
+
+namespace asio = boost::asio;
+
+// Time between "not ready" and the closing of the listening socket, in which
+// the balancer learns of it.
+constexpr std::chrono::milliseconds kDrainGrace{1500};
+constexpr std::chrono::milliseconds kDrainPoll{20};
+constexpr std::chrono::milliseconds kFarewellTime{100};
+
+}  // namespace
+
+void RouterDaemon::Impl::Drain() {
+  if (draining_.exchange(true)) {
+    return;
+  }
+  asio::post(control_.context(), [this] { BeginDrain(); });
+}
+
+void RouterDaemon::Impl::Wait() {
+  drained_.get_future().wait();
+  scheduler_->Stop();
+  for (const std::unique_ptr<WorkerThread>& thread : traffic_) {
+    thread->Stop();
+  }
+  control_.Stop();
+  Log(EventId::kRouterStopped, {});
+}
+
+void RouterDaemon::Impl::BeginDrain() {
+  Log(EventId::kRouterDraining,
+      {{"open_requests", absl::StrCat(services_.open_requests.load())}});
+  if (!life_.Fire("drain")) {
+    life_.Fire("stop");
+  }
+  plane_->SetDraining();
+  caller_server_->AnnounceClose();
+  drain_timer_.expires_after(kDrainGrace);
+  drain_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) {
+      caller_server_->StopAccepting();
+      AwaitDrained();
+    }
+  });
+}
+
+void RouterDaemon::Impl::AwaitDrained() {
+  // Other routers may still hand over requests with tickets of this one.
+  const bool tickets_out = SteadyNow() < plane_->once().last_ticket_expiry();
+  if (services_.open_requests == 0 && caller_server_->connections() == 0 &&
+      !tickets_out) {
+    plane_->Stop();
+    operator_server_->StopAccepting();
+    EndAfterFarewell();
+    return;
+  }
+  drain_timer_.expires_after(kDrainPoll);
+  drain_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) {
+      AwaitDrained();
+    }
+  });
+}
+
+void RouterDaemon::Impl::EndAfterFarewell() {
+  drain_timer_.expires_after(kFarewellTime);
+  drain_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) {
+      peers_->Stop();
+      drained_.set_value();
+    }
+  });
+}
+
+}  // namespace papaya
--- /dev/null
+++ b/src/daemon/router_impl.h
@@ -0,0 +1,117 @@
+#ifndef SRC_DAEMON_ROUTER_IMPL_H_
+#define SRC_DAEMON_ROUTER_IMPL_H_
+
+#include <atomic>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <future>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "include/chart/chart_machine.h"
+#include "include/daemon/router_daemon.h"
+#include "include/telemetry/event.h"
+#include "include/telemetry/metrics.h"
+#include "include/wire/http_server.h"
+#include "include/wire/peer_network.h"
+#include "src/daemon/caller_front.h"
+#include "src/daemon/control_plane.h"
+#include "src/daemon/note_pages.h"
+#include "src/daemon/once_gate.h"
+#include "src/daemon/operator_front.h"
+#include "src/daemon/scheduler_host.h"
+#include "src/daemon/status_pages.h"
+#include "src/daemon/traffic_services.h"
+#include "src/daemon/worker_thread.h"
+
+namespace papaya {
+
+// The parts of one router and how they hang together. router_impl.cc makes
+// them, router_drain.cc shuts them down, router_pages.cc shows them to
+// operators.
+class RouterDaemon::Impl {
+ public:
+  Impl(const RouterSettings& settings,
+       Logger* logger,
+       std::shared_ptr<const StateChart> request_chart,
+       std::shared_ptr<const StateChart> router_chart,
+       std::shared_ptr<const StateChart> note_chart);
+
+  ~Impl();
+
+  absl::Status Start();
+
+  void Drain();
+
+  void Wait();
+
+  bool IsReady() const { return ready_ && !draining_; }
+  uint16_t caller_port() const { return caller_server_->port(); }
+  uint16_t operator_port() const { return operator_server_->port(); }
+  uint16_t peer_port() const { return peers_->port(); }
+
+ private:
+  using Fields = std::vector<std::pair<std::string, std::string>>;
+
+  void Log(EventId id, Fields fields);
+
+  // Each makes one part; called in this order by the constructor.
+  void MakeThreads();
+  void MakeScheduler();
+  void MakeServers();
+  void AddOperatorPages();
+
+  void AddPage(const std::string& path, std::function<std::string()> make);
+
+  void MakePeers();
+  void MakeControl(std::shared_ptr<const StateChart> note_chart);
+
+  // Serves, on a traffic thread, what another router handed over.
+  void ServeForwarded(const ForwardRequest& forward,
+                      std::function<void(HttpResponse)> reply);
+
+  void OnRevision(Revision revision);
+
+  // The steps of a drain, one after the other.
+  void BeginDrain();
+  void AwaitDrained();
+
+  // Gives the last messages to other routers time to go out.
+  void EndAfterFarewell();
+
+  std::string ExportMetrics();
+
+  RouterSettings settings_;
+  Logger* logger_;
+  // Control thread only.
+  ChartMachine life_;
+  Revision revision_;
+
+  MetricsRegistry registry_;
+  RequestMetrics metrics_;
+  SpanWriter spans_;
+  TrafficServices services_;
+  OperatorFront operator_front_;
+  std::atomic<bool> ready_ = false;
+  std::atomic<bool> draining_ = false;
+  std::promise<void> drained_;
+
+  WorkerThread control_;
+  boost::asio::steady_timer drain_timer_{control_.context()};
+  std::vector<std::unique_ptr<WorkerThread>> traffic_;
+  std::unique_ptr<SchedulerHost> scheduler_;
+  std::unique_ptr<CallerFront> caller_front_;
+  std::unique_ptr<HttpServer> caller_server_;
+  std::unique_ptr<HttpServer> operator_server_;
+  std::unique_ptr<PeerNetwork> peers_;
+  std::unique_ptr<ControlPlane> plane_;
+  std::unique_ptr<OnceGate> once_gate_;
+  std::unique_ptr<StatusPages> pages_;
+  std::unique_ptr<NotePages> note_pages_;
+};
+
+}  // namespace papaya
+
+#endif  // SRC_DAEMON_ROUTER_IMPL_H_
