--- a/bench/baseline_policies.cc
+++ b/bench/baseline_policies.cc
@@ -7,20 +7,18 @@
 #include <tuple>
 #include <vector>
 
+#include "bench/scheduler_policy.h"
+
 namespace papaya::bench {
 
 namespace {
 
 // A Scheduler, with some of what it is told left out.
-class SchedulerPolicy : public RouterPolicy {
+class BlindSchedulerPolicy : public SchedulerPolicy {
  public:
-  SchedulerPolicy(size_t router, SchedulerHooks hooks, PolicyKind kind)
-      : scheduler_(MakeOptions(router), std::move(hooks)), kind_(kind) {}
+  BlindSchedulerPolicy(size_t router, SchedulerHooks hooks, PolicyKind kind)
+      : SchedulerPolicy(router, std::move(hooks)), kind_(kind) {}
 
-  void OnSnapshot(std::shared_ptr<const RoutingSnapshot> snapshot,
-                  TimePoint now) override {
-    scheduler_.OnSnapshot(std::move(snapshot), now);
-  }
   void OnRequest(const RequestSpec& request, TimePoint now) override {
     RequestSpec told = request;
     if (kind_ == PolicyKind::kNoTiers) {
@@ -29,39 +27,10 @@
     if (kind_ == PolicyKind::kNoAffinity) {
       told.prefix_hashes.clear();
     }
-    scheduler_.OnRequest(told, now);
-  }
-  void OnFirstToken(RequestId id, TimePoint now) override {
-    scheduler_.OnFirstToken(id, now);
-  }
-  void OnTokens(RequestId id, Tokens total, TimePoint now) override {
-    scheduler_.OnTokens(id, total, now);
-  }
-  void OnFinished(RequestId id,
-                  const AttemptResult& result,
-                  TimePoint now) override {
-    scheduler_.OnFinished(id, result, now);
-  }
-  void OnLoadReport(const UpstreamId& upstream,
-                    const LoadReport& report,
-                    TimePoint now) override {
-    scheduler_.OnLoadReport(upstream, report, now);
+    SchedulerPolicy::OnRequest(told, now);
   }
-  void OnDemandReport(const DemandReport& report, TimePoint now) override {
-    scheduler_.OnDemandReport(report, now);
-  }
-  void OnTick(TimePoint now) override { scheduler_.OnTick(now); }
-  SchedulerCounts counts() const override { return scheduler_.counts(); }
 
  private:
-  static SchedulerOptions MakeOptions(size_t router) {
-    SchedulerOptions options;
-    options.router = RouterId("r" + std::to_string(router));
-    options.incarnation = Incarnation(1);
-    return options;
-  }
-
-  Scheduler scheduler_;
   PolicyKind kind_;
 };
 
@@ -277,7 +246,8 @@
       case PolicyKind::kNoAffinity:
         break;
     }
-    return std::make_unique<SchedulerPolicy>(router, std::move(hooks), kind);
+    return std::make_unique<BlindSchedulerPolicy>(router, std::move(hooks),
+                                                  kind);
   };
   auto fleet = std::make_unique<FakeFleet>(std::move(options));
   central->Attach(fleet.get());
--- a/bench/scheduling_run.cc
+++ b/bench/scheduling_run.cc
@@ -26,14 +26,13 @@
 
 // True if some request may still be answered in time.
 bool MayBecomeGood(const FakeFleet& fleet, TimePoint now) {
-  return std::any_of(fleet.records().begin(), fleet.records().end(),
-                     [now](const auto& item) {
-                       const FleetRecord& record = item.second;
-                       return record.ends == 0 &&
-                              (record.spec.deadline > now ||
-                               (record.began.has_value() &&
-                                *record.began <= record.spec.deadline));
-                     });
+  return std::any_of(
+      fleet.records().begin(), fleet.records().end(), [now](const auto& item) {
+        const FleetRecord& record = item.second;
+        return record.ends == 0 && (record.spec.deadline > now ||
+                                    (record.began.has_value() &&
+                                     *record.began <= record.spec.deadline));
+      });
 }
 
 }  // namespace
--- a/src/admission/scheduler_pressure.cc
+++ b/src/admission/scheduler_pressure.cc
@@ -67,7 +67,17 @@
   if (report.router == options_.router) {
     return;
   }
-  has_peer_news_ = peers_.Update(report, now) || has_peer_news_;
+  if (!peers_.Update(report, now)) {
+    return;
+  }
+  has_peer_news_ = true;
+  // The rest may wait for the next decision; this must not.
+  for (const UpstreamUse& use : report.upstreams) {
+    const int32_t number = use.leaving ? upstreams_.Find(use.upstream) : -1;
+    if (number >= 0) {
+      upstreams_.MarkLeavingByPeer(number, now);
+    }
+  }
 }
 
 void SchedulerCore::OnLoadReport(const UpstreamId& upstream,
--- a/src/admission/upstream_table.cc
+++ b/src/admission/upstream_table.cc
@@ -116,7 +116,7 @@
       state.peer_prefill += static_cast<double>(use.pending_prefill.value());
       state.suspected_by_peer = state.suspected_by_peer || use.set_aside;
       if (use.leaving) {
-        state.peer_leaving_until = now + kPeerLeavingTime;
+        MarkLeavingByPeer(number, now);
       }
     }
   });
@@ -185,6 +185,10 @@
   }
 }
 
+void UpstreamTable::MarkLeavingByPeer(int32_t number, TimePoint now) {
+  at(number).peer_leaving_until = now + kPeerLeavingTime;
+}
+
 void UpstreamTable::Begin(RequestEntry* entry, TimePoint now) {
   UpstreamState& state = at(entry->upstream);
   entry->dispatched = now;
--- a/src/admission/upstream_table.h
+++ b/src/admission/upstream_table.h
@@ -55,6 +55,8 @@
   // No new work goes there, until the upstream itself says otherwise in a
   // report taken later, or the configuration drops it.
   void MarkLeaving(int32_t number, TimePoint now);
+  // The same, for some time, because another router has seen it.
+  void MarkLeavingByPeer(int32_t number, TimePoint now);
 
   // Counts an attempt that begins, and one that ends, at its upstream.
   void Begin(RequestEntry* entry, TimePoint now);
