Measure routing and draining; follow peers on stragglers and cached prefixes

Cause: each router knew only the prefixes and the stragglers that it had met itself, and held back for the division although slots were free. Change: measures routing.ttft_p95, routing.wasted_prefill, routing.straggler, drain.last_new_work, overload.account_fairness. Cache events count; what a peer set aside is set aside too unless seen at work lately; slots count as contended only if more requests wait than slots are free; decoding weighs 0.02 instead of 0.25, the prompt's own prefill 3 times.

--- a/bench/baseline_policies.cc
+++ b/bench/baseline_policies.cc
@@ -29,6 +29,13 @@
     }
     SchedulerPolicy::OnRequest(told, now);
   }
+  void OnCacheEvent(const UpstreamId& upstream,
+                    const CacheEvent& event,
+                    TimePoint now) override {
+    if (kind_ != PolicyKind::kNoAffinity) {
+      SchedulerPolicy::OnCacheEvent(upstream, event, now);
+    }
+  }
 
  private:
   PolicyKind kind_;
@@ -182,7 +189,7 @@
     return engine.PrefillBacklog() +
            engine.slowness() *
                (tokens * engine.speed().prefill_seconds_per_token +
-                0.25 * static_cast<double>(record.output.value()) *
+                0.02 * static_cast<double>(record.output.value()) *
                     engine.speed().decode_seconds_per_token *
                     (1.0 + engine.speed().batch_slowdown * fill));
   }
--- a/bench/fake_fleet.h
+++ b/bench/fake_fleet.h
@@ -32,6 +32,7 @@
                           const AttemptResult& result,
                           TimePoint now) = 0;
   virtual void OnLoadReport(const UpstreamId&, const LoadReport&, TimePoint) {}
+  virtual void OnCacheEvent(const UpstreamId&, const CacheEvent&, TimePoint) {}
   virtual void OnDemandReport(const DemandReport&, TimePoint) {}
   virtual void OnTick(TimePoint) {}
   virtual SchedulerCounts counts() const { return {}; }
@@ -45,6 +46,9 @@
   Duration report_delay{};
   // Of attempts: the router hears of a failure while the engine goes on.
   double cut = 0.0;
+  // How late, and how often lost, news of what engines have cached are.
+  Duration cache_event_delay = std::chrono::seconds(2);
+  double cache_event_loss = 0.1;
   // How old load reports are when they arrive.
   Duration load_report_age = std::chrono::seconds(5);
 };
@@ -311,7 +315,21 @@
     });
   }
 
+  void SendCacheEvent(size_t engine, const std::vector<uint64_t>& hashes) {
+    for (size_t i = 0; i < routers_.size() && !hashes.empty(); ++i) {
+      if (random_.Chance(options_.links.cache_event_loss)) {
+        continue;
+      }
+      ToRouterAfter(i, options_.links.cache_event_delay,
+                    [this, i, engine, event = CacheEvent{hashes, {}}] {
+                      routers_[i].policy->OnCacheEvent(
+                          options_.upstreams[engine].id, event, loop_.now());
+                    });
+    }
+  }
+
   void OnBegin(uint64_t id, uint64_t key, int64_t prefilled) {
+    SendCacheEvent(engine_of_.at(key), records_.at(id).spec.prefix_hashes);
     FleetRecord& record = records_.at(id);
     ++record.begins;
     record.began = record.began.value_or(loop_.now());
--- a/bench/overload_bench.cc
+++ b/bench/overload_bench.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -93,6 +94,58 @@
   return figures;
 }
 
+// Served part of what they asked for, of the four accounts that ask alike: the
+// smallest over the largest, while a fifth account asks for ten times as much.
+double AccountFairness(const FakeSite& site, PolicyKind policy, uint64_t seed) {
+  constexpr size_t kAccounts = 5;
+  SchedulingRun run{.site = site, .policy = policy, .load = 2.0};
+  run.prepare = [](FakeFleet*, FakeTraffic* traffic) {
+    traffic->UseAccounts({10.0, 1.0, 1.0, 1.0, 1.0});
+  };
+  const auto fleet = RunFleet(run, seed);
+  std::vector<double> offered(kAccounts, 0.0);
+  std::vector<double> served(kAccounts, 0.0);
+  for (const auto& [id, record] : fleet->records()) {
+    if (record.spec.tier != Tier::kStandard) {
+      continue;
+    }
+    const size_t account =
+        static_cast<size_t>(record.spec.account.value().back() - '0');
+    offered[account] += record.Value();
+    served[account] += record.IsGood() ? record.Value() : 0.0;
+  }
+  double least = 1.0;
+  double most = 0.0;
+  for (size_t i = 1; i < kAccounts; ++i) {
+    const double part = offered[i] > 0.0 ? served[i] / offered[i] : 1.0;
+    least = std::min(least, part);
+    most = std::max(most, part);
+  }
+  return most > 0.0 ? least / most : 0.0;
+}
+
+std::vector<Figure> RunAccountFairness() {
+  std::vector<Figure> figures;
+  for (const FakeSite& site : Sites()) {
+    const auto mean = [&site](PolicyKind policy) {
+      return MeanOverSeeds([&site, policy](uint64_t seed) {
+        return AccountFairness(site, policy, seed);
+      });
+    };
+    figures.push_back(
+        {.name = "overload.account_fairness" + Variant(site, 2.0, false),
+         .value = mean(PolicyKind::kScheduler),
+         .unit = "ratio",
+         .baseline = mean(PolicyKind::kLeastOutstanding),
+         .target = 0.9,
+         .better = Better::kHigher,
+         .seeds = 5});
+  }
+  return figures;
+}
+
+const bool kAccountFairness =
+    RegisterMeasure({"overload.account_fairness", &RunAccountFairness});
 const bool kTopTierGoodput =
     RegisterMeasure({"overload.top_tier_goodput", &RunTopTierGoodput});
 const bool kTopTierShed = RegisterMeasure(
--- /dev/null
+++ b/bench/routing_bench.cc
@@ -0,0 +1,202 @@
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "bench/measure.h"
+#include "bench/scheduling_run.h"
+
+namespace papaya::bench {
+namespace {
+
+// The load of the routing measures, as a part of capacity.
+constexpr double kLoad = 0.8;
+
+std::vector<FakeSite> Sites() {
+  return {MakeSkokan(), MakeWadiRum()};
+}
+
+double MeanFirstTokenP95(const FakeSite& site, PolicyKind policy) {
+  const SchedulingRun run{.site = site, .policy = policy, .load = kLoad};
+  return MeanOverSeeds(
+      [&run](uint64_t seed) { return FirstTokenP95(*RunFleet(run, seed)); });
+}
+
+std::vector<Figure> RunFirstToken() {
+  std::vector<Figure> figures;
+  for (const FakeSite& site : Sites()) {
+    const double own = MeanFirstTokenP95(site, PolicyKind::kScheduler);
+    const double least = MeanFirstTokenP95(site, PolicyKind::kLeastOutstanding);
+    const double robin = MeanFirstTokenP95(site, PolicyKind::kRoundRobin);
+    const double best = MeanFirstTokenP95(site, PolicyKind::kFullKnowledge);
+    const std::string name = "routing.ttft_p95[" + site.name;
+    figures.push_back({.name = name + ",seconds]",
+                       .value = own,
+                       .unit = "s",
+                       .baseline = robin,
+                       .seeds = 5});
+    figures.push_back({.name = name + ",to_least_outstanding]",
+                       .value = own / least,
+                       .unit = "ratio",
+                       .baseline = 1.0,
+                       .target = 0.6,
+                       .better = Better::kLower,
+                       .seeds = 5});
+    figures.push_back({.name = name + ",to_full_knowledge]",
+                       .value = own / best,
+                       .unit = "ratio",
+                       .baseline = least / best,
+                       .target = 1.3,
+                       .better = Better::kLower,
+                       .seeds = 5});
+  }
+  return figures;
+}
+
+std::vector<Figure> RunWastedPrefill() {
+  std::vector<Figure> figures;
+  for (const FakeSite& site : Sites()) {
+    SchedulingRun run{.site = site, .load = kLoad};
+    const auto wasted = [&run](PolicyKind policy) {
+      run.policy = policy;
+      return MeanOverSeeds([&run](uint64_t seed) {
+        return RunFleet(run, seed)->wasted_prefill();
+      });
+    };
+    const double without = wasted(PolicyKind::kNoAffinity);
+    figures.push_back({.name = "routing.wasted_prefill[" + site.name + "]",
+                       .value = wasted(PolicyKind::kScheduler),
+                       .unit = "tokens",
+                       .baseline = without,
+                       .target = without / 3.0,
+                       .better = Better::kLower,
+                       .seeds = 5});
+  }
+  return figures;
+}
+
+// Part of the dispatches to model engines in [begin, end) that went to
+// `engine`.
+double ShareOf(const FakeFleet& fleet,
+               size_t engine,
+               TimePoint begin,
+               TimePoint end) {
+  double all = 0.0;
+  double own = 0.0;
+  for (const auto& [id, record] : fleet.records()) {
+    for (size_t i = 0; i < record.dispatched.size(); ++i) {
+      const TimePoint when = record.dispatch_times[i];
+      if (record.spec.prompt_tokens.value() > 0 && when >= begin &&
+          when < end) {
+        all += 1.0;
+        own += record.dispatched[i] == engine ? 1.0 : 0.0;
+      }
+    }
+  }
+  return all > 0.0 ? own / all : 0.0;
+}
+
+// Seconds from slowing until an upstream gets under 5% of its former share,
+// over the minute that follows.
+double StragglerSeconds(const FakeSite& site,
+                        PolicyKind policy,
+                        uint64_t seed) {
+  constexpr size_t kEngine = 2;
+  constexpr Duration kBefore = std::chrono::seconds(60);
+  SchedulingRun run{.site = site, .policy = policy, .load = kLoad};
+  TimePoint slowed;
+  run.prepare = [&slowed, kBefore](FakeFleet* fleet, FakeTraffic*) {
+    slowed = fleet->loop().now() + kBefore;
+    fleet->loop().After(kBefore,
+                        [fleet] { fleet->engine(kEngine).SetSlowness(4.0); });
+  };
+  const auto fleet = RunFleet(run, seed);
+  const double limit =
+      0.05 * ShareOf(*fleet, kEngine, slowed - kBefore, slowed);
+  const Duration step = std::chrono::milliseconds(250);
+  Duration after{};
+  while (after < std::chrono::seconds(60) &&
+         ShareOf(*fleet, kEngine, slowed + after, slowed + after + kBefore) >=
+             limit) {
+    after += step;
+  }
+  return ToSeconds(after);
+}
+
+std::vector<Figure> RunStraggler() {
+  std::vector<Figure> figures;
+  for (const FakeSite& site : Sites()) {
+    const auto seconds = [&site](PolicyKind policy) {
+      return MeanOverSeeds([&site, policy](uint64_t seed) {
+        return StragglerSeconds(site, policy, seed);
+      });
+    };
+    figures.push_back({.name = "routing.straggler[" + site.name + "]",
+                       .value = seconds(PolicyKind::kScheduler),
+                       .unit = "s",
+                       .baseline = seconds(PolicyKind::kLeastOutstanding),
+                       .target = 5.0,
+                       .better = Better::kLower,
+                       .seeds = 5});
+  }
+  return figures;
+}
+
+// Seconds from the first sign that an upstream leaves, its notice or its first
+// refusal, to the last dispatch to it.
+double LastNewWork(const FakeSite& site, bool has_notice, uint64_t seed) {
+  constexpr size_t kEngine = 2;
+  constexpr Duration kBefore = std::chrono::seconds(60);
+  constexpr Duration kNotice = std::chrono::milliseconds(500);
+  SchedulingRun run{.site = site, .load = kLoad};
+  run.links.report_loss = 0.1;
+  TimePoint left;
+  run.prepare = [&](FakeFleet* fleet, FakeTraffic*) {
+    left = fleet->loop().now() + kBefore;
+    fleet->loop().After(kBefore, [fleet, has_notice, kNotice] {
+      fleet->Leave(kEngine, has_notice ? std::optional(kNotice) : std::nullopt);
+    });
+  };
+  const auto fleet = RunFleet(run, seed);
+  TimePoint first = has_notice ? left + kNotice : TimePoint::max();
+  TimePoint last = left;
+  for (const auto& [id, record] : fleet->records()) {
+    for (size_t i = 0; i < record.dispatched.size(); ++i) {
+      if (record.dispatched[i] == kEngine && record.dispatch_times[i] > left) {
+        first = std::min(first, record.dispatch_times[i]);
+        last = std::max(last, record.dispatch_times[i]);
+      }
+    }
+  }
+  return last > first ? ToSeconds(last - first) : 0.0;
+}
+
+std::vector<Figure> RunDrain() {
+  std::vector<Figure> figures;
+  for (const FakeSite& site : Sites()) {
+    for (bool has_notice : {false, true}) {
+      double worst = 0.0;
+      for (uint64_t seed : kSeeds) {
+        worst = std::max(worst, LastNewWork(site, has_notice, seed));
+      }
+      figures.push_back(
+          {.name = absl::StrCat("drain.last_new_work[", site.name, ",",
+                                has_notice ? "notice" : "own_answer", "]"),
+           .value = worst,
+           .unit = "s",
+           .target = 3.0,
+           .better = Better::kLower,
+           .seeds = 5});
+    }
+  }
+  return figures;
+}
+
+const bool kFirstToken = RegisterMeasure({"routing.ttft_p95", &RunFirstToken});
+const bool kWastedPrefill =
+    RegisterMeasure({"routing.wasted_prefill", &RunWastedPrefill});
+const bool kStraggler = RegisterMeasure({"routing.straggler", &RunStraggler});
+const bool kDrain = RegisterMeasure({"drain.last_new_work", &RunDrain});
+
+}  // namespace
+}  // namespace papaya::bench
--- a/bench/scheduler_policy.h
+++ b/bench/scheduler_policy.h
@@ -41,6 +41,11 @@
                     TimePoint now) override {
     scheduler_.OnLoadReport(upstream, report, now);
   }
+  void OnCacheEvent(const UpstreamId& upstream,
+                    const CacheEvent& event,
+                    TimePoint now) override {
+    scheduler_.OnCacheEvent(upstream, event, now);
+  }
   void OnDemandReport(const DemandReport& report, TimePoint now) override {
     scheduler_.OnDemandReport(report, now);
   }
--- a/include/routing/upstream_speed.h
+++ b/include/routing/upstream_speed.h
@@ -20,7 +20,8 @@
   // The mean alone; 0 if nothing was ever seen.
   double value() const { return value_; }
 
-  void Clear() { *this = SpeedMean(); }
+  // When something was last added; the epoch if never.
+  TimePoint last() const { return last_; }
 
  private:
   double value_ = 0.0;
--- a/src/admission/group_state.h
+++ b/src/admission/group_state.h
@@ -48,6 +48,8 @@
   int peer_short_waiting = 0;
   // Own share of the slots while others have requests waiting.
   TierSlots allotment{};
+  // Free slots of all upstreams, by the latest reports.
+  double free_slots = 0.0;
   // False for tiers whose whole demand is met.
   std::array<bool, kTierCount> is_scarce{};
 
@@ -72,13 +74,14 @@
     }
     return sum;
   }
+  // True if other routers have requests waiting, and all that wait are more
+  // than the free slots.
   bool IsContended() const {
+    int peers = 0;
     for (int count : peer_waiting) {
-      if (count > 0) {
-        return true;
-      }
+      peers += count;
     }
-    return false;
+    return peers > 0 && peers + Waiting() > free_slots;
   }
   bool IsIdle() const { return Waiting() == 0 && Running() == 0; }
 
--- a/src/admission/scheduler_pressure.cc
+++ b/src/admission/scheduler_pressure.cc
@@ -177,7 +177,7 @@
   double free = 0.0;
   for (int32_t number : group.upstreams) {
     const UpstreamState& state = upstreams_.at(number);
-    if (state.IsOpen(now) && !state.straggler.set_aside) {
+    if (state.IsOpen(now) && !state.IsSetAside()) {
       free += std::max(0.0, state.slots - state.TotalRunning());
     }
   }
--- a/src/admission/slot_planner.cc
+++ b/src/admission/slot_planner.cc
@@ -175,6 +175,17 @@
   }
 }
 
+double SlotPlanner::CountFree(const VersionGroup& group) {
+  double free = 0.0;
+  for (UpstreamIndex index : group.upstreams) {
+    const UpstreamState& state = StateOf(snapshot_->upstream(index));
+    if (state.IsOpen(now_) && !state.IsSetAside()) {
+      free += std::max(0.0, state.slots - state.TotalRunning());
+    }
+  }
+  return free;
+}
+
 void SlotPlanner::GrantFreeSlots(const VersionGroup& group) {
   for (UpstreamIndex index : group.upstreams) {
     const RoutedUpstream& upstream = snapshot_->upstream(index);
@@ -199,6 +210,7 @@
     DiscountPeers(group, trust);
   }
   SetLimits(group, trust);
+  state->free_slots = CountFree(group);
   GrantFreeSlots(group);
 }
 
--- a/src/admission/slot_planner.h
+++ b/src/admission/slot_planner.h
@@ -54,6 +54,7 @@
   void Divide(const VersionGroup& group, GroupState* state);
   void DiscountPeers(const VersionGroup& group, double trust);
   void SetLimits(const VersionGroup& group, double trust);
+  double CountFree(const VersionGroup& group);
   void GrantFreeSlots(const VersionGroup& group);
   UpstreamState& StateOf(const RoutedUpstream& upstream);
   bool GrantOne(const RoutedUpstream& upstream, Tier tier, int* limit);
--- a/src/admission/upstream_chooser.cc
+++ b/src/admission/upstream_chooser.cc
@@ -11,16 +11,26 @@
 
 // Candidates with room that are looked at, besides those that hold a prefix.
 constexpr size_t kCandidates = 16;
-// Time between two probes of an upstream that is set aside.
-constexpr Duration kProbeInterval = std::chrono::seconds(5);
+// Time between two probes of an upstream that is set aside, by all the routers
+// that use it; and by one, once another has found it recovered.
+constexpr Duration kProbeInterval = std::chrono::seconds(60);
+constexpr Duration kShortProbeInterval = std::chrono::seconds(1);
+// Weight of the prompt tokens that have to be worked through: they hold up the
+// prompts that come after them, too.
+constexpr double kPrefillWeight = 3.0;
 // Weight of the time after the first token, which nobody waits for idly.
-constexpr double kDecodeWeight = 0.25;
+constexpr double kDecodeWeight = 0.02;
 
 bool MayProbe(const RequestEntry& entry,
               const UpstreamState& state,
               TimePoint now) {
+  const Duration interval = state.is_cleared_by_peer
+                                ? kShortProbeInterval
+                                : kProbeInterval * state.routers;
+  const TimePoint last =
+      std::max(state.last_probe, state.straggler.set_aside_since);
   return entry.spec.tier != Tier::kCritical && entry.spec.idempotent &&
-         state.running == 0 && now - state.last_probe >= kProbeInterval;
+         state.running == 0 && now - last >= interval;
 }
 
 }  // namespace
@@ -56,7 +66,7 @@
            state.slots;
   }
   const double first_token =
-      (state.prefill + state.peer_prefill + prefill_tokens) *
+      (state.prefill + state.peer_prefill + kPrefillWeight * prefill_tokens) *
       upstreams_->PrefillSeconds(state);
   const double rest = static_cast<double>(entry.expected_output.value()) *
                       upstreams_->DecodeSeconds(state);
@@ -76,7 +86,7 @@
   }
   const double prompt = static_cast<double>(entry.spec.prompt_tokens.value());
   const double prefill = std::max(0.0, prompt - cached.TokensAt(number));
-  if (state.straggler.set_aside) {
+  if (state.IsSetAside()) {
     if (MayProbe(entry, state, now)) {
       *best = 0.0;
       *choice = {number, prefill, true};
--- a/src/admission/upstream_state.h
+++ b/src/admission/upstream_state.h
@@ -45,6 +45,10 @@
   // Own attempts that may run there while routers have to share its slots.
   int limit = 0;
   bool suspected_by_peer = false;
+  // Another router has work there and has not set it aside.
+  bool is_cleared_by_peer = false;
+  // How many routers use it.
+  int routers = 1;
 
   // This router has seen that it is leaving; then no new work goes there.
   bool is_leaving = false;
@@ -60,6 +64,8 @@
   // Follows speed.decode slowly, while it is not set aside.
   double usual_decode = 0.0;
   StragglerState straggler;
+  // Another router has set it aside, and this one has not seen it work lately.
+  bool is_set_aside_by_peer = false;
   // When it last got work although it was set aside.
   TimePoint last_probe;
 
@@ -82,6 +88,10 @@
     return is_contended ? is_within_limit : TotalRunning() < slots;
   }
 
+  bool IsSetAside() const {
+    return straggler.set_aside || is_set_aside_by_peer;
+  }
+
   // True if new work may go there, if there is room.
   bool IsOpen(TimePoint now) const {
     return is_routed && !is_leaving && now >= peer_leaving_until &&
--- a/src/admission/upstream_table.cc
+++ b/src/admission/upstream_table.cc
@@ -15,6 +15,8 @@
 // The first and the longest pause after failures in a row.
 constexpr Duration kFirstPause = std::chrono::milliseconds(100);
 constexpr int kMaxPauseDoublings = 6;
+// How long this router goes by what it saw itself of an upstream's speed.
+constexpr Duration kOwnViewTime = std::chrono::seconds(2);
 // Seconds of a first token's time that no prompt token accounts for.
 constexpr double kFirstTokenOverhead = 0.002;
 // Prompts shorter than this say little about the speed.
@@ -73,6 +75,7 @@
     state.is_routed = true;
     state.is_plain = spec.kind == UpstreamKind::kPlainService;
     state.slots = std::max(spec.slots, 1);
+    state.routers = std::max(static_cast<int>(upstream.routers.size()), 1);
   }
   absl::erase_if(numbers_, [this](const auto& item) {
     const UpstreamState& state = at(item.second);
@@ -104,6 +107,7 @@
     state->peer_prefill = 0.0;
     state->silent_running = 0.0;
     state->suspected_by_peer = false;
+    state->is_cleared_by_peer = false;
   }
   peers.ForEach(now, [this, now](const DemandReport& report) {
     for (const UpstreamUse& use : report.upstreams) {
@@ -115,6 +119,8 @@
       state.peer_running += use.running;
       state.peer_prefill += static_cast<double>(use.pending_prefill.value());
       state.suspected_by_peer = state.suspected_by_peer || use.set_aside;
+      state.is_cleared_by_peer =
+          state.is_cleared_by_peer || (use.running > 0 && !use.set_aside);
       if (use.leaving) {
         MarkLeavingByPeer(number, now);
       }
@@ -265,6 +271,7 @@
     before.push_back(state.straggler.set_aside);
   }
   StragglerDetector::Update(candidates, now, &states);
+  FollowPeers(numbers, now);
   std::vector<int32_t> changed;
   for (size_t i = 0; i < numbers.size(); ++i) {
     if (states[i]->set_aside != before[i]) {
@@ -274,6 +281,23 @@
   return changed;
 }
 
+// What this router has seen itself goes before what others say.
+void UpstreamTable::FollowPeers(const std::vector<int32_t>& numbers,
+                                TimePoint now) {
+  size_t set_aside = 0;
+  for (int32_t number : numbers) {
+    set_aside += at(number).straggler.set_aside ? 1 : 0;
+  }
+  const size_t cap = StragglerDetector::Cap(numbers.size());
+  for (int32_t number : numbers) {
+    UpstreamState& state = at(number);
+    state.is_set_aside_by_peer =
+        state.suspected_by_peer && !state.straggler.set_aside &&
+        now - state.speed.decode.last() > kOwnViewTime && set_aside < cap;
+    set_aside += state.is_set_aside_by_peer ? 1 : 0;
+  }
+}
+
 double UpstreamTable::PrefillSeconds(const UpstreamState& state) const {
   const UpstreamSpeed& kind = state.kind->speed;
   return state.speed.prefill.Get(kind.prefill.Get(kFirstPrefillSeconds));
--- a/src/admission/upstream_table.h
+++ b/src/admission/upstream_table.h
@@ -76,6 +76,7 @@
   double DecodeSeconds(const UpstreamState& state) const;
 
  private:
+  void FollowPeers(const std::vector<int32_t>& numbers, TimePoint now);
   int32_t Add(const UpstreamSpec& spec);
   std::shared_ptr<UpstreamKindSpeed> KindOf(const UpstreamSpec& spec);
 
--- a/src/routing/straggler_detector.cc
+++ b/src/routing/straggler_detector.cc
@@ -75,6 +75,7 @@
     if (now - state.slow_since >= kSlowTime &&
         set_aside < Cap(candidates.size())) {
       state.set_aside = true;
+      state.set_aside_since = now;
       ++set_aside;
     }
   }
