--- a/src/admission/fair_queue.cc
+++ b/src/admission/fair_queue.cc
@@ -7,9 +7,6 @@
 
 namespace {
 
-// Idle accounts are looked through for forgetting past this many.
-constexpr size_t kIdleAccounts = 64;
-
 double Share(const RequestEntry& entry) {
   return entry.cost / entry.account_weight;
 }
@@ -104,12 +101,14 @@
 
 // Accounts with nothing waiting and nothing owed are as good as new ones.
 void FairQueue::Forget() {
-  if (accounts_.size() < 2 * by_start_.size() + kIdleAccounts) {
+  if (accounts_.size() < forget_at_) {
     return;
   }
   absl::erase_if(accounts_, [this](const auto& item) {
     return item.second.waiting.empty() && item.second.start <= clock_;
   });
+  // Looking through all is paid for by the accounts that come in between.
+  forget_at_ = std::max(kFirstForget, 2 * accounts_.size());
 }
 
 }  // namespace papaya
--- a/src/admission/fair_queue.h
+++ b/src/admission/fair_queue.h
@@ -68,6 +68,9 @@
   Order by_backlog_;
   // The start of the request popped last.
   double clock_ = 0.0;
+  // Idle accounts are looked through once there are so many accounts.
+  static constexpr size_t kFirstForget = 64;
+  size_t forget_at_ = kFirstForget;
   size_t size_ = 0;
 };
 
