Tell each router only the demand that it shares, and let short moves be judged

Cause: a demand report went whole to every router that shares any upstream. The demo's note was taken back because the last stage had to leave two minutes, whatever the settings said of short moves. Change: SplitDemandReport gives each router the groups and upstreams that both use. Ruled out as the cause: the codec, 42 us a report.

--- a/src/daemon/control_plane.cc
+++ b/src/daemon/control_plane.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "absl/strings/str_cat.h"
+#include "include/admission/demand_share.h"
 #include "include/base/stable_hash.h"
 #include "include/wire/steady_time.h"
 
@@ -82,13 +83,8 @@
   if (snapshot_ == nullptr) {
     return;
   }
-  std::set<RouterId> sharing;
-  for (const RoutedUpstream& upstream : snapshot_->upstreams()) {
-    sharing.insert(upstream.routers.begin(), upstream.routers.end());
-  }
-  sharing.erase(settings_.router);
-  for (const RouterId& router : sharing) {
-    SendTo(router, report);
+  for (const auto& [router, part] : SplitDemandReport(report, *snapshot_)) {
+    SendTo(router, part);
   }
 }
 
--- a/src/rollout/note_mover.cc
+++ b/src/rollout/note_mover.cc
@@ -18,8 +18,9 @@
 // The part of the time up to `traffic_by` that is kept for the last change.
 constexpr int kReserveDivisor = 10;
 constexpr Duration kLongestReserve = std::chrono::minutes(2);
-// A version that could be watched for less than this at full share is in doubt.
-constexpr Duration kShortestBake = std::chrono::minutes(2);
+// A version that could be watched for less than this part of the shortest move
+// in its last stage is in doubt.
+constexpr int kShortestBakeDivisor = 5;
 // A version that had fewer requests than this is in doubt.
 constexpr uint64_t kFewestRequests = 50;
 // Taking back waits so long for slow engines before it moves the others.
@@ -331,7 +332,9 @@
   }
   const Duration left = LastMoment(plan) - record.stage_since;
   const bool is_last = stage + 1 == count;
-  if (plan.IsJudged() && is_last && left < kShortestBake) {
+  const Duration shortest_bake =
+      context_.options->shortest_judged_move / kShortestBakeDivisor;
+  if (plan.IsJudged() && is_last && left < shortest_bake) {
     StartTakingBack("too little time was left to judge the new version");
     return;
   }
