Compare failures over all generations of hardware, latencies within one

Cause: the judge compared new with old replicas of the same generation only. Ruled out: reports between routers arrived, and counts were kept. Change: failures are compared within a route over all generations, latencies within route and generation; each quantity has one stratification, so no evidence counts twice. A test of a version on a generation that no old replica has; it fails without the change. Fixed beside: a test whose timers outlived their context, which the address sanitizer found.

--- a/src/rollout/pool_judge.cc
+++ b/src/rollout/pool_judge.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdlib>
+#include <optional>
 
 namespace papaya {
 
@@ -120,18 +121,31 @@
   }
   const StatsCounts more = Minus(row.counts, known);
   known = row.counts;
-  Stratum& stratum = strata_[{row.key.route, row.key.generation}];
+  Stratum& failures = strata_[{row.key.route, std::nullopt}];
+  Stratum& latencies = strata_[{row.key.route, row.key.generation}];
   if (row.key.version != version_) {
-    stratum.old += more.requests;
-    AddCounts(more, &stratum.total.old);
+    AddOld(more, &failures);
+    AddOld(more, &latencies);
     return;
   }
   const bool is_named =
       replicas_.contains(row.key.upstream) || replicas_.size() < kMostReplicas;
   const UpstreamId replica = is_named ? row.key.upstream : UpstreamId();
   replicas_.insert(replica);
-  stratum.fresh += more.requests;
-  AddCounts(more, &stratum.total.replicas[replica]);
+  AddFresh(more, replica, &failures);
+  AddFresh(more, replica, &latencies);
+}
+
+void PoolJudge::AddOld(const StatsCounts& more, Stratum* stratum) {
+  stratum->old += more.requests;
+  AddCounts(more, &stratum->total.old);
+}
+
+void PoolJudge::AddFresh(const StatsCounts& more,
+                         const UpstreamId& replica,
+                         Stratum* stratum) {
+  stratum->fresh += more.requests;
+  AddCounts(more, &stratum->total.replicas[replica]);
 }
 
 bool PoolJudge::IsWindowDue(const Stratum& stratum, TimePoint now) const {
@@ -195,7 +209,7 @@
         AddCounts(counts, &sides[{ViewKind::kWithout, other}]);
       }
     }
-    requests_ += counts.requests;
+    requests_ += id.second.has_value() ? 0 : counts.requests;
   }
   for (const auto& [view_id, fresh] : sides) {
     View& view = views_[view_id];
@@ -205,7 +219,9 @@
     std::array<EvidenceTrack, kQuantities>& on_route = view.by_route[id.first];
     for (size_t i = 0; i < kQuantities; ++i) {
       const Quantity quantity = static_cast<Quantity>(i);
-      if (quantity != Quantity::kFailure && edges[i] == 0) {
+      const bool is_failure = quantity == Quantity::kFailure;
+      const bool is_of_stratum = is_failure != id.second.has_value();
+      if (!is_of_stratum || (!is_failure && edges[i] == 0)) {
         continue;
       }
       const LogRatios ratios = LogLikelihoodRatios(
--- a/src/rollout/pool_judge.h
+++ b/src/rollout/pool_judge.h
@@ -44,8 +44,11 @@
   size_t ApproximateBytes() const;
 
  private:
-  // Requests are compared within one route and one generation.
-  using StratumId = std::pair<RouteId, GenerationId>;
+  // Latencies are compared within one route and one generation of hardware.
+  // Failures don't hang on the hardware: they are compared within one route,
+  // in the stratum without a generation, so that a replica whose generation no
+  // old replica shares is judged too.
+  using StratumId = std::pair<RouteId, std::optional<GenerationId>>;
 
   // Counts of one stratum so far, over all routers.
   struct Counts {
@@ -79,6 +82,10 @@
   using ViewId = std::pair<ViewKind, UpstreamId>;
 
   static void AddCounts(const StatsCounts& more, StatsCounts* sum);
+  static void AddOld(const StatsCounts& more, Stratum* stratum);
+  static void AddFresh(const StatsCounts& more,
+                       const UpstreamId& replica,
+                       Stratum* stratum);
   bool IsWindowDue(const Stratum& stratum, TimePoint now) const;
   void CloseWindow(const StratumId& id, Stratum* stratum, TimePoint now);
   void Compare(const StratumId& id,
--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -240,6 +240,8 @@
   const std::string from_busy = fixture.ReadAll(busy);
   CHECK_THAT(from_busy, Catch::EndsWith("GET / "));
   CHECK_THAT(from_busy, Catch::Contains("Connection: close"));
+  // Timers must not outlive the context.
+  held.clear();
 }
 
 }  // namespace
--- a/tests/version_judge_test.cc
+++ b/tests/version_judge_test.cc
@@ -35,6 +35,43 @@
   }
 }
 
+TEST_CASE(
+    "VersionJudge: failures are seen where no old replica is of the "
+    "generation",
+    "[rollout]") {
+  FleetConfig config;
+  config.shares = {{PoolId("p"), VersionId("v1"), Permille(500), {}},
+                   {PoolId("p"), VersionId("v2"), Permille(500), NoteId("n")}};
+  for (const char* const id : {"a", "b"}) {
+    UpstreamSpec upstream;
+    upstream.id = UpstreamId(id);
+    upstream.pool = PoolId("p");
+    upstream.version = VersionId(id[0] == 'a' ? "v1" : "v2");
+    upstream.generation = GenerationId(id[0] == 'a' ? "g1" : "g2");
+    config.upstreams.push_back(upstream);
+  }
+  VersionStats stats(RouterId("r"), Incarnation(1));
+  stats.OnConfig(config);
+  std::vector<StopFact> found;
+  VersionJudge judge({},
+                     [&found](const StopFact& fact) { found.push_back(fact); });
+  judge.OnConfig(config);
+  Random random(11);
+  TimePoint now;
+  for (int i = 0; i < 400 && found.empty(); ++i) {
+    const bool is_new = random.Chance(0.5);
+    stats.OnReply(PoolId("p"), VersionId(is_new ? "v2" : "v1"), RouteId("r"),
+                  UpstreamId(is_new ? "b" : "a"), is_new && random.Chance(0.5),
+                  std::chrono::milliseconds(50));
+    judge.OnReport(stats.MakeReport());
+    now += std::chrono::milliseconds(200);
+    judge.OnTick(now);
+  }
+  REQUIRE_FALSE(found.empty());
+  CHECK(found.front().version == VersionId("v2"));
+  CHECK(found.front().cause == StopCause::kFailures);
+}
+
 TEST_CASE("StatsReport: doubles and reordering change nothing", "[rollout]") {
   FleetConfig config;
   config.shares = {{PoolId("p"), VersionId("v1"), Permille(500), {}},
