Plan the division of slots by numbers, and only when requests wait

A sampling profile showed three quarters of it in SlotPlanner, StableHash, memcmp and look-ups by name: each tick and each report every router searched its routers by name for every upstream and hashed all names anew for each free slot, also with nothing waiting.

What was reported of own work is noted when it is sent. Attempts that seem stuck are looked at in the order of their ids, as the order of the table differs between runs. GroupState::is_scarce, which nothing read, is gone.

--- a/src/admission/group_state.h
+++ b/src/admission/group_state.h
@@ -12,6 +12,7 @@
 #include "include/base/units.h"
 #include "include/routing/routing_snapshot.h"
 #include "src/admission/fair_queue.h"
+#include "src/admission/planned_group.h"
 #include "src/admission/request_entry.h"
 #include "src/admission/slot_division.h"
 
@@ -33,6 +34,9 @@
   bool is_usable = false;
   // Numbers in the UpstreamTable.
   std::vector<int32_t> upstreams;
+  PlannedGroup planned;
+  // No plan was made since the latest news of other routers.
+  bool is_plan_old = true;
 
   std::array<FairQueue, kTierCount> queues;
   std::array<std::set<RequestEntry*, EarlierDeadline>, kTierCount> deadlines;
@@ -50,8 +54,6 @@
   TierSlots allotment{};
   // Free slots of all upstreams, by the latest reports.
   double free_slots = 0.0;
-  // False for tiers whose whole demand is met.
-  std::array<bool, kTierCount> is_scarce{};
 
   // How long attempts take, in seconds.
   double attempt_seconds = 0.0;
@@ -83,6 +85,8 @@
     }
     return peers > 0 && peers + Waiting() > free_slots;
   }
+  // True if the division of slots with other routers matters now.
+  bool NeedsPlan() const { return Waiting() > 0 || peer_short.has_value(); }
   bool IsIdle() const { return Waiting() == 0 && Running() == 0; }
 
   void Enqueue(RequestEntry* entry, bool at_front) {
--- a/src/admission/group_table.cc
+++ b/src/admission/group_table.cc
@@ -28,6 +28,7 @@
   for (const auto& [name, number] : numbers_) {
     at(number).is_usable = false;
     at(number).upstreams.clear();
+    at(number).planned = PlannedGroup();
   }
   for (const VersionGroup& group : snapshot.groups()) {
     int32_t number = Find(group.name);
@@ -40,6 +41,7 @@
       state.upstreams.push_back(
           upstreams.Find(snapshot.upstream(index).spec.id));
     }
+    state.planned = MakePlannedGroup(snapshot, group, upstreams);
   }
   std::erase_if(numbers_, [this](const auto& item) {
     GroupState& state = at(item.second);
@@ -84,6 +86,7 @@
     state.peer_waiting.fill(0);
     state.peer_short.reset();
     state.peer_short_waiting = 0;
+    state.is_plan_old = true;
   }
   peers.ForEach(now,
                 [this](const DemandReport& report) { AddPeerDemand(report); });
--- a/src/admission/scheduler_core.cc
+++ b/src/admission/scheduler_core.cc
@@ -185,11 +185,13 @@
 void SchedulerCore::Dispatch(int32_t number, TimePoint now) {
   GroupState& group = groups_.at(number);
   ExpireDue(&group, now);
+  PlanIfNeeded(&group, now);
   // Own slots that have just become free go first: by the others' reports
   // they may seem to be anybody's.
   DispatchTiers(&group, now);
   if (has_peer_news_) {
     ApplyPeers(now);
+    PlanIfNeeded(&group, now);
     DispatchTiers(&group, now);
   }
 }
--- a/src/admission/scheduler_core.h
+++ b/src/admission/scheduler_core.h
@@ -101,6 +101,8 @@
                    TimePoint now);
 
   void ApplyPeers(TimePoint now);
+  // Plans the division of slots anew, if there is news and it matters.
+  void PlanIfNeeded(GroupState* group, TimePoint now);
   void UpdateStragglers(GroupState* group, TimePoint now);
   void SendReport(TimePoint now);
   DemandReport MakeReport();
--- a/src/admission/scheduler_pressure.cc
+++ b/src/admission/scheduler_pressure.cc
@@ -103,14 +103,17 @@
   if (snapshot_ == nullptr) {
     return;
   }
-  upstreams_.ApplyPeers(*snapshot_, peers_, now);
+  upstreams_.ApplyPeers(peers_, now);
   groups_.ApplyPeers(peers_, now);
-  SlotPlanner planner(snapshot_.get(), &peers_, &own_report_,
-                      options_.report_interval, now, &upstreams_);
-  for (const VersionGroup& group : snapshot_->groups()) {
-    GroupState& state = groups_.at(groups_.Find(group.name));
-    planner.Plan(group, &state);
+}
+
+void SchedulerCore::PlanIfNeeded(GroupState* group, TimePoint now) {
+  if (!group->is_plan_old || !group->NeedsPlan()) {
+    return;
   }
+  group->is_plan_old = false;
+  SlotPlanner(&peers_, &own_report_, options_.report_interval, now, &upstreams_)
+      .Plan(group);
 }
 
 void SchedulerCore::OnTick(TimePoint now) {
@@ -232,6 +235,11 @@
       stuck.push_back(entry.get());
     }
   }
+  // The table's own order differs between runs.
+  std::sort(stuck.begin(), stuck.end(),
+            [](const RequestEntry* a, const RequestEntry* b) {
+              return a->spec.id < b->spec.id;
+            });
   return stuck;
 }
 
@@ -349,7 +357,9 @@
   has_short_news_ = false;
   own_report_ = MakeReport();
   for (size_t i = 0; i < upstreams_.size(); ++i) {
-    upstreams_.at(static_cast<int32_t>(i)).given_away = 0;
+    UpstreamState& state = upstreams_.at(static_cast<int32_t>(i));
+    state.given_away = 0;
+    state.reported_running = state.running;
   }
   has_peer_news_ = true;
   hooks_.send_demand(own_report_);
--- a/src/admission/upstream_state.h
+++ b/src/admission/upstream_state.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <vector>
 
 #include "include/base/ids.h"
 #include "include/base/units.h"
@@ -47,8 +48,10 @@
   bool suspected_by_peer = false;
   // Another router has work there and has not set it aside.
   bool is_cleared_by_peer = false;
-  // How many routers use it.
+  // How many routers use it, and the positions of the others in the
+  // UpstreamTable.
   int routers = 1;
+  std::vector<size_t> other_routers;
 
   // This router has seen that it is leaving; then no new work goes there.
   bool is_leaving = false;
--- a/src/admission/upstream_table.cc
+++ b/src/admission/upstream_table.cc
@@ -58,6 +58,7 @@
 void UpstreamTable::Apply(const RoutingSnapshot& snapshot) {
   for (const std::unique_ptr<UpstreamState>& state : states_) {
     state->is_routed = false;
+    state->other_routers.clear();
   }
   for (const RoutedUpstream& upstream : snapshot.upstreams()) {
     const UpstreamSpec& spec = upstream.spec;
@@ -77,6 +78,7 @@
     state.slots = std::max(spec.slots, 1);
     state.routers = std::max(static_cast<int>(upstream.routers.size()), 1);
   }
+  ListRouters(snapshot);
   absl::erase_if(numbers_, [this](const auto& item) {
     const UpstreamState& state = at(item.second);
     const bool is_done = !state.is_routed && state.running == 0;
@@ -94,14 +96,31 @@
                 [](const auto& item) { return item.second.use_count() == 1; });
 }
 
+void UpstreamTable::ListRouters(const RoutingSnapshot& snapshot) {
+  routers_.clear();
+  absl::flat_hash_map<RouterId, size_t> positions;
+  for (const RoutedUpstream& upstream : snapshot.upstreams()) {
+    std::vector<size_t>& others = at(Find(upstream.spec.id)).other_routers;
+    for (const RouterId& router : upstream.routers) {
+      if (router == snapshot.self().id) {
+        continue;
+      }
+      const auto [found, is_new] =
+          positions.try_emplace(router, routers_.size());
+      if (is_new) {
+        routers_.push_back(router);
+      }
+      others.push_back(found->second);
+    }
+  }
+}
+
 int32_t UpstreamTable::Find(const UpstreamId& id) const {
   auto found = numbers_.find(id);
   return found == numbers_.end() ? -1 : found->second;
 }
 
-void UpstreamTable::ApplyPeers(const RoutingSnapshot& snapshot,
-                               const PeerTable& peers,
-                               TimePoint now) {
+void UpstreamTable::ApplyPeers(const PeerTable& peers, TimePoint now) {
   for (const std::unique_ptr<UpstreamState>& state : states_) {
     state->peer_running = 0.0;
     state->peer_prefill = 0.0;
@@ -126,21 +145,15 @@
       }
     }
   });
-  absl::flat_hash_map<RouterId, bool> silent;
-  for (const RoutedUpstream& upstream : snapshot.upstreams()) {
-    UpstreamState& state = at(Find(upstream.spec.id));
+  std::vector<double> silent;
+  for (const RouterId& router : routers_) {
+    silent.push_back(peers.Find(router, now) == nullptr ? 1.0 : 0.0);
+  }
+  for (const std::unique_ptr<UpstreamState>& state : states_) {
     const double even_share =
-        static_cast<double>(state.slots) /
-        static_cast<double>(std::max<size_t>(upstream.routers.size(), 1));
-    for (const RouterId& router : upstream.routers) {
-      if (router == snapshot.self().id) {
-        continue;
-      }
-      auto [found, is_new] = silent.try_emplace(router, false);
-      if (is_new) {
-        found->second = peers.Find(router, now) == nullptr;
-      }
-      state.silent_running += found->second ? even_share : 0.0;
+        static_cast<double>(state->slots) / static_cast<double>(state->routers);
+    for (size_t router : state->other_routers) {
+      state->silent_running += silent[router] * even_share;
     }
   }
 }
--- a/src/admission/upstream_table.h
+++ b/src/admission/upstream_table.h
@@ -38,9 +38,7 @@
   size_t size() const { return states_.size(); }
 
   // Works out anew what the reports of other routers say.
-  void ApplyPeers(const RoutingSnapshot& snapshot,
-                  const PeerTable& peers,
-                  TimePoint now);
+  void ApplyPeers(const PeerTable& peers, TimePoint now);
 
   // Takes in what an upstream says of itself.
   void OnLoadReport(int32_t number, const LoadReport& report, TimePoint now);
@@ -77,6 +75,8 @@
 
  private:
   void FollowPeers(const std::vector<int32_t>& numbers, TimePoint now);
+  // Notes which other routers use which upstreams.
+  void ListRouters(const RoutingSnapshot& snapshot);
   int32_t Add(const UpstreamSpec& spec);
   std::shared_ptr<UpstreamKindSpeed> KindOf(const UpstreamSpec& spec);
 
@@ -88,6 +88,8 @@
            std::shared_ptr<UpstreamKindSpeed>>
       kinds_;
   int32_t next_kind_ = 0;
+  // The other routers that use any of the upstreams.
+  std::vector<RouterId> routers_;
 };
 
 }  // namespace papaya
