Test that a withdrawn version leaves nothing to be looked for

Cause: FindStuck once indexed the groups by -1 after a version was withdrawn; only a process test had met it. Change: two tests of Scheduler with a version that goes while it is idle, and while a critical attempt seems to be stuck there.

--- a/tests/scheduler_test.cc
+++ b/tests/scheduler_test.cc
@@ -31,17 +31,25 @@
     };
     hooks.event = [](const Event&) {};
     scheduler = std::make_unique<Scheduler>(options, hooks);
+    input.self = {RouterId("r0"), AvailabilityZoneId("z0")};
+    upstream_count = upstreams;
+    upstream_slots = slots;
+    UseVersion("v1");
+  }
+
+  // Publishes a snapshot in which all upstreams are of this version, and new.
+  void UseVersion(const std::string& version) {
     auto config = std::make_shared<FleetConfig>();
-    for (int i = 0; i < upstreams; ++i) {
+    for (int i = 0; i < upstream_count; ++i) {
       UpstreamSpec spec;
-      spec.id = UpstreamId("u" + std::to_string(i));
+      spec.id = UpstreamId("u" + std::to_string(i) +
+                           (version == "v1" ? "" : version));
       spec.pool = kPool;
-      spec.version = VersionId("v1");
-      spec.slots = slots;
+      spec.version = VersionId(version);
+      spec.slots = upstream_slots;
       config->upstreams.push_back(spec);
     }
     input.config = config;
-    input.self = {RouterId("r0"), AvailabilityZoneId("z0")};
     scheduler->OnSnapshot(RoutingSnapshot::Build(input), now);
   }
 
@@ -75,6 +83,8 @@
     }
   }
 
+  int upstream_count = 0;
+  int upstream_slots = 0;
   RoutingInput input;
   TimePoint now = TimePoint(std::chrono::hours(1));
   std::unique_ptr<Scheduler> scheduler;
@@ -185,4 +195,38 @@
   CHECK(f.refused[0].second.reason == RefusalReason::kNoUpstream);
 }
 
+TEST_CASE("a version that was withdrawn leaves nothing that is looked for",
+          "[admission]") {
+  Fixture f(1, 2);
+  f.Request(1, Tier::kCritical);
+  f.Finish(1, AttemptEnd::kOk);
+  f.UseVersion("v2");
+  // Never gets a first token, and so seems to be queued by its upstream.
+  f.Request(2, Tier::kCritical);
+  f.Request(3, Tier::kBatch);
+  REQUIRE(f.dispatched.size() == 3);
+  f.Advance(std::chrono::seconds(5));
+  REQUIRE(f.preempted.size() == 1);
+  CHECK(f.preempted[0] == RequestId(3));
+}
+
+TEST_CASE("a request that is stuck at a withdrawn version ends once",
+          "[admission]") {
+  Fixture f(1, 2);
+  f.Request(1, Tier::kCritical);
+  f.Request(2, Tier::kBatch);
+  REQUIRE(f.dispatched.size() == 2);
+  f.UseVersion("v2");
+  f.Advance(std::chrono::seconds(5));
+  // A slot of an upstream that gets no new work would be of no use.
+  CHECK(f.preempted.empty());
+  f.Finish(1, AttemptEnd::kOk);
+  f.Finish(2, AttemptEnd::kOk);
+  // Now the version has nothing left and is dropped.
+  f.UseVersion("v3");
+  f.Advance(std::chrono::seconds(1));
+  CHECK(f.refused.empty());
+  CHECK(f.scheduler->counts().running == 0);
+}
+
 }  // namespace papaya
