Leave an upstream's last free slots to those who gain most by them

Several routers had taken the same last slot of the fastest engine within the 250 ms between reports. Change: the estimate of an upstream grows by 3 s * exp(-free slots / 1.5).

--- a/src/admission/scheduler_core.cc
+++ b/src/admission/scheduler_core.cc
@@ -223,8 +223,7 @@
   FairQueue& queue = group->queues[TierIndex(tier)];
   while (queue.size() > 0 && MayDispatch(*group, tier)) {
     RequestEntry* entry = queue.Front();
-    const UpstreamChooser::Choice choice =
-        chooser_.Choose(*entry, group->upstreams, group->IsContended(), now);
+    const UpstreamChooser::Choice choice = chooser_.Choose(*entry, *group, now);
     if (choice.upstream < 0) {
       return;
     }
--- a/src/admission/upstream_chooser.cc
+++ b/src/admission/upstream_chooser.cc
@@ -1,6 +1,7 @@
 #include "src/admission/upstream_chooser.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 #include "include/base/stable_hash.h"
@@ -20,6 +21,18 @@
 constexpr double kPrefillWeight = 3.0;
 // Weight of the time after the first token, which nobody waits for idly.
 constexpr double kDecodeWeight = 0.02;
+// What taking the last free slot of an upstream may cost, in seconds, and over
+// how many free slots that falls to 1/e.
+constexpr double kCrowdingSeconds = 3.0;
+constexpr double kCrowdingSlots = 1.5;
+
+// What taking one of the last free slots of `state` may cost: other routers see
+// the same slots and take them before they say so, and a request too many
+// waits there until some answer ends.
+double CrowdingSeconds(const UpstreamState& state) {
+  const double free = std::max(0.0, state.slots - state.TotalRunning());
+  return kCrowdingSeconds * std::exp(-free / kCrowdingSlots);
+}
 
 bool MayProbe(const RequestEntry& entry,
               const UpstreamState& state,
@@ -70,66 +83,64 @@
       upstreams_->PrefillSeconds(state);
   const double rest = static_cast<double>(entry.expected_output.value()) *
                       upstreams_->DecodeSeconds(state);
-  return first_token + kDecodeWeight * rest;
+  return first_token + kDecodeWeight * rest + CrowdingSeconds(state);
 }
 
-void UpstreamChooser::Consider(const RequestEntry& entry,
-                               const Cached& cached,
-                               int32_t number,
-                               bool is_contended,
-                               TimePoint now,
-                               double* best,
-                               Choice* choice) const {
+void UpstreamChooser::Consider(int32_t number, Search* search) const {
   const UpstreamState& state = upstreams_->at(number);
-  if (!state.IsOpen(now) || !state.HasRoom(is_contended)) {
+  if (!state.IsOpen(search->now) || !state.HasRoom(search->is_contended)) {
     return;
   }
+  const RequestEntry& entry = *search->entry;
   const double prompt = static_cast<double>(entry.spec.prompt_tokens.value());
-  const double prefill = std::max(0.0, prompt - cached.TokensAt(number));
+  const double prefill =
+      std::max(0.0, prompt - search->cached.TokensAt(number));
   if (state.IsSetAside()) {
-    if (MayProbe(entry, state, now)) {
-      *best = 0.0;
-      *choice = {number, prefill, true};
+    if (MayProbe(entry, state, search->now)) {
+      search->best = 0.0;
+      search->choice = {number, prefill, true};
     }
     return;
   }
   const double finish = EstimateFinish(entry, state, prefill);
-  if (finish < *best) {
-    *best = finish;
-    *choice = {number, prefill, false};
+  if (finish < search->best) {
+    search->best = finish;
+    search->choice = {number, prefill, false};
   }
 }
 
-UpstreamChooser::Choice UpstreamChooser::Choose(
-    const RequestEntry& entry,
-    const std::vector<int32_t>& numbers,
-    bool is_contended,
-    TimePoint now) const {
-  Choice choice;
+UpstreamChooser::Choice UpstreamChooser::Choose(const RequestEntry& entry,
+                                                const GroupState& group,
+                                                TimePoint now) const {
+  const std::vector<int32_t>& numbers = group.upstreams;
+  Search search;
   if (numbers.empty()) {
-    return choice;
+    return search.choice;
   }
-  double best = std::numeric_limits<double>::infinity();
-  const Cached cached = FindCached(entry);
+  search.entry = &entry;
+  search.cached = FindCached(entry);
+  search.is_contended = group.IsContended();
+  search.now = now;
+  search.best = std::numeric_limits<double>::infinity();
   const size_t start =
       CombineHashes(entry.spec.share_hash, entry.spec.id.value()) %
       numbers.size();
   size_t with_room = 0;
   for (size_t i = 0; i < numbers.size() && with_room < kCandidates; ++i) {
     const int32_t number = numbers[(start + i) % numbers.size()];
-    with_room += upstreams_->at(number).HasRoom(is_contended) ? 1 : 0;
-    Consider(entry, cached, number, is_contended, now, &best, &choice);
+    with_room += upstreams_->at(number).HasRoom(search.is_contended) ? 1 : 0;
+    Consider(number, &search);
   }
   if (numbers.size() <= kCandidates) {
-    return choice;
+    return search.choice;
   }
-  for (size_t i = 0; i < cached.count; ++i) {
-    const int32_t holder = cached.matches[i].upstream;
+  for (size_t i = 0; i < search.cached.count; ++i) {
+    const int32_t holder = search.cached.matches[i].upstream;
     if (std::find(numbers.begin(), numbers.end(), holder) != numbers.end()) {
-      Consider(entry, cached, holder, is_contended, now, &best, &choice);
+      Consider(holder, &search);
     }
   }
-  return choice;
+  return search.choice;
 }
 
 }  // namespace papaya
--- a/src/admission/upstream_chooser.h
+++ b/src/admission/upstream_chooser.h
@@ -6,6 +6,7 @@
 
 #include "include/base/units.h"
 #include "include/routing/prefix_index.h"
+#include "src/admission/group_state.h"
 #include "src/admission/request_entry.h"
 #include "src/admission/upstream_table.h"
 
@@ -29,12 +30,10 @@
     bool is_probe = false;
   };
 
-  // One of `numbers`, the upstreams of one group, for `entry`; if
-  // `is_contended`, within the limits that the division with other routers
-  // sets.
+  // One of the upstreams of `group` for `entry`; if the group is contended,
+  // within the limits that the division with other routers sets.
   Choice Choose(const RequestEntry& entry,
-                const std::vector<int32_t>& numbers,
-                bool is_contended,
+                const GroupState& group,
                 TimePoint now) const;
 
  private:
@@ -47,14 +46,18 @@
     double TokensAt(int32_t upstream) const;
   };
 
+  // One choice under way.
+  struct Search {
+    const RequestEntry* entry = nullptr;
+    Cached cached;
+    bool is_contended = false;
+    TimePoint now;
+    double best = 0.0;
+    Choice choice;
+  };
+
   Cached FindCached(const RequestEntry& entry) const;
-  void Consider(const RequestEntry& entry,
-                const Cached& cached,
-                int32_t number,
-                bool is_contended,
-                TimePoint now,
-                double* best,
-                Choice* choice) const;
+  void Consider(int32_t number, Search* search) const;
 
   // Seconds until `entry` would finish there.
   double EstimateFinish(const RequestEntry& entry,
