Probe a straggler by turns, and only when its time has come

Cause: a trace of the dispatches after an engine slowed: nearly all after the first 2 s were probes. A router that followed a peer's word took the epoch for the time of setting aside, and probed at once; work left over at a router that had noticed nothing counted as word that the engine was well again, and all probed every second; what a follower saw of the slow engine became its usual speed, so that it never looked slow alone. Change: following has a time of its own; only a router that had set the upstream aside can clear it, by working there again; the usual speed stands still while an upstream is set aside on a peer's word too. Each of the R routers of an upstream probes in a turn of its own, the first after 60 s, so that some router probes about every 60 s and not all at once. A recovered upstream is found after one to two minutes.

--- a/src/admission/upstream_chooser.cc
+++ b/src/admission/upstream_chooser.cc
@@ -34,16 +34,22 @@
   return kCrowdingSeconds * std::exp(-free / kCrowdingSlots);
 }
 
+// When an upstream that is set aside may be probed next.
+TimePoint NextProbe(const UpstreamState& state) {
+  const TimePoint since =
+      std::max(state.straggler.set_aside_since, state.set_aside_by_peer_since);
+  if (state.cleared_by_peer > since) {
+    return std::max(state.last_probe, since) + kShortProbeInterval;
+  }
+  return std::max(state.last_probe + kProbeInterval * state.routers,
+                  since + kProbeInterval * (state.probe_turn + 1));
+}
+
 bool MayProbe(const RequestEntry& entry,
               const UpstreamState& state,
               TimePoint now) {
-  const Duration interval = state.is_cleared_by_peer
-                                ? kShortProbeInterval
-                                : kProbeInterval * state.routers;
-  const TimePoint last =
-      std::max(state.last_probe, state.straggler.set_aside_since);
   return entry.spec.tier != Tier::kCritical && entry.spec.idempotent &&
-         state.running == 0 && now - last >= interval;
+         state.running == 0 && now >= NextProbe(state);
 }
 
 }  // namespace
--- a/src/admission/upstream_state.h
+++ b/src/admission/upstream_state.h
@@ -46,11 +46,15 @@
   // Own attempts that may run there while routers have to share its slots.
   int limit = 0;
   bool suspected_by_peer = false;
-  // Another router has work there and has not set it aside.
-  bool is_cleared_by_peer = false;
+  // Those that have set it aside and not found it recovered since.
+  std::vector<RouterId> suspecting_routers;
+  // When one of them last found it recovered.
+  TimePoint cleared_by_peer;
   // How many routers use it, and the positions of the others in the
   // UpstreamTable.
   int routers = 1;
+  // This router's place in the order in which they probe it.
+  int probe_turn = 0;
   std::vector<size_t> other_routers;
 
   // This router has seen that it is leaving; then no new work goes there.
@@ -69,6 +73,7 @@
   StragglerState straggler;
   // Another router has set it aside, and this one has not seen it work lately.
   bool is_set_aside_by_peer = false;
+  TimePoint set_aside_by_peer_since;
   // When it last got work although it was set aside.
   TimePoint last_probe;
 
--- a/src/admission/upstream_table.cc
+++ b/src/admission/upstream_table.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "include/base/stable_hash.h"
+
 namespace papaya {
 
 namespace {
@@ -29,6 +31,36 @@
 // says less, as calls differ.
 constexpr double kServiceAnswerTokens = 2.0;
 
+// The routers that use an upstream probe it by turns; the order is another one
+// for each upstream.
+void SetProbeTurn(const std::vector<RouterId>& routers,
+                  const RouterId& self,
+                  UpstreamState* state) {
+  const size_t count = std::max<size_t>(routers.size(), 1);
+  const size_t place = static_cast<size_t>(
+      std::lower_bound(routers.begin(), routers.end(), self) - routers.begin());
+  const uint64_t first = StableHash(state->id.value());
+  state->routers = static_cast<int>(count);
+  state->probe_turn = static_cast<int>((first + place) % count);
+}
+
+// Only a router that had set the upstream aside, and has work there now, has
+// found it recovered: others may not have noticed anything yet.
+void TakeVerdict(const RouterId& router,
+                 const UpstreamUse& use,
+                 TimePoint now,
+                 UpstreamState* state) {
+  std::vector<RouterId>& suspecting = state->suspecting_routers;
+  auto found = std::find(suspecting.begin(), suspecting.end(), router);
+  if (use.set_aside && found == suspecting.end()) {
+    suspecting.push_back(router);
+  }
+  if (!use.set_aside && use.running > 0 && found != suspecting.end()) {
+    suspecting.erase(found);
+    state->cleared_by_peer = now;
+  }
+}
+
 }  // namespace
 
 std::shared_ptr<UpstreamKindSpeed> UpstreamTable::KindOf(
@@ -76,7 +108,7 @@
     state.is_routed = true;
     state.is_plain = spec.kind == UpstreamKind::kPlainService;
     state.slots = std::max(spec.slots, 1);
-    state.routers = std::max(static_cast<int>(upstream.routers.size()), 1);
+    SetProbeTurn(upstream.routers, snapshot.self().id, &state);
   }
   ListRouters(snapshot);
   absl::erase_if(numbers_, [this](const auto& item) {
@@ -126,7 +158,6 @@
     state->peer_prefill = 0.0;
     state->silent_running = 0.0;
     state->suspected_by_peer = false;
-    state->is_cleared_by_peer = false;
   }
   peers.ForEach(now, [this, now](const DemandReport& report) {
     for (const UpstreamUse& use : report.upstreams) {
@@ -138,8 +169,7 @@
       state.peer_running += use.running;
       state.peer_prefill += static_cast<double>(use.pending_prefill.value());
       state.suspected_by_peer = state.suspected_by_peer || use.set_aside;
-      state.is_cleared_by_peer =
-          state.is_cleared_by_peer || (use.running > 0 && !use.set_aside);
+      TakeVerdict(report.router, use, now, &state);
       if (use.leaving) {
         MarkLeavingByPeer(number, now);
       }
@@ -263,7 +293,7 @@
   if (state.usual_decode == 0.0) {
     state.usual_decode = per_token;
   }
-  if (!state.straggler.set_aside) {
+  if (!state.IsSetAside()) {
     state.usual_decode += (per_token - state.usual_decode) * kUsualStep;
   }
 }
@@ -304,10 +334,14 @@
   const size_t cap = StragglerDetector::Cap(numbers.size());
   for (int32_t number : numbers) {
     UpstreamState& state = at(number);
-    state.is_set_aside_by_peer =
+    const bool follows =
         state.suspected_by_peer && !state.straggler.set_aside &&
         now - state.speed.decode.last() > kOwnViewTime && set_aside < cap;
-    set_aside += state.is_set_aside_by_peer ? 1 : 0;
+    if (follows && !state.is_set_aside_by_peer) {
+      state.set_aside_by_peer_since = now;
+    }
+    state.is_set_aside_by_peer = follows;
+    set_aside += follows ? 1 : 0;
   }
 }
 
--- a/tests/upstream_choice_test.cc
+++ b/tests/upstream_choice_test.cc
@@ -73,15 +73,19 @@
     scheduler->OnFinished(RequestId(last), {AttemptEnd::kOk, Tokens(10)}, now);
   }
 
-  // The other router has that under way.
-  void Tell(const std::vector<UpstreamUse>& uses) {
+  // Another router has that under way.
+  void Tell(const std::vector<UpstreamUse>& uses, const char* router = "r1") {
     DemandReport report;
-    report.router = RouterId("r1");
+    report.router = RouterId(router);
     report.incarnation = Incarnation(1);
     report.sequence = ++sequence;
     report.upstreams = uses;
     scheduler->OnDemandReport(report, now);
-    now += std::chrono::milliseconds(50);
+    Advance(std::chrono::milliseconds(50));
+  }
+
+  void Advance(Duration time) {
+    now += time;
     scheduler->OnTick(now);
   }
 
@@ -101,6 +105,31 @@
   return use;
 }
 
+UpstreamUse SetAside(const UpstreamId& upstream) {
+  UpstreamUse use;
+  use.upstream = upstream;
+  use.set_aside = true;
+  return use;
+}
+
+// Requests, one a second, for `time`; gives how many went to `upstream`.
+int CountSentTo(const UpstreamId& upstream,
+                Duration time,
+                const std::vector<UpstreamUse>& r1,
+                const std::vector<UpstreamUse>& r2,
+                Router* router) {
+  int count = 0;
+  const TimePoint end = router->now + time;
+  while (router->now < end) {
+    router->Tell(r1, "r1");
+    router->Tell(r2, "r2");
+    count += router->Request() == upstream ? 1 : 0;
+    router->Finish();
+    router->Advance(std::chrono::milliseconds(900));
+  }
+  return count;
+}
+
 }  // namespace
 
 TEST_CASE("a prompt goes where its prefix is", "[admission]") {
@@ -122,4 +151,33 @@
   CHECK(router.Request() != holder);
 }
 
+TEST_CASE("what another router set aside gets nothing but rare probes",
+          "[admission]") {
+  Router router(3);
+  const UpstreamId slow = router.Request();
+  router.Finish();
+  router.Advance(std::chrono::seconds(3));
+  const std::vector<UpstreamUse> r1 = {SetAside(slow)};
+  SECTION("though a third one still has work there") {
+    CHECK(CountSentTo(slow, std::chrono::seconds(55), r1, {Running(slow, 3)},
+                      &router) == 0);
+  }
+  SECTION("until it finds it recovered") {
+    CHECK(CountSentTo(slow, std::chrono::seconds(55), r1, {}, &router) == 0);
+    std::vector<UpstreamUse> full;
+    for (const char* id : {"u0", "u1", "u2"}) {
+      full.push_back(
+          Running(UpstreamId(id), UpstreamId(id) == slow ? 0 : kSlots));
+    }
+    CHECK(CountSentTo(slow, std::chrono::seconds(20), {Running(slow, 1)}, full,
+                      &router) == 20);
+  }
+  SECTION("so that it is found out if it has recovered") {
+    const int probes =
+        CountSentTo(slow, std::chrono::minutes(4), r1, {}, &router);
+    CHECK(probes >= 1);
+    CHECK(probes <= 2);
+  }
+}
+
 }  // namespace papaya
