Let tickets and claims follow a router's later incarnation, and its death

Cause: FleetPlane dropped Membership's word that this router goes on under a later incarnation, as the fleet knew a later one of its name. Its tickets and claims then named an incarnation that nobody holds for alive: every ticket through another router, and every retry of a key, was `unknown` until the next restart. And a request handed to the issuer of its ticket waited to its own deadline, although the issuer was known to be dead or to be another process by then.

Change: FleetPlane passes the word on to OncePlane; TicketDesk and ClaimKeeper issue and claim under the new incarnation and know the former ones as their own for as long as they remember what was said under them (OwnIncarnations). ForwardDesk is told which incarnation it asks and ends a request with `unknown` when that lives no more. OnceWorld renames routers, also in its random schedules.

--- a/include/once/claim_keeper.h
+++ b/include/once/claim_keeper.h
@@ -16,6 +16,7 @@
 #include "include/once/claim_messages.h"
 #include "include/once/once_table.h"
 #include "include/once/once_verdict.h"
+#include "include/once/own_incarnations.h"
 
 namespace papaya {
 
@@ -85,6 +86,12 @@
 
   void OnReply(const ClaimReply& reply, TimePoint now);
 
+  // This process goes on under a later incarnation; claims that it made before
+  // are still its own.
+  void SetIncarnation(Incarnation incarnation, TimePoint now) {
+    own_.Change(incarnation, now);
+  }
+
   // Ends attempts past their deadlines, repeats calls whose backoff is over,
   // and removes claims past their retention. Call every 20 ms or so.
   void OnTick(TimePoint now);
@@ -150,6 +157,7 @@
   std::function<void(Result)> IfAlive(Callback callback);
 
   Options options_;
+  OwnIncarnations own_;
   Hooks hooks_;
   ObjectStore* store_;
   Random random_;
--- a/include/once/ticket_desk.h
+++ b/include/once/ticket_desk.h
@@ -10,6 +10,7 @@
 #include "include/base/units.h"
 #include "include/once/once_table.h"
 #include "include/once/once_verdict.h"
+#include "include/once/own_incarnations.h"
 #include "include/once/ticket.h"
 
 namespace papaya {
@@ -47,6 +48,12 @@
   // Notes how the request of `ticket`, issued here, ended.
   void End(const Ticket& ticket, Outcome outcome, StoredAnswer answer);
 
+  // This process goes on under a later incarnation. Tickets that it issued
+  // before are still decided here; other routers take their issuer for gone.
+  void SetIncarnation(Incarnation incarnation, TimePoint now) {
+    own_.Change(incarnation, now);
+  }
+
   // Drops what need not be remembered any more.
   void OnTick(TimePoint now);
 
@@ -66,6 +73,7 @@
   OnceVerdict DecideOwn(const Ticket& ticket, TimePoint now);
 
   Options options_;
+  OwnIncarnations own_;
   AliveHook is_alive_;
   uint64_t next_serial_ = 1;
   TimePoint last_expiry_;
--- a/src/daemon/control_plane.cc
+++ b/src/daemon/control_plane.cc
@@ -46,9 +46,13 @@
       incarnation_(incarnation),
       hooks_(std::move(hooks)),
       store_(context.get_executor(), MakeStoreOptions(settings)),
-      forwards_([this](const RouterId& issuer, const ForwardRequest& request) {
-        SendTo(issuer, request);
-      }),
+      forwards_(
+          [this](const RouterId& issuer, const ForwardRequest& request) {
+            SendTo(issuer, request);
+          },
+          [this](const RouterId& router, Incarnation incarnation) {
+            return fleet_->IsAlive(router, incarnation);
+          }),
       poller_(context,
               {.load = hooks_.load,
                .cache = hooks_.cache,
@@ -189,6 +193,9 @@
     hooks_.in_force(config->revision);
   };
   hooks.stopped = [this](const StopFact& fact) { rollout_->OnStopFact(fact); };
+  hooks.incarnation_changed = [this](Incarnation incarnation) {
+    once_->SetIncarnation(incarnation, SteadyNow());
+  };
   hooks.event = hooks_.event;
   fleet_ = std::make_unique<FleetPlane>(
       settings_, incarnation_, peer_address, &store_, std::move(hooks),
--- a/src/daemon/fleet_plane.cc
+++ b/src/daemon/fleet_plane.cc
@@ -64,7 +64,7 @@
       Publish();
     }
   };
-  member_hooks.incarnation_changed = [](Incarnation) {};
+  member_hooks.incarnation_changed = hooks_.incarnation_changed;
   member_hooks.event = hooks_.event;
   membership_ = std::make_unique<Membership>(
       MakeMemberOptions(settings, incarnation, peer_address),
--- a/src/daemon/fleet_plane.h
+++ b/src/daemon/fleet_plane.h
@@ -32,6 +32,8 @@
     std::function<void(const std::shared_ptr<const FleetConfig>&)> in_force;
     // A version or one replica of it was found bad, here or elsewhere.
     std::function<void(const StopFact&)> stopped;
+    // The fleet knows this router under a later incarnation from now on.
+    std::function<void(Incarnation)> incarnation_changed;
     EventHook event;
   };
 
--- a/src/daemon/forward_desk.cc
+++ b/src/daemon/forward_desk.cc
@@ -8,6 +8,7 @@
 namespace papaya {
 
 void ForwardDesk::Forward(const RouterId& issuer,
+                          Incarnation incarnation,
                           ForwardRequest request,
                           TimePoint deadline,
                           ReplyHook done) {
@@ -18,8 +19,10 @@
     return;
   }
   request.serial = next_serial_++;
-  waiting_[request.serial] = {
-      .issuer = issuer, .deadline = deadline, .done = std::move(done)};
+  waiting_[request.serial] = {.issuer = issuer,
+                              .incarnation = incarnation,
+                              .deadline = deadline,
+                              .done = std::move(done)};
   send_(issuer, request);
 }
 
@@ -34,20 +37,25 @@
 }
 
 void ForwardDesk::OnTick(TimePoint now) {
-  std::vector<Waiting> late;
+  std::vector<Waiting> over;
   for (auto next = waiting_.begin(); next != waiting_.end();) {
-    if (now < next->second.deadline) {
+    const Waiting& waiting = next->second;
+    if (now < waiting.deadline &&
+        is_alive_(waiting.issuer, waiting.incarnation)) {
       ++next;
       continue;
     }
-    late.push_back(std::move(next->second));
+    over.push_back(std::move(next->second));
     next = waiting_.erase(next);
   }
-  for (const Waiting& waiting : late) {
+  for (const Waiting& waiting : over) {
+    const bool is_late = now >= waiting.deadline;
     waiting.done(
-        MakeError(absl::StatusCode::kDeadlineExceeded,
+        MakeError(is_late ? absl::StatusCode::kDeadlineExceeded
+                          : absl::StatusCode::kUnavailable,
                   {.step = "ticket.forward", .peer = waiting.issuer.value()},
-                  "gave no answer in time"));
+                  is_late ? "gave no answer in time"
+                          : "has ended before it gave an answer"));
   }
 }
 
--- a/src/daemon/forward_desk.h
+++ b/src/daemon/forward_desk.h
@@ -18,15 +18,20 @@
  public:
   using ReplyHook = std::function<void(absl::StatusOr<HttpResponse>)>;
   using SendHook = std::function<void(const RouterId&, const ForwardRequest&)>;
+  // True if that incarnation of a router is believed to be alive.
+  using AliveHook = std::function<bool(const RouterId&, Incarnation)>;
 
   static constexpr size_t kMaxWaiting = 4096;
 
-  explicit ForwardDesk(SendHook send) : send_(std::move(send)) {}
+  ForwardDesk(SendHook send, AliveHook is_alive)
+      : send_(std::move(send)), is_alive_(std::move(is_alive)) {}
 
-  // Sends `request` to `issuer`. `done` is called once: with the answer, with
-  // kDeadlineExceeded by OnTick, or with kResourceExhausted at once if too many
-  // wait; then nothing was sent.
+  // Sends `request` to `issuer`. `done` is called once: with the answer; by
+  // OnTick with kDeadlineExceeded, or with kUnavailable if that incarnation of
+  // the issuer lives no more; or with kResourceExhausted at once if too many
+  // wait, and then nothing was sent.
   void Forward(const RouterId& issuer,
+               Incarnation incarnation,
                ForwardRequest request,
                TimePoint deadline,
                ReplyHook done);
@@ -40,11 +45,13 @@
  private:
   struct Waiting {
     RouterId issuer;
+    Incarnation incarnation;
     TimePoint deadline;
     ReplyHook done;
   };
 
   SendHook send_;
+  AliveHook is_alive_;
   uint64_t next_serial_ = 1;
   std::map<uint64_t, Waiting> waiting_;
 };
--- a/src/daemon/once_gate.cc
+++ b/src/daemon/once_gate.cc
@@ -62,12 +62,16 @@
              });
 }
 
-asio::awaitable<absl::StatusOr<HttpResponse>>
-OnceGate::Forward(RouterId issuer, ForwardRequest request, TimePoint deadline) {
+asio::awaitable<absl::StatusOr<HttpResponse>> OnceGate::Forward(
+    RouterId issuer,
+    Incarnation incarnation,
+    ForwardRequest request,
+    TimePoint deadline) {
   return CallOn<absl::StatusOr<HttpResponse>>(
-      context_, [this, issuer = std::move(issuer), request = std::move(request),
-                 deadline](const ReplyHook& resume) {
-        forward_(issuer, request, deadline, resume);
+      context_,
+      [this, issuer = std::move(issuer), incarnation,
+       request = std::move(request), deadline](const ReplyHook& resume) {
+        forward_(issuer, incarnation, request, deadline, resume);
       });
 }
 
--- a/src/daemon/once_gate.h
+++ b/src/daemon/once_gate.h
@@ -25,8 +25,11 @@
   using ReplyHook = std::function<void(absl::StatusOr<HttpResponse>)>;
   // Hands a request to another router; on the control thread. Calls back once,
   // by the deadline at the latest.
-  using ForwardHook = std::function<
-      void(const RouterId&, ForwardRequest, TimePoint deadline, ReplyHook)>;
+  using ForwardHook = std::function<void(const RouterId&,
+                                         Incarnation,
+                                         ForwardRequest,
+                                         TimePoint deadline,
+                                         ReplyHook)>;
 
   // `context` is the control thread's. `plane` must outlive this.
   OnceGate(boost::asio::io_context& context,
@@ -42,10 +45,14 @@
   // Notes how a request that proceeded ended.
   void End(RequestId id, Outcome outcome, StoredAnswer answer);
 
-  // Hands a request to the issuer of its ticket and awaits its answer. Fails
-  // with kUnavailable or kDeadlineExceeded; the request may then have run.
-  boost::asio::awaitable<absl::StatusOr<HttpResponse>>
-  Forward(RouterId issuer, ForwardRequest request, TimePoint deadline);
+  // Hands a request to that incarnation of the issuer of its ticket and awaits
+  // its answer. Fails with kUnavailable or kDeadlineExceeded; the request may
+  // then have run.
+  boost::asio::awaitable<absl::StatusOr<HttpResponse>> Forward(
+      RouterId issuer,
+      Incarnation incarnation,
+      ForwardRequest request,
+      TimePoint deadline);
 
   boost::asio::awaitable<std::vector<std::string>> IssueTickets(
       AccountId account,
--- a/src/daemon/once_plane.cc
+++ b/src/daemon/once_plane.cc
@@ -117,6 +117,11 @@
   keeper_.OnReply(reply, now);
 }
 
+void OncePlane::SetIncarnation(Incarnation incarnation, TimePoint now) {
+  desk_.SetIncarnation(incarnation, now);
+  keeper_.SetIncarnation(incarnation, now);
+}
+
 void OncePlane::OnTick(TimePoint now) {
   desk_.OnTick(now);
   keeper_.OnTick(now);
--- a/src/daemon/once_plane.h
+++ b/src/daemon/once_plane.h
@@ -74,6 +74,9 @@
   void OnQuery(const ClaimQuery& query);
   void OnReply(const ClaimReply& reply, TimePoint now);
 
+  // The fleet knows this router under a later incarnation from now on.
+  void SetIncarnation(Incarnation incarnation, TimePoint now);
+
   // Call every 20 ms or so.
   void OnTick(TimePoint now);
 
--- a/src/daemon/request_session.cc
+++ b/src/daemon/request_session.cc
@@ -165,7 +165,7 @@
                          .time_left = request_.spec.deadline - SteadyNow()};
   forward.request.headers.Set(kTraceparentHeader, FormatTraceparent(span));
   absl::StatusOr<HttpResponse> answer = co_await services_->once->Forward(
-      verdict.router, std::move(forward), deadline);
+      verdict.router, verdict.incarnation, std::move(forward), deadline);
   const std::string failure(answer.status().message());
   HttpResponse response;
   if (answer.ok()) {
--- a/src/daemon/router_impl.cc
+++ b/src/daemon/router_impl.cc
@@ -235,9 +235,11 @@
                                           std::move(hooks));
   once_gate_ = std::make_unique<OnceGate>(
       control_.context(), &plane_->once(),
-      [this](const RouterId& issuer, const ForwardRequest& request,
-             TimePoint deadline, OnceGate::ReplyHook done) {
-        plane_->forwards().Forward(issuer, request, deadline, std::move(done));
+      [this](const RouterId& issuer, Incarnation incarnation,
+             const ForwardRequest& request, TimePoint deadline,
+             OnceGate::ReplyHook done) {
+        plane_->forwards().Forward(issuer, incarnation, request, deadline,
+                                   std::move(done));
       });
   services_.once = once_gate_.get();
   services_.count_reply = [this](const ReplySample& sample) {
--- a/src/once/claim_keeper.cc
+++ b/src/once/claim_keeper.cc
@@ -35,6 +35,7 @@
                          ObjectStore* store,
                          Random random)
     : options_(std::move(options)),
+      own_(options_.incarnation, options_.retention + kTableMargin),
       hooks_(std::move(hooks)),
       store_(store),
       random_(random),
@@ -80,7 +81,7 @@
 ClaimReply ClaimKeeper::OnQuery(const ClaimQuery& query) {
   ClaimReply reply{.claim = query.claim};
   const OnceTable::Entry* entry = table_.Find(query.claim);
-  if (query.claimer != options_.incarnation || entry == nullptr) {
+  if (!own_.Contains(query.claimer) || entry == nullptr) {
     return reply;
   }
   if (entry->state == OnceTable::State::kRunning) {
@@ -143,6 +144,7 @@
   }
   RemoveOldClaims(now);
   table_.Prune(now);
+  own_.Prune(now);
 }
 
 std::string ClaimKeeper::StoreKey(const std::string& claim) const {
@@ -159,8 +161,8 @@
     return true;
   }
   const std::string operation =
-      absl::StrCat(options_.router.value(), "/", options_.incarnation.value(),
-                   "/", next_operation_++);
+      absl::StrCat(options_.router.value(), "/", own_.current().value(), "/",
+                   next_operation_++);
   own_claims_[claim] = {.operation = OperationId(operation)};
   removals_.push_back({.due = removal_due, .claim = claim});
   return true;
@@ -170,7 +172,7 @@
   waiting.step = Step::kClaiming;
   const std::string claim = waiting.attempt.claim;
   const ClaimRecord record{.router = options_.router,
-                           .incarnation = options_.incarnation,
+                           .incarnation = own_.current(),
                            .claimed_at = hooks_.wall_now()};
   const ConditionalWrite write{.key = StoreKey(claim),
                                .expected = ObjectVersion(0),
@@ -339,7 +341,7 @@
     return;
   }
   const ClaimRecord record{.router = options_.router,
-                           .incarnation = options_.incarnation,
+                           .incarnation = own_.current(),
                            .claimed_at = hooks_.wall_now(),
                            .is_not_run = true};
   const ConditionalWrite write{.key = StoreKey(claim),
--- a/src/once/ticket_desk.cc
+++ b/src/once/ticket_desk.cc
@@ -21,6 +21,7 @@
 
 TicketDesk::TicketDesk(Options options, AliveHook is_alive)
     : options_(std::move(options)),
+      own_(options_.incarnation, options_.lifetime + options_.memory),
       is_alive_(std::move(is_alive)),
       table_(options_.max_tickets, options_.max_answer_bytes) {}
 
@@ -38,7 +39,7 @@
   tickets.reserve(granted);
   for (size_t i = 0; i < granted; ++i) {
     tickets.push_back({.issuer = options_.router,
-                       .incarnation = options_.incarnation,
+                       .incarnation = own_.current(),
                        .serial = next_serial_++,
                        .expires = last_expiry_});
   }
@@ -47,6 +48,7 @@
 
 void TicketDesk::OnTick(TimePoint now) {
   table_.Prune(now);
+  own_.Prune(now);
   while (!batches_.empty() && batches_.front().forgotten <= now) {
     tickets_out_ -= batches_.front().count;
     batches_.pop_front();
@@ -54,8 +56,7 @@
 }
 
 OnceVerdict TicketDesk::Decide(const Ticket& ticket, TimePoint now) {
-  if (ticket.issuer == options_.router &&
-      ticket.incarnation == options_.incarnation) {
+  if (ticket.issuer == options_.router && own_.Contains(ticket.incarnation)) {
     return DecideOwn(ticket, now);
   }
   if (ticket.issuer == options_.router ||
--- a/tests/at_most_once_test.cc
+++ b/tests/at_most_once_test.cc
@@ -17,7 +17,7 @@
   const uint64_t routers = static_cast<uint64_t>(world.router_count());
   for (int step = 0; step < kSteps; ++step) {
     const int router = static_cast<int>(random.Below(routers));
-    switch (random.Below(8)) {
+    switch (random.Below(9)) {
       case 0:
         world.AddKeyedCall(random.Chance(0.5));
         break;
@@ -37,6 +37,11 @@
       case 4:
         world.backend.faults.is_out = random.Chance(0.3);
         break;
+      case 5:
+        if (random.Chance(0.2)) {
+          world.Rename(router);
+        }
+        break;
       default:
         if (!world.calls.empty()) {
           world.Try(random.Below(world.calls.size()), router);
@@ -143,6 +148,35 @@
   CHECK(world.calls[call].told_unknown == 2);
 }
 
+TEST_CASE(
+    "At most once: a router that goes on under a later incarnation is asked "
+    "under that, and knows what it said before as its own",
+    "[once]") {
+  OnceWorld world(19, 3);
+  REQUIRE(world.AddTicketedCall(0));
+  world.AddKeyedCall(false);
+  world.Try(1, 0);
+  world.RunFor(std::chrono::seconds(1));
+  world.Rename(0);
+  for (const size_t call : {0, 1}) {
+    world.Try(call, 0);
+  }
+  REQUIRE(world.AddTicketedCall(0));
+  world.AddKeyedCall(false);
+  for (const size_t call : {2, 3}) {
+    world.Try(call, 0);
+    world.RunFor(std::chrono::seconds(1));
+    world.Try(call, 1);
+  }
+  world.RunFor(std::chrono::seconds(2));
+  const std::vector<int> told_ran = {1, 2, 2, 2};
+  for (size_t call = 0; call < told_ran.size(); ++call) {
+    INFO("call " << call);
+    CHECK(world.calls[call].dispatches == 1);
+    CHECK(world.calls[call].told_ran == told_ran[call]);
+  }
+}
+
 TEST_CASE("Tickets: the bound on tickets out is kept and freed again",
           "[once]") {
   TicketDesk desk({.router = RouterId("a"),
--- a/tests/fakes/once_world.h
+++ b/tests/fakes/once_world.h
@@ -87,6 +87,14 @@
     Start(router);
   }
 
+  // The process goes on under a later incarnation.
+  void Rename(int router) {
+    Router& renamed = routers_[router];
+    renamed.incarnation = renamed.incarnation.Next();
+    renamed.desk->SetIncarnation(renamed.incarnation, backend.now);
+    renamed.keeper->SetIncarnation(renamed.incarnation, backend.now);
+  }
+
   void Pause(int router, Duration time) {
     routers_[router].paused_until = backend.now + time;
   }
@@ -145,6 +153,8 @@
   };
 
   struct Router {
+    // Counts processes.
+    int life = 0;
     Incarnation incarnation;
     TimePoint paused_until;
     uint64_t next_request = 1;
@@ -182,10 +192,10 @@
   void Deliver(int router,
                Duration delay,
                const std::function<void()>& action) {
-    const Incarnation incarnation = routers_[router].incarnation;
-    backend.At(backend.now + delay, [this, router, incarnation, action] {
+    const int life = routers_[router].life;
+    backend.At(backend.now + delay, [this, router, life, action] {
       Router& target = routers_[router];
-      if (target.incarnation != incarnation) {
+      if (target.life != life) {
         return;
       }
       if (target.paused_until > backend.now) {
@@ -218,6 +228,7 @@
 
   void Start(int index) {
     Router& router = routers_[index];
+    ++router.life;
     router.incarnation = router.incarnation.Next();
     router.paused_until = TimePoint();
     router.store = std::make_unique<RouterStore>(this, index);
