End and lose routers under streams, with real processes

Cause: SIGTERM was tried with one stream in flight and nothing waiting; a stream whose router is killed was resumed only inside a mixed load.

--- a/tests/process_fleet.cc
+++ b/tests/process_fleet.cc
@@ -18,6 +18,7 @@
 #include "include/standin/ledger_check.h"
 #include "include/standin/load_runner.h"
 #include "include/wire/http_client.h"
+#include "include/wire/sse_reader.h"
 #include "tests/loopback.h"
 
 namespace papaya {
@@ -89,6 +90,7 @@
     return absl::StrCat("127.0.0.1:", ChildProcess::TextIn(line, "port"));
   };
   addresses_[name] = read_address("callers");
+  operator_addresses_[name] = read_address("operators");
   peer_addresses_[name] = read_address("routers");
   // In any order.
   std::set<std::string> awaited = {EventText("router_ready")};
@@ -135,6 +137,15 @@
   return all;
 }
 
+int64_t ProcessFleet::StatusOf(const std::string& router_name,
+                               const std::string& key) {
+  HttpRequest request;
+  request.target = "/v1/status";
+  request.headers.Set("Authorization", "Bearer skokan-operators");
+  const HttpResponse page = Ask(operator_addresses_.at(router_name), request);
+  return boost::json::parse(page.body).at(key).to_number<int64_t>();
+}
+
 void ProcessFleet::SetFaults(const std::string& name,
                              const std::string& faults) {
   HttpRequest request;
@@ -147,13 +158,22 @@
 std::map<std::string, uint64_t> ProcessFleet::Ledger() {
   std::map<std::string, uint64_t> runs;
   for (const char* service : {"booking-1", "booking-2"}) {
-    HttpRequest request;
-    request.target = "/ledger";
-    REQUIRE(AddLedger(Ask(standins_.at(service), request).body, runs).ok());
+    for (const auto& [key, count] : LedgerOf(service)) {
+      runs[key] += count;
+    }
   }
   return runs;
 }
 
+std::map<std::string, uint64_t> ProcessFleet::LedgerOf(
+    const std::string& service) {
+  HttpRequest request;
+  request.target = "/ledger";
+  std::map<std::string, uint64_t> runs;
+  REQUIRE(AddLedger(Ask(standins_.at(service), request).body, runs).ok());
+  return runs;
+}
+
 void ProcessFleet::AwaitRun(const std::string& key) {
   const TimePoint deadline = SteadyNow() + Duration(kCallTimeout);
   while (RunsOf(key) == 0) {
@@ -230,6 +250,51 @@
   return request;
 }
 
+HttpRequest ProcessFleet::Chat(const std::string& prompt, Tokens max_tokens) {
+  HttpRequest request =
+      Post("/v1/chat/completions",
+           absl::StrCat(R"({"model":"assistant","stream":true,"max_tokens":)",
+                        max_tokens.value(),
+                        R"(,"messages":[{"role":"user","content":")", prompt,
+                        R"("}]})"));
+  request.headers.Set("papaya-route", "plan");
+  return request;
+}
+
+asio::awaitable<std::string> ProcessFleet::ReadStream(
+    std::string address,
+    HttpRequest request,
+    AnswerCheck* check,
+    std::function<void()> read) {
+  const TimePoint deadline = SteadyNow() + Duration(kCallTimeout);
+  absl::StatusOr<std::unique_ptr<HttpClient>> client =
+      co_await HttpClient::Connect(address, deadline);
+  REQUIRE(client.ok());
+  const absl::Status sent = co_await (*client)->Send(request, deadline);
+  REQUIRE(sent.ok());
+  const absl::StatusOr<HttpResponse> head =
+      co_await (*client)->ReadHead(deadline);
+  REQUIRE(head.ok());
+  REQUIRE(head->status == 200);
+  SseReader reader(Bytes(64 * 1024));
+  while (!check->is_whole() && !check->is_wrong()) {
+    const absl::StatusOr<std::string> piece =
+        co_await (*client)->ReadPiece(deadline);
+    if (!piece.ok() || piece->empty()) {
+      break;
+    }
+    std::vector<SseEvent> events;
+    REQUIRE(reader.Feed(*piece, &events).ok());
+    for (const SseEvent& event : events) {
+      check->OnEvent(event);
+    }
+    if (read != nullptr) {
+      read();
+    }
+  }
+  co_return head->headers.Get("papaya-stream-id");
+}
+
 LoadTally ProcessFleet::RunLoad(const LoadOptions& options,
                                 const std::function<void()>& at_half) {
   bool is_over = false;
--- a/tests/process_fleet.h
+++ b/tests/process_fleet.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "absl/status/statusor.h"
+#include "include/standin/answer_check.h"
 #include "include/standin/load_plan.h"
 #include "include/standin/load_tally.h"
 #include "include/wire/http_message.h"
@@ -57,12 +58,17 @@
   std::vector<std::string> addresses() const;
   const std::filesystem::path& directory() const { return directory_; }
 
+  // The value of the number `key` on the status page of `router`.
+  int64_t StatusOf(const std::string& router, const std::string& key);
+
   // Switches faults of a stand-in, as POST /faults takes them; `name` is
   // `platform`, `booking-1`, `engine-1` and so on.
   void SetFaults(const std::string& name, const std::string& faults);
 
   // How often each booking was run, over both services.
   std::map<std::string, uint64_t> Ledger();
+  // The same of one service.
+  std::map<std::string, uint64_t> LedgerOf(const std::string& service);
   uint64_t RunsOf(const std::string& key) { return Ledger()[key]; }
   // Waits until a service has accepted the booking `key`.
   void AwaitRun(const std::string& key);
@@ -70,6 +76,10 @@
   // Sends a request to `address` and awaits its answer.
   HttpResponse Ask(const std::string& address, const HttpRequest& request);
 
+  HttpResponse AskStandin(const std::string& name, const HttpRequest& request) {
+    return Ask(standins_.at(name), request);
+  }
+
   // Begins a request that may fail; End, or another Ask, moves it on.
   class Call;
   std::unique_ptr<Call> Begin(const std::string& router,
@@ -85,6 +95,16 @@
                              const std::string& header,
                              const std::string& value);
 
+  // A chat that is streamed and is not urgent.
+  static HttpRequest Chat(const std::string& prompt, Tokens max_tokens);
+  // Reads a stream into `check` until its end, or until it breaks; `read` is
+  // called after each piece. Gives the stream's id.
+  boost::asio::awaitable<std::string> ReadStream(
+      std::string address,
+      HttpRequest request,
+      AnswerCheck* check,
+      std::function<void()> read = nullptr);
+
   // Sends a load; calls `at_half` once, when half of its time is over.
   LoadTally RunLoad(const LoadOptions& options,
                     const std::function<void()>& at_half = nullptr);
@@ -110,6 +130,7 @@
   std::map<std::string, std::unique_ptr<ChildProcess>> routers_;
   std::map<std::string, std::string> addresses_;
   std::map<std::string, std::string> peer_addresses_;
+  std::map<std::string, std::string> operator_addresses_;
 };
 
 // A request on its way.
