Read the VM list every 2 s, so that it alone drains an upstream in 3

Cause: an upstream that is leaving must get no new work 3 s after any source says so. Readers asked for the platform's VM list every 5 s.

Change: they ask every 2 s; only the few routers that read the store do. leaving_process_test.cc drains, over real processes, an engine that says so, a service that refuses, both with the VM list 10 minutes late and the Object API out, and upstreams that the VM list alone shows.

--- a/src/daemon/control_plane.cc
+++ b/src/daemon/control_plane.cc
@@ -17,7 +17,8 @@
 constexpr std::chrono::milliseconds kTick{20};
 // The cores of the fleet and of release notes are ticked this often.
 constexpr std::chrono::milliseconds kSlowTick{100};
-constexpr std::chrono::seconds kVmReadInterval{5};
+// What leaves by the VM list alone must get no new work after 3 s.
+constexpr std::chrono::seconds kVmReadInterval{2};
 
 HttpObjectStoreOptions MakeStoreOptions(const RouterSettings& settings) {
   HttpObjectStoreOptions options;
--- /dev/null
+++ b/tests/leaving_process_test.cc
@@ -0,0 +1,117 @@
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "include/wire/steady_time.h"
+#include "tests/process_fleet.h"
+
+namespace papaya {
+namespace {
+
+// An upstream that is leaving gets no new work after this time.
+constexpr Duration kNoNewWorkAfter = std::chrono::seconds(3);
+constexpr int kCallsEach = 20;
+
+class LeavingFleet : public ProcessFleet {
+ public:
+  explicit LeavingFleet(const std::vector<const char*>& routers = {"r1", "r2",
+                                                                   "r3"})
+      : names_(routers) {
+    for (const char* name : names_) {
+      StartRouter(name);
+    }
+  }
+
+  // Reads stock through each router a few times; each answer must be whole.
+  void ReadStock() {
+    for (int i = 0; i < kCallsEach; ++i) {
+      for (const char* name : names_) {
+        HttpRequest request = Post("", "");
+        request.method = "GET";
+        request.target = absl::StrCat("/svc/booking/stock-", ++calls_);
+        REQUIRE(Ask(address(name), request).status == 200);
+      }
+    }
+  }
+
+  // Waits until all routers have said that `upstream` is leaving; gives the
+  // time that it took.
+  Duration AwaitLeaving(const std::string& upstream) {
+    const TimePoint start = SteadyNow();
+    for (const char* name : names_) {
+      AwaitEvent(name, "upstream_leaving", upstream);
+    }
+    return SteadyNow() - start;
+  }
+
+  const std::vector<const char*>& names() const { return names_; }
+
+ private:
+  std::vector<const char*> names_;
+  int calls_ = 0;
+};
+
+TEST_CASE(
+    "papayad: an engine that says that it leaves gets no new work from any "
+    "router, with the VM list lagging and the Object API out",
+    "[process]") {
+  LeavingFleet fleet;
+  fleet.SetFaults("platform", R"({"report_lag_ms":600000,"outage":true})");
+  fleet.SetFaults("engine-1", R"({"leaving":true})");
+  CHECK(fleet.AwaitLeaving("engine-1") <= kNoNewWorkAfter);
+  // It would take work again.
+  fleet.SetFaults("engine-1", R"({"leaving":false})");
+  for (int i = 0; i < kCallsEach; ++i) {
+    for (const char* name : fleet.names()) {
+      const HttpResponse answer =
+          fleet.Ask(fleet.address(name),
+                    ProcessFleet::Chat(absl::StrCat("chat ", i), Tokens(2)));
+      CHECK(answer.headers.Get("papaya-upstream") == "engine-2");
+    }
+  }
+}
+
+TEST_CASE(
+    "papayad: a service that refuses as it leaves gets no new work from any "
+    "router, with the VM list lagging and the Object API out",
+    "[process]") {
+  LeavingFleet fleet;
+  fleet.ReadStock();
+  REQUIRE_FALSE(fleet.LedgerOf("booking-1").empty());
+  fleet.SetFaults("platform", R"({"report_lag_ms":600000,"outage":true})");
+  fleet.SetFaults("booking-1", R"({"leaving":true})");
+  const TimePoint start = SteadyNow();
+  while (SteadyNow() - start < kNoNewWorkAfter) {
+    fleet.ReadStock();
+  }
+  // It would take work again.
+  fleet.SetFaults("booking-1", R"({"leaving":false})");
+  const std::map<std::string, uint64_t> before = fleet.LedgerOf("booking-1");
+  fleet.ReadStock();
+  CHECK(fleet.LedgerOf("booking-1") == before);
+}
+
+TEST_CASE(
+    "papayad: an upstream that only the VM list shows as leaving gets no new "
+    "work",
+    "[process]") {
+  LeavingFleet fleet({"r1"});
+  // The second begins just when the router has read the list.
+  for (const char* upstream : {"engine-1", "booking-1"}) {
+    const HttpRequest request = ProcessFleet::Post(
+        "/vms",
+        absl::StrCat(R"({"id":"vm-)", upstream, R"(","state":"leaving"})"));
+    REQUIRE(fleet.AskStandin("platform", request).status == 200);
+    const Duration took = fleet.AwaitLeaving(upstream);
+    CHECK(took <= kNoNewWorkAfter);
+  }
+  const std::map<std::string, uint64_t> before = fleet.LedgerOf("booking-1");
+  fleet.ReadStock();
+  CHECK(fleet.LedgerOf("booking-1") == before);
+}
+
+}  // namespace
+}  // namespace papaya
