Heed the VM list for upstreams that a router learns of later

Cause: FleetPlane compared the VM list with the configuration's upstreams only when the list changed. A list that was read before the first configuration was forgotten, and an upstream that a later revision puts on a VM that is leaving got work.

Change: it compares again with each revision, and not before there is one.

--- a/src/daemon/fleet_plane.cc
+++ b/src/daemon/fleet_plane.cc
@@ -125,14 +125,13 @@
     routers.emplace_back(vm.value());
   }
   membership_->OnVmList(routers, now);
-  if (leaving == leaving_vms_) {
-    return;
-  }
-  leaving_vms_ = leaving;
   const std::shared_ptr<const FleetConfig> config = spreader_->config();
-  if (config == nullptr) {
+  if (config == nullptr ||
+      (leaving == leaving_vms_ && config->revision == leaving_revision_)) {
     return;
   }
+  leaving_vms_ = leaving;
+  leaving_revision_ = config->revision;
   for (const UpstreamSpec& upstream : config->upstreams) {
     if (leaving.contains(upstream.vm)) {
       OnUpstreamLeaving(upstream.id, now);
--- a/src/daemon/fleet_plane.h
+++ b/src/daemon/fleet_plane.h
@@ -107,8 +107,10 @@
   // Stop facts of the notes that are in progress.
   StopSet stops_;
   std::set<StopFact> known_stops_;
-  // Upstreams on VMs that the platform's list shows as leaving.
+  // VMs that the platform's list showed as leaving, and the revision whose
+  // upstreams were compared with them.
   std::set<VmId> leaving_vms_;
+  Revision leaving_revision_;
 };
 
 }  // namespace papaya
--- a/tests/fleet_plane_test.cc
+++ b/tests/fleet_plane_test.cc
@@ -2,34 +2,90 @@
 
 #include <catch2/catch.hpp>
 
+#include "absl/strings/str_cat.h"
+#include "include/config/fleet_config_json.h"
 #include "tests/fakes/fake_object_store.h"
 
 namespace papaya {
 namespace {
 
+struct FleetPlaneFixture {
+  FleetPlane::Hooks Hooks() {
+    FleetPlane::Hooks hooks;
+    hooks.send = [](const PeerAddress&, const PeerMessage&) {};
+    hooks.publish = [](const std::shared_ptr<const RoutingSnapshot>&) {};
+    hooks.in_force = [](const std::shared_ptr<const FleetConfig>&) {};
+    hooks.incarnation_changed = [this](Incarnation now) { told = now; };
+    hooks.event = [](const Event&) {};
+    return hooks;
+  }
+
+  RouterSettings Settings() {
+    RouterSettings settings;
+    settings.router = RouterId("r1");
+    return settings;
+  }
+
+  // Writes `config` to the store and lets the plane take it up.
+  void PutInForce(const FleetConfig& config) {
+    StoredObject& object = backend.objects["/config"];
+    object.key = "/config";
+    object.version = ObjectVersion(config.revision.value());
+    object.value = FleetConfigToJson(config);
+    const TimePoint limit = backend.now + std::chrono::minutes(2);
+    while (plane.config() == nullptr ||
+           plane.config()->revision != config.revision) {
+      REQUIRE(backend.now < limit);
+      backend.RunUntil(backend.now + std::chrono::milliseconds(100));
+      plane.OnTick(backend.now);
+    }
+  }
+
+  FakeObjectStoreBackend backend{1};
+  FakeObjectStore store{&backend};
+  Incarnation told;
+  FleetPlane plane{Settings(), Incarnation(5), "10.0.0.1:1", &store, Hooks(),
+                   1,          backend.now};
+};
+
 TEST_CASE(
     "FleetPlane: tells when the fleet knew this router with a later start",
     "[daemon]") {
-  FakeObjectStoreBackend backend(1);
-  FakeObjectStore store(&backend);
-  RouterSettings settings;
-  settings.router = RouterId("r1");
-  Incarnation told;
-  FleetPlane::Hooks hooks;
-  hooks.send = [](const PeerAddress&, const PeerMessage&) {};
-  hooks.publish = [](const std::shared_ptr<const RoutingSnapshot>&) {};
-  hooks.incarnation_changed = [&told](Incarnation now) { told = now; };
-  hooks.event = [](const Event&) {};
-  FleetPlane plane(settings, Incarnation(5), "10.0.0.1:1", &store, hooks, 1,
-                   backend.now);
-  plane.OnTick(backend.now);
+  FleetPlaneFixture fixture;
+  FleetPlane& plane = fixture.plane;
+  plane.OnTick(fixture.backend.now);
   MemberNews news;
   news.stamps = {
-      {.key = MemberKey(settings.router), .incarnation = Incarnation(9)}};
+      {.key = MemberKey(RouterId("r1")), .incarnation = Incarnation(9)}};
   plane.OnMessage(RouterId("r2"), MemberMessage(news),
-                  backend.now + std::chrono::seconds(2));
+                  fixture.backend.now + std::chrono::seconds(2));
   CHECK(plane.incarnation() > Incarnation(9));
-  CHECK(told == plane.incarnation());
+  CHECK(fixture.told == plane.incarnation());
+}
+
+TEST_CASE("FleetPlane: heeds the VM list for upstreams that it learns of later",
+          "[daemon]") {
+  FleetPlaneFixture fixture;
+  FleetPlane& plane = fixture.plane;
+  const std::set<VmId> leaving = {VmId("vm-old"), VmId("vm-new")};
+  plane.OnVmList(leaving, {}, fixture.backend.now);
+  FleetConfig config;
+  for (const char* name : {"old", "new"}) {
+    config.revision = config.revision.Next();
+    UpstreamSpec spec;
+    spec.id = UpstreamId(name);
+    spec.vm = VmId(absl::StrCat("vm-", name));
+    spec.address = "10.0.0.2:1";
+    spec.zone = AvailabilityZoneId("zone-a");
+    spec.pool = PoolId("m");
+    spec.version = VersionId("v1");
+    spec.generation = GenerationId("g1");
+    spec.slots = 1;
+    config.upstreams.push_back(spec);
+    fixture.PutInForce(config);
+    plane.OnVmList(leaving, {}, fixture.backend.now);
+    CHECK(plane.facts().IsLeaving(spec.id));
+  }
 }
 
 }  // namespace
