Take in the other routers' reports before a request is placed

Cause: reports that had come waited for the next tick, or for the end of the dispatch that they should have guided: up to 50 ms on top of the 250 ms between reports, while the last free slots of the fastest engines were taken twice. Change: OnRequest applies news of peers before it dispatches. Slots that an answer has just set free still go first to requests of this router.

--- a/src/admission/scheduler_core.cc
+++ b/src/admission/scheduler_core.cc
@@ -117,6 +117,9 @@
   entry->cost = Cost(*entry, entry->expected_output);
   Enqueue(entry, /*at_front=*/false);
   const int32_t group = entry->group;
+  if (has_peer_news_) {
+    ApplyPeers(now);
+  }
   Dispatch(group, now);
   if (queued_ > options_.max_queued) {
     EvictOne(request.tier);
