Measure the policy part by part, engines alone, and accounts with equal demand

Bookings, which never overload their own services, are 17 of 18 critical requests and hid what happens to the rest. Change: SchedulerParts leaves a part out, for measures only; overload.without_* prints the figures without it, with the part as baseline. top_tier_goodput also prints .on_engines against the same target. The measure of fairness runs for 1,800 s. SchedulerCore's handling of attempts has its own file.

--- a/bench/account_fairness.cc
+++ b/bench/account_fairness.cc
@@ -9,6 +9,9 @@
 namespace {
 
 constexpr size_t kAccounts = 5;
+// So long that the accounts which ask alike do ask for nearly as many tokens:
+// each sends but about one request in nine seconds.
+constexpr Duration kFairnessTime = std::chrono::seconds(1800);
 
 double AccountFairness(const SchedulingRun& run, uint64_t seed) {
   const std::unique_ptr<FakeFleet> fleet = RunFleet(run, seed);
@@ -37,6 +40,7 @@
 
 double MeanAccountFairness(const SchedulingRun& run) {
   SchedulingRun shared = run;
+  shared.duration = kFairnessTime;
   shared.prepare = [](FakeFleet*, FakeTraffic* traffic) {
     traffic->UseAccounts({10.0, 1.0, 1.0, 1.0, 1.0});
   };
--- a/bench/baseline_policies.cc
+++ b/bench/baseline_policies.cc
@@ -17,8 +17,15 @@
 // A Scheduler, with some of what it is told left out.
 class BlindSchedulerPolicy : public SchedulerPolicy {
  public:
-  BlindSchedulerPolicy(size_t router, SchedulerHooks hooks, PolicyKind kind)
-      : SchedulerPolicy(router, std::move(hooks)), kind_(kind) {}
+  BlindSchedulerPolicy(size_t router,
+                       SchedulerHooks hooks,
+                       PolicyKind kind,
+                       const SchedulerParts& parts)
+      : SchedulerPolicy(router,
+                        std::move(hooks),
+                        SchedulerOptions().max_queued,
+                        parts),
+        kind_(kind) {}
 
   void OnRequest(const RequestSpec& request, TimePoint now) override {
     RequestSpec told = request;
@@ -238,6 +245,7 @@
 
 std::unique_ptr<FakeFleet> MakeFleet(const FakeSite& site,
                                      PolicyKind kind,
+                                     const SchedulerParts& parts,
                                      const FleetLinks& links,
                                      uint64_t seed) {
   auto central = std::make_shared<CentralQueue>(site.upstreams);
@@ -248,8 +256,9 @@
   options.links = links;
   options.seed = seed;
   options.make_policy =
-      [kind, central](size_t router,
-                      SchedulerHooks hooks) -> std::unique_ptr<RouterPolicy> {
+      [kind, parts, central](
+          size_t router,
+          SchedulerHooks hooks) -> std::unique_ptr<RouterPolicy> {
     switch (kind) {
       case PolicyKind::kRoundRobin:
         return std::make_unique<DirectPolicy>(std::move(hooks), false);
@@ -263,7 +272,7 @@
         break;
     }
     return std::make_unique<BlindSchedulerPolicy>(router, std::move(hooks),
-                                                  kind);
+                                                  kind, parts);
   };
   auto fleet = std::make_unique<FakeFleet>(std::move(options));
   central->Attach(fleet.get());
--- a/bench/baseline_policies.h
+++ b/bench/baseline_policies.h
@@ -19,9 +19,11 @@
   kFullKnowledge,     // one queue for all routers, which sees into the engines
 };
 
-// A fleet of `site` whose routers decide by `kind`.
+// A fleet of `site` whose routers decide by `kind`; Schedulers have only these
+// `parts`.
 std::unique_ptr<FakeFleet> MakeFleet(const FakeSite& site,
                                      PolicyKind kind,
+                                     const SchedulerParts& parts,
                                      const FleetLinks& links,
                                      uint64_t seed);
 
--- a/bench/overload_bench.cc
+++ b/bench/overload_bench.cc
@@ -1,3 +1,4 @@
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -19,20 +20,30 @@
                          has_faults ? "faults" : "quiet");
 }
 
-double TopTierGoodput(SchedulingRun run, PolicyKind policy) {
+// Over all requests of the top tier, and over those to model engines.
+std::vector<double> TopTierGoodput(SchedulingRun run, PolicyKind policy) {
   run.policy = policy;
-  return MeanOverSeeds([&run](uint64_t seed) {
-    return GoodPart(*RunFleet(run, seed), Tier::kCritical);
+  return MeansOverSeeds([&run](uint64_t seed) {
+    const std::unique_ptr<FakeFleet> fleet = RunFleet(run, seed);
+    return std::vector<double>{GoodPart(*fleet, Tier::kCritical),
+                               GoodPartOnEngines(*fleet, Tier::kCritical)};
   });
 }
 
-Figure RunTopTierGoodput(const SchedulingRun& run) {
-  return {.value = 100.0 * TopTierGoodput(run, PolicyKind::kScheduler),
-          .unit = "percent",
-          .baseline = 100.0 * TopTierGoodput(run, PolicyKind::kNoTiers),
-          .target = run.has_faults ? 99.0 : 99.9,
-          .better = Better::kHigher,
-          .seeds = 5};
+std::vector<Figure> RunTopTierGoodput(const SchedulingRun& run) {
+  const std::vector<double> ours = TopTierGoodput(run, PolicyKind::kScheduler);
+  const std::vector<double> base = TopTierGoodput(run, PolicyKind::kNoTiers);
+  Figure all{.value = 100.0 * ours[0],
+             .unit = "percent",
+             .baseline = 100.0 * base[0],
+             .target = run.has_faults ? 99.0 : 99.9,
+             .better = Better::kHigher,
+             .seeds = 5};
+  Figure on_engines = all;
+  on_engines.name = ".on_engines";
+  on_engines.value = 100.0 * ours[1];
+  on_engines.baseline = 100.0 * base[1];
+  return {all, on_engines};
 }
 
 double CountTopTierShed(SchedulingRun run, PolicyKind policy) {
@@ -42,13 +53,13 @@
          });
 }
 
-Figure RunTopTierShed(const SchedulingRun& run) {
-  return {.value = CountTopTierShed(run, PolicyKind::kScheduler),
-          .unit = "requests",
-          .baseline = CountTopTierShed(run, PolicyKind::kNoTiers),
-          .target = 0.0,
-          .better = Better::kLower,
-          .seeds = 5};
+std::vector<Figure> RunTopTierShed(const SchedulingRun& run) {
+  return {{.value = CountTopTierShed(run, PolicyKind::kScheduler),
+           .unit = "requests",
+           .baseline = CountTopTierShed(run, PolicyKind::kNoTiers),
+           .target = 0.0,
+           .better = Better::kLower,
+           .seeds = 5}};
 }
 
 double TotalTokens(SchedulingRun run, PolicyKind policy) {
@@ -57,16 +68,16 @@
       [&run](uint64_t seed) { return GoodTokens(*RunFleet(run, seed)); });
 }
 
-Figure RunTotalGoodput(const SchedulingRun& run) {
+std::vector<Figure> RunTotalGoodput(const SchedulingRun& run) {
   const double best = TotalTokens(run, PolicyKind::kFullKnowledge);
   const double ours = TotalTokens(run, PolicyKind::kScheduler);
   const double least = TotalTokens(run, PolicyKind::kLeastOutstanding);
-  return {.value = 100.0 * ours / best,
-          .unit = "percent_of_full_knowledge",
-          .baseline = 100.0 * least / best,
-          .target = 95.0,
-          .better = Better::kHigher,
-          .seeds = 5};
+  return {{.value = 100.0 * ours / best,
+           .unit = "percent_of_full_knowledge",
+           .baseline = 100.0 * least / best,
+           .target = 95.0,
+           .better = Better::kHigher,
+           .seeds = 5}};
 }
 
 double AccountFairness(SchedulingRun run, PolicyKind policy) {
@@ -74,33 +85,36 @@
   return MeanAccountFairness(run);
 }
 
-Figure RunAccountFairness(const SchedulingRun& run) {
-  return {.value = AccountFairness(run, PolicyKind::kScheduler),
-          .unit = "ratio",
-          .baseline = AccountFairness(run, PolicyKind::kLeastOutstanding),
-          .target = 0.9,
-          .better = Better::kHigher,
-          .seeds = 5};
+std::vector<Figure> RunAccountFairness(const SchedulingRun& run) {
+  return {{.value = AccountFairness(run, PolicyKind::kScheduler),
+           .unit = "ratio",
+           .baseline = AccountFairness(run, PolicyKind::kLeastOutstanding),
+           .target = 0.9,
+           .better = Better::kHigher,
+           .seeds = 5}};
 }
 
-using RunFigure = Figure (*)(const SchedulingRun& run);
+// Names of figures are added to the name of the measure.
+using RunFigures = std::vector<Figure> (*)(const SchedulingRun& run);
 
 // A measure of its own for each site, load and fault, so that each figure is
 // printed once it is known.
 bool RegisterRuns(const std::string& measure,
                   const std::vector<double>& loads,
                   const std::vector<bool>& faults,
-                  RunFigure run_figure) {
+                  RunFigures run_figures) {
   for (const FakeSite& site : Sites()) {
     for (double load : loads) {
       for (bool has_faults : faults) {
         const SchedulingRun run{
             .site = site, .load = load, .has_faults = has_faults};
         const std::string name = measure + Variant(site, load, has_faults);
-        RegisterMeasure({name, [run, name, run_figure] {
-                           Figure figure = run_figure(run);
-                           figure.name = name;
-                           return std::vector<Figure>{figure};
+        RegisterMeasure({name, [run, name, run_figures] {
+                           std::vector<Figure> figures = run_figures(run);
+                           for (Figure& figure : figures) {
+                             figure.name = name + figure.name;
+                           }
+                           return figures;
                          }});
       }
     }
--- /dev/null
+++ b/bench/policy_parts_bench.cc
@@ -0,0 +1,115 @@
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "absl/strings/str_format.h"
+#include "bench/account_fairness.h"
+#include "bench/measure.h"
+#include "bench/scheduling_run.h"
+
+namespace papaya::bench {
+namespace {
+
+// Twice the capacity.
+constexpr double kLoad = 2.0;
+// Of attempts, while retries are judged: the router hears of a failure, and
+// the engine goes on with the work.
+constexpr double kCutAttempts = 0.3;
+
+// A part of the policy that can be left out.
+struct Part {
+  const char* name;
+  bool SchedulerParts::*flag;
+  // What shows its worth: faults, or attempts that are cut.
+  bool has_faults = false;
+  double cut = 0.0;
+};
+
+constexpr Part kParts[] = {
+    {"slot_division", &SchedulerParts::slot_division},
+    {"slot_division", &SchedulerParts::slot_division, true},
+    {"preemption", &SchedulerParts::preemption},
+    {"preemption", &SchedulerParts::preemption, true},
+    {"retry_budget", &SchedulerParts::retry_budget, false, kCutAttempts},
+    {"deadlines", &SchedulerParts::deadlines},
+};
+
+// What a run is judged by; tokens are those of answers in time.
+struct Outcome {
+  double top_tier = 0.0;
+  double shed = 0.0;
+  double tokens = 0.0;
+};
+
+Outcome MeanOutcome(const SchedulingRun& run) {
+  const std::vector<double> means = MeansOverSeeds([&run](uint64_t seed) {
+    const std::unique_ptr<FakeFleet> fleet = RunFleet(run, seed);
+    return std::vector<double>{GoodPart(*fleet, Tier::kCritical),
+                               ShedBeforeLower(*fleet), GoodTokens(*fleet)};
+  });
+  return {means[0], means[1], means[2]};
+}
+
+std::string Variant(const Part& part, const FakeSite& site) {
+  const char* kind = part.cut > 0.0 ? "cuts" : "quiet";
+  return absl::StrFormat("[%s,%gx,%s]", site.name, kLoad,
+                         part.has_faults ? "faults" : kind);
+}
+
+// The value is without the part, the baseline with it.
+std::vector<Figure> RunWithout(const Part& part, const FakeSite& site) {
+  SchedulingRun run{.site = site, .load = kLoad, .has_faults = part.has_faults};
+  run.links.cut = part.cut;
+  const Outcome with = MeanOutcome(run);
+  run.parts.*part.flag = false;
+  const Outcome without = MeanOutcome(run);
+  const std::string name =
+      absl::StrFormat("overload.without_%s%s", part.name, Variant(part, site));
+  return {{.name = name + ".top_tier_goodput",
+           .value = 100.0 * without.top_tier,
+           .unit = "percent",
+           .baseline = 100.0 * with.top_tier,
+           .seeds = 5},
+          {.name = name + ".top_tier_shed_while_lower_served",
+           .value = 5.0 * without.shed,
+           .unit = "requests",
+           .baseline = 5.0 * with.shed,
+           .seeds = 5},
+          {.name = name + ".total_goodput",
+           .value = 100.0 * without.tokens / with.tokens,
+           .unit = "percent_of_with",
+           .baseline = 100.0,
+           .seeds = 5}};
+}
+
+std::vector<Figure> RunWithoutFairSharing(const FakeSite& site) {
+  SchedulingRun run{.site = site, .load = kLoad};
+  const double with = MeanAccountFairness(run);
+  run.parts.fair_sharing = false;
+  return {{.name = absl::StrFormat(
+               "overload.without_fair_sharing[%s,%gx,quiet].account_fairness",
+               site.name, kLoad),
+           .value = MeanAccountFairness(run),
+           .unit = "ratio",
+           .baseline = with,
+           .seeds = 5}};
+}
+
+bool RegisterAll() {
+  for (const FakeSite& site : {MakeSkokan(), MakeWadiRum()}) {
+    for (const Part& part : kParts) {
+      RegisterMeasure({absl::StrFormat("overload.without_%s%s", part.name,
+                                       Variant(part, site)),
+                       [part, site] { return RunWithout(part, site); }});
+    }
+    RegisterMeasure({absl::StrFormat("overload.without_fair_sharing[%s,%gx,",
+                                     site.name, kLoad),
+                     [site] { return RunWithoutFairSharing(site); }});
+  }
+  return true;
+}
+
+const bool kWithout = RegisterAll();
+
+}  // namespace
+}  // namespace papaya::bench
--- a/bench/scheduler_policy.h
+++ b/bench/scheduler_policy.h
@@ -15,8 +15,9 @@
  public:
   SchedulerPolicy(size_t router,
                   SchedulerHooks hooks,
-                  size_t max_queued = SchedulerOptions().max_queued)
-      : scheduler_(MakeOptions(router, max_queued), std::move(hooks)) {}
+                  size_t max_queued = SchedulerOptions().max_queued,
+                  SchedulerParts parts = {})
+      : scheduler_(MakeOptions(router, max_queued, parts), std::move(hooks)) {}
 
   void OnSnapshot(std::shared_ptr<const RoutingSnapshot> snapshot,
                   TimePoint now) override {
@@ -53,11 +54,14 @@
   SchedulerCounts counts() const override { return scheduler_.counts(); }
 
  private:
-  static SchedulerOptions MakeOptions(size_t router, size_t max_queued) {
+  static SchedulerOptions MakeOptions(size_t router,
+                                      size_t max_queued,
+                                      SchedulerParts parts) {
     SchedulerOptions options;
     options.router = RouterId("r" + std::to_string(router));
     options.incarnation = Incarnation(1);
     options.max_queued = max_queued;
+    options.parts = parts;
     return options;
   }
 
--- a/bench/scheduling_run.cc
+++ b/bench/scheduling_run.cc
@@ -5,7 +5,6 @@
 #include <atomic>
 #include <future>
 #include <iterator>
-#include <numeric>
 
 namespace papaya::bench {
 
@@ -38,11 +37,25 @@
       });
 }
 
+// Answered in time over offered, of the requests that `is_counted` takes.
+double GoodPartIf(const FakeFleet& fleet,
+                  const std::function<bool(const RequestSpec&)>& is_counted) {
+  double offered = 0.0;
+  double good = 0.0;
+  for (const auto& [id, record] : fleet.records()) {
+    if (is_counted(record.spec)) {
+      offered += 1.0;
+      good += record.IsGood() ? 1.0 : 0.0;
+    }
+  }
+  return offered > 0.0 ? good / offered : 1.0;
+}
+
 }  // namespace
 
 std::unique_ptr<FakeFleet> RunFleet(const SchedulingRun& run, uint64_t seed) {
   std::unique_ptr<FakeFleet> fleet =
-      MakeFleet(run.site, run.policy, run.links, seed);
+      MakeFleet(run.site, run.policy, run.parts, run.links, seed);
   FakeTraffic traffic(&run.site, fleet.get(), run.load, seed + 1);
   if (run.prepare) {
     run.prepare(fleet.get(), &traffic);
@@ -61,9 +74,10 @@
   return fleet;
 }
 
-double MeanOverSeeds(const std::function<double(uint64_t seed)>& body) {
+std::vector<double> MeansOverSeeds(
+    const std::function<std::vector<double>(uint64_t seed)>& body) {
   constexpr size_t kThreads = 4;
-  std::array<double, std::size(kSeeds)> results{};
+  std::array<std::vector<double>, std::size(kSeeds)> results;
   std::atomic<size_t> next = 0;
   const auto work = [&body, &results, &next] {
     for (size_t i = next++; i < results.size(); i = next++) {
@@ -77,20 +91,30 @@
   for (std::future<void>& worker : workers) {
     worker.get();
   }
-  return std::accumulate(results.begin(), results.end(), 0.0) /
-         static_cast<double>(results.size());
+  std::vector<double> means(results.front().size(), 0.0);
+  for (const std::vector<double>& values : results) {
+    for (size_t i = 0; i < means.size(); ++i) {
+      means[i] += values[i] / static_cast<double>(results.size());
+    }
+  }
+  return means;
+}
+
+double MeanOverSeeds(const std::function<double(uint64_t seed)>& body) {
+  return MeansOverSeeds(
+             [&body](uint64_t seed) { return std::vector<double>{body(seed)}; })
+      .front();
 }
 
 double GoodPart(const FakeFleet& fleet, Tier tier) {
-  double offered = 0.0;
-  double good = 0.0;
-  for (const auto& [id, record] : fleet.records()) {
-    if (record.spec.tier == tier) {
-      offered += 1.0;
-      good += record.IsGood() ? 1.0 : 0.0;
-    }
-  }
-  return offered > 0.0 ? good / offered : 1.0;
+  return GoodPartIf(
+      fleet, [tier](const RequestSpec& spec) { return spec.tier == tier; });
+}
+
+double GoodPartOnEngines(const FakeFleet& fleet, Tier tier) {
+  return GoodPartIf(fleet, [tier](const RequestSpec& spec) {
+    return spec.tier == tier && spec.prompt_tokens.value() > 0;
+  });
 }
 
 double GoodTokens(const FakeFleet& fleet) {
--- a/bench/scheduling_run.h
+++ b/bench/scheduling_run.h
@@ -17,6 +17,8 @@
 struct SchedulingRun {
   FakeSite site;
   PolicyKind policy = PolicyKind::kScheduler;
+  // That Schedulers have; all, but to see what one is worth.
+  SchedulerParts parts;
   // As a part of the site's capacity.
   double load = 1.0;
   // One upstream in four turns slow, and one router dies.
@@ -37,9 +39,17 @@
 // `body` must share nothing between them.
 double MeanOverSeeds(const std::function<double(uint64_t seed)>& body);
 
+// The same for several values at once.
+std::vector<double> MeansOverSeeds(
+    const std::function<std::vector<double>(uint64_t seed)>& body);
+
 // Answered in time over offered, of one tier, in requests.
 double GoodPart(const FakeFleet& fleet, Tier tier);
 
+// The same of requests to model engines only, which plain services, never
+// overloaded here, would hide.
+double GoodPartOnEngines(const FakeFleet& fleet, Tier tier);
+
 // Tokens of answers in time.
 double GoodTokens(const FakeFleet& fleet);
 
--- a/include/admission/scheduler_options.h
+++ b/include/admission/scheduler_options.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 
 #include "absl/container/flat_hash_map.h"
+#include "include/admission/scheduler_parts.h"
 #include "include/base/ids.h"
 #include "include/base/units.h"
 
@@ -21,6 +22,7 @@
   Duration report_interval = std::chrono::milliseconds(250);
   // A peer's report older than this counts for nothing.
   Duration report_lifetime = std::chrono::seconds(3);
+  SchedulerParts parts;
 };
 
 }  // namespace papaya
--- a/src/admission/request_entry.h
+++ b/src/admission/request_entry.h
@@ -1,6 +1,7 @@
 #ifndef SRC_ADMISSION_REQUEST_ENTRY_H_
 #define SRC_ADMISSION_REQUEST_ENTRY_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <list>
 
@@ -46,6 +47,15 @@
   // An earlier attempt may have begun.
   bool may_have_run = false;
 
+  // What it is charged for `output` tokens.
+  double CostOf(Tokens output) const {
+    // A prompt token's part in the cost, an output token's being 1.
+    constexpr double kPromptCost = 0.1;
+    const double prompt = static_cast<double>(spec.prompt_tokens.value());
+    const double tokens = static_cast<double>(output.value());
+    return std::max(1.0, kPromptCost * prompt + tokens);
+  }
+
   // True if its attempt may be cancelled and begun again.
   bool IsPreemptible() const {
     return is_running && spec.idempotent && !is_preempting;
--- /dev/null
+++ b/src/admission/scheduler_attempts.cc
@@ -0,0 +1,159 @@
+// The part of SchedulerCore that follows attempts to their end, and decides
+// what is tried again.
+
+#include <algorithm>
+#include <utility>
+
+#include "src/admission/scheduler_core.h"
+
+namespace papaya {
+
+namespace {
+
+// Attempts at one request that may fail.
+constexpr int kMaxAttempts = 4;
+// How much of a new attempt's time goes into the usual one.
+constexpr double kAttemptStep = 0.05;
+
+}  // namespace
+
+RequestEntry* SchedulerCore::FindRunning(RequestId id) {
+  auto found = entries_.find(id);
+  if (found == entries_.end() || !found->second->is_running) {
+    return nullptr;
+  }
+  return found->second.get();
+}
+
+void SchedulerCore::OnFirstToken(RequestId id, TimePoint now) {
+  RequestEntry* entry = FindRunning(id);
+  if (entry != nullptr) {
+    upstreams_.OnFirstToken(entry, now);
+  }
+}
+
+void SchedulerCore::OnTokens(RequestId id, Tokens total, TimePoint now) {
+  RequestEntry* entry = FindRunning(id);
+  if (entry != nullptr) {
+    upstreams_.OnTokens(entry, total, now);
+  }
+}
+
+void SchedulerCore::EndAttempt(RequestEntry* entry) {
+  GroupState& group = groups_.at(entry->group);
+  upstreams_.End(*entry);
+  if (entry->gives_slot_away) {
+    ++upstreams_.at(entry->upstream).given_away;
+  }
+  --group.running[TierIndex(entry->spec.tier)];
+  group.preempting -= entry->is_preempting ? 1 : 0;
+  entry->is_running = false;
+  entry->is_preempting = false;
+}
+
+void SchedulerCore::OnFinished(RequestId id,
+                               const AttemptResult& result,
+                               TimePoint now) {
+  RequestEntry* entry = FindRunning(id);
+  if (entry == nullptr) {
+    return;
+  }
+  const int32_t group = entry->group;
+  EndAttempt(entry);
+  FairQueue& queue = groups_.at(group).queues[TierIndex(entry->spec.tier)];
+  if (result.end != AttemptEnd::kOk) {
+    queue.Charge(entry->account, entry->account_weight, -entry->cost);
+    Retry(entry, result.end, now);
+    Dispatch(group, now);
+    return;
+  }
+  upstreams_.OnAttemptEnd(entry->upstream, /*failed=*/false, now);
+  double& usual = groups_.at(group).attempt_seconds;
+  const double seconds = ToSeconds(now - entry->dispatched);
+  usual += (seconds - usual) * (usual > 0.0 ? kAttemptStep : 1.0);
+  if (entry->spec.prompt_tokens.value() > 0) {
+    lengths_.Learn(entry->spec.account, entry->spec.route,
+                   result.output_tokens);
+  } else {
+    upstreams_.OnServiceAnswer(*entry, now);
+  }
+  queue.Charge(entry->account, entry->account_weight,
+               entry->CostOf(result.output_tokens) - entry->cost);
+  Forget(entry);
+  Dispatch(group, now);
+}
+
+bool SchedulerCore::SpendRetry() {
+  return !options_.parts.retry_budget || retries_.Spend();
+}
+
+bool SchedulerCore::MayRetry(const RequestEntry& entry, AttemptEnd end) {
+  switch (end) {
+    case AttemptEnd::kOk:
+      return false;
+    case AttemptEnd::kPreempted:
+    case AttemptEnd::kLeaving:
+      // Our own doing, or once for each upstream that leaves.
+      return true;
+    case AttemptEnd::kNotRun:
+      return entry.attempts < kMaxAttempts && SpendRetry();
+    case AttemptEnd::kUnknown:
+      return entry.spec.idempotent && entry.attempts < kMaxAttempts &&
+             SpendRetry();
+  }
+  return false;
+}
+
+void SchedulerCore::Retry(RequestEntry* entry, AttemptEnd end, TimePoint now) {
+  if (end == AttemptEnd::kLeaving) {
+    upstreams_.MarkLeaving(entry->upstream, now);
+  }
+  const bool failed = end == AttemptEnd::kNotRun || end == AttemptEnd::kUnknown;
+  if (failed) {
+    upstreams_.OnAttemptEnd(entry->upstream, /*failed=*/true, now);
+  }
+  if (end == AttemptEnd::kUnknown || end == AttemptEnd::kPreempted) {
+    entry->may_have_run = true;
+  }
+  if (end == AttemptEnd::kPreempted) {
+    // It had begun in time; its caller waits for the rest.
+    entry->spec.deadline =
+        std::max(entry->spec.deadline,
+                 now + (entry->spec.deadline - entry->spec.arrival));
+  }
+  if (!MayRetry(*entry, end)) {
+    Refuse(entry, RefusalReason::kAttemptsFailed);
+    return;
+  }
+  if (IsDue(*entry, now)) {
+    Refuse(entry, RefusalReason::kDeadline);
+    return;
+  }
+  entry->group = ChooseGroup(entry->spec);
+  if (entry->group < 0) {
+    Refuse(entry, RefusalReason::kNoUpstream);
+    return;
+  }
+  Enqueue(entry, /*at_front=*/true);
+  if (queued_ > options_.max_queued) {
+    EvictOne(entry->spec.tier);
+  }
+}
+
+void SchedulerCore::OnCancelled(RequestId id, TimePoint now) {
+  auto found = entries_.find(id);
+  if (found == entries_.end()) {
+    return;
+  }
+  RequestEntry* entry = found->second.get();
+  const int32_t group = entry->group;
+  if (entry->is_running) {
+    EndAttempt(entry);
+  } else {
+    Unqueue(entry);
+  }
+  Forget(entry);
+  Dispatch(group, now);
+}
+
+}  // namespace papaya
--- a/src/admission/scheduler_core.h
+++ b/src/admission/scheduler_core.h
@@ -58,6 +58,8 @@
   void Forget(RequestEntry* entry);
   // Makes room in the queues, after `newcomer` was put in.
   void EvictOne(Tier newcomer);
+  // True if it is too late to begin.
+  bool IsDue(const RequestEntry& entry, TimePoint now) const;
   void ExpireDue(GroupState* group, TimePoint now);
   // Puts waiting requests whose group has changed into their new one.
   void Regroup();
@@ -74,6 +76,7 @@
   void EndAttempt(RequestEntry* entry);
   // Decides what follows an attempt that did not answer.
   void Retry(RequestEntry* entry, AttemptEnd end, TimePoint now);
+  bool SpendRetry();
   bool MayRetry(const RequestEntry& entry, AttemptEnd end);
 
   // Gives up streams of lower tiers where the highest one would come late.
--- a/src/admission/scheduler_pressure.cc
+++ b/src/admission/scheduler_pressure.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <tuple>
 #include <utility>
 #include <vector>
@@ -112,6 +113,10 @@
     return;
   }
   group->is_plan_old = false;
+  if (!options_.parts.slot_division) {
+    group->free_slots = std::numeric_limits<double>::infinity();
+    return;
+  }
   SlotPlanner(&peers_, &own_report_, options_.report_interval, now, &upstreams_)
       .Plan(group);
 }
@@ -300,6 +305,9 @@
                                 int count,
                                 bool gives_slots_away,
                                 TimePoint now) {
+  if (!options_.parts.preemption) {
+    return 0;
+  }
   std::vector<RequestEntry*> candidates;
   for (const auto& [id, entry] : entries_) {
     // A slot of an upstream that gets no new work would be of no use.
