Give up another stream when the first slot did not help a stuck critical one

They were sent to engines that had more work than slots; one stream was given up for each, but the engine, which knows no priority, gave the slot to work that it had queued before. Change: a slot is given up again for an attempt that is still stuck.

--- a/src/admission/request_entry.h
+++ b/src/admission/request_entry.h
@@ -39,8 +39,9 @@
   bool is_preempting = false;
   // Its slot is not to be used again by this router.
   bool gives_slot_away = false;
-  // It was found to be queued by its upstream, and a slot given up for it.
-  bool is_relieved = false;
+  // When it was dispatched, or a slot given up for it since it seemed to be
+  // queued by its upstream.
+  TimePoint relieved;
 
   // Of all attempts.
   int attempts = 0;
--- a/src/admission/scheduler_core.cc
+++ b/src/admission/scheduler_core.cc
@@ -238,7 +238,7 @@
   entry->is_running = true;
   entry->is_preempting = false;
   entry->gives_slot_away = false;
-  entry->is_relieved = false;
+  entry->relieved = now;
   entry->upstream = choice.upstream;
   entry->prefill_tokens = choice.prefill_tokens;
   if (entry->attempts == 0) {
--- a/src/admission/scheduler_pressure.cc
+++ b/src/admission/scheduler_pressure.cc
@@ -229,14 +229,14 @@
   for (const auto& [id, entry] : entries_) {
     if (entry->group != group || !entry->is_running ||
         entry->spec.tier != Tier::kCritical || entry->has_first_token ||
-        entry->is_relieved || entry->spec.prompt_tokens.value() == 0) {
+        entry->spec.prompt_tokens.value() == 0) {
       continue;
     }
     const UpstreamState& state = upstreams_.at(entry->upstream);
     const double expected = (entry->prefill_tokens + entry->prefill_ahead) *
                             upstreams_.PrefillSeconds(state);
     if (WaitedPart(*entry, now) >= kPressingPart &&
-        ToSeconds(now - entry->dispatched) > kStuckSeconds + expected) {
+        ToSeconds(now - entry->relieved) > kStuckSeconds + expected) {
       stuck.push_back(entry.get());
     }
   }
@@ -251,9 +251,14 @@
 bool SchedulerCore::RelieveStuck(int32_t group, TimePoint now) {
   bool needs_others = false;
   for (RequestEntry* entry : FindStuck(group, now)) {
-    entry->is_relieved = PreemptLower(group, entry->upstream, 1,
-                                      /*gives_slots_away=*/true, now) > 0;
-    needs_others = needs_others || !entry->is_relieved;
+    // The slot may go to work that the upstream queued earlier; then another
+    // one is given up later.
+    if (PreemptLower(group, entry->upstream, 1, /*gives_slots_away=*/true,
+                     now) > 0) {
+      entry->relieved = now;
+    } else {
+      needs_others = true;
+    }
   }
   return needs_others;
 }
