Do not wait out the prefill of an attempt that waits for a slot

Cause: with faults, critical requests at Wadi Rum began up to 46 s late at upstreams that had become slow. The time of their prompt there, and of all prompts ahead, is longer than their limit, and so they were held to be stuck too late. Change: where an upstream has more work than slots, an attempt without a first token is held to wait for a slot, and its prefill is not waited for.

--- a/src/admission/scheduler_pressure.cc
+++ b/src/admission/scheduler_pressure.cc
@@ -233,8 +233,12 @@
       continue;
     }
     const UpstreamState& state = upstreams_.at(entry->upstream);
-    const double expected = (entry->prefill_tokens + entry->prefill_ahead) *
-                            upstreams_.PrefillSeconds(state);
+    // With more there than slots, it waits for a slot, not for its prefill.
+    const double expected =
+        state.TotalRunning() > state.slots
+            ? 0.0
+            : (entry->prefill_tokens + entry->prefill_ahead) *
+                  upstreams_.PrefillSeconds(state);
     if (WaitedPart(*entry, now) >= kPressingPart &&
         ToSeconds(now - entry->relieved) > kStuckSeconds + expected) {
       stuck.push_back(entry.get());
