Call a stream unknown, not not-run, when its caller leaves in its midst

Cause: a request that must not run twice and that its upstream answers by a stream was noted as `not-run` when the caller left while the stream ran: only attempts that failed counted as handed over. A retry with its key or ticket was then told `not-run` of what had run, against the promise.

Change: once an upstream has answered at all, the request counts as handed over.

Conclusion: a wrong not-run is mended.

--- a/src/daemon/request_session.cc
+++ b/src/daemon/request_session.cc
@@ -241,9 +241,9 @@
   const HttpRequest forward = MakeForward(span);
   AttemptHead head = co_await attempt.Begin(forward);
   bool ended = false;
+  const bool is_fault = head.end == AttemptEnd::kUnknown;
+  handed_over_ = handed_over_ || is_fault || head.end == AttemptEnd::kOk;
   if (head.end != AttemptEnd::kOk) {
-    const bool is_fault = head.end == AttemptEnd::kUnknown;
-    handed_over_ = handed_over_ || is_fault;
     if (is_fault) {
       CountReply(upstream, true, Tokens(0));
     }
@@ -268,7 +268,6 @@
     const absl::StatusOr<std::string> piece = co_await attempt.ReadPiece();
     const bool too_long = std::ssize(head.body) > kMaxAnswer.value();
     if (!piece.ok() || too_long) {
-      handed_over_ = true;
       CountReply(attempt.upstream(), true, Tokens(0));
       ReportFailure(AttemptEnd::kUnknown);
       co_return false;
@@ -303,7 +302,6 @@
   const StreamRelay::End end = co_await relay.Run(std::move(head));
   switch (end) {
     case StreamRelay::End::kNothingSent:
-      handed_over_ = true;
       CountReply(attempt.upstream(), true, Tokens(0));
       ReportFailure(AttemptEnd::kUnknown);
       co_return false;
@@ -318,7 +316,6 @@
       co_return true;
     }
     case StreamRelay::End::kCallerFailed:
-      handed_over_ = true;
       services_->scheduler->Cancel(request_.spec.id);
       EndAbandoned();
       co_return true;
--- a/tests/router_daemon_test.cc
+++ b/tests/router_daemon_test.cc
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include "include/wire/http_client.h"
+#include "src/standin/standin_face.h"
 #include "tests/loopback.h"
 #include "tests/router_harness.h"
 
@@ -123,6 +124,44 @@
   });
 }
 
+TEST_CASE(
+    "RouterDaemon: what must not run twice and whose caller leaves in the "
+    "midst of its stream is not called not-run",
+    "[daemon][threads]") {
+  FakeUpstream service(
+      RouterHarness::context(),
+      [](HttpExchange& exchange) -> asio::awaitable<void> {
+        HttpResponse head;
+        head.headers.Set("Content-Type", "text/event-stream");
+        (co_await exchange.StartStream(std::move(head))).IgnoreError();
+        std::string first = StreamText(0, 1);
+        (co_await exchange.Write(std::move(first))).IgnoreError();
+        co_await WaitUntilCallerGone(exchange);
+      });
+  RouterHarness router({RouterHarness::Service("b1", service)});
+  router.Run([&]() -> asio::awaitable<void> {
+    HttpRequest booking = RouterHarness::Booking("k1");
+    booking.headers.Set("Authorization", "Bearer acme token");
+    absl::StatusOr<std::unique_ptr<HttpClient>> client =
+        co_await HttpClient::Connect(router.caller_address(), TestDeadline());
+    REQUIRE(client.ok());
+    (co_await (*client)->Send(booking, TestDeadline())).IgnoreError();
+    const absl::StatusOr<HttpResponse> head =
+        co_await (*client)->ReadHead(TestDeadline());
+    REQUIRE(head.ok());
+    const absl::StatusOr<std::string> piece =
+        co_await (*client)->ReadPiece(TestDeadline());
+    REQUIRE(piece.ok());
+    client->reset();
+    HttpResponse again;
+    do {
+      again = co_await router.Ask(booking);
+    } while (again.body.find("in_progress") != std::string::npos);
+    CHECK(again.headers.Get("papaya-outcome") == "unknown");
+    CHECK(service.seen().size() == 1);
+  });
+}
+
 TEST_CASE("RouterDaemon: a refusal that did nothing is tried elsewhere",
           "[daemon][threads]") {
   FakeUpstream leaving(
