--- a/tests/router_harness.cc
+++ b/tests/router_harness.cc
@@ -1,8 +1,11 @@
 #include "tests/router_harness.h"
 
+#include <unistd.h>
+
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 #include <catch2/catch.hpp>
+#include <filesystem>
 #include <utility>
 
 #include "absl/strings/escaping.h"
@@ -57,6 +60,7 @@
   settings.operator_token_sha256 = HexSha256("operator");
   settings.store_address = store_address;
   settings.store_prefix = "test";
+  settings.span_file = RouterHarness::SpanFile();
   settings.chart_directory = PAPAYA_SOURCE_DIR "/charts";
   AccountSettings acme;
   acme.id = AccountId("acme");
@@ -175,7 +179,14 @@
   return *others_.back();
 }
 
-RouterHarness::~RouterHarness() = default;
+RouterHarness::~RouterHarness() {
+  std::filesystem::remove(SpanFile());
+}
+
+std::string RouterHarness::SpanFile() {
+  return std::filesystem::temp_directory_path() /
+         absl::StrCat("papaya-spans-", getpid());
+}
 
 UpstreamSpec RouterHarness::Engine(const std::string& id,
                                    const FakeUpstream& fake) {
--- a/tests/router_harness.h
+++ b/tests/router_harness.h
@@ -68,6 +68,9 @@
   // can't reach the Object API.
   RouterDaemon& AddRouter(const std::string& id);
 
+  // Where all routers append their spans.
+  static std::string SpanFile();
+
   // A chat request to model `m`.
   static HttpRequest Chat(bool stream);
 
