Hash prompts alike in routers and stand-in engines

Cause: routers hashed each message with its role, stand-in engines without, by a second function of the same name; no block that an engine published was ever one that a router looked for. The stand-in also had a CacheEvent of its own beside routing's, two types of one name in one program.

The stand-in's type is CacheChange. A test asks the stand-in for its cache events and compares them with the router's hashes of the same body.

--- a/include/standin/engine_model.h
+++ b/include/standin/engine_model.h
@@ -161,9 +161,6 @@
   Tokens prefill_spared_;
 };
 
-// Chained hashes of the whole blocks of `prompt`.
-std::vector<uint64_t> HashPromptBlocks(const std::string& prompt);
-
 }  // namespace papaya
 
 #endif  // INCLUDE_STANDIN_ENGINE_MODEL_H_
--- a/include/standin/prefix_cache.h
+++ b/include/standin/prefix_cache.h
@@ -12,7 +12,7 @@
 namespace papaya {
 
 // A change of a prefix cache.
-struct CacheEvent {
+struct CacheChange {
   enum class Kind : uint8_t { kStored, kEvicted };
 
   TimePoint at;
@@ -35,9 +35,9 @@
   // Events number `after` and later, no younger than `until`, oldest first.
   // `next` becomes the number to ask for then. Events that are forgotten, or
   // were dropped as gaps, are skipped.
-  std::vector<CacheEvent> EventsAfter(uint64_t after,
-                                      TimePoint until,
-                                      uint64_t& next) const;
+  std::vector<CacheChange> EventsAfter(uint64_t after,
+                                       TimePoint until,
+                                       uint64_t& next) const;
 
   // Every n-th event is lost; 0 loses none.
   void set_gap_every(uint64_t n) { gap_every_ = n; }
@@ -46,7 +46,7 @@
   size_t max_blocks() const { return max_blocks_; }
 
  private:
-  void AddEvent(CacheEvent event);
+  void AddChange(CacheChange event);
 
   static constexpr size_t kMaxEvents = 4096;
 
@@ -55,7 +55,7 @@
   // Most recently used first.
   std::list<uint64_t> order_;
   std::unordered_map<uint64_t, std::list<uint64_t>::iterator> blocks_;
-  std::vector<CacheEvent> events_;
+  std::vector<CacheChange> events_;
   // The number of events_.front().
   uint64_t first_event_ = 0;
 };
--- a/include/wire/chat_body.h
+++ b/include/wire/chat_body.h
@@ -13,7 +13,8 @@
 struct ChatBody {
   // Names the pool.
   PoolId model;
-  // The texts of all messages, with their roles, one after another.
+  // The texts of all messages with a line end between them, as engines hash
+  // them.
   std::string prompt;
   // 0 if the caller set no limit.
   Tokens max_tokens;
--- a/src/standin/engine_face.cc
+++ b/src/standin/engine_face.cc
@@ -325,9 +325,9 @@
   uint64_t next = 0;
   json::array events;
   const TimePoint until = SteadyNow() - faults().report_lag;
-  for (const CacheEvent& event :
+  for (const CacheChange& event :
        model_.cache().EventsAfter(after, until, next)) {
-    const bool is_stored = event.kind == CacheEvent::Kind::kStored;
+    const bool is_stored = event.kind == CacheChange::Kind::kStored;
     events.push_back(json::object{
         {is_stored ? "stored" : "evicted", HexNames(event.hashes)}});
   }
--- a/src/standin/engine_model.cc
+++ b/src/standin/engine_model.cc
@@ -6,12 +6,14 @@
 
 #include "include/base/stable_hash.h"
 #include "include/standin/answer_text.h"
+#include "include/wire/prompt_blocks.h"
 
 namespace papaya {
 
 namespace {
 
-constexpr size_t kBytesPerBlock = 4 * EngineModel::kTokensPerBlock;
+static_assert(kPromptBlockBytes ==
+              kBytesPerToken * EngineModel::kTokensPerBlock);
 
 Duration Scale(Duration duration, double factor) {
   return SecondsToDuration(ToSeconds(duration) * factor);
@@ -19,17 +21,6 @@
 
 }  // namespace
 
-std::vector<uint64_t> HashPromptBlocks(const std::string& prompt) {
-  std::vector<uint64_t> hashes;
-  uint64_t chain = 0;
-  for (size_t at = 0; at + kBytesPerBlock <= prompt.size();
-       at += kBytesPerBlock) {
-    chain = CombineHashes(chain, StableHash(prompt.substr(at, kBytesPerBlock)));
-    hashes.push_back(chain);
-  }
-  return hashes;
-}
-
 EngineModel::EngineModel(const EngineOptions& options, uint64_t seed)
     : options_(options),
       seed_(seed),
@@ -43,7 +34,7 @@
   stream.prompt = request.prompt;
   stream.version = versions_.active();
   stream.max_tokens = request.max_tokens;
-  stream.hashes = HashPromptBlocks(request.prompt);
+  stream.hashes = HashPromptBlocks(request.prompt, request.prompt.size());
   if (!streams_.emplace(request.stream_id, std::move(stream)).second) {
     return false;
   }
--- a/src/standin/prefix_cache.cc
+++ b/src/standin/prefix_cache.cc
@@ -18,7 +18,7 @@
 }
 
 void PrefixCache::Store(const std::vector<uint64_t>& hashes, TimePoint now) {
-  CacheEvent stored{.at = now, .kind = CacheEvent::Kind::kStored};
+  CacheChange stored{.at = now, .kind = CacheChange::Kind::kStored};
   for (const uint64_t hash : hashes) {
     if (blocks_.contains(hash)) {
       continue;
@@ -27,17 +27,17 @@
     blocks_[hash] = order_.begin();
     stored.hashes.push_back(hash);
   }
-  CacheEvent evicted{.at = now, .kind = CacheEvent::Kind::kEvicted};
+  CacheChange evicted{.at = now, .kind = CacheChange::Kind::kEvicted};
   while (blocks_.size() > max_blocks_) {
     evicted.hashes.push_back(order_.back());
     blocks_.erase(order_.back());
     order_.pop_back();
   }
-  AddEvent(std::move(stored));
-  AddEvent(std::move(evicted));
+  AddChange(std::move(stored));
+  AddChange(std::move(evicted));
 }
 
-void PrefixCache::AddEvent(CacheEvent event) {
+void PrefixCache::AddChange(CacheChange event) {
   if (event.hashes.empty()) {
     return;
   }
@@ -52,13 +52,13 @@
   }
 }
 
-std::vector<CacheEvent> PrefixCache::EventsAfter(uint64_t after,
-                                                 TimePoint until,
-                                                 uint64_t& next) const {
-  std::vector<CacheEvent> found;
+std::vector<CacheChange> PrefixCache::EventsAfter(uint64_t after,
+                                                  TimePoint until,
+                                                  uint64_t& next) const {
+  std::vector<CacheChange> found;
   next = std::max(after, first_event_);
   while (next - first_event_ < events_.size()) {
-    const CacheEvent& event = events_[next - first_event_];
+    const CacheChange& event = events_[next - first_event_];
     if (event.at > until) {
       break;
     }
--- a/src/wire/chat_body.cc
+++ b/src/wire/chat_body.cc
@@ -71,7 +71,10 @@
       return Fault("a message is not an object");
     }
     const json::object& fields = message.get_object();
-    request.prompt += GetText(fields, "role") + "\n" + ContentOf(fields) + "\n";
+    if (!request.prompt.empty()) {
+      request.prompt += "\n";
+    }
+    request.prompt += ContentOf(fields);
   }
   request.max_tokens = Tokens(GetCount(object, "max_tokens"));
   const json::value* stream = object.if_contains("stream");
--- a/tests/standin_server_test.cc
+++ b/tests/standin_server_test.cc
@@ -5,8 +5,11 @@
 #include "include/standin/answer_check.h"
 #include "include/standin/answer_text.h"
 #include "include/standin/standin_server.h"
+#include "include/wire/chat_body.h"
 #include "include/wire/http_client.h"
+#include "include/wire/prompt_blocks.h"
 #include "include/wire/sse_reader.h"
+#include "src/daemon/upstream_json.h"
 #include "tests/child_process.h"
 #include "tests/loopback.h"
 
@@ -183,6 +186,25 @@
   CHECK(standin.Wait() == 0);
 }
 
+TEST_CASE("StandinServer: an engine publishes the blocks that a router hashes",
+          "[standin]") {
+  StandinFixture engine(StandinFixture::Of(StandinRole::kEngine));
+  const std::string body = R"({"model":"m","max_tokens":1,"messages":[)"
+                           R"({"role":"system","content":")" +
+                           std::string(700, 'a') +
+                           R"("},{"role":"user","content":")" +
+                           std::string(700, 'b') + R"("}]})";
+  REQUIRE(engine.MustAsk(Post("/v1/chat/completions", body)).status == 200);
+  const absl::StatusOr<CacheNews> news =
+      ParseCacheNews(engine.MustAsk(Get("/v1/cache_events?after=0")).body);
+  REQUIRE(news.ok());
+  const absl::StatusOr<ChatBody> chat = ParseChatBody(body);
+  REQUIRE(chat.ok());
+  const std::vector<uint64_t> hashes = HashPromptBlocks(chat->prompt);
+  CHECK(hashes.size() == 1400 / kPromptBlockBytes);
+  CHECK(news->event.stored == hashes);
+}
+
 TEST_CASE("papaya_standin: refuses wrong flags", "[process]") {
   CHECK(ChildProcess({"papaya_standin", "--role=nonsense"}).Wait() == 2);
   CHECK(ChildProcess({"papaya_standin", "--faults={\"x\":1}"}).Wait() == 2);
