--- a/src/papaya_load_main.cc
+++ b/src/papaya_load_main.cc
@@ -15,6 +15,7 @@
 #include "include/standin/load_runner.h"
 #include "include/wire/http_client.h"
 #include "include/wire/steady_time.h"
+#include "src/program_flags.h"
 
 DEFINE_string(routers,
               "",
@@ -140,11 +141,11 @@
 }  // namespace papaya
 
 int main(int argc, char** argv) {
-  gflags::SetUsageMessage(
+  const std::optional<int> ended = papaya::ReadProgramFlags(
+      "papaya_load",
       "sends mixed traffic over several routers and checks the answers; exits "
       "0 if all were whole, 1 if not, 2 on wrong flags, 3 if a booking was not "
-      "run as its caller was told");
-  gflags::SetVersionString(PAPAYA_VERSION);
-  gflags::ParseCommandLineFlags(&argc, &argv, true);
-  return papaya::Run();
+      "run as its caller was told",
+      &argc, &argv);
+  return ended.has_value() ? *ended : papaya::Run();
 }
--- a/src/papaya_standin_main.cc
+++ b/src/papaya_standin_main.cc
@@ -9,6 +9,7 @@
 
 #include "include/settings/value_parsers.h"
 #include "include/standin/standin_server.h"
+#include "src/program_flags.h"
 
 DEFINE_string(role, "engine", "What to play: engine, service or platform.");
 DEFINE_string(address,
@@ -151,9 +152,8 @@
 }  // namespace papaya
 
 int main(int argc, char** argv) {
-  gflags::SetUsageMessage(
-      "plays one model engine, plain service or the platform");
-  gflags::SetVersionString(PAPAYA_VERSION);
-  gflags::ParseCommandLineFlags(&argc, &argv, true);
-  return papaya::Run();
+  const std::optional<int> ended = papaya::ReadProgramFlags(
+      "papaya_standin", "plays one model engine, plain service or the platform",
+      &argc, &argv);
+  return ended.has_value() ? *ended : papaya::Run();
 }
--- a/src/papayactl_main.cc
+++ b/src/papayactl_main.cc
@@ -18,6 +18,7 @@
 #include "include/settings/value_parsers.h"
 #include "include/wire/http_client.h"
 #include "include/wire/steady_time.h"
+#include "src/program_flags.h"
 
 DEFINE_string(router,
               "",
@@ -106,9 +107,11 @@
 }  // namespace papaya
 
 int main(int argc, char** argv) {
-  gflags::SetUsageMessage(papaya::CtlApp::Usage());
-  gflags::SetVersionString(PAPAYA_VERSION);
-  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  const std::optional<int> ended = papaya::ReadProgramFlags(
+      "papayactl", papaya::CtlApp::Usage(), &argc, &argv);
+  if (ended.has_value()) {
+    return *ended;
+  }
   const std::vector<std::string> words(argv + 1, argv + argc);
   return static_cast<int>(papaya::Run(words));
 }
--- a/src/papayad_main.cc
+++ b/src/papayad_main.cc
@@ -7,11 +7,13 @@
 #include <boost/asio/signal_set.hpp>
 #include <iostream>
 #include <memory>
+#include <optional>
 
 #include "include/daemon/router_daemon.h"
 #include "include/settings/router_settings.h"
 #include "include/telemetry/event_page.h"
 #include "include/telemetry/logger.h"
+#include "src/program_flags.h"
 
 DEFINE_string(settings, "", "The router's settings file (INI).");
 DEFINE_bool(check_settings,
@@ -30,7 +32,8 @@
     "papayad --settings=FILE\n"
     "Runs one router. SIGTERM or SIGINT shuts it down gracefully: it takes no\n"
     "new connection, finishes all it has, and ends with 0.\n"
-    "Exit codes: 0 ended or settings good, 1 could not run, 2 bad settings.";
+    "Exit codes: 0 ended or settings good, 1 could not run, 2 wrong flags or\n"
+    "settings.";
 
 int Run(const papaya::RouterSettings& settings, papaya::Logger& logger) {
   absl::StatusOr<std::unique_ptr<papaya::RouterDaemon>> daemon =
@@ -56,15 +59,21 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  gflags::SetUsageMessage(kUsage);
-  gflags::SetVersionString(PAPAYA_VERSION);
-  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  const std::optional<int> ended =
+      papaya::ReadProgramFlags("papayad", kUsage, &argc, &argv);
+  if (ended.has_value()) {
+    return *ended;
+  }
   signal(SIGPIPE, SIG_IGN);
 
   if (FLAGS_list_events) {
     std::cout << papaya::RenderEventPage();
     return kExitOk;
   }
+  if (FLAGS_settings.empty() || argc > 1) {
+    std::cerr << "papayad: needs --settings=FILE and takes nothing more\n";
+    return kExitBadSettings;
+  }
   papaya::Logger logger(std::cout, FLAGS_debug_log ? papaya::Severity::kDebug
                                                    : papaya::Severity::kInfo);
   const absl::StatusOr<papaya::RouterSettings> settings =
--- /dev/null
+++ b/src/program_flags.h
@@ -0,0 +1,88 @@
+#ifndef SRC_PROGRAM_FLAGS_H_
+#define SRC_PROGRAM_FLAGS_H_
+
+#include <gflags/gflags.h>
+
+#include <iostream>
+#include <optional>
+#include <string>
+
+namespace papaya {
+
+inline constexpr int kExitHelp = 0;
+inline constexpr int kExitWrongFlags = 2;
+
+// What is wrong with the flag `word`, as `--name=value`; empty if nothing is.
+// `next` is the word after it, null if there is none; `takes_next` becomes true
+// if that is its value.
+inline std::string FindFlagFault(const std::string& word,
+                                 const char* next,
+                                 bool& takes_next) {
+  const size_t from = word.starts_with("--") ? 2 : 1;
+  const size_t equals = word.find('=');
+  const std::string name =
+      word.substr(from, equals == std::string::npos ? equals : equals - from);
+  gflags::CommandLineFlagInfo info;
+  const bool is_negated =
+      name.starts_with("no") &&
+      gflags::GetCommandLineFlagInfo(name.substr(2).c_str(), &info) &&
+      info.type == "bool";
+  takes_next = false;
+  if (is_negated) {
+    return "";
+  }
+  if (!gflags::GetCommandLineFlagInfo(name.c_str(), &info)) {
+    return "unknown flag --" + name;
+  }
+  if (equals == std::string::npos && info.type == "bool") {
+    return "";
+  }
+  takes_next = equals == std::string::npos;
+  if (takes_next && next == nullptr) {
+    return "--" + name + " needs a value";
+  }
+  const std::string value = takes_next ? next : word.substr(equals + 1);
+  if (gflags::SetCommandLineOption(name.c_str(), value.c_str()).empty()) {
+    return "--" + name + " can't be `" + value + "`";
+  }
+  return "";
+}
+
+// Reads the flags of the program `name`, whose own flags stand in
+// `<name>_main.cc`, and leaves the other words in `argv`. Gives the exit code
+// if the program has to end: after help, or after a line on stderr that says
+// which flag is wrong. gflags by itself ends with 1 in both cases.
+inline std::optional<int> ReadProgramFlags(const std::string& name,
+                                           const std::string& usage,
+                                           int* argc,
+                                           char*** argv) {
+  gflags::SetUsageMessage(usage);
+  gflags::SetVersionString(PAPAYA_VERSION);
+  for (int i = 1; i < *argc && std::string((*argv)[i]) != "--"; ++i) {
+    const std::string word = (*argv)[i];
+    if (word.size() < 2 || word.front() != '-') {
+      continue;
+    }
+    const char* next = i + 1 < *argc ? (*argv)[i + 1] : nullptr;
+    bool takes_next = false;
+    const std::string fault = FindFlagFault(word, next, takes_next);
+    if (!fault.empty()) {
+      std::cerr << name << ": " << fault << "; --help lists all\n";
+      return kExitWrongFlags;
+    }
+    i += takes_next ? 1 : 0;
+  }
+  gflags::ParseCommandLineNonHelpFlags(argc, argv, true);
+  std::string help;
+  if (gflags::GetCommandLineOption("help", &help) && help == "true") {
+    gflags::ShowUsageWithFlagsRestrict((*argv)[0],
+                                       ("/" + name + "_main.cc").c_str());
+    return kExitHelp;
+  }
+  gflags::HandleCommandLineHelpFlags();
+  return std::nullopt;
+}
+
+}  // namespace papaya
+
+#endif  // SRC_PROGRAM_FLAGS_H_
--- a/tests/child_process.h
+++ b/tests/child_process.h
@@ -23,7 +23,9 @@
 class ChildProcess {
  public:
   // `words` are the program's name in the build directory and its arguments.
-  explicit ChildProcess(std::vector<std::string> words) {
+  // Its standard error is read too if `with_errors`.
+  explicit ChildProcess(std::vector<std::string> words,
+                        bool with_errors = false) {
     words.front() = std::string(PAPAYA_BINARY_DIR) + "/" + words.front();
     std::array<int, 2> ends;
     REQUIRE(pipe2(ends.data(), O_CLOEXEC) == 0);
@@ -31,6 +33,9 @@
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
+    if (with_errors) {
+      posix_spawn_file_actions_adddup2(&actions, ends[1], STDERR_FILENO);
+    }
     std::vector<char*> arguments;
     arguments.reserve(words.size() + 1);
     for (std::string& word : words) {
@@ -80,6 +85,16 @@
     }
   }
 
+  // All that it writes from here to its end.
+  std::string ReadRest() {
+    std::array<char, 4096> bytes;
+    ssize_t count = 0;
+    while ((count = read(output_, bytes.data(), bytes.size())) > 0) {
+      buffer_.append(bytes.data(), static_cast<size_t>(count));
+    }
+    return buffer_;
+  }
+
   void Signal(int number) const { kill(pid_, number); }
 
   // Waits for its end; gives the exit status, or -1 if a signal ended it.
--- a/tests/process_fleet.h
+++ b/tests/process_fleet.h
@@ -56,6 +56,9 @@
     return addresses_.at(router);
   }
   std::vector<std::string> addresses() const;
+  const std::string& operator_address(const std::string& router) const {
+    return operator_addresses_.at(router);
+  }
   const std::filesystem::path& directory() const { return directory_; }
 
   // The value of the number `key` on the status page of `router`.
--- a/tests/standin_server_test.cc
+++ b/tests/standin_server_test.cc
@@ -206,10 +206,13 @@
 }
 
 TEST_CASE("papaya_standin: refuses wrong flags", "[process]") {
-  CHECK(ChildProcess({"papaya_standin", "--role=nonsense"}).Wait() == 2);
-  CHECK(ChildProcess({"papaya_standin", "--faults={\"x\":1}"}).Wait() == 2);
-  CHECK(ChildProcess({"papayactl", "nonsense"}).Wait() == 2);
-  CHECK(ChildProcess({"papaya_load"}).Wait() == 2);
+  for (const std::vector<std::string>& words :
+       {std::vector<std::string>{"papaya_standin", "--role=nonsense"},
+        {"papaya_standin", "--faults={\"x\":1}"},
+        {"papayactl", "nonsense"},
+        {"papaya_load"}}) {
+    CHECK(ChildProcess(words, /*with_errors=*/true).Wait() == 2);
+  }
 }
 
 }  // namespace
