Slow an engine that has work in routing.straggler

A share of 0 can't fall under 5% of itself, so that the run counted as 60 s without a single dispatch. Change: the first engine from number 2 on that had work in that minute slows.

--- a/bench/routing_bench.cc
+++ b/bench/routing_bench.cc
@@ -96,27 +96,39 @@
   return all > 0.0 ? own / all : 0.0;
 }
 
+// The first engine, not counting the first two, that got work in [begin, end):
+// one without any has no share to fall from.
+size_t FirstUsed(const FakeFleet& fleet, TimePoint begin, TimePoint end) {
+  size_t engine = 2;
+  while (engine + 1 < fleet.engine_count() &&
+         ShareOf(fleet, engine, begin, end) == 0.0) {
+    ++engine;
+  }
+  return engine;
+}
+
 // Seconds from slowing until an upstream gets under 5% of its former share,
 // over the minute that follows.
 double StragglerSeconds(const FakeSite& site,
                         PolicyKind policy,
                         uint64_t seed) {
-  constexpr size_t kEngine = 2;
   constexpr Duration kBefore = std::chrono::seconds(60);
   SchedulingRun run{.site = site, .policy = policy, .load = kLoad};
   TimePoint slowed;
-  run.prepare = [&slowed, kBefore](FakeFleet* fleet, FakeTraffic*) {
+  size_t engine = 0;
+  run.prepare = [&slowed, &engine, kBefore](FakeFleet* fleet, FakeTraffic*) {
     slowed = fleet->loop().now() + kBefore;
-    fleet->loop().After(kBefore,
-                        [fleet] { fleet->engine(kEngine).SetSlowness(4.0); });
+    fleet->loop().After(kBefore, [&slowed, &engine, kBefore, fleet] {
+      engine = FirstUsed(*fleet, slowed - kBefore, slowed);
+      fleet->engine(engine).SetSlowness(4.0);
+    });
   };
   const auto fleet = RunFleet(run, seed);
-  const double limit =
-      0.05 * ShareOf(*fleet, kEngine, slowed - kBefore, slowed);
+  const double limit = 0.05 * ShareOf(*fleet, engine, slowed - kBefore, slowed);
   const Duration step = std::chrono::milliseconds(250);
   Duration after{};
   while (after < std::chrono::seconds(60) &&
-         ShareOf(*fleet, kEngine, slowed + after, slowed + after + kBefore) >=
+         ShareOf(*fleet, engine, slowed + after, slowed + after + kBefore) >=
              limit) {
     after += step;
   }
