Give prompt tokens that are worked through twice a price of their own

In seconds a second prefill on a fast engine costs next to nothing, so that prefixes spread over all engines. Change: each uncached prompt token costs 2 ms in the estimate, at any engine.

--- a/src/admission/upstream_chooser.cc
+++ b/src/admission/upstream_chooser.cc
@@ -19,6 +19,11 @@
 // Weight of the prompt tokens that have to be worked through: they hold up the
 // prompts that come after them, too.
 constexpr double kPrefillWeight = 3.0;
+// What each prompt token that has to be worked through costs besides, in
+// seconds, on the fastest engine as on the slowest: where the time is short it
+// would not be worth going to where the prefix is, and every engine would come
+// to hold every prefix.
+constexpr double kPrefillTokenSeconds = 0.002;
 // Weight of the time after the first token, which nobody waits for idly.
 constexpr double kDecodeWeight = 0.02;
 // What taking the last free slot of an upstream may cost, in seconds, and over
@@ -89,7 +94,8 @@
       upstreams_->PrefillSeconds(state);
   const double rest = static_cast<double>(entry.expected_output.value()) *
                       upstreams_->DecodeSeconds(state);
-  return first_token + kDecodeWeight * rest + CrowdingSeconds(state);
+  return first_token + kPrefillTokenSeconds * prefill_tokens +
+         kDecodeWeight * rest + CrowdingSeconds(state);
 }
 
 void UpstreamChooser::Consider(int32_t number, Search* search) const {
