Split the fake fleet by classes; judge parts of the policy by engines

The lines overload.without_* showed the top tier over all requests, of which bookings hide the rest, and the retry budget at twice the capacity only.

--- a/bench/fake_fleet.h
+++ b/bench/fake_fleet.h
@@ -12,6 +12,10 @@
 #include <vector>
 
 #include "bench/fake_engine.h"
+#include "bench/fleet_links.h"
+#include "bench/fleet_options.h"
+#include "bench/fleet_record.h"
+#include "bench/router_policy.h"
 #include "bench/virtual_loop.h"
 #include "include/admission/scheduler.h"
 #include "include/base/random.h"
@@ -19,80 +23,6 @@
 
 namespace papaya::bench {
 
-// What decides for one router: a Scheduler, or a baseline.
-class RouterPolicy {
- public:
-  virtual ~RouterPolicy() = default;
-  virtual void OnSnapshot(std::shared_ptr<const RoutingSnapshot> snapshot,
-                          TimePoint now) = 0;
-  virtual void OnRequest(const RequestSpec& request, TimePoint now) = 0;
-  virtual void OnFirstToken(RequestId, TimePoint) {}
-  virtual void OnTokens(RequestId, Tokens, TimePoint) {}
-  virtual void OnFinished(RequestId id,
-                          const AttemptResult& result,
-                          TimePoint now) = 0;
-  virtual void OnLoadReport(const UpstreamId&, const LoadReport&, TimePoint) {}
-  virtual void OnCacheEvent(const UpstreamId&, const CacheEvent&, TimePoint) {}
-  virtual void OnDemandReport(const DemandReport&, TimePoint) {}
-  virtual void OnTick(TimePoint) {}
-  virtual SchedulerCounts counts() const { return {}; }
-};
-
-// Faults of the links; all drawn anew for each message.
-struct FleetLinks {
-  Duration delay = std::chrono::microseconds(500);
-  double report_loss = 0.0;
-  // Reports are delayed by up to this, and so overtake one another.
-  Duration report_delay{};
-  // Of attempts: the router hears of a failure while the engine goes on.
-  double cut = 0.0;
-  // How late, and how often lost, news of what engines have cached are.
-  Duration cache_event_delay = std::chrono::seconds(2);
-  double cache_event_loss = 0.1;
-  // How old load reports are when they arrive.
-  Duration load_report_age = std::chrono::seconds(5);
-};
-
-// What became of one request.
-struct FleetRecord {
-  RequestSpec spec;
-  Tokens output;
-  size_t router = 0;
-  std::vector<size_t> dispatched;  // engines
-  std::vector<TimePoint> dispatch_times;
-  int begins = 0;
-  int ends = 0;
-  std::optional<TimePoint> began;
-  std::optional<TimePoint> first_token;
-  std::optional<TimePoint> answered;
-  std::optional<Refusal> refusal;
-  // Its router died with it.
-  bool is_lost = false;
-  // It was refused while a lower tier was being served in its pool.
-  bool is_shed_before_lower = false;
-
-  bool IsGood() const {
-    return answered.has_value() && began.has_value() && *began <= spec.deadline;
-  }
-  // Tokens that the answer is worth, as in the division between accounts.
-  double Value() const {
-    return 0.1 * static_cast<double>(spec.prompt_tokens.value()) +
-           static_cast<double>(output.value());
-  }
-};
-
-struct FleetOptions {
-  std::vector<UpstreamSpec> upstreams;
-  std::vector<FakeEngineSpeed> speeds;  // by upstream
-  std::vector<VersionShare> shares;
-  size_t routers = 7;
-  FleetLinks links;
-  uint64_t seed = 1;
-  // Makes the policy of router number `router`.
-  std::function<std::unique_ptr<RouterPolicy>(size_t router, SchedulerHooks)>
-      make_policy;
-};
-
 // Several routers before several fake engines in virtual time, as much as the
 // tests and measures of scheduling need.
 class FakeFleet {
--- a/bench/policy_parts_bench.cc
+++ b/bench/policy_parts_bench.cc
@@ -10,11 +10,13 @@
 namespace papaya::bench {
 namespace {
 
-// Twice the capacity.
-constexpr double kLoad = 2.0;
+// As a part of the capacity.
+constexpr double kOverload = 2.0;
+constexpr double kBusy = 0.8;
 // Of attempts, while retries are judged: the router hears of a failure, and
 // the engine goes on with the work.
-constexpr double kCutAttempts = 0.3;
+constexpr double kSomeCut = 0.3;
+constexpr double kManyCut = 0.6;
 
 // A part of the policy that can be left out.
 struct Part {
@@ -23,6 +25,7 @@
   // What shows its worth: faults, or attempts that are cut.
   bool has_faults = false;
   double cut = 0.0;
+  double load = kOverload;
 };
 
 constexpr Part kParts[] = {
@@ -30,7 +33,8 @@
     {"slot_division", &SchedulerParts::slot_division, true},
     {"preemption", &SchedulerParts::preemption},
     {"preemption", &SchedulerParts::preemption, true},
-    {"retry_budget", &SchedulerParts::retry_budget, false, kCutAttempts},
+    {"retry_budget", &SchedulerParts::retry_budget, false, kSomeCut},
+    {"retry_budget", &SchedulerParts::retry_budget, false, kManyCut, kBusy},
     {"deadlines", &SchedulerParts::deadlines},
 };
 
@@ -44,7 +48,7 @@
 Outcome MeanOutcome(const SchedulingRun& run) {
   const std::vector<double> means = MeansOverSeeds([&run](uint64_t seed) {
     const std::unique_ptr<FakeFleet> fleet = RunFleet(run, seed);
-    return std::vector<double>{GoodPart(*fleet, Tier::kCritical),
+    return std::vector<double>{GoodPartOnEngines(*fleet, Tier::kCritical),
                                ShedBeforeLower(*fleet), GoodTokens(*fleet)};
   });
   return {means[0], means[1], means[2]};
@@ -52,20 +56,21 @@
 
 std::string Variant(const Part& part, const FakeSite& site) {
   const char* kind = part.cut > 0.0 ? "cuts" : "quiet";
-  return absl::StrFormat("[%s,%gx,%s]", site.name, kLoad,
+  return absl::StrFormat("[%s,%gx,%s]", site.name, part.load,
                          part.has_faults ? "faults" : kind);
 }
 
 // The value is without the part, the baseline with it.
 std::vector<Figure> RunWithout(const Part& part, const FakeSite& site) {
-  SchedulingRun run{.site = site, .load = kLoad, .has_faults = part.has_faults};
+  SchedulingRun run{
+      .site = site, .load = kOverload, .has_faults = part.has_faults};
   run.links.cut = part.cut;
   const Outcome with = MeanOutcome(run);
   run.parts.*part.flag = false;
   const Outcome without = MeanOutcome(run);
   const std::string name =
       absl::StrFormat("overload.without_%s%s", part.name, Variant(part, site));
-  return {{.name = name + ".top_tier_goodput",
+  return {{.name = name + ".top_tier_goodput.on_engines",
            .value = 100.0 * without.top_tier,
            .unit = "percent",
            .baseline = 100.0 * with.top_tier,
@@ -83,12 +88,12 @@
 }
 
 std::vector<Figure> RunWithoutFairSharing(const FakeSite& site) {
-  SchedulingRun run{.site = site, .load = kLoad};
+  SchedulingRun run{.site = site, .load = kOverload};
   const double with = MeanAccountFairness(run);
   run.parts.fair_sharing = false;
   return {{.name = absl::StrFormat(
                "overload.without_fair_sharing[%s,%gx,quiet].account_fairness",
-               site.name, kLoad),
+               site.name, kOverload),
            .value = MeanAccountFairness(run),
            .unit = "ratio",
            .baseline = with,
@@ -103,7 +108,7 @@
                        [part, site] { return RunWithout(part, site); }});
     }
     RegisterMeasure({absl::StrFormat("overload.without_fair_sharing[%s,%gx,",
-                                     site.name, kLoad),
+                                     site.name, kOverload),
                      [site] { return RunWithoutFairSharing(site); }});
   }
   return true;
