Wait for the router's own count of requests in the wire bench

Cause: wire.waiting_request slept a second in place of knowing that the router had taken all 500 requests in.

Change: it asks the router's status page until queued and running are 500.

--- a/bench/router_wire_bench.cc
+++ b/bench/router_wire_bench.cc
@@ -11,7 +11,9 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
+#include <boost/json/value.hpp>
 #include <chrono>
 #include <iostream>
 #include <memory>
@@ -129,6 +131,9 @@
   std::string router() const {
     return absl::StrCat("127.0.0.1:", daemon_->caller_port());
   }
+  std::string operators() const {
+    return absl::StrCat("127.0.0.1:", daemon_->operator_port());
+  }
   std::string upstream() const { return upstream_.address(); }
   int64_t idle_bytes() const { return idle_bytes_; }
 
@@ -316,16 +321,39 @@
   }
 }
 
-// Heap that kWaiting unanswered requests to `address` take, callers' included.
-int64_t HeldBytes(const std::string& address) {
+// Requests that the router has taken in and not answered.
+int64_t CountTaken(const Loopback& loopback) {
+  HttpRequest request;
+  request.target = "/v1/status";
+  request.headers.Set("Authorization", "Bearer operator");
+  absl::StatusOr<HttpResponse> page = absl::UnknownError("not asked");
+  asio::io_context context;
+  asio::co_spawn(context, FetchHttp(loopback.operators(), request, Soon()),
+                 [&page](const std::exception_ptr&,
+                         absl::StatusOr<HttpResponse> response) {
+                   page = std::move(response);
+                 });
+  context.run();
+  if (!page.ok() || page->status != 200) {
+    std::abort();
+  }
+  const boost::json::value status = boost::json::parse(page->body);
+  return status.at("queued").to_number<int64_t>() +
+         status.at("running").to_number<int64_t>();
+}
+
+// Heap that kWaiting unanswered requests to `address` take, callers' included,
+// once `is_settled` holds.
+int64_t HeldBytes(const std::string& address,
+                  const std::function<bool()>& is_settled) {
   asio::io_context context;
   std::vector<std::unique_ptr<HttpClient>> clients;
   clients.reserve(kWaiting);
   const int64_t before = LiveHeapBytes();
   asio::co_spawn(context, Hold(address, &clients), asio::detached);
   context.run();
-  // The router takes the last requests in within this time.
-  std::this_thread::sleep_for(std::chrono::seconds(1));
+  while (!is_settled()) {
+  }
   return LiveHeapBytes() - before;
 }
 
@@ -335,8 +363,11 @@
   asio::ip::tcp::acceptor silent(
       context, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
   const int64_t callers =
-      HeldBytes(absl::StrCat("127.0.0.1:", silent.local_endpoint().port()));
-  const int64_t all = HeldBytes(loopback.router());
+      HeldBytes(absl::StrCat("127.0.0.1:", silent.local_endpoint().port()),
+                [] { return true; });
+  const int64_t all = HeldBytes(loopback.router(), [&loopback] {
+    return CountTaken(loopback) >= kWaiting;
+  });
   return {.name = "wire.waiting_request",
           .value = static_cast<double>(all - callers) / kWaiting,
           .unit = "bytes"};
