Take reports and chart events out of RequestSession; share the once answer

Change: RequestReport keeps what a request leaves in metrics, spans and the comparison of versions; request_chart names its chart's events; MakeOnceAnswer is shared. No behaviour is meant to change.

--- a/include/once/once_verdict.h
+++ b/include/once/once_verdict.h
@@ -44,6 +44,9 @@
   Incarnation incarnation;
 };
 
+// A verdict that tells the caller `outcome` and schedules nothing.
+OnceVerdict MakeOnceAnswer(Outcome outcome, OnceReason reason);
+
 }  // namespace papaya
 
 #endif  // INCLUDE_ONCE_ONCE_VERDICT_H_
--- /dev/null
+++ b/src/daemon/request_report.cc
@@ -0,0 +1,110 @@
+#include "src/daemon/request_report.h"
+
+#include <utility>
+
+#include "include/wire/steady_time.h"
+#include "src/daemon/request_session.h"
+#include "src/daemon/traffic_services.h"
+
+namespace papaya {
+
+using SystemClock = std::chrono::system_clock;
+
+RequestReport::RequestReport(TrafficServices* services,
+                             const AcceptedRequest& request)
+    : services_(services),
+      spec_(request.spec),
+      name_(request.name),
+      trace_(request.trace),
+      parent_span_(request.parent_span),
+      arrived_wall_(SystemClock::now()),
+      queued_wall_(arrived_wall_) {}
+
+void RequestReport::OnDispatch() {
+  attempt_started_ = SteadyNow();
+  first_token_at_ = TimePoint();
+  WriteHop(trace_.NewChild(), "queue_wait", queued_wall_, "", "");
+  services_->metrics->of(spec_.tier)
+      .queue_wait->Record(SteadyNow() - spec_.arrival);
+}
+
+void RequestReport::OnFirstByte() {
+  services_->metrics->of(spec_.tier)
+      .first_byte->Record(SteadyNow() - spec_.arrival);
+}
+
+bool RequestReport::OnFirstToken() {
+  if (std::exchange(first_token_seen_, true)) {
+    return false;
+  }
+  first_token_at_ = SteadyNow();
+  OnFirstByte();
+  return true;
+}
+
+void RequestReport::CountReply(const UpstreamSpec& upstream,
+                               bool failed,
+                               Tokens tokens) {
+  const TimePoint now = SteadyNow();
+  const TimePoint first = first_token_seen_ ? first_token_at_ : now;
+  services_->count_reply({.pool = upstream.pool,
+                          .version = upstream.version,
+                          .route = spec_.route,
+                          .upstream = upstream.id,
+                          .failed = failed,
+                          .first_token = first - attempt_started_,
+                          .whole = now - attempt_started_,
+                          .tokens = tokens});
+}
+
+void RequestReport::CountOutcome(Outcome outcome) {
+  services_->metrics->CountOutcome(spec_.tier, outcome);
+}
+
+void RequestReport::EndAnswered() {
+  CountOutcome(Outcome::kRan);
+  services_->metrics->of(spec_.tier).whole->Record(SteadyNow() - spec_.arrival);
+  End("");
+}
+
+void RequestReport::EndAbandoned() {
+  services_->metrics->of(spec_.tier).abandoned->Add();
+  End("the caller went away");
+}
+
+void RequestReport::End(const std::string& error) {
+  WriteSpan(trace_, parent_span_, "request", arrived_wall_, error, "");
+}
+
+void RequestReport::WriteHop(const TraceContext& context,
+                             const char* name,
+                             SystemClock::time_point start,
+                             const std::string& error,
+                             const std::string& upstream) {
+  WriteSpan(context, trace_.span_id, name, start, error, upstream);
+}
+
+void RequestReport::WriteSpan(const TraceContext& context,
+                              const std::string& parent,
+                              const char* name,
+                              SystemClock::time_point start,
+                              const std::string& error,
+                              const std::string& upstream) {
+  if (!services_->spans->is_open()) {
+    return;
+  }
+  Span span{.context = context,
+            .parent_id = parent,
+            .name = name,
+            .start = start,
+            .end = SystemClock::now(),
+            .error = error};
+  span.attributes = {{"papaya.request", name_},
+                     {"papaya.tier", TierName(spec_.tier)}};
+  if (!upstream.empty()) {
+    span.attributes.emplace_back("papaya.upstream", upstream);
+  }
+  services_->spans->Write(span);
+}
+
+}  // namespace papaya
--- a/src/daemon/request_session.cc
+++ b/src/daemon/request_session.cc
@@ -10,6 +10,7 @@
 #include "include/wire/steady_time.h"
 #include "src/daemon/error_answer.h"
 #include "src/daemon/once_gate.h"
+#include "src/daemon/request_chart.h"
 #include "src/daemon/request_mailbox.h"
 #include "src/daemon/scheduler_host.h"
 #include "src/daemon/stream_id.h"
@@ -33,27 +34,6 @@
                                     "text/event-stream");
 }
 
-// The event of charts/request.chart that a refusal stands for.
-const char* EventOfRefusal(const Refusal& refusal) {
-  if (refusal.outcome != Outcome::kNotRun) {
-    return "fail_unknown";
-  }
-  return refusal.reason == RefusalReason::kShed ? "shed" : "expire";
-}
-
-// The event of charts/request.chart for an outcome that an earlier attempt had.
-const char* EventOfOutcome(Outcome outcome) {
-  switch (outcome) {
-    case Outcome::kNotRun:
-      return "refuse";
-    case Outcome::kRan:
-      return "repeat";
-    case Outcome::kUnknown:
-      return "doubt";
-  }
-  return "doubt";
-}
-
 Tokens TokensOfAnswer(const UpstreamSpec& upstream, const std::string& body) {
   return upstream.kind == UpstreamKind::kModelEngine ? EstimateTokens(body)
                                                      : Tokens(0);
@@ -69,9 +49,7 @@
       request_(std::move(request)),
       mailbox_(std::make_shared<RequestMailbox>(exchange->executor())),
       life_(services->request_chart),
-      arrived_(request_.spec.arrival),
-      arrived_wall_(SystemClock::now()),
-      queued_wall_(arrived_wall_) {}
+      report_(services, request_) {}
 
 RequestSession::~RequestSession() = default;
 
@@ -136,7 +114,7 @@
 asio::awaitable<void> RequestSession::AnswerVerdict(
     const OnceVerdict& verdict) {
   Fire(EventOfOutcome(verdict.outcome));
-  services_->metrics->CountOutcome(request_.spec.tier, verdict.outcome);
+  report_.CountOutcome(verdict.outcome);
   HttpResponse response;
   if (verdict.answer.status != 0) {
     response.status = verdict.answer.status;
@@ -148,8 +126,7 @@
   }
   response.headers.Set(kRequestIdHeader, request_.name);
   (co_await exchange_->Respond(std::move(response))).IgnoreError();
-  WriteSpan(request_.trace, request_.parent_span, "request", arrived_wall_,
-            OnceReasonName(verdict.reason), "");
+  report_.End(OnceReasonName(verdict.reason));
 }
 
 asio::awaitable<void> RequestSession::ForwardToIssuer(
@@ -173,18 +150,16 @@
     response = *std::move(answer);
   } else {
     Fire("fail_unknown");
-    services_->metrics->CountOutcome(request_.spec.tier, Outcome::kUnknown);
+    report_.CountOutcome(Outcome::kUnknown);
     response = MakeErrorResponse({.status = 502,
                                   .code = "issuer_unreachable",
                                   .message = failure,
                                   .step = "ticket.forward",
                                   .outcome = Outcome::kUnknown});
   }
-  WriteSpan(span, request_.trace.span_id, "forward", started, failure,
-            verdict.router.value());
+  report_.WriteHop(span, "forward", started, failure, verdict.router.value());
   (co_await exchange_->Respond(std::move(response))).IgnoreError();
-  WriteSpan(request_.trace, request_.parent_span, "request", arrived_wall_, "",
-            "");
+  report_.End("");
 }
 
 void RequestSession::EndOnce(Outcome outcome, const HttpResponse* response) {
@@ -200,30 +175,10 @@
   services_->once->End(request_.spec.id, outcome, std::move(answer));
 }
 
-void RequestSession::CountReply(const UpstreamSpec& upstream,
-                                bool failed,
-                                Tokens tokens) {
-  const TimePoint now = SteadyNow();
-  const TimePoint first = first_token_seen_ ? first_token_at_ : now;
-  services_->count_reply({.pool = upstream.pool,
-                          .version = upstream.version,
-                          .route = request_.spec.route,
-                          .upstream = upstream.id,
-                          .failed = failed,
-                          .first_token = first - attempt_started_,
-                          .whole = now - attempt_started_,
-                          .tokens = tokens});
-}
-
 asio::awaitable<bool> RequestSession::Attempt(const UpstreamSpec& upstream) {
   Fire("dispatch");
-  attempt_started_ = SteadyNow();
-  first_token_at_ = TimePoint();
+  report_.OnDispatch();
   const SystemClock::time_point started = SystemClock::now();
-  WriteSpan(request_.trace.NewChild(), request_.trace.span_id, "queue_wait",
-            queued_wall_, "", "");
-  services_->metrics->of(request_.spec.tier)
-      .queue_wait->Record(SteadyNow() - arrived_);
   const TraceContext span = request_.trace.NewChild();
   stream_id_ = MakeStreamId(upstream.id, request_.name, request_.spec.account,
                             services_->settings.fleet_secret);
@@ -245,7 +200,7 @@
   handed_over_ = handed_over_ || is_fault || head.end == AttemptEnd::kOk;
   if (head.end != AttemptEnd::kOk) {
     if (is_fault) {
-      CountReply(upstream, true, Tokens(0));
+      report_.CountReply(upstream, true, Tokens(0));
     }
     ReportFailure(head.end);
   } else if (IsEventStream(head.response)) {
@@ -257,8 +212,8 @@
   if (request_.stream && (mailbox_->caller_gone() || mailbox_->preempted())) {
     co_await CancelAtEngine(attempt);
   }
-  WriteSpan(span, request_.trace.span_id, "attempt", started,
-            std::string(head.status.message()), upstream.id.value());
+  report_.WriteHop(span, "attempt", started, std::string(head.status.message()),
+                   upstream.id.value());
   co_return ended;
 }
 
@@ -268,7 +223,7 @@
     const absl::StatusOr<std::string> piece = co_await attempt.ReadPiece();
     const bool too_long = std::ssize(head.body) > kMaxAnswer.value();
     if (!piece.ok() || too_long) {
-      CountReply(attempt.upstream(), true, Tokens(0));
+      report_.CountReply(attempt.upstream(), true, Tokens(0));
       ReportFailure(AttemptEnd::kUnknown);
       co_return false;
     }
@@ -282,13 +237,12 @@
       .end = AttemptEnd::kOk,
       .output_tokens = TokensOfAnswer(attempt.upstream(), head.body)};
   services_->scheduler->Finish(request_.spec.id, result);
-  CountReply(attempt.upstream(), head.status >= 500, Tokens(0));
+  report_.CountReply(attempt.upstream(), head.status >= 500, Tokens(0));
   EndOnce(Outcome::kRan, &head);
   AddAnswerHeaders(attempt.upstream(), &head.headers);
-  services_->metrics->of(request_.spec.tier)
-      .first_byte->Record(SteadyNow() - arrived_);
+  report_.OnFirstByte();
   (co_await exchange_->Respond(std::move(head))).IgnoreError();
-  EndAnswered();
+  report_.EndAnswered();
   co_return true;
 }
 
@@ -302,7 +256,7 @@
   const StreamRelay::End end = co_await relay.Run(std::move(head));
   switch (end) {
     case StreamRelay::End::kNothingSent:
-      CountReply(attempt.upstream(), true, Tokens(0));
+      report_.CountReply(attempt.upstream(), true, Tokens(0));
       ReportFailure(AttemptEnd::kUnknown);
       co_return false;
     case StreamRelay::End::kWhole: {
@@ -310,9 +264,9 @@
       const AttemptResult result{.end = AttemptEnd::kOk,
                                  .output_tokens = Tokens(relay.tokens())};
       services_->scheduler->Finish(request_.spec.id, result);
-      CountReply(attempt.upstream(), false, Tokens(relay.tokens()));
+      report_.CountReply(attempt.upstream(), false, Tokens(relay.tokens()));
       EndOnce(Outcome::kRan, nullptr);
-      EndAnswered();
+      report_.EndAnswered();
       co_return true;
     }
     case StreamRelay::End::kCallerFailed:
@@ -327,10 +281,10 @@
     EndAbandoned();
     co_return true;
   }
-  CountReply(attempt.upstream(), true, Tokens(0));
+  report_.CountReply(attempt.upstream(), true, Tokens(0));
   EndOnce(Outcome::kUnknown, nullptr);
   Fire("fail_unknown");
-  services_->metrics->CountOutcome(request_.spec.tier, Outcome::kUnknown);
+  report_.CountOutcome(Outcome::kUnknown);
   Event event{.id = EventId::kStreamCut};
   event.fields = {{"request", request_.name},
                   {"upstream", attempt.upstream().id.value()},
@@ -349,12 +303,9 @@
   };
   hooks.tokens = [this](int64_t tokens) {
     const RequestId id = request_.spec.id;
-    if (!std::exchange(first_token_seen_, true)) {
+    if (report_.OnFirstToken()) {
       Fire("first_byte");
-      first_token_at_ = SteadyNow();
       services_->scheduler->FirstToken(id);
-      services_->metrics->of(request_.spec.tier)
-          .first_byte->Record(SteadyNow() - arrived_);
     }
     if (tokens - reported_tokens_ >= kTokensPerReport) {
       reported_tokens_ = tokens;
@@ -382,7 +333,7 @@
   AttemptResult result;
   result.end = cancelled ? AttemptEnd::kPreempted : end;
   Fire("retry");
-  queued_wall_ = SystemClock::now();
+  report_.OnRequeued();
   services_->scheduler->Finish(request_.spec.id, result);
 }
 
@@ -391,10 +342,9 @@
   Fire(EventOfRefusal(refusal));
   HttpResponse response = MakeErrorResponse(AnswerToRefusal(refusal));
   response.headers.Set(kRequestIdHeader, request_.name);
-  services_->metrics->CountOutcome(request_.spec.tier, refusal.outcome);
+  report_.CountOutcome(refusal.outcome);
   (co_await exchange_->Respond(std::move(response))).IgnoreError();
-  WriteSpan(request_.trace, request_.parent_span, "request", arrived_wall_,
-            RefusalReasonName(refusal.reason), "");
+  report_.End(RefusalReasonName(refusal.reason));
 }
 
 asio::awaitable<void> RequestSession::CancelAtEngine(
@@ -427,20 +377,10 @@
   }
 }
 
-void RequestSession::EndAnswered() {
-  services_->metrics->CountOutcome(request_.spec.tier, Outcome::kRan);
-  services_->metrics->of(request_.spec.tier)
-      .whole->Record(SteadyNow() - arrived_);
-  WriteSpan(request_.trace, request_.parent_span, "request", arrived_wall_, "",
-            "");
-}
-
 void RequestSession::EndAbandoned() {
   EndOnce(handed_over_ ? Outcome::kUnknown : Outcome::kNotRun, nullptr);
   Fire("caller_gone");
-  services_->metrics->of(request_.spec.tier).abandoned->Add();
-  WriteSpan(request_.trace, request_.parent_span, "request", arrived_wall_,
-            "the caller went away", "");
+  report_.EndAbandoned();
 }
 
 void RequestSession::Fire(const char* event) {
@@ -448,27 +388,4 @@
   assert(accepted);
 }
 
-void RequestSession::WriteSpan(const TraceContext& context,
-                               const std::string& parent,
-                               const char* name,
-                               SystemClock::time_point start,
-                               const std::string& error,
-                               const std::string& upstream) {
-  if (!services_->spans->is_open()) {
-    return;
-  }
-  Span span{.context = context,
-            .parent_id = parent,
-            .name = name,
-            .start = start,
-            .end = SystemClock::now(),
-            .error = error};
-  span.attributes = {{"papaya.request", request_.name},
-                     {"papaya.tier", TierName(request_.spec.tier)}};
-  if (!upstream.empty()) {
-    span.attributes.emplace_back("papaya.upstream", upstream);
-  }
-  services_->spans->Write(span);
-}
-
 }  // namespace papaya
--- a/src/daemon/request_session.h
+++ b/src/daemon/request_session.h
@@ -12,6 +12,7 @@
 #include "include/telemetry/trace_context.h"
 #include "include/wire/http_message.h"
 #include "src/daemon/once_plane.h"
+#include "src/daemon/request_report.h"
 #include "src/daemon/stream_relay.h"
 #include "src/daemon/upstream_attempt.h"
 
@@ -63,8 +64,6 @@
   boost::asio::awaitable<void> ForwardToIssuer(const OnceVerdict& verdict);
   // Notes the outcome of a request that PassOnce let through.
   void EndOnce(Outcome outcome, const HttpResponse* response);
-  // Counts the end of an attempt for the comparison of versions.
-  void CountReply(const UpstreamSpec& upstream, bool failed, Tokens tokens);
 
   // Makes one attempt; true if the request has ended by it.
   boost::asio::awaitable<bool> Attempt(const UpstreamSpec& upstream);
@@ -81,28 +80,16 @@
   StreamRelay::Hooks MakeRelayHooks(UpstreamAttempt& attempt);
   // The attempt ended without an answer; the scheduler decides what follows.
   void ReportFailure(AttemptEnd end);
-  void EndAnswered();
   void EndAbandoned();
   void Fire(const char* event);
-  void WriteSpan(const TraceContext& context,
-                 const std::string& parent,
-                 const char* name,
-                 std::chrono::system_clock::time_point start,
-                 const std::string& error,
-                 const std::string& upstream);
 
   TrafficServices* services_;
   HttpExchange* exchange_;
   AcceptedRequest request_;
   std::shared_ptr<RequestMailbox> mailbox_;
   ChartMachine life_;
+  RequestReport report_;
   std::string stream_id_;
-  TimePoint arrived_;
-  std::chrono::system_clock::time_point arrived_wall_;
-  std::chrono::system_clock::time_point queued_wall_;
-  TimePoint attempt_started_;
-  TimePoint first_token_at_;
-  bool first_token_seen_ = false;
   // PassOnce let it through, and its outcome is not noted yet.
   bool owes_outcome_ = false;
   // An upstream may have it.
--- a/src/once/claim_keeper.cc
+++ b/src/once/claim_keeper.cc
@@ -24,10 +24,6 @@
          status.code() == absl::StatusCode::kDeadlineExceeded;
 }
 
-OnceVerdict MakeAnswer(Outcome outcome, OnceReason reason) {
-  return {.action = OnceAction::kAnswer, .outcome = outcome, .reason = reason};
-}
-
 }  // namespace
 
 ClaimKeeper::ClaimKeeper(Options options,
@@ -45,11 +41,11 @@
   const OnceTable::Entry* entry = table_.Find(attempt.claim);
   if (entry != nullptr && entry->state == OnceTable::State::kRunning) {
     hooks_.decide(attempt.id,
-                  MakeAnswer(Outcome::kUnknown, OnceReason::kInProgress));
+                  MakeOnceAnswer(Outcome::kUnknown, OnceReason::kInProgress));
     return;
   }
   if (entry != nullptr && entry->state == OnceTable::State::kEnded) {
-    OnceVerdict verdict = MakeAnswer(entry->outcome, OnceReason::kRepeated);
+    OnceVerdict verdict = MakeOnceAnswer(entry->outcome, OnceReason::kRepeated);
     verdict.answer = entry->answer;
     hooks_.decide(attempt.id, verdict);
     return;
@@ -57,7 +53,7 @@
   if (!Remember(attempt.claim, now)) {
     const Outcome outcome =
         attempt.is_first ? Outcome::kNotRun : Outcome::kUnknown;
-    hooks_.decide(attempt.id, MakeAnswer(outcome, OnceReason::kTableFull));
+    hooks_.decide(attempt.id, MakeOnceAnswer(outcome, OnceReason::kTableFull));
     return;
   }
   Waiting& waiting = waiting_[attempt.id];
@@ -311,7 +307,8 @@
   const bool is_not_run = waiting.attempt.is_first && !waiting.is_foreign;
   table_.Abandon(waiting.attempt.claim);
   Decide(waiting,
-         MakeAnswer(is_not_run ? Outcome::kNotRun : Outcome::kUnknown, reason));
+         MakeOnceAnswer(is_not_run ? Outcome::kNotRun : Outcome::kUnknown,
+                        reason));
 }
 
 void ClaimKeeper::Close(Waiting& waiting,
@@ -323,7 +320,7 @@
   if (outcome == Outcome::kNotRun && !waiting.is_foreign) {
     MarkNotRun(claim);
   }
-  OnceVerdict verdict = MakeAnswer(outcome, reason);
+  OnceVerdict verdict = MakeOnceAnswer(outcome, reason);
   verdict.answer = answer;
   Decide(waiting, verdict);
 }
--- a/src/once/once_verdict.cc
+++ b/src/once/once_verdict.cc
@@ -28,4 +28,8 @@
   return "none";
 }
 
+OnceVerdict MakeOnceAnswer(Outcome outcome, OnceReason reason) {
+  return {.action = OnceAction::kAnswer, .outcome = outcome, .reason = reason};
+}
+
 }  // namespace papaya
--- a/src/once/ticket_desk.cc
+++ b/src/once/ticket_desk.cc
@@ -13,10 +13,6 @@
   return absl::StrCat(ticket.serial);
 }
 
-OnceVerdict MakeAnswer(Outcome outcome, OnceReason reason) {
-  return {.action = OnceAction::kAnswer, .outcome = outcome, .reason = reason};
-}
-
 }  // namespace
 
 TicketDesk::TicketDesk(Options options, AliveHook is_alive)
@@ -61,7 +57,7 @@
   }
   if (ticket.issuer == options_.router ||
       !is_alive_(ticket.issuer, ticket.incarnation)) {
-    return MakeAnswer(Outcome::kUnknown, OnceReason::kIssuerGone);
+    return MakeOnceAnswer(Outcome::kUnknown, OnceReason::kIssuerGone);
   }
   return {.action = OnceAction::kForward,
           .router = ticket.issuer,
@@ -72,24 +68,24 @@
   const std::string key = TableKey(ticket);
   const OnceTable::Entry* entry = table_.Find(key);
   if (entry != nullptr && entry->state == OnceTable::State::kRunning) {
-    return MakeAnswer(Outcome::kUnknown, OnceReason::kInProgress);
+    return MakeOnceAnswer(Outcome::kUnknown, OnceReason::kInProgress);
   }
   if (entry != nullptr) {
-    OnceVerdict verdict = MakeAnswer(entry->outcome, OnceReason::kRepeated);
+    OnceVerdict verdict = MakeOnceAnswer(entry->outcome, OnceReason::kRepeated);
     verdict.answer = entry->answer;
     return verdict;
   }
   if (now >= ticket.expires + options_.memory) {
-    return MakeAnswer(Outcome::kUnknown, OnceReason::kForgotten);
+    return MakeOnceAnswer(Outcome::kUnknown, OnceReason::kForgotten);
   }
   // Any use would still be in the table, so none has happened. None will: the
   // ticket stays expired.
   if (now >= ticket.expires) {
-    return MakeAnswer(Outcome::kNotRun, OnceReason::kExpired);
+    return MakeOnceAnswer(Outcome::kNotRun, OnceReason::kExpired);
   }
   // Issue has kept a place for it, but a running request may hold one longer.
   if (!table_.Begin(key, ticket.expires + options_.memory)) {
-    return MakeAnswer(Outcome::kUnknown, OnceReason::kTableFull);
+    return MakeOnceAnswer(Outcome::kUnknown, OnceReason::kTableFull);
   }
   return {.action = OnceAction::kProceed};
 }
