--- a/bench/fake_fleet.h
+++ b/bench/fake_fleet.h
@@ -17,6 +17,9 @@
 #include "bench/fleet_record.h"
 #include "bench/router_policy.h"
 #include "bench/virtual_loop.h"
+#include "include/admission/demand_names.h"
+#include "include/admission/demand_packing.h"
+#include "include/admission/demand_share.h"
 #include "include/admission/scheduler.h"
 #include "include/base/random.h"
 #include "include/routing/routing_snapshot.h"
@@ -126,6 +129,8 @@
     bool is_alive = true;
     bool is_listed = true;
     TimePoint paused_until;
+    std::shared_ptr<const RoutingSnapshot> snapshot;
+    DemandNames names;
   };
 
   static constexpr uint64_t kMaxAttempts = 1024;
@@ -178,17 +183,31 @@
     return hooks;
   }
 
+  // Passes `report` on as the daemon does, packed for each router that shares
+  // upstreams.
   void SendReport(size_t from, const DemandReport& report) {
+    if (routers_[from].snapshot == nullptr) {
+      return;
+    }
+    const std::map<RouterId, DemandReport> parts =
+        SplitDemandReport(report, *routers_[from].snapshot);
     for (size_t to = 0; to < routers_.size(); ++to) {
       const bool is_cut =
           partition_ > 0 && (from < partition_) != (to < partition_);
       if (to == from || is_cut || random_.Chance(options_.links.report_loss)) {
         continue;
       }
+      const auto part = parts.find(PlaceOf(to).id);
+      if (part == parts.end()) {
+        continue;
+      }
+      const std::string packed = PackDemand(MakeDemandNotice(part->second));
       const Duration extra = SecondsToDuration(
           ToSeconds(options_.links.report_delay) * random_.Uniform());
-      ToRouterAfter(to, options_.links.delay + extra, [this, to, report] {
-        routers_[to].policy->OnDemandReport(report, loop_.now());
+      ToRouterAfter(to, options_.links.delay + extra, [this, from, to, packed] {
+        const std::optional<DemandNotice> notice = UnpackDemand(packed);
+        routers_[to].policy->OnDemandReport(
+            routers_[to].names.Resolve(PlaceOf(from).id, *notice), loop_.now());
       });
     }
   }
@@ -323,6 +342,8 @@
       input.self = PlaceOf(i);
       const auto snapshot = RoutingSnapshot::Build(input);
       ToRouter(i, [this, i, snapshot] {
+        routers_[i].snapshot = snapshot;
+        routers_[i].names = DemandNames(*snapshot);
         routers_[i].policy->OnSnapshot(snapshot, loop_.now());
       });
     }
--- a/bench/scheduler_policy.h
+++ b/bench/scheduler_policy.h
@@ -16,8 +16,10 @@
   SchedulerPolicy(size_t router,
                   SchedulerHooks hooks,
                   size_t max_queued = SchedulerOptions().max_queued,
-                  SchedulerParts parts = {})
-      : scheduler_(MakeOptions(router, max_queued, parts), std::move(hooks)) {}
+                  SchedulerParts parts = {},
+                  Bytes report_budget = SchedulerOptions().report_budget)
+      : scheduler_(MakeOptions(router, max_queued, parts, report_budget),
+                   std::move(hooks)) {}
 
   void OnSnapshot(std::shared_ptr<const RoutingSnapshot> snapshot,
                   TimePoint now) override {
@@ -56,12 +58,14 @@
  private:
   static SchedulerOptions MakeOptions(size_t router,
                                       size_t max_queued,
-                                      SchedulerParts parts) {
+                                      SchedulerParts parts,
+                                      Bytes report_budget) {
     SchedulerOptions options;
     options.router = RouterId("r" + std::to_string(router));
     options.incarnation = Incarnation(1);
     options.max_queued = max_queued;
     options.parts = parts;
+    options.report_budget = report_budget;
     return options;
   }
 
--- a/include/admission/scheduler_options.h
+++ b/include/admission/scheduler_options.h
@@ -18,8 +18,11 @@
   absl::flat_hash_map<AccountId, int> account_weights;
   // Requests that may wait at once, of all pools and tiers.
   size_t max_queued = 4096;
-  // Time between two demand reports.
+  // Time between two demand reports, at least.
   Duration report_interval = std::chrono::milliseconds(250);
+  // What demand reports may take a second on the average: what membership
+  // leaves of the 15 KiB a second that a router has for control.
+  Bytes report_budget{6 * 1024};
   // A peer's report older than this counts for nothing.
   Duration report_lifetime = std::chrono::seconds(3);
   SchedulerParts parts;
--- a/include/wire/peer_message.h
+++ b/include/wire/peer_message.h
@@ -3,7 +3,7 @@
 
 #include <variant>
 
-#include "include/admission/demand_report.h"
+#include "include/admission/demand_notice.h"
 #include "include/config/config_messages.h"
 #include "include/membership/member_messages.h"
 #include "include/once/claim_messages.h"
@@ -17,7 +17,7 @@
 using PeerMessage = std::variant<MemberMessage,
                                  ConfigMessage,
                                  StatsReport,
-                                 DemandReport,
+                                 DemandNotice,
                                  ClaimQuery,
                                  ClaimReply,
                                  ForwardRequest,
--- a/src/admission/scheduler_core.cc
+++ b/src/admission/scheduler_core.cc
@@ -20,7 +20,8 @@
       hooks_(std::move(hooks)),
       peers_(options_.report_lifetime),
       prefixes_(kPrefixes),
-      chooser_(&upstreams_, &prefixes_) {}
+      chooser_(&upstreams_, &prefixes_),
+      pacer_(options_.report_interval, options_.report_budget) {}
 
 void SchedulerCore::OnSnapshot(std::shared_ptr<const RoutingSnapshot> snapshot,
                                TimePoint now) {
--- a/src/admission/scheduler_core.h
+++ b/src/admission/scheduler_core.h
@@ -10,6 +10,7 @@
 #include "include/admission/scheduler.h"
 #include "include/routing/output_length.h"
 #include "include/routing/prefix_index.h"
+#include "src/admission/demand_pacer.h"
 #include "src/admission/group_table.h"
 #include "src/admission/peer_table.h"
 #include "src/admission/request_entry.h"
@@ -107,6 +108,11 @@
   // Plans the division of slots anew, if there is news and it matters.
   void PlanIfNeeded(GroupState* group, TimePoint now);
   void UpdateStragglers(GroupState* group, TimePoint now);
+  // False if the others know lately all that `report` says.
+  bool IsNews(const DemandReport& report, TimePoint now) const;
+  // True if critical requests are short of slots here, or were so by the last
+  // report, or are at another router in a group where this one has work too.
+  bool IsPressed();
   void SendReport(TimePoint now);
   DemandReport MakeReport();
 
@@ -125,6 +131,9 @@
   size_t queued_ = 0;
   bool has_peer_news_ = false;
   bool has_short_news_ = false;
+  // A shortage of critical requests began or ended since the last report.
+  bool has_critical_news_ = false;
+  DemandPacer pacer_;
   TimePoint last_report_;
   // What the other routers were told last.
   DemandReport own_report_;
--- a/src/admission/scheduler_pressure.cc
+++ b/src/admission/scheduler_pressure.cc
@@ -25,8 +25,6 @@
 // A critical attempt without a first token this long after it should have come
 // is queued by its upstream.
 constexpr double kStuckSeconds = 0.3;
-// Reports about a shortage that begins or ends go out at most this often.
-constexpr Duration kUrgentReportInterval = std::chrono::milliseconds(50);
 
 // The part of its time that `entry` has waited for.
 double WaitedPart(const RequestEntry& entry, TimePoint now) {
@@ -117,7 +115,7 @@
     group->free_slots = std::numeric_limits<double>::infinity();
     return;
   }
-  SlotPlanner(&peers_, &own_report_, options_.report_interval, now, &upstreams_)
+  SlotPlanner(&peers_, &own_report_, pacer_.interval(), now, &upstreams_)
       .Plan(group);
 }
 
@@ -132,9 +130,8 @@
     UpdateShortTier(&group, now);
     RelieveShortage(&group, now);
   }
-  const Duration interval =
-      has_short_news_ ? kUrgentReportInterval : options_.report_interval;
-  if (now - last_report_ >= interval) {
+  if (pacer_.MayReport(now) || (has_short_news_ && pacer_.MayHurry(now)) ||
+      (pacer_.MayPress(now) && IsPressed())) {
     SendReport(now);
   }
 }
@@ -165,6 +162,8 @@
   if (short_tier == group->own_short) {
     return;
   }
+  has_critical_news_ = has_critical_news_ || short_tier == Tier::kCritical ||
+                       group->own_short == Tier::kCritical;
   group->own_short = short_tier;
   has_short_news_ = true;
 }
@@ -338,48 +337,4 @@
   return static_cast<int>(candidates.size());
 }
 
-DemandReport SchedulerCore::MakeReport() {
-  DemandReport report;
-  report.router = options_.router;
-  report.incarnation = options_.incarnation;
-  report.sequence = own_report_.sequence + 1;
-  for (size_t i = 0; i < groups_.size(); ++i) {
-    const GroupState& group = groups_.at(static_cast<int32_t>(i));
-    if (group.IsIdle()) {
-      continue;
-    }
-    GroupDemand demand;
-    demand.group = group.name;
-    demand.short_tier = group.own_short;
-    for (size_t tier = 0; tier < kTierCount; ++tier) {
-      demand.tiers[tier] = {group.running[tier],
-                            static_cast<int32_t>(group.queues[tier].size())};
-    }
-    report.groups.push_back(std::move(demand));
-  }
-  for (size_t i = 0; i < upstreams_.size(); ++i) {
-    const UpstreamState& state = upstreams_.at(static_cast<int32_t>(i));
-    if (state.running == 0 && !state.straggler.set_aside && !state.is_leaving) {
-      continue;
-    }
-    report.upstreams.push_back({state.id, state.running,
-                                Tokens(static_cast<int64_t>(state.prefill)),
-                                state.straggler.set_aside, state.is_leaving});
-  }
-  return report;
-}
-
-void SchedulerCore::SendReport(TimePoint now) {
-  last_report_ = now;
-  has_short_news_ = false;
-  own_report_ = MakeReport();
-  for (size_t i = 0; i < upstreams_.size(); ++i) {
-    UpstreamState& state = upstreams_.at(static_cast<int32_t>(i));
-    state.given_away = 0;
-    state.reported_running = state.running;
-  }
-  has_peer_news_ = true;
-  hooks_.send_demand(own_report_);
-}
-
 }  // namespace papaya
--- a/src/daemon/control_plane.cc
+++ b/src/daemon/control_plane.cc
@@ -89,7 +89,7 @@
     return;
   }
   for (const auto& [router, part] : SplitDemandReport(report, *snapshot_)) {
-    SendTo(router, part);
+    SendTo(router, MakeDemandNotice(part));
   }
 }
 
@@ -116,8 +116,11 @@
   rollout_->OnReport(report);
 }
 
-void ControlPlane::Handle(const RouterId&, const DemandReport& report) {
-  hooks_.demand(report);
+void ControlPlane::Handle(const RouterId& from, const DemandNotice& notice) {
+  // What an earlier release says is not understood; it counts as silent.
+  if (notice.incarnation != Incarnation()) {
+    hooks_.demand(demand_names_.Resolve(from, notice));
+  }
 }
 
 void ControlPlane::Handle(const RouterId&, const ClaimQuery& query) {
@@ -205,6 +208,7 @@
 
 void ControlPlane::Publish(std::shared_ptr<const RoutingSnapshot> snapshot) {
   snapshot_ = std::move(snapshot);
+  demand_names_ = DemandNames(*snapshot_);
   poller_.OnSnapshot(snapshot_);
   hooks_.publish(snapshot_);
 }
--- a/src/daemon/control_plane.h
+++ b/src/daemon/control_plane.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 
+#include "include/admission/demand_names.h"
 #include "include/settings/router_settings.h"
 #include "include/telemetry/event.h"
 #include "include/wire/http_object_store.h"
@@ -80,7 +81,7 @@
   void Handle(const RouterId& from, const MemberMessage& message);
   void Handle(const RouterId& from, const ConfigMessage& message);
   void Handle(const RouterId& from, const StatsReport& report);
-  void Handle(const RouterId& from, const DemandReport& report);
+  void Handle(const RouterId& from, const DemandNotice& notice);
   void Handle(const RouterId& from, const ClaimQuery& query);
   void Handle(const RouterId& from, const ClaimReply& reply);
   void Handle(const RouterId& from, const ForwardRequest& request);
@@ -108,6 +109,8 @@
   ForwardDesk forwards_;
   UpstreamPoller poller_;
   std::shared_ptr<const RoutingSnapshot> snapshot_;
+  // The names of snapshot_.
+  DemandNames demand_names_;
   TimePoint next_slow_tick_;
   TimePoint next_vm_read_;
   bool stopped_ = false;
--- a/src/wire/peer_codec.cc
+++ b/src/wire/peer_codec.cc
@@ -24,8 +24,8 @@
 fb::PayloadUnion EncodePayload(const StatsReport& report) {
   return EncodeStatsReport(report);
 }
-fb::PayloadUnion EncodePayload(const DemandReport& report) {
-  return EncodeDemandReport(report);
+fb::PayloadUnion EncodePayload(const DemandNotice& notice) {
+  return EncodeDemandNotice(notice);
 }
 template <typename OnceMessage>
 fb::PayloadUnion EncodePayload(const OnceMessage& message) {
@@ -49,7 +49,7 @@
     message = Widen(DecodeStatsReport(payload));
   }
   if (!message.has_value()) {
-    message = Widen(DecodeDemandReport(payload));
+    message = Widen(DecodeDemandNotice(payload));
   }
   if (!message.has_value()) {
     message = DecodeOnceMessage(payload);
--- a/src/wire/peer_codecs.h
+++ b/src/wire/peer_codecs.h
@@ -23,8 +23,8 @@
 fb::PayloadUnion EncodeStatsReport(const StatsReport& report);
 std::optional<StatsReport> DecodeStatsReport(const fb::PayloadUnion& payload);
 
-fb::PayloadUnion EncodeDemandReport(const DemandReport& report);
-std::optional<DemandReport> DecodeDemandReport(const fb::PayloadUnion& payload);
+fb::PayloadUnion EncodeDemandNotice(const DemandNotice& notice);
+std::optional<DemandNotice> DecodeDemandNotice(const fb::PayloadUnion& payload);
 
 fb::PayloadUnion EncodeOnceMessage(const ClaimQuery& query);
 fb::PayloadUnion EncodeOnceMessage(const ClaimReply& reply);
--- a/src/wire/peer_generated.h
+++ b/src/wire/peer_generated.h
@@ -121,16 +121,6 @@
 struct StatsReportBuilder;
 struct StatsReportT;
 
-struct TierDemand;
-
-struct GroupDemand;
-struct GroupDemandBuilder;
-struct GroupDemandT;
-
-struct UpstreamUse;
-struct UpstreamUseBuilder;
-struct UpstreamUseT;
-
 struct DemandReport;
 struct DemandReportBuilder;
 struct DemandReportT;
@@ -760,34 +750,6 @@
   using type = StatsKey;
 };
 
-FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) TierDemand FLATBUFFERS_FINAL_CLASS {
- private:
-  int32_t running_;
-  int32_t waiting_;
-
- public:
-  struct Traits;
-  TierDemand()
-      : running_(0),
-        waiting_(0) {
-  }
-  TierDemand(int32_t _running, int32_t _waiting)
-      : running_(flatbuffers::EndianScalar(_running)),
-        waiting_(flatbuffers::EndianScalar(_waiting)) {
-  }
-  int32_t running() const {
-    return flatbuffers::EndianScalar(running_);
-  }
-  int32_t waiting() const {
-    return flatbuffers::EndianScalar(waiting_);
-  }
-};
-FLATBUFFERS_STRUCT_END(TierDemand, 8);
-
-struct TierDemand::Traits {
-  using type = TierDemand;
-};
-
 struct MemberRecordT : public flatbuffers::NativeTable {
   typedef MemberRecord TableType;
   std::string id{};
@@ -3271,248 +3233,9 @@
 
 flatbuffers::Offset<StatsReport> CreateStatsReport(flatbuffers::FlatBufferBuilder &_fbb, const StatsReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct GroupDemandT : public flatbuffers::NativeTable {
-  typedef GroupDemand TableType;
-  std::string pool{};
-  std::string version{};
-  std::vector<papaya::fb::TierDemand> tiers{};
-  int8_t short_tier = -1;
-};
-
-struct GroupDemand FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef GroupDemandT NativeTableType;
-  typedef GroupDemandBuilder Builder;
-  struct Traits;
-  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_POOL = 4,
-    VT_VERSION = 6,
-    VT_TIERS = 8,
-    VT_SHORT_TIER = 10
-  };
-  const flatbuffers::String *pool() const {
-    return GetPointer<const flatbuffers::String *>(VT_POOL);
-  }
-  const flatbuffers::String *version() const {
-    return GetPointer<const flatbuffers::String *>(VT_VERSION);
-  }
-  const flatbuffers::Vector<const papaya::fb::TierDemand *> *tiers() const {
-    return GetPointer<const flatbuffers::Vector<const papaya::fb::TierDemand *> *>(VT_TIERS);
-  }
-  int8_t short_tier() const {
-    return GetField<int8_t>(VT_SHORT_TIER, -1);
-  }
-  bool Verify(flatbuffers::Verifier &verifier) const {
-    return VerifyTableStart(verifier) &&
-           VerifyOffset(verifier, VT_POOL) &&
-           verifier.VerifyString(pool()) &&
-           VerifyOffset(verifier, VT_VERSION) &&
-           verifier.VerifyString(version()) &&
-           VerifyOffset(verifier, VT_TIERS) &&
-           verifier.VerifyVector(tiers()) &&
-           VerifyField<int8_t>(verifier, VT_SHORT_TIER, 1) &&
-           verifier.EndTable();
-  }
-  GroupDemandT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(GroupDemandT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<GroupDemand> Pack(flatbuffers::FlatBufferBuilder &_fbb, const GroupDemandT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
-};
-
-struct GroupDemandBuilder {
-  typedef GroupDemand Table;
-  flatbuffers::FlatBufferBuilder &fbb_;
-  flatbuffers::uoffset_t start_;
-  void add_pool(flatbuffers::Offset<flatbuffers::String> pool) {
-    fbb_.AddOffset(GroupDemand::VT_POOL, pool);
-  }
-  void add_version(flatbuffers::Offset<flatbuffers::String> version) {
-    fbb_.AddOffset(GroupDemand::VT_VERSION, version);
-  }
-  void add_tiers(flatbuffers::Offset<flatbuffers::Vector<const papaya::fb::TierDemand *>> tiers) {
-    fbb_.AddOffset(GroupDemand::VT_TIERS, tiers);
-  }
-  void add_short_tier(int8_t short_tier) {
-    fbb_.AddElement<int8_t>(GroupDemand::VT_SHORT_TIER, short_tier, -1);
-  }
-  explicit GroupDemandBuilder(flatbuffers::FlatBufferBuilder &_fbb)
-        : fbb_(_fbb) {
-    start_ = fbb_.StartTable();
-  }
-  flatbuffers::Offset<GroupDemand> Finish() {
-    const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<GroupDemand>(end);
-    return o;
-  }
-};
-
-inline flatbuffers::Offset<GroupDemand> CreateGroupDemand(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::String> pool = 0,
-    flatbuffers::Offset<flatbuffers::String> version = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const papaya::fb::TierDemand *>> tiers = 0,
-    int8_t short_tier = -1) {
-  GroupDemandBuilder builder_(_fbb);
-  builder_.add_tiers(tiers);
-  builder_.add_version(version);
-  builder_.add_pool(pool);
-  builder_.add_short_tier(short_tier);
-  return builder_.Finish();
-}
-
-struct GroupDemand::Traits {
-  using type = GroupDemand;
-  static auto constexpr Create = CreateGroupDemand;
-};
-
-inline flatbuffers::Offset<GroupDemand> CreateGroupDemandDirect(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    const char *pool = nullptr,
-    const char *version = nullptr,
-    const std::vector<papaya::fb::TierDemand> *tiers = nullptr,
-    int8_t short_tier = -1) {
-  auto pool__ = pool ? _fbb.CreateSharedString(pool) : 0;
-  auto version__ = version ? _fbb.CreateSharedString(version) : 0;
-  auto tiers__ = tiers ? _fbb.CreateVectorOfStructs<papaya::fb::TierDemand>(*tiers) : 0;
-  return papaya::fb::CreateGroupDemand(
-      _fbb,
-      pool__,
-      version__,
-      tiers__,
-      short_tier);
-}
-
-flatbuffers::Offset<GroupDemand> CreateGroupDemand(flatbuffers::FlatBufferBuilder &_fbb, const GroupDemandT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
-
-struct UpstreamUseT : public flatbuffers::NativeTable {
-  typedef UpstreamUse TableType;
-  std::string upstream{};
-  int32_t running = 0;
-  int64_t pending_prefill = 0;
-  bool set_aside = false;
-  bool leaving = false;
-};
-
-struct UpstreamUse FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef UpstreamUseT NativeTableType;
-  typedef UpstreamUseBuilder Builder;
-  struct Traits;
-  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_UPSTREAM = 4,
-    VT_RUNNING = 6,
-    VT_PENDING_PREFILL = 8,
-    VT_SET_ASIDE = 10,
-    VT_LEAVING = 12
-  };
-  const flatbuffers::String *upstream() const {
-    return GetPointer<const flatbuffers::String *>(VT_UPSTREAM);
-  }
-  int32_t running() const {
-    return GetField<int32_t>(VT_RUNNING, 0);
-  }
-  int64_t pending_prefill() const {
-    return GetField<int64_t>(VT_PENDING_PREFILL, 0);
-  }
-  bool set_aside() const {
-    return GetField<uint8_t>(VT_SET_ASIDE, 0) != 0;
-  }
-  bool leaving() const {
-    return GetField<uint8_t>(VT_LEAVING, 0) != 0;
-  }
-  bool Verify(flatbuffers::Verifier &verifier) const {
-    return VerifyTableStart(verifier) &&
-           VerifyOffset(verifier, VT_UPSTREAM) &&
-           verifier.VerifyString(upstream()) &&
-           VerifyField<int32_t>(verifier, VT_RUNNING, 4) &&
-           VerifyField<int64_t>(verifier, VT_PENDING_PREFILL, 8) &&
-           VerifyField<uint8_t>(verifier, VT_SET_ASIDE, 1) &&
-           VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
-           verifier.EndTable();
-  }
-  UpstreamUseT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(UpstreamUseT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<UpstreamUse> Pack(flatbuffers::FlatBufferBuilder &_fbb, const UpstreamUseT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
-};
-
-struct UpstreamUseBuilder {
-  typedef UpstreamUse Table;
-  flatbuffers::FlatBufferBuilder &fbb_;
-  flatbuffers::uoffset_t start_;
-  void add_upstream(flatbuffers::Offset<flatbuffers::String> upstream) {
-    fbb_.AddOffset(UpstreamUse::VT_UPSTREAM, upstream);
-  }
-  void add_running(int32_t running) {
-    fbb_.AddElement<int32_t>(UpstreamUse::VT_RUNNING, running, 0);
-  }
-  void add_pending_prefill(int64_t pending_prefill) {
-    fbb_.AddElement<int64_t>(UpstreamUse::VT_PENDING_PREFILL, pending_prefill, 0);
-  }
-  void add_set_aside(bool set_aside) {
-    fbb_.AddElement<uint8_t>(UpstreamUse::VT_SET_ASIDE, static_cast<uint8_t>(set_aside), 0);
-  }
-  void add_leaving(bool leaving) {
-    fbb_.AddElement<uint8_t>(UpstreamUse::VT_LEAVING, static_cast<uint8_t>(leaving), 0);
-  }
-  explicit UpstreamUseBuilder(flatbuffers::FlatBufferBuilder &_fbb)
-        : fbb_(_fbb) {
-    start_ = fbb_.StartTable();
-  }
-  flatbuffers::Offset<UpstreamUse> Finish() {
-    const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<UpstreamUse>(end);
-    return o;
-  }
-};
-
-inline flatbuffers::Offset<UpstreamUse> CreateUpstreamUse(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::String> upstream = 0,
-    int32_t running = 0,
-    int64_t pending_prefill = 0,
-    bool set_aside = false,
-    bool leaving = false) {
-  UpstreamUseBuilder builder_(_fbb);
-  builder_.add_pending_prefill(pending_prefill);
-  builder_.add_running(running);
-  builder_.add_upstream(upstream);
-  builder_.add_leaving(leaving);
-  builder_.add_set_aside(set_aside);
-  return builder_.Finish();
-}
-
-struct UpstreamUse::Traits {
-  using type = UpstreamUse;
-  static auto constexpr Create = CreateUpstreamUse;
-};
-
-inline flatbuffers::Offset<UpstreamUse> CreateUpstreamUseDirect(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    const char *upstream = nullptr,
-    int32_t running = 0,
-    int64_t pending_prefill = 0,
-    bool set_aside = false,
-    bool leaving = false) {
-  auto upstream__ = upstream ? _fbb.CreateString(upstream) : 0;
-  return papaya::fb::CreateUpstreamUse(
-      _fbb,
-      upstream__,
-      running,
-      pending_prefill,
-      set_aside,
-      leaving);
-}
-
-flatbuffers::Offset<UpstreamUse> CreateUpstreamUse(flatbuffers::FlatBufferBuilder &_fbb, const UpstreamUseT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
-
 struct DemandReportT : public flatbuffers::NativeTable {
   typedef DemandReport TableType;
-  std::string router{};
-  uint64_t incarnation = 0;
-  uint64_t sequence = 0;
-  std::vector<std::unique_ptr<papaya::fb::GroupDemandT>> groups{};
-  std::vector<std::unique_ptr<papaya::fb::UpstreamUseT>> upstreams{};
-  DemandReportT() = default;
-  DemandReportT(const DemandReportT &o);
-  DemandReportT(DemandReportT&&) FLATBUFFERS_NOEXCEPT = default;
-  DemandReportT &operator=(DemandReportT o) FLATBUFFERS_NOEXCEPT;
+  std::vector<uint8_t> packed{};
 };
 
 struct DemandReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3520,39 +3243,15 @@
   typedef DemandReportBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_ROUTER = 4,
-    VT_INCARNATION = 6,
-    VT_SEQUENCE = 8,
-    VT_GROUPS = 10,
-    VT_UPSTREAMS = 12
+    VT_PACKED = 14
   };
-  const flatbuffers::String *router() const {
-    return GetPointer<const flatbuffers::String *>(VT_ROUTER);
-  }
-  uint64_t incarnation() const {
-    return GetField<uint64_t>(VT_INCARNATION, 0);
-  }
-  uint64_t sequence() const {
-    return GetField<uint64_t>(VT_SEQUENCE, 0);
-  }
-  const flatbuffers::Vector<flatbuffers::Offset<papaya::fb::GroupDemand>> *groups() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<papaya::fb::GroupDemand>> *>(VT_GROUPS);
-  }
-  const flatbuffers::Vector<flatbuffers::Offset<papaya::fb::UpstreamUse>> *upstreams() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<papaya::fb::UpstreamUse>> *>(VT_UPSTREAMS);
+  const flatbuffers::Vector<uint8_t> *packed() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_PACKED);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyOffset(verifier, VT_ROUTER) &&
-           verifier.VerifyString(router()) &&
-           VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
-           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
-           VerifyOffset(verifier, VT_GROUPS) &&
-           verifier.VerifyVector(groups()) &&
-           verifier.VerifyVectorOfTables(groups()) &&
-           VerifyOffset(verifier, VT_UPSTREAMS) &&
-           verifier.VerifyVector(upstreams()) &&
-           verifier.VerifyVectorOfTables(upstreams()) &&
+           VerifyOffset(verifier, VT_PACKED) &&
+           verifier.VerifyVector(packed()) &&
            verifier.EndTable();
   }
   DemandReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3564,20 +3263,8 @@
   typedef DemandReport Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_router(flatbuffers::Offset<flatbuffers::String> router) {
-    fbb_.AddOffset(DemandReport::VT_ROUTER, router);
-  }
-  void add_incarnation(uint64_t incarnation) {
-    fbb_.AddElement<uint64_t>(DemandReport::VT_INCARNATION, incarnation, 0);
-  }
-  void add_sequence(uint64_t sequence) {
-    fbb_.AddElement<uint64_t>(DemandReport::VT_SEQUENCE, sequence, 0);
-  }
-  void add_groups(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<papaya::fb::GroupDemand>>> groups) {
-    fbb_.AddOffset(DemandReport::VT_GROUPS, groups);
-  }
-  void add_upstreams(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<papaya::fb::UpstreamUse>>> upstreams) {
-    fbb_.AddOffset(DemandReport::VT_UPSTREAMS, upstreams);
+  void add_packed(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> packed) {
+    fbb_.AddOffset(DemandReport::VT_PACKED, packed);
   }
   explicit DemandReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -3592,17 +3279,9 @@
 
 inline flatbuffers::Offset<DemandReport> CreateDemandReport(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::String> router = 0,
-    uint64_t incarnation = 0,
-    uint64_t sequence = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<papaya::fb::GroupDemand>>> groups = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<papaya::fb::UpstreamUse>>> upstreams = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> packed = 0) {
   DemandReportBuilder builder_(_fbb);
-  builder_.add_sequence(sequence);
-  builder_.add_incarnation(incarnation);
-  builder_.add_upstreams(upstreams);
-  builder_.add_groups(groups);
-  builder_.add_router(router);
+  builder_.add_packed(packed);
   return builder_.Finish();
 }
 
@@ -3613,21 +3292,11 @@
 
 inline flatbuffers::Offset<DemandReport> CreateDemandReportDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const char *router = nullptr,
-    uint64_t incarnation = 0,
-    uint64_t sequence = 0,
-    const std::vector<flatbuffers::Offset<papaya::fb::GroupDemand>> *groups = nullptr,
-    const std::vector<flatbuffers::Offset<papaya::fb::UpstreamUse>> *upstreams = nullptr) {
-  auto router__ = router ? _fbb.CreateString(router) : 0;
-  auto groups__ = groups ? _fbb.CreateVector<flatbuffers::Offset<papaya::fb::GroupDemand>>(*groups) : 0;
-  auto upstreams__ = upstreams ? _fbb.CreateVector<flatbuffers::Offset<papaya::fb::UpstreamUse>>(*upstreams) : 0;
+    const std::vector<uint8_t> *packed = nullptr) {
+  auto packed__ = packed ? _fbb.CreateVector<uint8_t>(*packed) : 0;
   return papaya::fb::CreateDemandReport(
       _fbb,
-      router__,
-      incarnation,
-      sequence,
-      groups__,
-      upstreams__);
+      packed__);
 }
 
 flatbuffers::Offset<DemandReport> CreateDemandReport(flatbuffers::FlatBufferBuilder &_fbb, const DemandReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5721,98 +5390,6 @@
       _rows);
 }
 
-inline GroupDemandT *GroupDemand::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<GroupDemandT>();
-  UnPackTo(_o.get(), _resolver);
-  return _o.release();
-}
-
-inline void GroupDemand::UnPackTo(GroupDemandT *_o, const flatbuffers::resolver_function_t *_resolver) const {
-  (void)_o;
-  (void)_resolver;
-  { auto _e = pool(); if (_e) _o->pool = _e->str(); }
-  { auto _e = version(); if (_e) _o->version = _e->str(); }
-  { auto _e = tiers(); if (_e) { _o->tiers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->tiers[_i] = *_e->Get(_i); } } }
-  { auto _e = short_tier(); _o->short_tier = _e; }
-}
-
-inline flatbuffers::Offset<GroupDemand> GroupDemand::Pack(flatbuffers::FlatBufferBuilder &_fbb, const GroupDemandT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateGroupDemand(_fbb, _o, _rehasher);
-}
-
-inline flatbuffers::Offset<GroupDemand> CreateGroupDemand(flatbuffers::FlatBufferBuilder &_fbb, const GroupDemandT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
-  (void)_rehasher;
-  (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const GroupDemandT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _pool = _o->pool.empty() ? 0 : _fbb.CreateSharedString(_o->pool);
-  auto _version = _o->version.empty() ? 0 : _fbb.CreateSharedString(_o->version);
-  auto _tiers = _o->tiers.size() ? _fbb.CreateVectorOfStructs(_o->tiers) : 0;
-  auto _short_tier = _o->short_tier;
-  return papaya::fb::CreateGroupDemand(
-      _fbb,
-      _pool,
-      _version,
-      _tiers,
-      _short_tier);
-}
-
-inline UpstreamUseT *UpstreamUse::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<UpstreamUseT>();
-  UnPackTo(_o.get(), _resolver);
-  return _o.release();
-}
-
-inline void UpstreamUse::UnPackTo(UpstreamUseT *_o, const flatbuffers::resolver_function_t *_resolver) const {
-  (void)_o;
-  (void)_resolver;
-  { auto _e = upstream(); if (_e) _o->upstream = _e->str(); }
-  { auto _e = running(); _o->running = _e; }
-  { auto _e = pending_prefill(); _o->pending_prefill = _e; }
-  { auto _e = set_aside(); _o->set_aside = _e; }
-  { auto _e = leaving(); _o->leaving = _e; }
-}
-
-inline flatbuffers::Offset<UpstreamUse> UpstreamUse::Pack(flatbuffers::FlatBufferBuilder &_fbb, const UpstreamUseT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateUpstreamUse(_fbb, _o, _rehasher);
-}
-
-inline flatbuffers::Offset<UpstreamUse> CreateUpstreamUse(flatbuffers::FlatBufferBuilder &_fbb, const UpstreamUseT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
-  (void)_rehasher;
-  (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const UpstreamUseT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _upstream = _o->upstream.empty() ? 0 : _fbb.CreateString(_o->upstream);
-  auto _running = _o->running;
-  auto _pending_prefill = _o->pending_prefill;
-  auto _set_aside = _o->set_aside;
-  auto _leaving = _o->leaving;
-  return papaya::fb::CreateUpstreamUse(
-      _fbb,
-      _upstream,
-      _running,
-      _pending_prefill,
-      _set_aside,
-      _leaving);
-}
-
-inline DemandReportT::DemandReportT(const DemandReportT &o)
-      : router(o.router),
-        incarnation(o.incarnation),
-        sequence(o.sequence) {
-  groups.reserve(o.groups.size());
-  for (const auto &groups_ : o.groups) { groups.emplace_back((groups_) ? new papaya::fb::GroupDemandT(*groups_) : nullptr); }
-  upstreams.reserve(o.upstreams.size());
-  for (const auto &upstreams_ : o.upstreams) { upstreams.emplace_back((upstreams_) ? new papaya::fb::UpstreamUseT(*upstreams_) : nullptr); }
-}
-
-inline DemandReportT &DemandReportT::operator=(DemandReportT o) FLATBUFFERS_NOEXCEPT {
-  std::swap(router, o.router);
-  std::swap(incarnation, o.incarnation);
-  std::swap(sequence, o.sequence);
-  std::swap(groups, o.groups);
-  std::swap(upstreams, o.upstreams);
-  return *this;
-}
-
 inline DemandReportT *DemandReport::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<DemandReportT>();
   UnPackTo(_o.get(), _resolver);
@@ -5822,11 +5399,7 @@
 inline void DemandReport::UnPackTo(DemandReportT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = router(); if (_e) _o->router = _e->str(); }
-  { auto _e = incarnation(); _o->incarnation = _e; }
-  { auto _e = sequence(); _o->sequence = _e; }
-  { auto _e = groups(); if (_e) { _o->groups.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->groups[_i] = std::unique_ptr<papaya::fb::GroupDemandT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = upstreams(); if (_e) { _o->upstreams.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->upstreams[_i] = std::unique_ptr<papaya::fb::UpstreamUseT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = packed(); if (_e) { _o->packed.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->packed.begin()); } }
 }
 
 inline flatbuffers::Offset<DemandReport> DemandReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const DemandReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5837,18 +5410,10 @@
   (void)_rehasher;
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const DemandReportT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _router = _o->router.empty() ? 0 : _fbb.CreateString(_o->router);
-  auto _incarnation = _o->incarnation;
-  auto _sequence = _o->sequence;
-  auto _groups = _o->groups.size() ? _fbb.CreateVector<flatbuffers::Offset<papaya::fb::GroupDemand>> (_o->groups.size(), [](size_t i, _VectorArgs *__va) { return CreateGroupDemand(*__va->__fbb, __va->__o->groups[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _upstreams = _o->upstreams.size() ? _fbb.CreateVector<flatbuffers::Offset<papaya::fb::UpstreamUse>> (_o->upstreams.size(), [](size_t i, _VectorArgs *__va) { return CreateUpstreamUse(*__va->__fbb, __va->__o->upstreams[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _packed = _o->packed.size() ? _fbb.CreateVector(_o->packed) : 0;
   return papaya::fb::CreateDemandReport(
       _fbb,
-      _router,
-      _incarnation,
-      _sequence,
-      _groups,
-      _upstreams);
+      _packed);
 }
 
 inline StoredAnswerT *StoredAnswer::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/src/wire/traffic_codec.cc
+++ b/src/wire/traffic_codec.cc
@@ -4,6 +4,7 @@
 #include <memory>
 #include <utility>
 
+#include "include/admission/demand_packing.h"
 #include "src/wire/peer_codecs.h"
 
 namespace papaya {
@@ -54,36 +55,6 @@
           .upstream = UpstreamId(names[key.upstream()])};
 }
 
-std::unique_ptr<fb::GroupDemandT> EncodeGroup(const GroupDemand& group) {
-  auto encoded = std::make_unique<fb::GroupDemandT>();
-  encoded->pool = group.group.pool.value();
-  encoded->version = group.group.version.value();
-  for (const TierDemand& tier : group.tiers) {
-    encoded->tiers.emplace_back(tier.running, tier.waiting);
-  }
-  if (group.short_tier.has_value()) {
-    encoded->short_tier = static_cast<int8_t>(TierIndex(*group.short_tier));
-  }
-  return encoded;
-}
-
-std::optional<GroupDemand> DecodeGroup(const fb::GroupDemandT& encoded) {
-  if (encoded.tiers.size() != kTierCount ||
-      encoded.short_tier >= static_cast<int>(kTierCount)) {
-    return std::nullopt;
-  }
-  GroupDemand group{.group = {.pool = PoolId(encoded.pool),
-                              .version = VersionId(encoded.version)}};
-  for (size_t i = 0; i < kTierCount; ++i) {
-    group.tiers[i] = {.running = encoded.tiers[i].running(),
-                      .waiting = encoded.tiers[i].waiting()};
-  }
-  if (encoded.short_tier >= 0) {
-    group.short_tier = static_cast<Tier>(encoded.short_tier);
-  }
-  return group;
-}
-
 }  // namespace
 
 fb::PayloadUnion EncodeStatsReport(const StatsReport& report) {
@@ -137,52 +108,26 @@
   return report;
 }
 
-fb::PayloadUnion EncodeDemandReport(const DemandReport& report) {
+fb::PayloadUnion EncodeDemandNotice(const DemandNotice& notice) {
+  const std::string packed = PackDemand(notice);
   fb::DemandReportT encoded;
-  encoded.router = report.router.value();
-  encoded.incarnation = report.incarnation.value();
-  encoded.sequence = report.sequence;
-  for (const GroupDemand& group : report.groups) {
-    encoded.groups.push_back(EncodeGroup(group));
-  }
-  for (const UpstreamUse& use : report.upstreams) {
-    auto one = std::make_unique<fb::UpstreamUseT>();
-    one->upstream = use.upstream.value();
-    one->running = use.running;
-    one->pending_prefill = use.pending_prefill.value();
-    one->set_aside = use.set_aside;
-    one->leaving = use.leaving;
-    encoded.upstreams.push_back(std::move(one));
-  }
+  encoded.packed.assign(packed.begin(), packed.end());
   fb::PayloadUnion payload;
   payload.Set(std::move(encoded));
   return payload;
 }
 
-std::optional<DemandReport> DecodeDemandReport(
+std::optional<DemandNotice> DecodeDemandNotice(
     const fb::PayloadUnion& payload) {
   const fb::DemandReportT* encoded = payload.AsDemandReport();
   if (encoded == nullptr) {
     return std::nullopt;
   }
-  DemandReport report{.router = RouterId(encoded->router),
-                      .incarnation = Incarnation(encoded->incarnation),
-                      .sequence = encoded->sequence};
-  for (const auto& one : encoded->groups) {
-    std::optional<GroupDemand> group = DecodeGroup(*one);
-    if (!group.has_value()) {
-      return std::nullopt;
-    }
-    report.groups.push_back(std::move(*group));
+  // A router of an earlier release: its connection stays, without content.
+  if (encoded->packed.empty()) {
+    return DemandNotice();
   }
-  for (const auto& one : encoded->upstreams) {
-    report.upstreams.push_back({.upstream = UpstreamId(one->upstream),
-                                .running = one->running,
-                                .pending_prefill = Tokens(one->pending_prefill),
-                                .set_aside = one->set_aside,
-                                .leaving = one->leaving});
-  }
-  return report;
+  return UnpackDemand({encoded->packed.begin(), encoded->packed.end()});
 }
 
 }  // namespace papaya
--- /dev/null
+++ b/tests/demand_names_test.cc
@@ -0,0 +1,108 @@
+#include "include/admission/demand_names.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "include/admission/demand_packing.h"
+
+namespace papaya {
+namespace {
+
+const RouterId kSender("r1");
+
+// What the routers r0 and r1 route to under a configuration of `upstreams`.
+std::shared_ptr<const RoutingSnapshot> MakeSnapshot(
+    uint64_t revision,
+    const std::vector<std::string>& upstreams,
+    const std::string& version) {
+  auto config = std::make_shared<FleetConfig>();
+  config->revision = Revision(revision);
+  for (const std::string& name : upstreams) {
+    config->upstreams.push_back({.id = UpstreamId(name),
+                                 .pool = PoolId("p"),
+                                 .version = VersionId(version),
+                                 .slots = 4});
+  }
+  RoutingInput input;
+  input.config = config;
+  input.routers = {{.id = RouterId("r0")}, {.id = kSender}};
+  input.self = input.routers.front();
+  return RoutingSnapshot::Build(input);
+}
+
+DemandReport ReportOf(const std::vector<std::string>& upstreams) {
+  DemandReport report{
+      .router = kSender, .incarnation = Incarnation(3), .sequence = 4};
+  GroupDemand group{.group = {PoolId("p"), VersionId("v1")}};
+  group.tiers[0] = {.running = 2, .waiting = 1};
+  report.groups.push_back(group);
+  for (const std::string& name : upstreams) {
+    report.upstreams.push_back({.upstream = UpstreamId(name),
+                                .running = 2,
+                                .pending_prefill = Tokens(256)});
+  }
+  return report;
+}
+
+// `report` as it arrives at a router that holds `snapshot`.
+DemandReport Arrive(const DemandReport& report,
+                    const RoutingSnapshot& snapshot) {
+  const std::optional<DemandNotice> notice =
+      UnpackDemand(PackDemand(MakeDemandNotice(report)));
+  return DemandNames(snapshot).Resolve(report.router, notice.value());
+}
+
+}  // namespace
+
+TEST_CASE("DemandNames: a report arrives as it was", "[admission]") {
+  const DemandReport report = ReportOf({"a", "b"});
+  CHECK(Arrive(report, *MakeSnapshot(1, {"a", "b"}, "v1")) == report);
+}
+
+TEST_CASE("DemandNames: a receiver of another revision keeps what it knows",
+          "[admission]") {
+  // Upstreams come first, last and between, and one has gone.
+  const DemandReport report = ReportOf({"a", "c", "gone"});
+  const DemandReport arrived =
+      Arrive(report, *MakeSnapshot(2, {"0", "a", "b", "c", "z"}, "v1"));
+  CHECK(arrived.groups == report.groups);
+  CHECK(arrived.upstreams == ReportOf({"a", "c"}).upstreams);
+  CHECK(arrived.sequence == report.sequence);
+  CHECK(arrived.incarnation == report.incarnation);
+}
+
+TEST_CASE("DemandNames: entries of unknown names are passed over",
+          "[admission]") {
+  const DemandReport arrived =
+      Arrive(ReportOf({"x", "y"}), *MakeSnapshot(1, {"a"}, "v2"));
+  CHECK(arrived.router == kSender);
+  CHECK(arrived.groups.empty());
+  CHECK(arrived.upstreams.empty());
+  CHECK(DemandNames()
+            .Resolve(kSender, MakeDemandNotice(ReportOf({"x"})))
+            .upstreams.empty());
+}
+
+TEST_CASE("DemandNames: prefill under way never looks like none",
+          "[admission]") {
+  DemandReport report = ReportOf({"a"});
+  report.upstreams[0].pending_prefill = Tokens(1);
+  const DemandReport arrived = Arrive(report, *MakeSnapshot(1, {"a"}, "v1"));
+  CHECK(arrived.upstreams[0].pending_prefill == kPrefillStep);
+}
+
+TEST_CASE("DemandNames: one hash of two names counts for both", "[admission]") {
+  // Found by trying: the two names share their hash.
+  const std::vector<std::string> names = {"engine-28250", "engine-43799"};
+  REQUIRE(HashName(UpstreamId(names[0])) == HashName(UpstreamId(names[1])));
+  const DemandReport arrived =
+      Arrive(ReportOf({names[0]}), *MakeSnapshot(1, names, "v1"));
+  REQUIRE(arrived.upstreams.size() == 2);
+  CHECK(arrived.upstreams[0].running == 2);
+  CHECK(arrived.upstreams[1].running == 2);
+}
+
+}  // namespace papaya
--- a/tests/peer_codec_test.cc
+++ b/tests/peer_codec_test.cc
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include "include/base/random.h"
+#include "src/wire/peer_generated.h"
 
 namespace papaya {
 namespace {
@@ -71,20 +72,18 @@
   return report;
 }
 
-DemandReport SomeDemand() {
-  DemandReport report{
-      .router = RouterId("r1"), .incarnation = Incarnation(4), .sequence = 9};
-  GroupDemand group{
-      .group = {.pool = PoolId("assistant"), .version = VersionId("v1")}};
+DemandNotice SomeDemand() {
+  DemandNotice notice{.incarnation = Incarnation(4), .sequence = 9};
+  GroupNotice group{.group = NameHash(0xfedcba98)};
   group.tiers[1] = {.running = 4, .waiting = 7};
   group.short_tier = Tier::kCritical;
-  report.groups = {group};
-  report.upstreams = {{.upstream = UpstreamId("a1"),
+  notice.groups = {group};
+  notice.upstreams = {{.upstream = NameHash(77),
                        .running = 3,
-                       .pending_prefill = Tokens(4000),
+                       .pending_prefill = Tokens(4096),
                        .set_aside = true,
                        .leaving = true}};
-  return report;
+  return notice;
 }
 
 ForwardRequest SomeForward() {
@@ -171,7 +170,7 @@
     return *DecodePeerMessage(EncodePeerMessage(message));
   };
   CHECK(std::get<StatsReport>(back(SomeStats())) == SomeStats());
-  CHECK(std::get<DemandReport>(back(SomeDemand())) == SomeDemand());
+  CHECK(std::get<DemandNotice>(back(SomeDemand())) == SomeDemand());
   const PeerMessage forward = back(SomeForward());
   CHECK(std::get<ForwardRequest>(forward).request.body.size() == 4);
   CHECK(std::get<ForwardRequest>(forward).time_left ==
@@ -185,6 +184,32 @@
   CHECK(std::get<MemberMessage>(back(news)) == news);
 }
 
+TEST_CASE("PeerCodec: a demand report of an earlier release is an empty one",
+          "[wire]") {
+  fb::PeerFrameT frame;
+  frame.payload.Set(fb::DemandReportT());
+  flatbuffers::FlatBufferBuilder builder;
+  fb::FinishPeerFrameBuffer(builder, fb::PeerFrame::Pack(builder, &frame));
+  const absl::StatusOr<PeerMessage> message = DecodePeerMessage(
+      {reinterpret_cast<const char*>(builder.GetBufferPointer()),
+       builder.GetSize()});
+  REQUIRE(message.ok());
+  CHECK(std::get<DemandNotice>(*message) == DemandNotice());
+}
+
+TEST_CASE("PeerCodec: a broken demand report is refused", "[wire]") {
+  fb::DemandReportT report;
+  report.packed = {1, 2, 3};
+  fb::PeerFrameT frame;
+  frame.payload.Set(std::move(report));
+  flatbuffers::FlatBufferBuilder builder;
+  fb::FinishPeerFrameBuffer(builder, fb::PeerFrame::Pack(builder, &frame));
+  CHECK(!DecodePeerMessage(
+             {reinterpret_cast<const char*>(builder.GetBufferPointer()),
+              builder.GetSize()})
+             .ok());
+}
+
 TEST_CASE("PeerCodec: any bytes are refused or read, never more",
           "[wire][fuzz]") {
   rc::prop("arbitrary bytes", [](const std::string& bytes) {
--- /dev/null
+++ b/tests/peer_table_test.cc
@@ -0,0 +1,51 @@
+#include "src/admission/peer_table.h"
+
+#include <catch2/catch.hpp>
+
+namespace papaya {
+namespace {
+
+constexpr Duration kLifetime = std::chrono::seconds(3);
+const TimePoint kStart(std::chrono::hours(1));
+const RouterId kPeer("r1");
+
+DemandReport MakeReport(uint64_t incarnation, uint64_t sequence) {
+  return {.router = kPeer,
+          .incarnation = Incarnation(incarnation),
+          .sequence = sequence};
+}
+
+}  // namespace
+
+TEST_CASE("PeerTable: a lost report is made up for by the next",
+          "[admission]") {
+  PeerTable table(kLifetime);
+  CHECK(table.Update(MakeReport(1, 1), kStart));
+  CHECK(table.Update(MakeReport(1, 4), kStart));
+  REQUIRE(table.Find(kPeer, kStart) != nullptr);
+  CHECK(table.Find(kPeer, kStart)->sequence == 4);
+}
+
+TEST_CASE("PeerTable: a report that was overtaken counts for nothing",
+          "[admission]") {
+  PeerTable table(kLifetime);
+  CHECK(table.Update(MakeReport(1, 5), kStart));
+  const TimePoint later = kStart + std::chrono::seconds(2);
+  CHECK(!table.Update(MakeReport(1, 4), later));
+  CHECK(!table.Update(MakeReport(1, 5), later));
+  CHECK(table.Find(kPeer, kStart)->sequence == 5);
+  // Nor does it make the router look alive.
+  CHECK(table.Find(kPeer, kStart + kLifetime + std::chrono::seconds(1)) ==
+        nullptr);
+}
+
+TEST_CASE("PeerTable: a restarted router begins anew", "[admission]") {
+  PeerTable table(kLifetime);
+  CHECK(table.Update(MakeReport(1, 900), kStart));
+  CHECK(table.Update(MakeReport(2, 1), kStart));
+  CHECK(!table.Update(MakeReport(1, 901), kStart));
+  CHECK(table.Find(kPeer, kStart)->incarnation == Incarnation(2));
+  CHECK(table.size() == 1);
+}
+
+}  // namespace papaya
--- /dev/null
+++ b/tests/scheduler_report_test.cc
@@ -0,0 +1,166 @@
+// When a Scheduler reports its demand to the other routers.
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "include/admission/demand_packing.h"
+#include "include/admission/scheduler.h"
+
+namespace papaya {
+namespace {
+
+const PoolId kPool("assistant");
+constexpr Duration kTick = std::chrono::milliseconds(20);
+// So long a request may wait; half of it makes the router short.
+constexpr Duration kLimit = std::chrono::seconds(10);
+
+// One Scheduler of two routers before one upstream with one slot.
+class Fixture {
+ public:
+  explicit Fixture(Bytes budget = SchedulerOptions().report_budget) {
+    SchedulerOptions options;
+    options.router = RouterId("r0");
+    options.report_budget = budget;
+    SchedulerHooks hooks;
+    hooks.dispatch = [](RequestId, const UpstreamId&) {};
+    hooks.refuse = [](RequestId, const Refusal&) {};
+    hooks.preempt = [](RequestId) {};
+    hooks.send_demand = [this](const DemandReport& report) {
+      reports.push_back(report);
+      times.push_back(now);
+      sent += DemandCost(report, *snapshot);
+    };
+    hooks.event = [](const Event&) {};
+    scheduler = std::make_unique<Scheduler>(options, hooks);
+    auto config = std::make_shared<FleetConfig>();
+    config->upstreams.push_back({.id = UpstreamId("u0"),
+                                 .pool = kPool,
+                                 .version = VersionId("v1"),
+                                 .slots = 2});
+    RoutingInput input;
+    input.config = config;
+    input.self = {.id = RouterId("r0")};
+    input.routers = {input.self, {.id = RouterId("r1")}};
+    snapshot = RoutingSnapshot::Build(input);
+    scheduler->OnSnapshot(snapshot, now);
+  }
+
+  void Request(Tier tier) {
+    RequestSpec spec;
+    spec.id = RequestId(++last_id_);
+    spec.account = AccountId("a");
+    spec.pool = kPool;
+    spec.tier = tier;
+    spec.prompt_tokens = Tokens(100);
+    spec.arrival = now;
+    spec.deadline = now + kLimit;
+    scheduler->OnRequest(spec, now);
+  }
+
+  void Finish(uint64_t id) {
+    scheduler->OnFinished(RequestId(id), {AttemptEnd::kOk, Tokens(10)}, now);
+  }
+
+  void Advance(Duration duration) {
+    const TimePoint end = now + duration;
+    while (now < end) {
+      now += kTick;
+      scheduler->OnTick(now);
+    }
+  }
+
+  TimePoint now = TimePoint(std::chrono::hours(1));
+  std::shared_ptr<const RoutingSnapshot> snapshot;
+  std::unique_ptr<Scheduler> scheduler;
+  std::vector<DemandReport> reports;
+  std::vector<TimePoint> times;
+  Bytes sent;
+
+ private:
+  uint64_t last_id_ = 0;
+};
+
+}  // namespace
+
+TEST_CASE("demand: a router without news reports once a second",
+          "[admission]") {
+  Fixture f;
+  f.Advance(std::chrono::seconds(10));
+  CHECK(f.reports.size() >= 10);
+  CHECK(f.reports.size() <= 11);
+}
+
+TEST_CASE("demand: news goes out at once after a quiet time", "[admission]") {
+  Fixture f;
+  f.Advance(std::chrono::milliseconds(500));
+  const size_t before = f.reports.size();
+  f.Request(Tier::kBatch);
+  f.Advance(kTick);
+  REQUIRE(f.reports.size() == before + 1);
+  CHECK(f.reports.back().groups.size() == 1);
+  // That it ended is news too, though nothing is left to tell.
+  f.Advance(std::chrono::milliseconds(300));
+  f.Finish(1);
+  f.Advance(kTick);
+  REQUIRE(f.reports.size() == before + 2);
+  CHECK(f.reports.back().groups.empty());
+}
+
+TEST_CASE("demand: a shortage is told before the next report is due",
+          "[admission]") {
+  // A report takes some 140 bytes, so that one is due each second.
+  Fixture f(Bytes(140));
+  // The silent router is left one slot, and this one has the other.
+  f.Request(Tier::kCritical);
+  f.Request(Tier::kCritical);
+  const TimePoint asked = f.now;
+  while (f.reports.empty() || f.reports.back().groups.empty() ||
+         !f.reports.back().groups[0].short_tier.has_value()) {
+    f.Advance(kTick);
+    REQUIRE(f.now < asked + kLimit);
+  }
+  CHECK(f.reports.back().groups[0].short_tier == Tier::kCritical);
+  CHECK(f.now - asked <= kLimit / 2 + kTick * 4);
+}
+
+TEST_CASE("demand: a shortage is told four times a second, whatever it takes",
+          "[admission]") {
+  Fixture f(Bytes(140));
+  f.Request(Tier::kCritical);
+  f.Request(Tier::kCritical);
+  f.Advance(kLimit * 6 / 10);
+  REQUIRE(f.reports.back().groups[0].short_tier == Tier::kCritical);
+  const size_t before = f.reports.size();
+  f.Advance(std::chrono::seconds(2));
+  CHECK(f.reports.size() >= before + 7);
+  // Its end is told as soon.
+  f.Finish(1);
+  f.Advance(std::chrono::milliseconds(300));
+  REQUIRE(f.reports.back().groups.size() == 1);
+  CHECK(!f.reports.back().groups[0].short_tier.has_value());
+}
+
+TEST_CASE("demand: reports keep to their budget", "[admission]") {
+  constexpr Bytes kBudget(300);
+  constexpr int64_t kSeconds = 60;
+  Fixture f(kBudget);
+  uint64_t id = 0;
+  // News at every tick.
+  const TimePoint end = f.now + std::chrono::seconds(kSeconds);
+  while (f.now < end) {
+    f.Request(Tier::kCritical);
+    f.Advance(kTick);
+    f.Finish(++id);
+    f.Advance(kTick);
+  }
+  CHECK(f.sent.value() <= kBudget.value() * (kSeconds + 2));
+  CHECK(f.sent.value() >= kBudget.value() * kSeconds / 2);
+  for (size_t i = 1; i < f.times.size(); ++i) {
+    CHECK(f.times[i] - f.times[i - 1] < std::chrono::seconds(2));
+  }
+}
+
+}  // namespace papaya
--- a/tests/scheduling_property_test.cc
+++ b/tests/scheduling_property_test.cc
@@ -50,15 +50,19 @@
   }
 }
 
-FleetOptions MakeOptions(uint64_t seed, size_t max_queued) {
+FleetOptions MakeOptions(
+    uint64_t seed,
+    size_t max_queued,
+    Bytes report_budget = SchedulerOptions().report_budget) {
   FleetOptions options;
   AddUpstreams(&options, kPool, UpstreamKind::kModelEngine, kEngines);
   AddUpstreams(&options, kService, UpstreamKind::kPlainService, kServices);
   options.routers = kRouters;
   options.seed = seed;
-  options.make_policy = [max_queued](size_t router, SchedulerHooks hooks) {
-    return std::make_unique<bench::SchedulerPolicy>(router, std::move(hooks),
-                                                    max_queued);
+  options.make_policy = [max_queued, report_budget](size_t router,
+                                                    SchedulerHooks hooks) {
+    return std::make_unique<bench::SchedulerPolicy>(
+        router, std::move(hooks), max_queued, SchedulerParts(), report_budget);
   };
   return options;
 }
@@ -151,6 +155,27 @@
   }
 }
 
+// Routers hear one another, though a fifth of their reports may be lost.
+void CheckCriticalFirst(uint64_t seed, Bytes report_budget) {
+  Random random(seed);
+  FleetOptions options = MakeOptions(seed, 4096, report_budget);
+  options.links.report_loss = 0.2 * random.Uniform();
+  options.links.report_delay = SecondsToDuration(0.2 * random.Uniform());
+  FakeFleet fleet(std::move(options));
+  OfferTraffic(&fleet, &random, 200 + static_cast<int>(random.Below(500)),
+               0.2 + 0.8 * random.Uniform());
+  if (random.Chance(0.5)) {
+    fleet.loop().After(std::chrono::seconds(8), [&fleet] {
+      fleet.KillRouter(3, std::chrono::seconds(3));
+    });
+  }
+  Run(&fleet, 4096);
+  for (const auto& [id, record] : fleet.records()) {
+    RC_ASSERT(record.spec.tier != Tier::kCritical ||
+              record.spec.pool != kPool || !record.is_shed_before_lower);
+  }
+}
+
 }  // namespace
 
 TEST_CASE("requests end once and are never run twice or wrongly disowned",
@@ -189,23 +214,11 @@
 TEST_CASE("no critical request is shed while a lower tier is served",
           "[admission]") {
   rc::prop("while routers hear one another", [](uint64_t seed) {
-    Random random(seed);
-    FleetOptions options = MakeOptions(seed, 4096);
-    options.links.report_loss = 0.2 * random.Uniform();
-    options.links.report_delay = SecondsToDuration(0.2 * random.Uniform());
-    FakeFleet fleet(std::move(options));
-    OfferTraffic(&fleet, &random, 200 + static_cast<int>(random.Below(500)),
-                 0.2 + 0.8 * random.Uniform());
-    if (random.Chance(0.5)) {
-      fleet.loop().After(std::chrono::seconds(8), [&fleet] {
-        fleet.KillRouter(3, std::chrono::seconds(3));
-      });
-    }
-    Run(&fleet, 4096);
-    for (const auto& [id, record] : fleet.records()) {
-      RC_ASSERT(record.spec.tier != Tier::kCritical ||
-                record.spec.pool != kPool || !record.is_shed_before_lower);
-    }
+    CheckCriticalFirst(seed, SchedulerOptions().report_budget);
+  });
+  // As in a large fleet, where a report takes the bytes of a second or two.
+  rc::prop("also if reports are seldom", [](uint64_t seed) {
+    CheckCriticalFirst(seed, Bytes(300 + static_cast<int64_t>(seed % 1000)));
   });
 }
 
