Keep two processes of one name off the same later incarnation

Cause: a router whose name the fleet knew with a later start took the very next incarnation. Two lives of it that heard of the same one, the clock running backwards twice and a peer being behind, took the same; a ticket of the first, serial for serial, would have been decided as new by the second.

Change: it takes one of the million after that, drawn at random; incarnations count microseconds, so it is a second ahead at most.

Figures: `build/papaya_tests "FleetPlane*"`, two processes told of 9: 10 and 10 before, two different ones after. `build/papaya_tests "[membership],[daemon],[once]"`: 51 cases passed.

Conclusion: the chance that they meet is one in a million, in a case that needs two backward clocks; it was certain before.

--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -26,6 +26,9 @@
 constexpr Duration kPauseLimit = std::chrono::milliseconds(600);
 // A router takes a later incarnation at most this often.
 constexpr Duration kIncarnationPeriod = std::chrono::seconds(1);
+// It lies up to so many numbers after the one that the fleet knew; incarnations
+// count microseconds, so this is a second.
+constexpr uint64_t kIncarnationSpread = 1'000'000;
 constexpr double kPeriodSpread = 0.2;
 
 }  // namespace
@@ -249,7 +252,9 @@
       return;
     }
     next_incarnation_ = now_ + kIncarnationPeriod;
-    own.incarnation = said.incarnation.Next();
+    // Not simply the next: two processes that hear the same must not meet.
+    own.incarnation = Incarnation(said.incarnation.value() + 1 +
+                                  random_.Below(kIncarnationSpread));
     own.refutations = 0;
     Log(EventId::kRouterNameClash, options_.self);
     hooks_.incarnation_changed(own.incarnation);
--- a/tests/fleet_plane_test.cc
+++ b/tests/fleet_plane_test.cc
@@ -10,6 +10,15 @@
 namespace {
 
 struct FleetPlaneFixture {
+  explicit FleetPlaneFixture(uint64_t seed = 1)
+      : plane(Settings(),
+              Incarnation(5),
+              "10.0.0.1:1",
+              &store,
+              Hooks(),
+              seed,
+              backend.now) {}
+
   FleetPlane::Hooks Hooks() {
     FleetPlane::Hooks hooks;
     hooks.send = [](const PeerAddress&, const PeerMessage&) {};
@@ -44,8 +53,7 @@
   FakeObjectStoreBackend backend{1};
   FakeObjectStore store{&backend};
   Incarnation told;
-  FleetPlane plane{Settings(), Incarnation(5), "10.0.0.1:1", &store, Hooks(),
-                   1,          backend.now};
+  FleetPlane plane;
 };
 
 TEST_CASE(
@@ -61,6 +69,12 @@
                   fixture.backend.now + std::chrono::seconds(2));
   CHECK(plane.incarnation() > Incarnation(9));
   CHECK(fixture.told == plane.incarnation());
+  // Another process that heard the same goes on under another one.
+  FleetPlaneFixture other(2);
+  other.plane.OnTick(other.backend.now);
+  other.plane.OnMessage(RouterId("r2"), MemberMessage(news),
+                        other.backend.now + std::chrono::seconds(2));
+  CHECK(other.plane.incarnation() != plane.incarnation());
 }
 
 TEST_CASE("FleetPlane: heeds the VM list for upstreams that it learns of later",
