Visit the reports of other routers in the order of their names

Streams given up for several routers at one moment went back to their queue in the order of a hash table that differs between runs. Change: PeerTable keeps the reports in a map.

--- a/src/admission/peer_table.cc
+++ b/src/admission/peer_table.cc
@@ -49,7 +49,7 @@
 }
 
 void PeerTable::Forget(TimePoint now) {
-  absl::erase_if(peers_, [this, now](const auto& item) {
+  std::erase_if(peers_, [this, now](const auto& item) {
     return now - item.second.arrival > lifetime_ * kLifetimesKept;
   });
 }
--- a/src/admission/peer_table.h
+++ b/src/admission/peer_table.h
@@ -3,8 +3,8 @@
 
 #include <cstddef>
 #include <functional>
+#include <map>
 
-#include "absl/container/flat_hash_map.h"
 #include "include/admission/demand_report.h"
 #include "include/base/ids.h"
 #include "include/base/units.h"
@@ -42,7 +42,8 @@
   };
 
   Duration lifetime_;
-  absl::flat_hash_map<RouterId, Peer> peers_;
+  // In the order of names, so that visits do not differ between runs.
+  std::map<RouterId, Peer> peers_;
 };
 
 }  // namespace papaya
