Look rows up by hash in the judge; print each release note figure when known

A profile showed a third of a run in PoolJudge::OnRow, which looked each row up three times in a tree of six strings, and a tenth in evidence that was worked out at each tick of each router though it changes only when windows close.

Change: Rows in a hash map with one look-up; the evidence is kept from the last look that had more to compare. The same seeds give the same figures.

--- a/bench/rollout_bench.cc
+++ b/bench/rollout_bench.cc
@@ -3,6 +3,8 @@
 
 #include <atomic>
 #include <functional>
+#include <map>
+#include <string>
 #include <thread>
 #include <vector>
 
@@ -46,6 +48,14 @@
   }
 }
 
+// `[skokan,fails_at_once,large]`.
+std::string ScenarioName(const Scenario& scenario) {
+  const char* const effect =
+      scenario.IsBad() ? (scenario.is_large ? ",large" : ",small") : "";
+  return absl::StrCat("[", scenario.deployment.name, ",",
+                      KindName(scenario.kind), effect, "]");
+}
+
 std::vector<Scenario> AllScenarios() {
   std::vector<Scenario> scenarios;
   for (const Deployment& deployment : Deployments()) {
@@ -61,23 +71,21 @@
   return scenarios;
 }
 
-// All runs, once for all measures of one process.
-const std::vector<Runs>& AllRuns(const std::vector<Scenario>& scenarios) {
-  static const std::vector<Runs> runs = [&scenarios] {
-    std::vector<Runs> all(scenarios.size());
-    for (Runs& one : all) {
-      one.ours.resize(kSeeds);
-      one.baseline.resize(kSeeds);
-    }
-    RunJobs(scenarios.size() * kSeeds, [&](size_t index) {
-      Scenario scenario = scenarios[index / kSeeds];
-      const size_t seed = index % kSeeds;
-      scenario.seed = seed + 1;
-      all[index / kSeeds].ours[seed] = RunScenario(scenario);
-      all[index / kSeeds].baseline[seed] = RunBaseline(scenario);
+// All seeds of `scenario`, run once for all measures of one process.
+const Runs& RunsOf(const Scenario& scenario) {
+  static std::map<std::string, Runs> all;
+  const auto [place, is_new] = all.try_emplace(ScenarioName(scenario));
+  Runs& runs = place->second;
+  if (is_new) {
+    runs.ours.resize(kSeeds);
+    runs.baseline.resize(kSeeds);
+    RunJobs(kSeeds, [&runs, &scenario](size_t index) {
+      Scenario seeded = scenario;
+      seeded.seed = index + 1;
+      runs.ours[index] = RunScenario(seeded);
+      runs.baseline[index] = RunBaseline(seeded);
     });
-    return all;
-  }();
+  }
   return runs;
 }
 
@@ -103,104 +111,64 @@
   return 100.0 * result.exposure;
 }
 
-Figure MakeFigure(const std::string& name,
-                  const Scenario& scenario,
-                  const Runs& runs,
-                  const Value& value) {
-  const char* const effect =
-      scenario.IsBad() ? (scenario.is_large ? ",large" : ",small") : "";
-  Figure figure;
-  figure.name = absl::StrCat(name, "[", scenario.deployment.name, ",",
-                             KindName(scenario.kind), effect, "]");
-  figure.value = Mean(runs.ours, value);
-  figure.baseline = Mean(runs.baseline, value);
-  figure.unit = "percent";
-  figure.seeds = kSeeds;
-  return figure;
-}
-
 // True if a bad version of the kind shows from its first request on.
 bool IsImmediate(Kind kind) {
   return kind == Kind::kFailsAtOnce || kind == Kind::kSlowAtOnce ||
          kind == Kind::kFailsOnOneRoute;
 }
 
-std::vector<Figure> RunBadTakenBack() {
-  const std::vector<Scenario> scenarios = AllScenarios();
-  const std::vector<Runs>& runs = AllRuns(scenarios);
-  std::vector<Figure> figures;
-  for (size_t i = 0; i < scenarios.size(); ++i) {
-    if (scenarios[i].IsBad()) {
-      Figure figure = MakeFigure("rollout.bad_taken_back", scenarios[i],
-                                 runs[i], &TakenBackPercent);
-      figure.target = scenarios[i].is_large ? 100.0 : 95.0;
-      figure.better = Better::kHigher;
-      figures.push_back(figure);
-    }
-  }
-  return figures;
-}
-
-std::vector<Figure> RunBadExposure() {
-  const std::vector<Scenario> scenarios = AllScenarios();
-  const std::vector<Runs>& runs = AllRuns(scenarios);
-  std::vector<Figure> figures;
-  for (size_t i = 0; i < scenarios.size(); ++i) {
-    if (IsImmediate(scenarios[i].kind)) {
-      Figure figure = MakeFigure("rollout.bad_exposure", scenarios[i], runs[i],
-                                 &ExposurePercent);
-      figure.target = 1.0;
-      figure.better = Better::kLower;
-      figures.push_back(figure);
-    }
-  }
-  return figures;
-}
-
-std::vector<Figure> RunGoodOnTime() {
-  const std::vector<Scenario> scenarios = AllScenarios();
-  const std::vector<Runs>& runs = AllRuns(scenarios);
-  std::vector<Figure> figures;
-  for (size_t i = 0; i < scenarios.size(); ++i) {
-    if (!scenarios[i].IsBad()) {
-      Figure figure = MakeFigure("rollout.good_on_time", scenarios[i], runs[i],
-                                 &OnTimePercent);
-      figure.target = 98.0;
-      figure.better = Better::kHigher;
-      figures.push_back(figure);
+// Adds a measure of one scenario, so that its figure is printed as soon as its
+// runs are over.
+void RegisterFigure(const std::string& name,
+                    const Scenario& scenario,
+                    double target,
+                    Better better,
+                    const Value& value) {
+  const std::string full_name = absl::StrCat(name, ScenarioName(scenario));
+  RegisterMeasure({full_name, [=]() -> std::vector<Figure> {
+                     const Runs& runs = RunsOf(scenario);
+                     Figure figure;
+                     figure.name = full_name;
+                     figure.value = Mean(runs.ours, value);
+                     figure.baseline = Mean(runs.baseline, value);
+                     figure.unit = "percent";
+                     figure.target = target;
+                     figure.better = better;
+                     figure.seeds = kSeeds;
+                     return {figure};
+                   }});
+}
+
+bool RegisterFigures() {
+  for (const Scenario& scenario : AllScenarios()) {
+    if (!scenario.IsBad()) {
+      RegisterFigure("rollout.good_on_time", scenario, 98.0, Better::kHigher,
+                     &OnTimePercent);
+      RegisterFigure("rollout.good_taken_back", scenario, 1.0, Better::kLower,
+                     &TakenBackPercent);
+      continue;
     }
-  }
-  return figures;
-}
-
-std::vector<Figure> RunGoodTakenBack() {
-  const std::vector<Scenario> scenarios = AllScenarios();
-  const std::vector<Runs>& runs = AllRuns(scenarios);
-  std::vector<Figure> figures;
-  for (size_t i = 0; i < scenarios.size(); ++i) {
-    if (!scenarios[i].IsBad()) {
-      Figure figure = MakeFigure("rollout.good_taken_back", scenarios[i],
-                                 runs[i], &TakenBackPercent);
-      figure.target = 1.0;
-      figure.better = Better::kLower;
-      figures.push_back(figure);
+    RegisterFigure("rollout.bad_taken_back", scenario,
+                   scenario.is_large ? 100.0 : 95.0, Better::kHigher,
+                   &TakenBackPercent);
+    if (IsImmediate(scenario.kind)) {
+      RegisterFigure("rollout.bad_exposure", scenario, 1.0, Better::kLower,
+                     &ExposurePercent);
     }
   }
-  return figures;
+  return true;
 }
 
 // The sum of `value` over all runs of all scenarios; none is allowed.
 Figure CountAll(const std::string& name, const Value& value) {
-  const std::vector<Scenario> scenarios = AllScenarios();
-  const std::vector<Runs>& runs = AllRuns(scenarios);
   Figure figure;
   figure.name = name;
   figure.unit = "count";
   figure.target = 0.0;
   figure.better = Better::kLower;
   figure.seeds = kSeeds;
-  for (const Runs& one : runs) {
-    figure.value += Mean(one.ours, value) * kSeeds;
+  for (const Scenario& scenario : AllScenarios()) {
+    figure.value += Mean(RunsOf(scenario).ours, value) * kSeeds;
   }
   return figure;
 }
@@ -224,10 +192,7 @@
 }
 
 const bool kRegistered[] = {
-    RegisterMeasure({"rollout.bad_taken_back", &RunBadTakenBack}),
-    RegisterMeasure({"rollout.bad_exposure", &RunBadExposure}),
-    RegisterMeasure({"rollout.good_on_time", &RunGoodOnTime}),
-    RegisterMeasure({"rollout.good_taken_back", &RunGoodTakenBack}),
+    RegisterFigures(),
     RegisterMeasure({"rollout.told_wrong", &RunToldWrong}),
     RegisterMeasure({"rollout.stuck", &RunStuck}),
     RegisterMeasure({"rollout.stale_orders_left", &RunStaleOrders}),
--- a/include/rollout/version_stats.h
+++ b/include/rollout/version_stats.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 #include "include/base/ids.h"
@@ -50,6 +51,13 @@
                     a.note) <=> std::tie(b.upstream, b.route, b.version,
                                          b.generation, b.pool, b.note);
   }
+
+  template <typename H>
+  friend H AbslHashValue(H state, const StatsKey& key) {
+    return H::combine(std::move(state), key.note.value(), key.pool.value(),
+                      key.version.value(), key.route.value(),
+                      key.generation.value(), key.upstream.value());
+  }
 };
 
 // Counts since the note began, or the router; never smaller than before.
--- a/src/rollout/pool_judge.cc
+++ b/src/rollout/pool_judge.cc
@@ -111,11 +111,13 @@
   if (!reported_.contains(source) && reported_.size() >= kMostRouters) {
     return;
   }
-  std::map<StatsKey, StatsCounts>& rows = reported_[source];
-  if (!rows.contains(row.key) && rows.size() >= VersionStats::kMaxRows) {
+  absl::flat_hash_map<StatsKey, StatsCounts>& rows = reported_[source];
+  const auto [place, is_new] = rows.try_emplace(row.key);
+  if (is_new && rows.size() > VersionStats::kMaxRows) {
+    rows.erase(place);
     return;
   }
-  StatsCounts& known = rows[row.key];
+  StatsCounts& known = place->second;
   if (row.counts.requests <= known.requests) {
     return;  // a repetition, or overtaken
   }
@@ -311,6 +313,7 @@
   if (is_version_stopped_ || all == views_.end()) {
     return;
   }
+  log_evidence_ = all->second.Log();
   // Half of the false alarms are for the version, half for its replicas.
   const double version_bound = -std::log(options_.false_alarm / 2);
   const double replica_bound =
@@ -321,7 +324,7 @@
     stands_without_each = stands_without_each && without != views_.end() &&
                           without->second.Log() >= -std::log(kOthersFalseAlarm);
   }
-  if (all->second.Log() >= version_bound && stands_without_each) {
+  if (log_evidence_ >= version_bound && stands_without_each) {
     is_version_stopped_ = true;
     found->push_back(MakeFact(all->second, UpstreamId()));
     return;
@@ -342,8 +345,7 @@
   evidence.pool = pool_;
   evidence.version = version_;
   evidence.requests = requests_;
-  const auto all = views_.find({ViewKind::kAll, UpstreamId()});
-  evidence.log_evidence = all == views_.end() ? 0.0 : all->second.Log();
+  evidence.log_evidence = log_evidence_;
   return evidence;
 }
 
--- a/src/rollout/pool_judge.h
+++ b/src/rollout/pool_judge.h
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "absl/container/flat_hash_map.h"
 #include "include/base/ids.h"
 #include "include/base/units.h"
 #include "include/rollout/stop_fact.h"
@@ -101,7 +102,8 @@
   const PoolId pool_;
   const VersionId version_;
   // By router, incarnation and row: the largest counts seen.
-  std::map<std::pair<RouterId, Incarnation>, std::map<StatsKey, StatsCounts>>
+  std::map<std::pair<RouterId, Incarnation>,
+           absl::flat_hash_map<StatsKey, StatsCounts>>
       reported_;
   std::map<StratumId, Stratum> strata_;
   std::map<ViewId, View> views_;
@@ -110,6 +112,8 @@
   bool is_version_stopped_ = false;
   std::optional<TimePoint> next_start_;
   uint64_t requests_ = 0;
+  // Of all replicas together, at the last look that had more to compare.
+  double log_evidence_ = 0.0;
 };
 
 }  // namespace papaya
