Compare latencies by rank, exactly, in place of one threshold

Cause: Of the 0.039 nats that a reply can tell about +15% latency, the count above a quarter threshold with odds of 1.2 tolerated kept 0.009, and two thresholds halved the weight of each.

Change: All replies of a window are ranked by earlier ones, and the chances that a reply is the new version's are tilted by its rank: the exact conditional ratio, its normalizer by convolution over buckets, by a saddlepoint where both sides have more than 32 replies. Up to 0.08 standard deviations slower counts as good. The count of very slow replies stays, with a tenth of the weight, for tails.

--- a/src/rollout/evidence.cc
+++ b/src/rollout/evidence.cc
@@ -19,13 +19,13 @@
 
 constexpr EffectSizes kVersionSizes[kQuantities] = {
     {1.2, {2.5, 8.0}},  // kFailure
-    {1.2, {1.7, 3.5}},  // kSlow
+    {},                 // kLatency: compared by rank
     {1.2, {1.7, 3.5}},  // kVerySlow
 };
 
 constexpr EffectSizes kReplicaSizes[kQuantities] = {
     {2.0, {4.0, 12.0}},  // kFailure
-    {1.8, {3.0, 6.0}},   // kSlow
+    {},                  // kLatency: compared by rank
     {1.8, {3.0, 6.0}},   // kVerySlow
 };
 
--- a/src/rollout/evidence.h
+++ b/src/rollout/evidence.h
@@ -18,7 +18,7 @@
 // What is counted as an event of a request.
 enum class Quantity : uint8_t {
   kFailure,
-  kSlow,      // slower than about a quarter of all
+  kLatency,   // none: replies are compared by rank, see LatencyLogRatios
   kVerySlow,  // slower than about one in ten
 };
 
--- a/src/rollout/pool_judge.cc
+++ b/src/rollout/pool_judge.cc
@@ -14,17 +14,16 @@
 constexpr size_t kMostRouters = 512;
 // Badness may begin at any of these times.
 constexpr Duration kStartEvery = std::chrono::seconds(30);
-// Latency is compared where about so much of all requests is slower.
-constexpr double kSlowPart = 0.25;
+// Replies are very slow where about so much of all is slower.
 constexpr double kVerySlowPart = 0.08;
-// Requests of a stratum before its latency thresholds are chosen.
-constexpr uint32_t kFewestForEdges = 20;
+// Requests of a stratum before latencies are ranked by them.
+constexpr uint32_t kFewestForScale = 20;
 // The evidence that must be left without the worst replica, before a whole
 // version is called bad: a bad version is bad on others too.
 constexpr double kOthersFalseAlarm = 0.02;
 
 // Parts of one view's evidence. They add up to 1.
-constexpr double kQuantityWeights[kQuantities] = {0.5, 0.25, 0.25};
+constexpr double kQuantityWeights[kQuantities] = {0.5, 0.4, 0.1};
 constexpr double kOverallWeight = 0.5;
 
 double LogSum(const std::vector<double>& logs) {
@@ -64,17 +63,6 @@
   return best;
 }
 
-EventTable MakeTable(const StatsCounts& fresh,
-                     const StatsCounts& old,
-                     Quantity quantity,
-                     size_t edge) {
-  if (quantity == Quantity::kFailure) {
-    return {fresh.failures, fresh.requests, old.failures, old.requests};
-  }
-  return {CountAbove(fresh, edge), Succeeded(fresh), CountAbove(old, edge),
-          Succeeded(old)};
-}
-
 StatsCounts Minus(const StatsCounts& a, const StatsCounts& b) {
   StatsCounts difference;
   difference.requests = a.requests - b.requests;
@@ -173,15 +161,13 @@
       window.replicas[replica] = more;
     }
   }
-  // Thresholds come from earlier windows only, so that what is counted above
-  // them had no say in them.
-  std::array<size_t, kQuantities> edges{};
-  if (Succeeded(before) >= kFewestForEdges) {
-    edges[static_cast<size_t>(Quantity::kSlow)] = ChooseEdge(before, kSlowPart);
-    edges[static_cast<size_t>(Quantity::kVerySlow)] =
-        ChooseEdge(before, kVerySlowPart);
+  // The scale comes from earlier windows only, so that what is compared by it
+  // had no say in it.
+  std::optional<LatencyScale> scale;
+  if (Succeeded(before) >= kFewestForScale) {
+    scale = {RankScores(before), ChooseEdge(before, kVerySlowPart)};
   }
-  Compare(id, window, edges);
+  Compare(id, window, scale);
   stratum->compared = stratum->total;
   stratum->opened = now;
   stratum->fresh = 0;
@@ -198,7 +184,7 @@
 
 void PoolJudge::Compare(const StratumId& id,
                         const Counts& window,
-                        const std::array<size_t, kQuantities>& edges) {
+                        const std::optional<LatencyScale>& scale) {
   AddViews();
   std::map<ViewId, StatsCounts> sides;
   for (const auto& [replica, counts] : window.replicas) {
@@ -220,20 +206,43 @@
                                 : Suspect::kVersion;
     std::array<EvidenceTrack, kQuantities>& on_route = view.by_route[id.first];
     for (size_t i = 0; i < kQuantities; ++i) {
-      const Quantity quantity = static_cast<Quantity>(i);
-      const bool is_failure = quantity == Quantity::kFailure;
-      const bool is_of_stratum = is_failure != id.second.has_value();
-      if (!is_of_stratum || (!is_failure && edges[i] == 0)) {
+      const std::optional<LogRatios> ratios = RatiosOf(
+          id, static_cast<Quantity>(i), fresh, window.old, scale, suspect);
+      if (!ratios) {
         continue;
       }
-      const LogRatios ratios = LogLikelihoodRatios(
-          MakeTable(fresh, window.old, quantity, edges[i]), quantity, suspect);
-      view.overall[i].Multiply(ratios);
-      on_route[i].Multiply(ratios);
+      view.overall[i].Multiply(*ratios);
+      on_route[i].Multiply(*ratios);
     }
   }
 }
 
+std::optional<LogRatios> PoolJudge::RatiosOf(
+    const StratumId& id,
+    Quantity quantity,
+    const StatsCounts& fresh,
+    const StatsCounts& old,
+    const std::optional<LatencyScale>& scale,
+    Suspect suspect) {
+  const bool is_failure = quantity == Quantity::kFailure;
+  const bool is_of_stratum = is_failure != id.second.has_value();
+  if (!is_of_stratum || (!is_failure && !scale)) {
+    return std::nullopt;
+  }
+  if (is_failure) {
+    return LogLikelihoodRatios(
+        {fresh.failures, fresh.requests, old.failures, old.requests}, quantity,
+        suspect);
+  }
+  if (quantity == Quantity::kLatency) {
+    return LatencyLogRatios(fresh, old, scale->scores, suspect);
+  }
+  return LogLikelihoodRatios(
+      {CountAbove(fresh, scale->very_slow), Succeeded(fresh),
+       CountAbove(old, scale->very_slow), Succeeded(old)},
+      quantity, suspect);
+}
+
 void PoolJudge::AddStarts(TimePoint now) {
   if (next_start_ && now < *next_start_) {
     return;
--- a/src/rollout/pool_judge.h
+++ b/src/rollout/pool_judge.h
@@ -16,6 +16,7 @@
 #include "include/rollout/version_judge.h"
 #include "include/rollout/version_stats.h"
 #include "src/rollout/evidence.h"
+#include "src/rollout/latency_ratio.h"
 
 namespace papaya {
 
@@ -82,6 +83,13 @@
 
   using ViewId = std::pair<ViewKind, UpstreamId>;
 
+  // How latencies of a window are compared.
+  struct LatencyScale {
+    LatencyScores scores{};
+    // Buckets from here on are very slow.
+    size_t very_slow = 0;
+  };
+
   static void AddCounts(const StatsCounts& more, StatsCounts* sum);
   static void AddOld(const StatsCounts& more, Stratum* stratum);
   static void AddFresh(const StatsCounts& more,
@@ -91,7 +99,15 @@
   void CloseWindow(const StratumId& id, Stratum* stratum, TimePoint now);
   void Compare(const StratumId& id,
                const Counts& window,
-               const std::array<size_t, kQuantities>& edges);
+               const std::optional<LatencyScale>& scale);
+  // The ratios of one quantity, if it is compared in stratum `id`.
+  static std::optional<LogRatios> RatiosOf(
+      const StratumId& id,
+      Quantity quantity,
+      const StatsCounts& fresh,
+      const StatsCounts& old,
+      const std::optional<LatencyScale>& scale,
+      Suspect suspect);
   void AddViews();
   void AddStarts(TimePoint now);
   void FindBad(std::vector<StopFact>* found);
