Give the second stage two replicas and most of the early time

Change: From six replicas on the second stage has two, at a normal load. It gets 35% of the time and the middle stage 38%, as the evidence of a stage grows with the product of the shares of both versions; small pools leave out the stage of a third.

--- a/src/rollout/note_plan.cc
+++ b/src/rollout/note_plan.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <numeric>
 #include <set>
 #include <utility>
 
@@ -23,10 +24,18 @@
 constexpr size_t kAsideDivisor = 10;
 // The first stage gives its replicas this part of a normal load.
 constexpr double kFirstStageLoad = 0.25;
-// Relative lengths of the stages; pools with fewer stages leave out middle
-// ones.
-constexpr double kStageWeights[] = {0.06, 0.30, 0.10, 0.32, 0.22};
-constexpr size_t kMostStages = std::size(kStageWeights);
+// From this size on the second stage has two replicas, so that one bad VM can
+// be told from a bad version.
+constexpr size_t kPairPool = 6;
+// Relative lengths of the stages, by how many there are. The second is long:
+// nearly all that is bad at once shows in it, on few replicas.
+constexpr size_t kMostStages = 5;
+constexpr double kStageWeights[kMostStages][kMostStages] = {
+    {1.0},
+    {0.2, 0.8},
+    {0.06, 0.72, 0.22},
+    {0.05, 0.35, 0.38, 0.22},
+    {0.05, 0.35, 0.08, 0.30, 0.22}};
 
 size_t CeilDivide(size_t value, size_t divisor) {
   return (value + divisor - 1) / divisor;
@@ -79,8 +88,10 @@
           ? 1
           : std::max<size_t>(2, CeilDivide(total, kFirstStageDivisor));
   const size_t last = std::max<size_t>(1, total - ControlOf(total));
-  std::vector<Stage> stages = {{first, kFirstStageLoad}, {first, 1.0}};
-  for (const size_t count : {total / 3, total * 3 / 5, last}) {
+  const size_t second = total >= kPairPool ? std::max<size_t>(2, first) : first;
+  std::vector<Stage> stages = {{first, kFirstStageLoad}, {second, 1.0}};
+  const size_t third = total > kSmallPool ? total / 3 : 0;
+  for (const size_t count : {third, total * 3 / 5, last}) {
     if (count > stages.back().replicas) {
       stages.push_back({count, 1.0});
     }
@@ -164,14 +175,10 @@
   const Duration baking =
       note_.bake.has_value() ? std::min(left / 2, *note_.bake) : Duration(0);
   const size_t end = note_.bake.has_value() ? count - 1 : count;
-  double weights = 0.0;
-  double own = 0.0;
-  for (size_t i = stage; i < end; ++i) {
-    // The last stage always has the last weight.
-    const double weight = kStageWeights[i + 1 == count ? kMostStages - 1 : i];
-    weights += weight;
-    own = i == stage ? weight : own;
-  }
+  const double* const stage_weights = kStageWeights[count - 1];
+  const double weights =
+      std::accumulate(stage_weights + stage, stage_weights + end, 0.0);
+  const double own = stage_weights[stage];
   const double seconds = ToSeconds(left - baking) * own / weights;
   return SecondsToDuration(std::max(0.0, seconds));
 }
