Put more of the mixture on badness from the beginning

Cause: Half of the evidence's weight was for badness that begins later, which costs what is bad at once 0.34 nats.

Change: 0.7 in place of 0.5.

--- a/src/rollout/evidence.cc
+++ b/src/rollout/evidence.cc
@@ -8,7 +8,7 @@
 namespace {
 
 // The part of the mixture that is at stake from the beginning.
-constexpr double kFirstWeight = 0.5;
+constexpr double kFirstWeight = 0.7;
 
 // Odds ratios. Up to `tolerated` a version counts as good: replicas of one
 // version differ by as much.
