Tolerate as much slowness as VMs alone explain, by how many replicas there are

Change: The tolerated shift is 0.1 standard deviations times the root of 1/new + 1/old replicas of the generation, 0.106 in that stage, 0.067 with five beside four.

--- a/src/rollout/latency_ratio.cc
+++ b/src/rollout/latency_ratio.cc
@@ -13,14 +13,16 @@
 using Buckets = std::array<uint32_t, kLatencyBuckets>;
 
 // Shifts in standard deviations of the latency's logarithm. Up to `tolerated` a
-// version counts as good: VMs of one kind differ by as much.
+// version counts as good.
 struct ShiftSizes {
   double tolerated;
   std::array<double, kEffects> tried;
 };
 
-constexpr ShiftSizes kVersionShifts = {0.08, {0.28, 0.8}};
+constexpr std::array<double, kEffects> kVersionShifts = {0.28, 0.8};
 constexpr ShiftSizes kReplicaShifts = {0.35, {0.65, 1.1}};
+// VMs of one kind differ by as much, so a version on one VM may.
+constexpr double kToleratedOnOne = 0.1;
 
 // Ranks are spread evenly from 0 to 1: this makes their deviation 1.
 const double kRankScale = std::sqrt(12.0);
@@ -29,6 +31,16 @@
 constexpr int kMostSteps = 100;
 constexpr double kStepsEnd = 1e-10;
 
+ShiftSizes SizesFor(const ReplicaCounts& replicas, Suspect suspect) {
+  if (suspect == Suspect::kReplica) {
+    return kReplicaShifts;
+  }
+  const double spread =
+      std::sqrt(1.0 / static_cast<double>(std::max<size_t>(1, replicas.fresh)) +
+                1.0 / static_cast<double>(std::max<size_t>(1, replicas.old)));
+  return {kToleratedOnOne * spread, kVersionShifts};
+}
+
 uint32_t Sum(const Buckets& buckets) {
   uint32_t sum = 0;
   for (const uint32_t count : buckets) {
@@ -110,6 +122,7 @@
 LogRatios LatencyLogRatios(const StatsCounts& fresh,
                            const StatsCounts& old,
                            const LatencyScores& scores,
+                           const ReplicaCounts& replicas,
                            Suspect suspect) {
   LogRatios ratios{};
   const uint32_t fresh_count = Sum(fresh.latency);
@@ -133,8 +146,7 @@
                ? LogChoices(all, chosen, scores, sign * shift)
                : LogChoicesNearly(all, chosen, scores, sign * shift);
   };
-  const ShiftSizes& sizes =
-      suspect == Suspect::kVersion ? kVersionShifts : kReplicaShifts;
+  const ShiftSizes sizes = SizesFor(replicas, suspect);
   const double tolerated = log_choices(sizes.tolerated);
   for (size_t i = 0; i < kEffects; ++i) {
     const double gain = sign * (sizes.tried[i] - sizes.tolerated) * score;
--- a/src/rollout/pool_judge.h
+++ b/src/rollout/pool_judge.h
@@ -32,6 +32,9 @@
     return note == note_ && version == version_;
   }
 
+  // Learns how many replicas either version has.
+  void OnConfig(const FleetConfig& config);
+
   // Merges one row of one router's report, if it is of this note and pool.
   void OnRow(const RouterId& router,
              Incarnation incarnation,
@@ -103,13 +106,14 @@
                const Counts& window,
                const std::optional<LatencyScale>& scale);
   // The ratios of one quantity, if it is compared in stratum `id`.
-  static std::optional<LogRatios> RatiosOf(
+  std::optional<LogRatios> RatiosOf(
       const StratumId& id,
+      const ViewId& view,
       Quantity quantity,
       const StatsCounts& fresh,
       const StatsCounts& old,
-      const std::optional<LatencyScale>& scale,
-      Suspect suspect);
+      const std::optional<LatencyScale>& scale) const;
+  ReplicaCounts CountReplicas(const StratumId& id, const ViewId& view) const;
   void AddViews();
   void AddStarts(TimePoint now);
   bool StandsWithoutEach(const View& all) const;
@@ -127,6 +131,8 @@
   std::map<StratumId, Stratum> strata_;
   std::map<ViewId, View> views_;
   std::set<UpstreamId> replicas_;
+  // Replicas in the configuration, by generation.
+  std::map<GenerationId, ReplicaCounts> configured_;
   std::set<UpstreamId> stopped_;
   bool is_version_stopped_ = false;
   std::optional<TimePoint> next_start_;
--- a/src/rollout/version_judge.cc
+++ b/src/rollout/version_judge.cc
@@ -26,6 +26,7 @@
       judge = std::make_unique<PoolJudge>(options_, share.note, share.pool,
                                           share.version);
     }
+    judge->OnConfig(config);
   }
   pools_ = std::move(pools);
 }
