Keep two old replicas to the end, so that one VM is not the whole control

With a single old replica in the last stage, its VM and the loads that chance gives it while all are overloaded look like the version's.

Change: From six replicas on two stay old until the end.

--- a/src/rollout/note_plan.cc
+++ b/src/rollout/note_plan.cc
@@ -24,8 +24,8 @@
 constexpr size_t kAsideDivisor = 10;
 // The first stage gives its replicas this part of a normal load.
 constexpr double kFirstStageLoad = 0.25;
-// From this size on the second stage has two replicas, so that one bad VM can
-// be told from a bad version.
+// From this size on the second stage has two new replicas and the last one two
+// old ones, so that one odd VM can be told from its version.
 constexpr size_t kPairPool = 6;
 // Relative lengths of the stages, by how many there are. The second is long:
 // nearly all that is bad at once shows in it, on few replicas.
@@ -76,10 +76,14 @@
   return Permille(std::clamp(static_cast<int>(share), 1, 999));
 }
 
-// Replicas that keep the old version until the note is done.
+// Replicas that keep the old version until the note is done. A single VM would
+// say more of itself than of its version.
 size_t ControlOf(size_t total) {
-  return total <= 1 ? 0
-                    : std::max<size_t>(1, CeilDivide(total, kControlDivisor));
+  if (total <= 1) {
+    return 0;
+  }
+  const size_t fewest = total >= kPairPool ? 2 : 1;
+  return std::max(fewest, CeilDivide(total, kControlDivisor));
 }
 
 std::vector<Stage> MakeStages(size_t total) {
