Let notes and settings read the same words for true and false

Cause: Notes took `yes` and `no` only, settings `true` and `false` only; an operator writes both.

Change: Both readers call ParseBool, which takes all four. Settings are still written with `true`, notes with `yes`.

Conclusion: one reader less.

--- a/src/rollout/release_note.cc
+++ b/src/rollout/release_note.cc
@@ -8,6 +8,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
 #include "include/config/upstream_kind.h"
+#include "include/settings/value_parsers.h"
 
 namespace papaya {
 
@@ -22,16 +23,6 @@
   std::function<const char*(const std::string& value, T* into)> read;
 };
 
-std::optional<bool> ReadBool(const std::string& value) {
-  if (value == "yes") {
-    return true;
-  }
-  if (value == "no") {
-    return false;
-  }
-  return std::nullopt;
-}
-
 // `90s`, `20m` or `2h`.
 std::optional<Duration> ReadDuration(const std::string& value) {
   int64_t count = 0;
@@ -66,7 +57,7 @@
 }
 
 const char* TakeBool(const std::string& value, std::optional<bool>* into) {
-  *into = ReadBool(value);
+  *into = ParseBool(value);
   return into->has_value() ? nullptr : "`yes` or `no`";
 }
 
@@ -77,8 +68,9 @@
 }
 
 const char* TakeWithdrawn(const std::string& value, bool* into) {
-  *into = value == "yes";
-  return ReadBool(value).has_value() ? nullptr : "`yes` or `no`";
+  const std::optional<bool> read = ParseBool(value);
+  *into = read.value_or(false);
+  return read.has_value() ? nullptr : "`yes` or `no`";
 }
 
 const std::vector<KeyReader<ReleaseNote>>& NoteKeys() {
--- a/src/settings/value_parsers.cc
+++ b/src/settings/value_parsers.cc
@@ -86,10 +86,10 @@
 }
 
 std::optional<bool> ParseBool(const std::string& text) {
-  if (text == "true") {
+  if (text == "true" || text == "yes") {
     return true;
   }
-  if (text == "false") {
+  if (text == "false" || text == "no") {
     return false;
   }
   return std::nullopt;
--- a/tests/value_parsers_test.cc
+++ b/tests/value_parsers_test.cc
@@ -23,6 +23,17 @@
   }
 }
 
+TEST_CASE("ParseBool: takes the words of settings and of notes", "[settings]") {
+  CHECK(ParseBool("true") == true);
+  CHECK(ParseBool("yes") == true);
+  CHECK(ParseBool("false") == false);
+  CHECK(ParseBool("no") == false);
+  for (const char* text : {"", "1", "Yes", "TRUE", "on", " yes"}) {
+    INFO(text);
+    CHECK_FALSE(ParseBool(text));
+  }
+}
+
 TEST_CASE("ParseBytes: takes a plain number or a binary unit", "[settings]") {
   CHECK(ParseBytes("4096") == Bytes(4096));
   CHECK(ParseBytes("16KiB") == Bytes(16 * 1024));
