--- a/src/rollout/note_mover.cc
+++ b/src/rollout/note_mover.cc
@@ -6,10 +6,10 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
-#include "absl/strings/str_format.h"
 #include "include/chart/chart_machine.h"
 #include "include/chart/state_chart.h"
 #include "include/rollout/release_note.h"
+#include "src/rollout/note_words.h"
 
 namespace papaya {
 
@@ -30,28 +30,6 @@
   return std::find(ids.begin(), ids.end(), id) != ids.end();
 }
 
-// `a, b and c`.
-template <typename Id>
-std::string ListNames(const std::vector<Id>& ids) {
-  std::string text;
-  for (size_t i = 0; i < ids.size(); ++i) {
-    const char* const before =
-        i == 0 ? "" : (i + 1 == ids.size() ? " and " : ", ");
-    absl::StrAppend(&text, before, ids[i].value());
-  }
-  return text;
-}
-
-std::string DescribeStop(const StopFact& fact) {
-  const char* const what =
-      fact.cause == StopCause::kFailures ? "fails more often" : "is slower";
-  const std::string where =
-      fact.route.empty() ? "" : absl::StrCat(" on route ", fact.route.value());
-  return absl::StrCat("version ", fact.version.value(), " of ",
-                      fact.pool.value(), " ", what,
-                      " than the version before it", where);
-}
-
 size_t CountMembers(const NotePlan& plan, const PoolId& pool) {
   return static_cast<size_t>(std::count_if(
       plan.target().upstreams.begin(), plan.target().upstreams.end(),
@@ -305,11 +283,8 @@
   if (wall_ < limit) {
     return true;
   }
-  StartTakingBack(absl::StrFormat(
-      "traffic could not be moved by %s: stage %d of %d was not over in time",
-      FormatWallTime(plan.note().traffic_by),
-      std::min<int>(record.stage + 1, static_cast<int>(plan.stage_count())),
-      static_cast<int>(plan.stage_count())));
+  StartTakingBack(DescribeLateness(plan.note().traffic_by, record.stage,
+                                   plan.stage_count()));
   return false;
 }
 
@@ -323,10 +298,7 @@
   if (record.stage_since == WallTime()) {
     record.stage_since = wall_;
     record.share = plan.StageShare(stage, record.set_aside);
-    record.reason = absl::StrFormat(
-        "stage %d of %d: %d.%d%% of the traffic is on the new version",
-        record.stage + 1, static_cast<int>(count), record.share.value() / 10,
-        record.share.value() % 10);
+    record.reason = DescribeStage(record.stage, count, record.share);
     Save("advance", std::move(record));
     return;
   }
@@ -387,16 +359,10 @@
   }
   NoteRecord done = record;
   done.share = Permille(1000);
-  done.reason =
-      plan.IsJudged()
-          ? absl::StrCat("all traffic of ", ListNames(plan.pools()),
-                         " has moved; judged over ", requests_, " requests")
-          : absl::StrCat("all changes to ", ListNames(plan.pools()),
-                         " are in force");
+  done.reason = plan.IsJudged() ? DescribeMove(plan.pools(), requests_)
+                                : DescribeChange(plan.pools());
   if (!record.set_aside.empty()) {
-    absl::StrAppend(&done.reason, "; set aside and out of the fleet: ",
-                    ListNames(record.set_aside),
-                    ", look at their VMs and add them by another note");
+    absl::StrAppend(&done.reason, DescribeSetAside(record.set_aside));
   }
   Save("finish", std::move(done));
 }
--- a/tests/fakes/fake_rollout_fleet.h
+++ b/tests/fakes/fake_rollout_fleet.h
@@ -21,108 +21,19 @@
 #include "include/rollout/version_judge.h"
 #include "include/rollout/version_stats.h"
 #include "tests/fakes/fake_object_store.h"
+#include "tests/fakes/fake_rollout_engine.h"
+#include "tests/fakes/fake_rollout_router.h"
 
 namespace papaya {
 
 inline constexpr char kFakePrefix[] = "fleet";
 
-// One engine behind orders: what it has loaded, and which orders it takes.
-struct FakeEngine {
-  EngineState state;
-  bool checks_fencing = true;
-  bool is_alive = true;
-  std::map<VersionId, TimePoint> loads_ready;
-
-  // What the engine does with an order that reaches it at `now`.
-  absl::Status Take(const EngineOrder& order, TimePoint now, Duration load) {
-    if (checks_fencing && order.fencing < state.fencing) {
-      return absl::AbortedError("old fencing number");
-    }
-    state.fencing = checks_fencing ? order.fencing : FencingNumber(0);
-    const VersionId version(order.argument);
-    const bool has = HasLoaded(version);
-    switch (order.action) {
-      case OrderAction::kLoadVersion:
-        if (!has && !loads_ready.contains(version)) {
-          loads_ready[version] = now + load;
-          state.loading.push_back(version);
-        }
-        break;
-      case OrderAction::kActivateVersion:
-        if (!has) {
-          return absl::FailedPreconditionError("not loaded");
-        }
-        state.active = version;
-        break;
-      case OrderAction::kUnloadVersion:
-        if (state.active != version) {
-          std::erase(state.loaded, version);
-        }
-        break;
-      case OrderAction::kLoadAdapter:
-        state.adapters.push_back(order.argument);
-        break;
-      case OrderAction::kSetRole:
-        state.role = order.argument;
-        break;
-    }
-    return absl::OkStatus();
-  }
-
-  bool HasLoaded(const VersionId& version) const {
-    return std::find(state.loaded.begin(), state.loaded.end(), version) !=
-           state.loaded.end();
-  }
-
-  void FinishLoads(TimePoint now) {
-    std::erase_if(loads_ready, [this, now](const auto& load) {
-      if (load.second > now) {
-        return false;
-      }
-      std::erase(state.loading, load.first);
-      state.loaded.push_back(load.first);
-      return true;
-    });
-  }
-};
-
 // What an upstream does with one request.
 struct FakeReply {
   bool failed = false;
   Duration latency{};
 };
 
-struct FakeRollout;
-
-// One router: its cores and what it has learnt.
-struct FakeRouter {
-  RouterId id;
-  std::unique_ptr<FakeObjectStore> store;
-  std::unique_ptr<Random> random;
-  std::unique_ptr<NoteRunner> runner;
-  std::unique_ptr<VersionJudge> judge;
-  std::unique_ptr<VersionStats> stats;
-  StopSet stops;
-  FleetConfig config;
-  // `config` without what is stopped.
-  FleetConfig routed;
-  bool is_paused = false;
-  bool is_cut_off = false;
-  uint64_t incarnation = 0;
-};
-
-struct FakeRolloutOptions {
-  size_t routers = 7;
-  NoteRunnerOptions runner;
-  VersionJudgeOptions judge;
-  Duration tick = std::chrono::milliseconds(500);
-  std::vector<RouteId> routes = {RouteId("plan")};
-  PoolId pool{"plans"};
-  // Share of gossip messages that are lost, each repeated every second.
-  double lost_gossip = 0.1;
-  Duration load_time = std::chrono::seconds(40);
-};
-
 // A fleet in virtual time: platform store, engines, routers with all cores of
 // the module, gossip as late messages, and requests of one pool.
 struct FakeRollout {
@@ -162,7 +73,7 @@
     retired_stores.push_back(std::move(router->store));
     router->store = std::make_unique<FakeObjectStore>(&backend);
     router->random = std::make_unique<Random>(random.Next64());
-    router->is_paused = false;
+    Wake(router);
     router->stops = StopSet();
     router->config = FleetConfig();
     router->judge = std::make_unique<VersionJudge>(
@@ -186,6 +97,12 @@
     router->judge.reset();
   }
 
+  // Lets a paused process go on.
+  void Wake(FakeRouter* router) {
+    router->is_paused = false;
+    router->awake_since = backend.now;
+  }
+
   bool IsUp(const FakeRouter& router) const {
     return router.runner != nullptr && !router.is_paused;
   }
@@ -378,18 +295,19 @@
     }
   }
 
-  const UpstreamSpec* ChooseUpstream(const FleetConfig& config) {
+  const UpstreamSpec* ChooseUpstream(const FleetConfig& config,
+                                     const PoolId& pool) {
     int64_t point = static_cast<int64_t>(random.Below(1000));
     const VersionShare* chosen = nullptr;
     for (const VersionShare& share : config.shares) {
-      if (share.pool == options.pool && chosen == nullptr) {
+      if (share.pool == pool && chosen == nullptr) {
         point -= share.share.value();
         chosen = point < 0 ? &share : nullptr;
       }
     }
     std::vector<const UpstreamSpec*> members;
     for (const UpstreamSpec& upstream : config.upstreams) {
-      if (upstream.pool == options.pool &&
+      if (upstream.pool == pool &&
           (chosen == nullptr || upstream.version == chosen->version)) {
         members.push_back(&upstream);
       }
@@ -398,7 +316,10 @@
   }
 
   void SendRequest(FakeRouter* router) {
-    const UpstreamSpec* const upstream = ChooseUpstream(router->routed);
+    const size_t pool_index =
+        options.pools.size() > 1 ? random.Below(options.pools.size()) : 0;
+    const PoolId& pool = options.pools[pool_index];
+    const UpstreamSpec* const upstream = ChooseUpstream(router->routed, pool);
     if (upstream == nullptr) {
       return;
     }
@@ -408,8 +329,9 @@
     const VersionId& serving = upstream->kind == UpstreamKind::kPlainService
                                    ? upstream->version
                                    : engines[upstream->id].state.active;
+    sender = router;
     const FakeReply reply = serve(*upstream, serving, route);
-    router->stats->OnReply(options.pool, upstream->version, route, upstream->id,
+    router->stats->OnReply(pool, upstream->version, route, upstream->id,
                            reply.failed, reply.latency);
   }
 
@@ -444,6 +366,8 @@
   Serve serve = [](const UpstreamSpec&, const VersionId&, const RouteId&) {
     return FakeReply{false, std::chrono::milliseconds(200)};
   };
+  // The router whose request is being served.
+  const FakeRouter* sender = nullptr;
   std::function<void(const StopFact&)> on_stop = [](const StopFact&) {};
   std::vector<StopFact> known_facts;
   FleetConfig newest;
--- a/tests/note_runner_test.cc
+++ b/tests/note_runner_test.cc
@@ -62,5 +62,115 @@
   }
 }
 
+TEST_CASE("NoteRunner: roles and adapters are brought, at once", "[rollout]") {
+  FakeRollout fleet(5, QuickOptions(), NoteChart());
+  CarryOut(&fleet, FirstNote(&fleet, 4), std::chrono::minutes(5));
+  SampleNote note = {NoteId("roles"),
+                     NoteHead(fleet, std::chrono::minutes(30))};
+  note.text +=
+      "[pool plans]\nadapters = fair, hire\n[upstream plans-1]\n"
+      "role = prefill\n";
+  const NoteRecord record = CarryOut(&fleet, note, std::chrono::minutes(31));
+  INFO(record.reason);
+  CHECK(record.state == kNoteDone);
+  for (const UpstreamSpec& upstream : fleet.newest.upstreams) {
+    const EngineState& state = fleet.engines[upstream.id].state;
+    CHECK(state.adapters == std::vector<std::string>{"fair", "hire"});
+    CHECK(state.active == VersionId("v1"));
+    CHECK(state.role ==
+          (upstream.id == UpstreamId("plans-1") ? "prefill" : ""));
+  }
+}
+
+TEST_CASE("NoteRunner: a note that is taken back gives roles back",
+          "[rollout]") {
+  FakeRollout fleet(6, QuickOptions(), NoteChart());
+  fleet.rate = 20.0;
+  const SampleNote first = FirstNote(&fleet, 6);
+  for (auto& [id, engine] : fleet.engines) {
+    engine.state.role = "serve";
+  }
+  CarryOut(&fleet, first, std::chrono::minutes(5));
+  fleet.serve = [&fleet](const UpstreamSpec&, const VersionId& version,
+                         const RouteId&) {
+    const double failures = version == VersionId("v2") ? 0.3 : 0.01;
+    return FakeReply{fleet.random.Chance(failures),
+                     std::chrono::milliseconds(200)};
+  };
+  SampleNote note =
+      VersionNote(fleet, "second", "v2", std::chrono::minutes(30));
+  for (size_t i = 0; i < 6; ++i) {
+    absl::StrAppend(&note.text, "[upstream plans-", i, "]\nrole = prefill\n");
+  }
+  const NoteRecord record = CarryOut(&fleet, note, std::chrono::minutes(31));
+  INFO(record.reason);
+  CHECK(record.state == kNoteTakenBack);
+  for (const auto& [id, engine] : fleet.engines) {
+    INFO(id.value());
+    CHECK(engine.state.role == "serve");
+    CHECK(engine.state.active == VersionId("v1"));
+  }
+}
+
+// Adds `count` engines of another pool, which serve v1, to a note.
+void AddPool(const std::string& pool,
+             size_t count,
+             FakeRollout* fleet,
+             SampleNote* note) {
+  absl::StrAppend(&note->text, "[pool ", pool, "]\nversion = v1\n");
+  // No address twice in one fleet.
+  constexpr size_t kFirstIndex = 100;
+  for (size_t i = kFirstIndex; i < kFirstIndex + count; ++i) {
+    absl::StrAppend(&note->text, UpstreamSection(i, pool, true));
+    FakeEngine& engine = fleet->engines[UpstreamId(absl::StrCat(pool, "-", i))];
+    engine.state.loaded = {VersionId("v1")};
+    engine.state.active = VersionId("v1");
+  }
+}
+
+TEST_CASE("NoteRunner: two notes on two pools at once, one good and one bad",
+          "[rollout]") {
+  FakeRolloutOptions options = QuickOptions();
+  options.pools = {PoolId("plans"), PoolId("photos")};
+  FakeRollout fleet(7, options, NoteChart());
+  SampleNote first = FirstNote(&fleet, 6);
+  AddPool("photos", 6, &fleet, &first);
+  CarryOut(&fleet, first, std::chrono::minutes(5));
+  fleet.rate = 40.0;
+  fleet.serve = [&fleet](const UpstreamSpec&, const VersionId& version,
+                         const RouteId&) {
+    const double failures = version == VersionId("bad") ? 0.3 : 0.01;
+    return FakeReply{fleet.random.Chance(failures),
+                     std::chrono::milliseconds(200)};
+  };
+  const SampleNote good =
+      VersionNote(fleet, "good", "v2", std::chrono::minutes(30));
+  const SampleNote bad = {
+      NoteId("bad"), absl::StrCat(NoteHead(fleet, std::chrono::minutes(30)),
+                                  "[pool photos]\nversion = bad\n")};
+  for (const SampleNote* const note : {&good, &bad}) {
+    fleet.book.Submit(MakeRequest(*note, "anna", ObjectVersion(0)),
+                      fleet.wall(), [](const NoteResult&) {});
+  }
+  bool were_both_moving = false;
+  const TimePoint end = fleet.now() + std::chrono::minutes(31);
+  while (fleet.now() < end) {
+    fleet.Tick();
+    const std::optional<NoteRecord> a = fleet.ReadNote(good.id);
+    const std::optional<NoteRecord> b = fleet.ReadNote(bad.id);
+    were_both_moving = were_both_moving || (a && b && a->state == kNoteMoving &&
+                                            b->state == kNoteMoving);
+  }
+  CHECK(were_both_moving);
+  CHECK(fleet.ReadNote(good.id)->state == kNoteDone);
+  CHECK(fleet.ReadNote(bad.id)->state == kNoteTakenBack);
+  CHECK(fleet.newest.shares.empty());
+  for (const UpstreamSpec& upstream : fleet.newest.upstreams) {
+    const VersionId wanted(upstream.pool == PoolId("plans") ? "v2" : "v1");
+    CHECK(upstream.version == wanted);
+    CHECK(fleet.engines[upstream.id].state.active == wanted);
+  }
+}
+
 }  // namespace
 }  // namespace papaya
--- a/tests/rollout_faults_test.cc
+++ b/tests/rollout_faults_test.cc
@@ -96,10 +96,13 @@
 
   FakeReply Serve(const VersionId& version) {
     const bool is_new = version != VersionId("v1");
+    // On every router, during the faults too. One that was paused or started
+    // anew has as long to hear of it.
     const bool is_late =
-        is_new && stopped_at_ && fleet_.now() > *stopped_at_ + kStopTime;
-    // Restarted routers hear of it with their first gossip.
-    late_requests_ += is_bad_ && is_late && is_calm_ ? 1 : 0;
+        is_new && stopped_at_ &&
+        fleet_.now() >
+            std::max(*stopped_at_, fleet_.sender->awake_since) + kStopTime;
+    late_requests_ += is_bad_ && is_late ? 1 : 0;
     return {fleet_.random.Chance(is_bad_ && is_new ? 0.4 : 0.01),
             std::chrono::milliseconds(200)};
   }
@@ -183,9 +186,10 @@
 
   void MendRouters() {
     for (const std::unique_ptr<FakeRouter>& router : fleet_.routers) {
-      router->is_paused = false;
       if (router->runner == nullptr) {
         fleet_.Start(router.get());
+      } else if (router->is_paused) {
+        fleet_.Wake(router.get());
       }
     }
   }
@@ -194,7 +198,6 @@
     MendRouters();
     fleet_.backend.faults = {};
     fleet_.lost_orders = 0.0;
-    is_calm_ = true;
   }
 
   Random chaos_;
@@ -202,7 +205,6 @@
   FakeRollout fleet_;
   VersionId wanted_{"v2"};
   std::optional<TimePoint> stopped_at_;
-  bool is_calm_ = false;
   bool was_final_ = false;
   bool has_gone_back_ = false;
   int times_ended_ = 0;
--- a/tests/version_judge_test.cc
+++ b/tests/version_judge_test.cc
@@ -1,11 +1,14 @@
 #include "include/rollout/version_judge.h"
 
+#include <bit>
 #include <catch2/catch.hpp>
 #include <cmath>
+#include <utility>
 #include <vector>
 
 #include "include/base/random.h"
 #include "src/rollout/evidence.h"
+#include "src/rollout/latency_ratio.h"
 
 namespace papaya {
 namespace {
@@ -35,6 +38,71 @@
   }
 }
 
+// Replies in neighbouring buckets, as many as `counts` says.
+StatsCounts MakeCounts(const std::vector<uint32_t>& counts) {
+  constexpr size_t kFirstBucket = 6;
+  StatsCounts made;
+  for (size_t i = 0; i < counts.size(); ++i) {
+    made.latency[kFirstBucket + i] = counts[i];
+    made.requests += counts[i];
+  }
+  return made;
+}
+
+TEST_CASE("LatencyLogRatios: the expectation is at most 1 if none is slower",
+          "[rollout]") {
+  const LatencyScores scores = RankScores(MakeCounts({10, 30, 40, 15, 5}));
+  // All ways to choose the new version's replies out of ten.
+  const std::vector<size_t> replies = {0, 0, 1, 1, 1, 2, 2, 3, 3, 4};
+  for (const int chosen : {1, 4, 5, 8}) {
+    double sum = 0.0;
+    double ways = 0.0;
+    for (uint32_t mask = 0; mask < (1u << replies.size()); ++mask) {
+      if (std::popcount(mask) != chosen) {
+        continue;
+      }
+      std::vector<uint32_t> fresh(5, 0);
+      std::vector<uint32_t> old(5, 0);
+      for (size_t i = 0; i < replies.size(); ++i) {
+        ++((mask >> i & 1u) != 0 ? fresh : old)[replies[i]];
+      }
+      ways += 1.0;
+      sum += std::exp(LatencyLogRatios(MakeCounts(fresh), MakeCounts(old),
+                                       scores, {2, 7}, Suspect::kVersion)[0]);
+    }
+    INFO(chosen);
+    CHECK(sum / ways < 1.0);
+    CHECK(sum / ways > 0.5);
+  }
+}
+
+TEST_CASE("LatencyLogRatios: the same holds for many replies, by saddlepoints",
+          "[rollout]") {
+  constexpr int kSplits = 4000;
+  constexpr size_t kChosen = 40;
+  const std::vector<uint32_t> pooled = {14, 42, 56, 21, 7};
+  const LatencyScores scores = RankScores(MakeCounts(pooled));
+  std::vector<size_t> replies;
+  for (size_t i = 0; i < pooled.size(); ++i) {
+    replies.insert(replies.end(), pooled[i], i);
+  }
+  Random random(3);
+  double sum = 0.0;
+  for (int split = 0; split < kSplits; ++split) {
+    std::vector<uint32_t> fresh(pooled.size(), 0);
+    std::vector<uint32_t> old = pooled;
+    for (size_t i = 0; i < kChosen; ++i) {
+      std::swap(replies[i], replies[i + random.Below(replies.size() - i)]);
+      ++fresh[replies[i]];
+      --old[replies[i]];
+    }
+    sum += std::exp(LatencyLogRatios(MakeCounts(fresh), MakeCounts(old), scores,
+                                     {2, 7}, Suspect::kVersion)[0]);
+  }
+  CHECK(sum / kSplits < 1.0);
+  CHECK(sum / kSplits > 0.5);
+}
+
 TEST_CASE(
     "VersionJudge: failures are seen where no old replica is of the "
     "generation",
