--- a/tools/test.sh
+++ b/tools/test.sh
@@ -28,6 +28,6 @@
 RC_PARAMS='seed=20261204 max_success=10' \
   tools/run_tests.sh build-asan/papaya_tests '~[process]'
 step 'thread sanitizer'
-configure_and_build build-tsan thread papaya_tests
-tools/run_tests.sh build-tsan/papaya_tests '[threads]'
+configure_and_build build-tsan thread papaya_thread_tests
+tools/run_tests.sh build-tsan/papaya_thread_tests '[threads]'
 step 'all passed'
