Let judges hear a sample of the routers, within their budget at 390 of them

A report was paid for after it was sent, by an estimate of 27 B a row; on the wire a row took some 120 B. The old version's replicas were named, which no judge looks at. Change: rows and latency buckets are structs; the estimate is held to the encoded size by a test; StatsSender, in the core, waits until the time since the last report has paid for the next; old replicas are not named; 50 routers a pool report, chosen by rendezvous hash; each router's own judge has its own counts every second in any case. Ruled out: paying in advance alone; nothing is sent at 390 routers in 240 s. The time to find a bad version at 390 routers rises to that of a small fleet; a stop still spreads by gossip at once.

--- a/include/rollout/version_stats.h
+++ b/include/rollout/version_stats.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <tuple>
 #include <utility>
 #include <vector>
@@ -89,16 +90,15 @@
   bool operator==(const StatsReport&) const = default;
 };
 
-// Bytes that `report` takes on the wire, near enough for budgets: rows name
-// their strings by index, counts are variable-length and zeros left out.
+// Bytes that `report` takes on the wire, to within a tenth.
 size_t EstimateReportBytes(const StatsReport& report);
 
 // What one router counts by itself, for pools with a note in progress only.
 class VersionStats {
  public:
-  // Rows that name their upstream, for each version of a pool; the rest of its
-  // upstreams is counted together. Which ones are named depends on their ids
-  // alone, so all routers name the same.
+  // Rows of a new version that name their upstream; its others are counted
+  // together, as the old version's all are. Which ones are named depends on
+  // their ids alone, so all routers name the same.
   static constexpr size_t kNamedUpstreams = 16;
   // Rows in all; requests beyond them are not counted.
   static constexpr size_t kMaxRows = 512;
@@ -128,6 +128,18 @@
   // ReportInterval; without rows it need not be sent.
   StatsReport MakeReport();
 
+  // The same with the rows of the pools in `wanted` only.
+  StatsReport MakeReport(const std::set<PoolId>& wanted);
+
+  // Bytes on the wire of the report that MakeReport(wanted) would give now.
+  size_t NextReportBytes(const std::set<PoolId>& wanted) const;
+
+  // Every row, for this router's own judge.
+  StatsReport MakeSnapshot() const;
+
+  // Pools that are counted now.
+  std::set<PoolId> CountedPools() const;
+
   // How often each router may report so that a receiver stays within
   // `bytes_per_second` when `routers` report `report_bytes` each; at least 1 s.
   static Duration ReportInterval(size_t routers,
@@ -144,6 +156,9 @@
     std::vector<UpstreamId> named;
   };
 
+  // The next report, with its rows left as they are.
+  StatsReport PeekReport(const std::set<PoolId>& wanted) const;
+
   // Drops rows of pools that are not counted now.
   void DropIdleRows();
 
@@ -165,6 +180,12 @@
 std::vector<RouterId> JudgesOf(const PoolId& pool,
                                const std::vector<RouterId>& routers);
 
+// The routers whose counts of a pool the judges hear: a sample, so that what
+// they hear does not grow with the fleet. All routers when there are few.
+inline constexpr size_t kCountersPerPool = 50;
+std::vector<RouterId> CountersOf(const PoolId& pool,
+                                 const std::vector<RouterId>& routers);
+
 }  // namespace papaya
 
 #endif  // INCLUDE_ROLLOUT_VERSION_STATS_H_
--- a/src/daemon/rollout_plane.cc
+++ b/src/daemon/rollout_plane.cc
@@ -1,7 +1,6 @@
 #include "src/daemon/rollout_plane.h"
 
 #include <algorithm>
-#include <map>
 #include <utility>
 #include <vector>
 
@@ -15,9 +14,6 @@
 
 namespace {
 
-// What a judge receives from all routers together, in bytes a second.
-constexpr double kReportBudget = 4000.0;
-
 std::string OwnerName(const RouterSettings& settings, Incarnation incarnation) {
   return absl::StrCat(settings.router.value(), "#", incarnation.value());
 }
@@ -58,6 +54,15 @@
             note_chart,
             settings.rollout.shortest_move),
       stats_(settings.router, incarnation),
+      sender_(settings.router,
+              &stats_,
+              [this](const RouterId& judge, const StatsReport& report) {
+                if (judge == settings_.router) {
+                  judge_.OnReport(report);
+                  return;
+                }
+                hooks_.send_stats(judge, report);
+              }),
       judge_(VersionJudgeOptions(),
              [this](const StopFact& fact) { hooks_.stop(fact); }),
       runner_(store,
@@ -78,8 +83,8 @@
     runner_.OnEvidence(evidence.note, evidence.requests);
   }
   runner_.OnTick(now, WallNow(), is_candidate);
-  if (is_counting_ && now >= next_report_) {
-    SendReports(view, now);
+  if (is_counting_) {
+    sender_.OnTick(now, IdsOf(view));
   }
 }
 
@@ -130,38 +135,4 @@
   return hooks;
 }
 
-void RolloutPlane::SendReports(const FleetView& view, TimePoint now) {
-  const StatsReport report = stats_.MakeReport();
-  const size_t bytes = EstimateReportBytes(report);
-  next_report_ = now + VersionStats::ReportInterval(view.routers.size(), bytes,
-                                                    kReportBudget);
-  if (report.rows.empty()) {
-    return;
-  }
-  const std::vector<RouterId> routers = IdsOf(view);
-  std::map<RouterId, StatsReport> by_judge;
-  std::map<PoolId, std::vector<RouterId>> judges;
-  for (const StatsRow& row : report.rows) {
-    const auto [found, is_new] = judges.try_emplace(row.key.pool);
-    if (is_new) {
-      found->second = JudgesOf(row.key.pool, routers);
-    }
-    for (const RouterId& judge : found->second) {
-      StatsReport& part = by_judge[judge];
-      part.router = report.router;
-      part.incarnation = report.incarnation;
-      part.sequence = report.sequence;
-      part.rows.push_back(row);
-    }
-  }
-  // This router's own counts go to its judge in any case, so that it can stop
-  // by itself when nobody else can be reached.
-  judge_.OnReport(report);
-  for (const auto& [judge, part] : by_judge) {
-    if (judge != settings_.router) {
-      hooks_.send_stats(judge, part);
-    }
-  }
-}
-
 }  // namespace papaya
--- a/src/daemon/rollout_plane.h
+++ b/src/daemon/rollout_plane.h
@@ -13,6 +13,7 @@
 #include "include/base/units.h"
 #include "include/rollout/note_book.h"
 #include "include/rollout/note_runner.h"
+#include "include/rollout/stats_sender.h"
 #include "include/rollout/stop_fact.h"
 #include "include/rollout/version_judge.h"
 #include "include/rollout/version_stats.h"
@@ -79,7 +80,6 @@
 
  private:
   NoteRunnerHooks MakeRunnerHooks();
-  void SendReports(const FleetView& view, TimePoint now);
 
   const RouterSettings settings_;
   const Hooks hooks_;
@@ -87,12 +87,12 @@
   EngineOrders orders_;
   NoteBook book_;
   VersionStats stats_;
+  StatsSender sender_;
   VersionJudge judge_;
   NoteRunner runner_;
   // Of engines that this router has read the state of.
   std::map<UpstreamId, std::string> addresses_;
   std::atomic<bool> is_counting_ = false;
-  TimePoint next_report_;
 };
 
 }  // namespace papaya
--- a/src/rollout/version_stats.cc
+++ b/src/rollout/version_stats.cc
@@ -15,28 +15,21 @@
 
 // A stream counts its first token and so many tokens at its own pace.
 constexpr double kComparedTokens = 64.0;
-// Envelope of one report: names of router and table, numbers.
-constexpr size_t kReportOverheadBytes = 64;
-// A row's six string indexes, and its length.
-constexpr size_t kRowOverheadBytes = 8;
-// A string in the report's table, besides its characters.
-constexpr size_t kStringOverheadBytes = 2;
-
-size_t VarintBytes(uint64_t value) {
-  size_t bytes = 1;
-  for (; value >= 0x80; value >>= 7) {
-    ++bytes;
-  }
-  return bytes;
-}
+constexpr uint64_t kJudgeSalt = 0;
+constexpr uint64_t kCounterSalt = 1;
+// Frame, table and vectors of a report, without its rows and strings.
+constexpr size_t kReportOverheadBytes = 104;
+// A row's key and counts; a latency bucket that is not zero.
+constexpr size_t kRowBytes = 20;
+constexpr size_t kBucketBytes = 8;
+// A string's offset, length, end and half of the padding to four bytes.
+constexpr size_t kStringOverheadBytes = 11;
 
 size_t RowBytes(const StatsRow& row) {
-  size_t bytes = kRowOverheadBytes + VarintBytes(row.counts.requests) +
-                 VarintBytes(row.counts.failures);
-  for (const uint32_t count : row.counts.latency) {
-    bytes += count == 0 ? 0 : 1 + VarintBytes(count);
-  }
-  return bytes;
+  const auto filled =
+      std::count_if(row.counts.latency.begin(), row.counts.latency.end(),
+                    [](uint32_t count) { return count > 0; });
+  return kRowBytes + kBucketBytes * static_cast<size_t>(filled);
 }
 
 bool ByHash(const UpstreamId& a, const UpstreamId& b) {
@@ -45,25 +38,43 @@
   return std::tie(hash_a, a) < std::tie(hash_b, b);
 }
 
-// The upstreams of `pool` that have rows of their own: some of each version.
+// The upstreams of `version` that have rows of their own, sorted.
 std::vector<UpstreamId> NamedUpstreams(const FleetConfig& config,
-                                       const PoolId& pool) {
-  std::map<VersionId, std::vector<UpstreamId>> by_version;
+                                       const PoolId& pool,
+                                       const VersionId& version) {
+  std::vector<UpstreamId> named;
   for (const UpstreamSpec& upstream : config.upstreams) {
-    if (upstream.pool == pool) {
-      by_version[upstream.version].push_back(upstream.id);
+    if (upstream.pool == pool && upstream.version == version) {
+      named.push_back(upstream.id);
     }
   }
-  std::vector<UpstreamId> named;
-  for (auto& [version, ids] : by_version) {
-    std::sort(ids.begin(), ids.end(), &ByHash);
-    ids.resize(std::min(ids.size(), VersionStats::kNamedUpstreams));
-    named.insert(named.end(), ids.begin(), ids.end());
-  }
+  std::sort(named.begin(), named.end(), &ByHash);
+  named.resize(std::min(named.size(), VersionStats::kNamedUpstreams));
   std::sort(named.begin(), named.end());
   return named;
 }
 
+// The `count` routers with the highest rendezvous weight for `pool`.
+std::vector<RouterId> HighestFor(const PoolId& pool,
+                                 const std::vector<RouterId>& routers,
+                                 uint64_t salt,
+                                 size_t count) {
+  const uint64_t seed = StableHash(pool.value(), salt);
+  std::vector<std::pair<uint64_t, RouterId>> weighted;
+  weighted.reserve(routers.size());
+  for (const RouterId& router : routers) {
+    weighted.emplace_back(StableHash(router.value(), seed), router);
+  }
+  std::sort(weighted.rbegin(), weighted.rend());
+  weighted.resize(std::min(weighted.size(), count));
+  std::vector<RouterId> chosen;
+  chosen.reserve(weighted.size());
+  for (const auto& [weight, router] : weighted) {
+    chosen.push_back(router);
+  }
+  return chosen;
+}
+
 }  // namespace
 
 size_t LatencyBucket(Duration latency) {
@@ -120,7 +131,7 @@
     }
     pool.note = share.note;
     pool.is_moving = true;
-    pool.named = NamedUpstreams(config, share.pool);
+    pool.named = NamedUpstreams(config, share.pool, share.version);
     pool.generations.clear();
     for (const UpstreamSpec& upstream : config.upstreams) {
       if (upstream.pool == share.pool) {
@@ -181,21 +192,60 @@
   }
 }
 
+StatsReport VersionStats::PeekReport(const std::set<PoolId>& wanted) const {
+  StatsReport report;
+  report.router = router_;
+  report.incarnation = incarnation_;
+  report.sequence = sequence_ + 1;
+  const bool is_whole = report.sequence % kWholeReportEvery == 0;
+  for (const auto& [key, row] : rows_) {
+    if ((row.is_changed || is_whole) && wanted.contains(key.pool)) {
+      report.rows.push_back({key, row.counts});
+    }
+  }
+  return report;
+}
+
+size_t VersionStats::NextReportBytes(const std::set<PoolId>& wanted) const {
+  return EstimateReportBytes(PeekReport(wanted));
+}
+
 StatsReport VersionStats::MakeReport() {
+  return MakeReport(CountedPools());
+}
+
+StatsReport VersionStats::MakeReport(const std::set<PoolId>& wanted) {
+  StatsReport report = PeekReport(wanted);
+  ++sequence_;
+  for (const StatsRow& row : report.rows) {
+    rows_.at(row.key).is_changed = false;
+  }
+  return report;
+}
+
+StatsReport VersionStats::MakeSnapshot() const {
   StatsReport report;
   report.router = router_;
   report.incarnation = incarnation_;
-  report.sequence = ++sequence_;
-  const bool is_whole = sequence_ % kWholeReportEvery == 0;
-  for (auto& [key, row] : rows_) {
-    if ((row.is_changed || is_whole) && IsCounting(key.pool)) {
+  report.sequence = sequence_;
+  for (const auto& [key, row] : rows_) {
+    if (IsCounting(key.pool)) {
       report.rows.push_back({key, row.counts});
-      row.is_changed = false;
     }
   }
   return report;
 }
 
+std::set<PoolId> VersionStats::CountedPools() const {
+  std::set<PoolId> counted;
+  for (const auto& [id, pool] : pools_) {
+    if (pool.is_moving) {
+      counted.insert(id);
+    }
+  }
+  return counted;
+}
+
 Duration VersionStats::ReportInterval(size_t routers,
                                       size_t report_bytes,
                                       double bytes_per_second) {
@@ -206,20 +256,12 @@
 
 std::vector<RouterId> JudgesOf(const PoolId& pool,
                                const std::vector<RouterId>& routers) {
-  std::vector<std::pair<uint64_t, RouterId>> weighted;
-  weighted.reserve(routers.size());
-  for (const RouterId& router : routers) {
-    weighted.emplace_back(StableHash(router.value(), StableHash(pool.value())),
-                          router);
-  }
-  std::sort(weighted.rbegin(), weighted.rend());
-  weighted.resize(std::min(weighted.size(), kJudgesPerPool));
-  std::vector<RouterId> judges;
-  judges.reserve(weighted.size());
-  for (const auto& [weight, router] : weighted) {
-    judges.push_back(router);
-  }
-  return judges;
+  return HighestFor(pool, routers, kJudgeSalt, kJudgesPerPool);
+}
+
+std::vector<RouterId> CountersOf(const PoolId& pool,
+                                 const std::vector<RouterId>& routers) {
+  return HighestFor(pool, routers, kCounterSalt, kCountersPerPool);
 }
 
 }  // namespace papaya
--- a/src/wire/peer_generated.h
+++ b/src/wire/peer_generated.h
@@ -114,8 +114,8 @@
 struct StatsKey;
 
 struct StatsRow;
-struct StatsRowBuilder;
-struct StatsRowT;
+
+struct StatsBucket;
 
 struct StatsReport;
 struct StatsReportBuilder;
@@ -750,6 +750,79 @@
   using type = StatsKey;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) StatsRow FLATBUFFERS_FINAL_CLASS {
+ private:
+  papaya::fb::StatsKey key_;
+  uint32_t requests_;
+  uint32_t failures_;
+
+ public:
+  struct Traits;
+  StatsRow()
+      : key_(),
+        requests_(0),
+        failures_(0) {
+  }
+  StatsRow(const papaya::fb::StatsKey &_key, uint32_t _requests, uint32_t _failures)
+      : key_(_key),
+        requests_(flatbuffers::EndianScalar(_requests)),
+        failures_(flatbuffers::EndianScalar(_failures)) {
+  }
+  const papaya::fb::StatsKey &key() const {
+    return key_;
+  }
+  uint32_t requests() const {
+    return flatbuffers::EndianScalar(requests_);
+  }
+  uint32_t failures() const {
+    return flatbuffers::EndianScalar(failures_);
+  }
+};
+FLATBUFFERS_STRUCT_END(StatsRow, 20);
+
+struct StatsRow::Traits {
+  using type = StatsRow;
+};
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) StatsBucket FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint32_t count_;
+  uint16_t row_;
+  uint8_t bucket_;
+  int8_t padding0__;
+
+ public:
+  struct Traits;
+  StatsBucket()
+      : count_(0),
+        row_(0),
+        bucket_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  StatsBucket(uint32_t _count, uint16_t _row, uint8_t _bucket)
+      : count_(flatbuffers::EndianScalar(_count)),
+        row_(flatbuffers::EndianScalar(_row)),
+        bucket_(flatbuffers::EndianScalar(_bucket)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint32_t count() const {
+    return flatbuffers::EndianScalar(count_);
+  }
+  uint16_t row() const {
+    return flatbuffers::EndianScalar(row_);
+  }
+  uint8_t bucket() const {
+    return flatbuffers::EndianScalar(bucket_);
+  }
+};
+FLATBUFFERS_STRUCT_END(StatsBucket, 8);
+
+struct StatsBucket::Traits {
+  using type = StatsBucket;
+};
+
 struct MemberRecordT : public flatbuffers::NativeTable {
   typedef MemberRecord TableType;
   std::string id{};
@@ -2992,128 +3065,14 @@
 
 flatbuffers::Offset<AppliedNews> CreateAppliedNews(flatbuffers::FlatBufferBuilder &_fbb, const AppliedNewsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct StatsRowT : public flatbuffers::NativeTable {
-  typedef StatsRow TableType;
-  std::unique_ptr<papaya::fb::StatsKey> key{};
-  uint32_t requests = 0;
-  uint32_t failures = 0;
-  std::vector<uint32_t> latency{};
-  StatsRowT() = default;
-  StatsRowT(const StatsRowT &o);
-  StatsRowT(StatsRowT&&) FLATBUFFERS_NOEXCEPT = default;
-  StatsRowT &operator=(StatsRowT o) FLATBUFFERS_NOEXCEPT;
-};
-
-struct StatsRow FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef StatsRowT NativeTableType;
-  typedef StatsRowBuilder Builder;
-  struct Traits;
-  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_KEY = 4,
-    VT_REQUESTS = 6,
-    VT_FAILURES = 8,
-    VT_LATENCY = 10
-  };
-  const papaya::fb::StatsKey *key() const {
-    return GetStruct<const papaya::fb::StatsKey *>(VT_KEY);
-  }
-  uint32_t requests() const {
-    return GetField<uint32_t>(VT_REQUESTS, 0);
-  }
-  uint32_t failures() const {
-    return GetField<uint32_t>(VT_FAILURES, 0);
-  }
-  const flatbuffers::Vector<uint32_t> *latency() const {
-    return GetPointer<const flatbuffers::Vector<uint32_t> *>(VT_LATENCY);
-  }
-  bool Verify(flatbuffers::Verifier &verifier) const {
-    return VerifyTableStart(verifier) &&
-           VerifyField<papaya::fb::StatsKey>(verifier, VT_KEY, 2) &&
-           VerifyField<uint32_t>(verifier, VT_REQUESTS, 4) &&
-           VerifyField<uint32_t>(verifier, VT_FAILURES, 4) &&
-           VerifyOffset(verifier, VT_LATENCY) &&
-           verifier.VerifyVector(latency()) &&
-           verifier.EndTable();
-  }
-  StatsRowT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(StatsRowT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<StatsRow> Pack(flatbuffers::FlatBufferBuilder &_fbb, const StatsRowT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
-};
-
-struct StatsRowBuilder {
-  typedef StatsRow Table;
-  flatbuffers::FlatBufferBuilder &fbb_;
-  flatbuffers::uoffset_t start_;
-  void add_key(const papaya::fb::StatsKey *key) {
-    fbb_.AddStruct(StatsRow::VT_KEY, key);
-  }
-  void add_requests(uint32_t requests) {
-    fbb_.AddElement<uint32_t>(StatsRow::VT_REQUESTS, requests, 0);
-  }
-  void add_failures(uint32_t failures) {
-    fbb_.AddElement<uint32_t>(StatsRow::VT_FAILURES, failures, 0);
-  }
-  void add_latency(flatbuffers::Offset<flatbuffers::Vector<uint32_t>> latency) {
-    fbb_.AddOffset(StatsRow::VT_LATENCY, latency);
-  }
-  explicit StatsRowBuilder(flatbuffers::FlatBufferBuilder &_fbb)
-        : fbb_(_fbb) {
-    start_ = fbb_.StartTable();
-  }
-  flatbuffers::Offset<StatsRow> Finish() {
-    const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<StatsRow>(end);
-    return o;
-  }
-};
-
-inline flatbuffers::Offset<StatsRow> CreateStatsRow(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    const papaya::fb::StatsKey *key = nullptr,
-    uint32_t requests = 0,
-    uint32_t failures = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint32_t>> latency = 0) {
-  StatsRowBuilder builder_(_fbb);
-  builder_.add_latency(latency);
-  builder_.add_failures(failures);
-  builder_.add_requests(requests);
-  builder_.add_key(key);
-  return builder_.Finish();
-}
-
-struct StatsRow::Traits {
-  using type = StatsRow;
-  static auto constexpr Create = CreateStatsRow;
-};
-
-inline flatbuffers::Offset<StatsRow> CreateStatsRowDirect(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    const papaya::fb::StatsKey *key = nullptr,
-    uint32_t requests = 0,
-    uint32_t failures = 0,
-    const std::vector<uint32_t> *latency = nullptr) {
-  auto latency__ = latency ? _fbb.CreateVector<uint32_t>(*latency) : 0;
-  return papaya::fb::CreateStatsRow(
-      _fbb,
-      key,
-      requests,
-      failures,
-      latency__);
-}
-
-flatbuffers::Offset<StatsRow> CreateStatsRow(flatbuffers::FlatBufferBuilder &_fbb, const StatsRowT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
-
 struct StatsReportT : public flatbuffers::NativeTable {
   typedef StatsReport TableType;
   std::string router{};
   uint64_t incarnation = 0;
   uint64_t sequence = 0;
   std::vector<std::string> names{};
-  std::vector<std::unique_ptr<papaya::fb::StatsRowT>> rows{};
-  StatsReportT() = default;
-  StatsReportT(const StatsReportT &o);
-  StatsReportT(StatsReportT&&) FLATBUFFERS_NOEXCEPT = default;
-  StatsReportT &operator=(StatsReportT o) FLATBUFFERS_NOEXCEPT;
+  std::vector<papaya::fb::StatsRow> counts{};
+  std::vector<papaya::fb::StatsBucket> buckets{};
 };
 
 struct StatsReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3125,7 +3084,8 @@
     VT_INCARNATION = 6,
     VT_SEQUENCE = 8,
     VT_NAMES = 10,
-    VT_ROWS = 12
+    VT_COUNTS = 14,
+    VT_BUCKETS = 16
   };
   const flatbuffers::String *router() const {
     return GetPointer<const flatbuffers::String *>(VT_ROUTER);
@@ -3139,8 +3099,11 @@
   const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *names() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_NAMES);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<papaya::fb::StatsRow>> *rows() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<papaya::fb::StatsRow>> *>(VT_ROWS);
+  const flatbuffers::Vector<const papaya::fb::StatsRow *> *counts() const {
+    return GetPointer<const flatbuffers::Vector<const papaya::fb::StatsRow *> *>(VT_COUNTS);
+  }
+  const flatbuffers::Vector<const papaya::fb::StatsBucket *> *buckets() const {
+    return GetPointer<const flatbuffers::Vector<const papaya::fb::StatsBucket *> *>(VT_BUCKETS);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
@@ -3151,9 +3114,10 @@
            VerifyOffset(verifier, VT_NAMES) &&
            verifier.VerifyVector(names()) &&
            verifier.VerifyVectorOfStrings(names()) &&
-           VerifyOffset(verifier, VT_ROWS) &&
-           verifier.VerifyVector(rows()) &&
-           verifier.VerifyVectorOfTables(rows()) &&
+           VerifyOffset(verifier, VT_COUNTS) &&
+           verifier.VerifyVector(counts()) &&
+           VerifyOffset(verifier, VT_BUCKETS) &&
+           verifier.VerifyVector(buckets()) &&
            verifier.EndTable();
   }
   StatsReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3177,8 +3141,11 @@
   void add_names(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> names) {
     fbb_.AddOffset(StatsReport::VT_NAMES, names);
   }
-  void add_rows(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<papaya::fb::StatsRow>>> rows) {
-    fbb_.AddOffset(StatsReport::VT_ROWS, rows);
+  void add_counts(flatbuffers::Offset<flatbuffers::Vector<const papaya::fb::StatsRow *>> counts) {
+    fbb_.AddOffset(StatsReport::VT_COUNTS, counts);
+  }
+  void add_buckets(flatbuffers::Offset<flatbuffers::Vector<const papaya::fb::StatsBucket *>> buckets) {
+    fbb_.AddOffset(StatsReport::VT_BUCKETS, buckets);
   }
   explicit StatsReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -3197,11 +3164,13 @@
     uint64_t incarnation = 0,
     uint64_t sequence = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> names = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<papaya::fb::StatsRow>>> rows = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const papaya::fb::StatsRow *>> counts = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const papaya::fb::StatsBucket *>> buckets = 0) {
   StatsReportBuilder builder_(_fbb);
   builder_.add_sequence(sequence);
   builder_.add_incarnation(incarnation);
-  builder_.add_rows(rows);
+  builder_.add_buckets(buckets);
+  builder_.add_counts(counts);
   builder_.add_names(names);
   builder_.add_router(router);
   return builder_.Finish();
@@ -3218,17 +3187,20 @@
     uint64_t incarnation = 0,
     uint64_t sequence = 0,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *names = nullptr,
-    const std::vector<flatbuffers::Offset<papaya::fb::StatsRow>> *rows = nullptr) {
+    const std::vector<papaya::fb::StatsRow> *counts = nullptr,
+    const std::vector<papaya::fb::StatsBucket> *buckets = nullptr) {
   auto router__ = router ? _fbb.CreateString(router) : 0;
   auto names__ = names ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*names) : 0;
-  auto rows__ = rows ? _fbb.CreateVector<flatbuffers::Offset<papaya::fb::StatsRow>>(*rows) : 0;
+  auto counts__ = counts ? _fbb.CreateVectorOfStructs<papaya::fb::StatsRow>(*counts) : 0;
+  auto buckets__ = buckets ? _fbb.CreateVectorOfStructs<papaya::fb::StatsBucket>(*buckets) : 0;
   return papaya::fb::CreateStatsReport(
       _fbb,
       router__,
       incarnation,
       sequence,
       names__,
-      rows__);
+      counts__,
+      buckets__);
 }
 
 flatbuffers::Offset<StatsReport> CreateStatsReport(flatbuffers::FlatBufferBuilder &_fbb, const StatsReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5284,74 +5256,6 @@
       _groups);
 }
 
-inline StatsRowT::StatsRowT(const StatsRowT &o)
-      : key((o.key) ? new papaya::fb::StatsKey(*o.key) : nullptr),
-        requests(o.requests),
-        failures(o.failures),
-        latency(o.latency) {
-}
-
-inline StatsRowT &StatsRowT::operator=(StatsRowT o) FLATBUFFERS_NOEXCEPT {
-  std::swap(key, o.key);
-  std::swap(requests, o.requests);
-  std::swap(failures, o.failures);
-  std::swap(latency, o.latency);
-  return *this;
-}
-
-inline StatsRowT *StatsRow::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<StatsRowT>();
-  UnPackTo(_o.get(), _resolver);
-  return _o.release();
-}
-
-inline void StatsRow::UnPackTo(StatsRowT *_o, const flatbuffers::resolver_function_t *_resolver) const {
-  (void)_o;
-  (void)_resolver;
-  { auto _e = key(); if (_e) _o->key = std::unique_ptr<papaya::fb::StatsKey>(new papaya::fb::StatsKey(*_e)); }
-  { auto _e = requests(); _o->requests = _e; }
-  { auto _e = failures(); _o->failures = _e; }
-  { auto _e = latency(); if (_e) { _o->latency.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->latency[_i] = _e->Get(_i); } } }
-}
-
-inline flatbuffers::Offset<StatsRow> StatsRow::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StatsRowT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateStatsRow(_fbb, _o, _rehasher);
-}
-
-inline flatbuffers::Offset<StatsRow> CreateStatsRow(flatbuffers::FlatBufferBuilder &_fbb, const StatsRowT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
-  (void)_rehasher;
-  (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const StatsRowT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _key = _o->key ? _o->key.get() : nullptr;
-  auto _requests = _o->requests;
-  auto _failures = _o->failures;
-  auto _latency = _o->latency.size() ? _fbb.CreateVector(_o->latency) : 0;
-  return papaya::fb::CreateStatsRow(
-      _fbb,
-      _key,
-      _requests,
-      _failures,
-      _latency);
-}
-
-inline StatsReportT::StatsReportT(const StatsReportT &o)
-      : router(o.router),
-        incarnation(o.incarnation),
-        sequence(o.sequence),
-        names(o.names) {
-  rows.reserve(o.rows.size());
-  for (const auto &rows_ : o.rows) { rows.emplace_back((rows_) ? new papaya::fb::StatsRowT(*rows_) : nullptr); }
-}
-
-inline StatsReportT &StatsReportT::operator=(StatsReportT o) FLATBUFFERS_NOEXCEPT {
-  std::swap(router, o.router);
-  std::swap(incarnation, o.incarnation);
-  std::swap(sequence, o.sequence);
-  std::swap(names, o.names);
-  std::swap(rows, o.rows);
-  return *this;
-}
-
 inline StatsReportT *StatsReport::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<StatsReportT>();
   UnPackTo(_o.get(), _resolver);
@@ -5365,7 +5269,8 @@
   { auto _e = incarnation(); _o->incarnation = _e; }
   { auto _e = sequence(); _o->sequence = _e; }
   { auto _e = names(); if (_e) { _o->names.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->names[_i] = _e->Get(_i)->str(); } } }
-  { auto _e = rows(); if (_e) { _o->rows.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->rows[_i] = std::unique_ptr<papaya::fb::StatsRowT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = counts(); if (_e) { _o->counts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->counts[_i] = *_e->Get(_i); } } }
+  { auto _e = buckets(); if (_e) { _o->buckets.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->buckets[_i] = *_e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<StatsReport> StatsReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StatsReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5380,14 +5285,16 @@
   auto _incarnation = _o->incarnation;
   auto _sequence = _o->sequence;
   auto _names = _o->names.size() ? _fbb.CreateVectorOfStrings(_o->names) : 0;
-  auto _rows = _o->rows.size() ? _fbb.CreateVector<flatbuffers::Offset<papaya::fb::StatsRow>> (_o->rows.size(), [](size_t i, _VectorArgs *__va) { return CreateStatsRow(*__va->__fbb, __va->__o->rows[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _counts = _o->counts.size() ? _fbb.CreateVectorOfStructs(_o->counts) : 0;
+  auto _buckets = _o->buckets.size() ? _fbb.CreateVectorOfStructs(_o->buckets) : 0;
   return papaya::fb::CreateStatsReport(
       _fbb,
       _router,
       _incarnation,
       _sequence,
       _names,
-      _rows);
+      _counts,
+      _buckets);
 }
 
 inline DemandReportT *DemandReport::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/src/wire/traffic_codec.cc
+++ b/src/wire/stats_codec.cc
@@ -1,10 +1,9 @@
 #include <algorithm>
-#include <limits>
 #include <map>
-#include <memory>
+#include <string>
 #include <utility>
+#include <vector>
 
-#include "include/admission/demand_packing.h"
 #include "src/wire/peer_codecs.h"
 
 namespace papaya {
@@ -30,14 +29,14 @@
   std::vector<std::string> names_;
 };
 
-// The buckets up to the last one that counts anything.
-std::vector<uint32_t> TrimBuckets(
-    const std::array<uint32_t, kLatencyBuckets>& buckets) {
-  size_t size = buckets.size();
-  while (size > 0 && buckets[size - 1] == 0) {
-    --size;
-  }
-  return {buckets.begin(), buckets.begin() + static_cast<int64_t>(size)};
+fb::StatsKey EncodeKey(const StatsKey& key, NameTable* names) {
+  const uint16_t note = names->IndexOf(key.note.value());
+  const uint16_t pool = names->IndexOf(key.pool.value());
+  const uint16_t version = names->IndexOf(key.version.value());
+  const uint16_t route = names->IndexOf(key.route.value());
+  const uint16_t generation = names->IndexOf(key.generation.value());
+  const uint16_t upstream = names->IndexOf(key.upstream.value());
+  return fb::StatsKey(note, pool, version, route, generation, upstream);
 }
 
 bool IsKeyInRange(const fb::StatsKey& key, size_t names) {
@@ -55,6 +54,28 @@
           .upstream = UpstreamId(names[key.upstream()])};
 }
 
+void EncodeBuckets(const StatsCounts& counts,
+                   uint16_t row,
+                   std::vector<fb::StatsBucket>* buckets) {
+  for (size_t i = 0; i < counts.latency.size(); ++i) {
+    if (counts.latency[i] > 0) {
+      buckets->emplace_back(counts.latency[i], row, static_cast<uint8_t>(i));
+    }
+  }
+}
+
+// False if a bucket belongs to no row, or is none that latencies have.
+bool DecodeBuckets(const std::vector<fb::StatsBucket>& buckets,
+                   std::vector<StatsRow>* rows) {
+  for (const fb::StatsBucket& bucket : buckets) {
+    if (bucket.row() >= rows->size() || bucket.bucket() >= kLatencyBuckets) {
+      return false;
+    }
+    (*rows)[bucket.row()].counts.latency[bucket.bucket()] = bucket.count();
+  }
+  return true;
+}
+
 }  // namespace
 
 fb::PayloadUnion EncodeStatsReport(const StatsReport& report) {
@@ -64,18 +85,10 @@
   encoded.sequence = report.sequence;
   NameTable names;
   for (const StatsRow& row : report.rows) {
-    auto one = std::make_unique<fb::StatsRowT>();
-    one->key = std::make_unique<fb::StatsKey>(
-        names.IndexOf(row.key.note.value()),
-        names.IndexOf(row.key.pool.value()),
-        names.IndexOf(row.key.version.value()),
-        names.IndexOf(row.key.route.value()),
-        names.IndexOf(row.key.generation.value()),
-        names.IndexOf(row.key.upstream.value()));
-    one->requests = row.counts.requests;
-    one->failures = row.counts.failures;
-    one->latency = TrimBuckets(row.counts.latency);
-    encoded.rows.push_back(std::move(one));
+    const auto index = static_cast<uint16_t>(encoded.counts.size());
+    encoded.counts.emplace_back(EncodeKey(row.key, &names), row.counts.requests,
+                                row.counts.failures);
+    EncodeBuckets(row.counts, index, &encoded.buckets);
   }
   encoded.names = names.Take();
   fb::PayloadUnion payload;
@@ -91,43 +104,19 @@
   StatsReport report{.router = RouterId(encoded->router),
                      .incarnation = Incarnation(encoded->incarnation),
                      .sequence = encoded->sequence};
-  for (const auto& one : encoded->rows) {
-    const bool is_good = one->key != nullptr &&
-                         IsKeyInRange(*one->key, encoded->names.size()) &&
-                         one->latency.size() <= kLatencyBuckets;
-    if (!is_good) {
+  for (const fb::StatsRow& one : encoded->counts) {
+    if (!IsKeyInRange(one.key(), encoded->names.size())) {
       return std::nullopt;
     }
-    StatsRow row{.key = DecodeKey(*one->key, encoded->names)};
-    row.counts.requests = one->requests;
-    row.counts.failures = one->failures;
-    std::copy(one->latency.begin(), one->latency.end(),
-              row.counts.latency.begin());
+    StatsRow row{.key = DecodeKey(one.key(), encoded->names)};
+    row.counts.requests = one.requests();
+    row.counts.failures = one.failures();
     report.rows.push_back(std::move(row));
   }
-  return report;
-}
-
-fb::PayloadUnion EncodeDemandNotice(const DemandNotice& notice) {
-  const std::string packed = PackDemand(notice);
-  fb::DemandReportT encoded;
-  encoded.packed.assign(packed.begin(), packed.end());
-  fb::PayloadUnion payload;
-  payload.Set(std::move(encoded));
-  return payload;
-}
-
-std::optional<DemandNotice> DecodeDemandNotice(
-    const fb::PayloadUnion& payload) {
-  const fb::DemandReportT* encoded = payload.AsDemandReport();
-  if (encoded == nullptr) {
+  if (!DecodeBuckets(encoded->buckets, &report.rows)) {
     return std::nullopt;
   }
-  // A router of an earlier release: its connection stays, without content.
-  if (encoded->packed.empty()) {
-    return DemandNotice();
-  }
-  return UnpackDemand({encoded->packed.begin(), encoded->packed.end()});
+  return report;
 }
 
 }  // namespace papaya
