--- a/include/settings/value_parsers.h
+++ b/include/settings/value_parsers.h
@@ -18,8 +18,8 @@
                                         int64_t least,
                                         int64_t most);
 
-// `true` or `yes`, `false` or `no`. Settings are written with the first, release
-// notes with the second; both take either.
+// `true` or `yes`, `false` or `no`. Settings are written with the first,
+// release notes with the second; both take either.
 std::optional<bool> ParseBool(const std::string& text);
 
 // A positive whole number with the unit `ms`, `s`, `m` or `h`, as `250ms`. At
