Read JSON objects, make JSON responses and fetch for papayactl in one place each

Three modules held the same ParseObject and four places wrote it out again; three made the same response with a JSON body; three commands of papayactl fetched, checked and printed alike. Change: ParseJsonObject in base, MakeJsonResponse beside HttpResponse in wire, CtlApp::FetchForPeople. What is sent, printed and returned stays. Conclusion: one piece of code serves each; no assertion changed.

--- a/include/ctl/ctl_app.h
+++ b/include/ctl/ctl_app.h
@@ -1,6 +1,7 @@
 #ifndef INCLUDE_CTL_CTL_APP_H_
 #define INCLUDE_CTL_CTL_APP_H_
 
+#include <boost/json/object.hpp>
 #include <functional>
 #include <iosfwd>
 #include <optional>
@@ -104,6 +105,11 @@
   CtlExit NoteList(const Words& arguments);
   CtlExit NoteWatch(const Words& arguments);
 
+  // The object that a router answers `request` with, to be shown to people.
+  // Empty, with the exit in `exit`, if it answers otherwise, or if its answer
+  // has been printed as JSON.
+  std::optional<boost::json::object> FetchForPeople(HttpRequest request,
+                                                    CtlExit& exit);
   // Gets `target` and prints the array `key` of the answer as a table.
   CtlExit ShowTable(const std::string& target, const std::string& key);
   // Submits or revises a note by the text in `file`.
--- a/include/wire/http_message.h
+++ b/include/wire/http_message.h
@@ -53,6 +53,9 @@
   std::string body;
 };
 
+// A response with a JSON body.
+HttpResponse MakeJsonResponse(int status, std::string body);
+
 // The path of `target`, without its query.
 std::string PathOfTarget(const std::string& target);
 
--- a/src/ctl/ctl_app.cc
+++ b/src/ctl/ctl_app.cc
@@ -97,7 +97,7 @@
   if (response.status == 200) {
     return CtlExit::kOk;
   }
-  const json::object body = ParseJsonObject(response.body);
+  const json::object body = ParseAnswer(response.body);
   const json::value* error = body.if_contains("error");
   err_ << "papayactl: the router answered " << response.status;
   if (error != nullptr && error->is_object()) {
@@ -114,21 +114,31 @@
   }
 }
 
-CtlExit CtlApp::ShowTable(const std::string& target, const std::string& key) {
+std::optional<json::object> CtlApp::FetchForPeople(HttpRequest request,
+                                                   CtlExit& exit) {
   HttpResponse response;
-  CtlExit exit = CtlExit::kOk;
-  if (!Call(GetRequest(target), response, exit)) {
-    return exit;
+  if (!Call(std::move(request), response, exit)) {
+    return std::nullopt;
   }
-  if (response.status != 200) {
-    return ExitOf(response);
+  exit = ExitOf(response);
+  if (exit != CtlExit::kOk) {
+    return std::nullopt;
   }
   if (options_.json) {
     out_ << response.body << "\n";
-    return CtlExit::kOk;
+    return std::nullopt;
   }
-  const json::object body = ParseJsonObject(response.body);
-  const json::value* rows = body.if_contains(key);
+  return ParseAnswer(response.body);
+}
+
+CtlExit CtlApp::ShowTable(const std::string& target, const std::string& key) {
+  CtlExit exit = CtlExit::kOk;
+  const std::optional<json::object> body =
+      FetchForPeople(GetRequest(target), exit);
+  if (!body.has_value()) {
+    return exit;
+  }
+  const json::value* rows = body->if_contains(key);
   if (rows == nullptr || !rows->is_array()) {
     err_ << "papayactl: the router's answer is broken\n";
     return CtlExit::kFailed;
@@ -138,20 +148,13 @@
 }
 
 CtlExit CtlApp::Status(const Words& /*arguments*/) {
-  HttpResponse response;
   CtlExit exit = CtlExit::kOk;
-  if (!Call(GetRequest("/v1/status"), response, exit)) {
-    return exit;
-  }
-  if (response.status != 200) {
-    return ExitOf(response);
+  const std::optional<json::object> body =
+      FetchForPeople(GetRequest("/v1/status"), exit);
+  if (body.has_value()) {
+    out_ << FormatJsonLines(*body);
   }
-  if (options_.json) {
-    out_ << response.body << "\n";
-  } else {
-    out_ << FormatJsonLines(ParseJsonObject(response.body));
-  }
-  return CtlExit::kOk;
+  return exit;
 }
 
 CtlExit CtlApp::Upstreams(const Words& /*arguments*/) {
--- a/src/ctl/json_text.cc
+++ b/src/ctl/json_text.cc
@@ -6,6 +6,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
+#include "include/base/json_object.h"
 
 namespace papaya {
 
@@ -43,13 +44,8 @@
 
 }  // namespace
 
-json::object ParseJsonObject(const std::string& text) {
-  boost::system::error_code error;
-  json::value parsed = json::parse(text, error);
-  if (error || !parsed.is_object()) {
-    return {};
-  }
-  return std::move(parsed.as_object());
+json::object ParseAnswer(const std::string& text) {
+  return ParseJsonObject(text).value_or(json::object());
 }
 
 std::string JsonText(const json::object& object, const char* key) {
--- a/src/ctl/json_text.h
+++ b/src/ctl/json_text.h
@@ -7,8 +7,9 @@
 
 namespace papaya {
 
-// The JSON object that `text` is; empty if it is none.
-boost::json::object ParseJsonObject(const std::string& text);
+// The JSON object that the router's answer `text` is; without keys if it is
+// none.
+boost::json::object ParseAnswer(const std::string& text);
 
 // The text `key` of `object`; empty if it has none.
 std::string JsonText(const boost::json::object& object, const char* key);
--- a/src/ctl/note_commands.cc
+++ b/src/ctl/note_commands.cc
@@ -86,7 +86,7 @@
 }
 
 CtlExit CtlApp::PrintFaults(const std::string& file, const std::string& body) {
-  const json::object answer = ParseJsonObject(body);
+  const json::object answer = ParseAnswer(body);
   const json::value* faults = answer.if_contains("faults");
   std::vector<TextFault> lines;
   if (faults != nullptr && faults->is_array()) {
@@ -139,7 +139,7 @@
     exit = ExitOf(response);
     return std::nullopt;
   }
-  const json::object body = ParseJsonObject(response.body);
+  const json::object body = ParseAnswer(response.body);
   const json::value* version = body.if_contains("version");
   if (version == nullptr || !version->is_int64()) {
     err_ << "papayactl: the router's answer is broken\n";
@@ -184,7 +184,7 @@
   if (options_.json) {
     out_ << response.body << "\n";
   }
-  const json::object body = ParseJsonObject(response.body);
+  const json::object body = ParseAnswer(response.body);
   if (response.status == 409) {
     const json::value* theirs = body.if_contains("note");
     err_ << "papayactl: the note is not as expected; it is now:\n";
@@ -201,23 +201,15 @@
 }
 
 CtlExit CtlApp::NoteShow(const Words& arguments) {
-  HttpResponse response;
   CtlExit exit = CtlExit::kOk;
-  if (!Call(NoteRequestTo(arguments[0]), response, exit)) {
-    return exit;
+  std::optional<json::object> note =
+      FetchForPeople(NoteRequestTo(arguments[0]), exit);
+  if (note.has_value()) {
+    const std::string text = JsonText(*note, "text");
+    note->erase("text");
+    out_ << FormatJsonLines(*note) << "\n" << text;
   }
-  if (response.status != 200) {
-    return ExitOf(response);
-  }
-  if (options_.json) {
-    out_ << response.body << "\n";
-    return CtlExit::kOk;
-  }
-  json::object note = ParseJsonObject(response.body);
-  const std::string text = JsonText(note, "text");
-  note.erase("text");
-  out_ << FormatJsonLines(note) << "\n" << text;
-  return CtlExit::kOk;
+  return exit;
 }
 
 CtlExit CtlApp::NoteList(const Words& /*arguments*/) {
@@ -236,7 +228,7 @@
     }
     // A store outage, or a router that restarts, passes; the note goes on.
     if (is_answered && response.status == 200) {
-      const json::object note = ParseJsonObject(response.body);
+      const json::object note = ParseAnswer(response.body);
       const std::string line = WatchLine(note);
       if (line != last) {
         out_ << (options_.json ? response.body : line) << std::endl;
--- a/src/daemon/error_answer.cc
+++ b/src/daemon/error_answer.cc
@@ -82,14 +82,6 @@
   return answer;
 }
 
-HttpResponse MakeJsonResponse(int status, std::string body) {
-  HttpResponse response;
-  response.status = status;
-  response.headers.Set("Content-Type", "application/json");
-  response.body = std::move(body);
-  return response;
-}
-
 HttpResponse MakeErrorResponse(const ErrorAnswer& error) {
   const boost::json::object body = {
       {"error", boost::json::object{{"code", error.code},
--- a/src/daemon/error_answer.h
+++ b/src/daemon/error_answer.h
@@ -55,9 +55,6 @@
 // could not be decided, and of which no answer is kept.
 ErrorAnswer AnswerToVerdict(const OnceVerdict& verdict);
 
-// A response with a JSON body.
-HttpResponse MakeJsonResponse(int status, std::string body);
-
 }  // namespace papaya
 
 #endif  // SRC_DAEMON_ERROR_ANSWER_H_
--- a/src/daemon/note_pages.cc
+++ b/src/daemon/note_pages.cc
@@ -51,20 +51,12 @@
   co_return *pending->value;
 }
 
-HttpResponse JsonResponse(int status, const std::string& body) {
-  HttpResponse response;
-  response.status = status;
-  response.headers.Set("Content-Type", "application/json");
-  response.body = body;
-  return response;
-}
-
 json::object ErrorJson(const absl::Status& status) {
   return {{"message", std::string(status.message())}};
 }
 
 HttpResponse ErrorResponse(int http_status, const absl::Status& status) {
-  return JsonResponse(
+  return MakeJsonResponse(
       http_status, json::serialize(json::object{{"error", ErrorJson(status)}}));
 }
 
@@ -79,17 +71,17 @@
 }
 
 HttpResponse ConflictResponse(const NoteResult& result) {
-  return JsonResponse(409, json::serialize(json::object{
-                               {"error", ErrorJson(result.status)},
-                               {"note", WholeNoteToJson(result.note)}}));
+  return MakeJsonResponse(409, json::serialize(json::object{
+                                   {"error", ErrorJson(result.status)},
+                                   {"note", WholeNoteToJson(result.note)}}));
 }
 
 HttpResponse ChangeResponse(const NoteResult& result) {
   switch (result.status.code()) {
     case absl::StatusCode::kOk:
-      return JsonResponse(200, json::serialize(NoteToJson(result.note)));
+      return MakeJsonResponse(200, json::serialize(NoteToJson(result.note)));
     case absl::StatusCode::kInvalidArgument:
-      return JsonResponse(422, FaultsToJson(result.faults));
+      return MakeJsonResponse(422, FaultsToJson(result.faults));
     case absl::StatusCode::kAborted:
     case absl::StatusCode::kFailedPrecondition:
       return ConflictResponse(result);
@@ -131,8 +123,8 @@
   const std::shared_ptr<const FleetConfig> present = present_();
   const std::vector<TextFault> faults =
       CheckReleaseNote(text, present.get(), WallNow(), shortest_judged_move_);
-  return faults.empty() ? JsonResponse(200, "{}")
-                        : JsonResponse(422, FaultsToJson(faults));
+  return faults.empty() ? MakeJsonResponse(200, "{}")
+                        : MakeJsonResponse(422, FaultsToJson(faults));
 }
 
 asio::awaitable<HttpResponse> NotePages::List() {
@@ -150,7 +142,8 @@
   for (const StoredNote& note : notes.second) {
     listed.push_back(NoteToJson(note));
   }
-  co_return JsonResponse(200, json::serialize(json::object{{"notes", listed}}));
+  co_return MakeJsonResponse(200,
+                             json::serialize(json::object{{"notes", listed}}));
 }
 
 asio::awaitable<HttpResponse> NotePages::Show(NoteId id) {
@@ -161,7 +154,8 @@
   if (!result.status.ok()) {
     co_return StoreError(result.status);
   }
-  co_return JsonResponse(200, json::serialize(WholeNoteToJson(result.note)));
+  co_return MakeJsonResponse(200,
+                             json::serialize(WholeNoteToJson(result.note)));
 }
 
 asio::awaitable<HttpResponse> NotePages::Change(HttpRequest request,
--- a/src/daemon/ticket_json.cc
+++ b/src/daemon/ticket_json.cc
@@ -2,6 +2,9 @@
 
 #include <boost/json.hpp>
 #include <chrono>
+#include <optional>
+
+#include "include/base/json_object.h"
 
 namespace papaya {
 
@@ -12,12 +15,11 @@
 }  // namespace
 
 int ParseTicketCount(const std::string& body) {
-  json::error_code error;
-  const json::value value = json::parse(body, error);
-  if (error || !value.is_object()) {
+  const std::optional<json::object> object = ParseJsonObject(body);
+  if (!object.has_value()) {
     return 0;
   }
-  const json::value* count = value.get_object().if_contains("count");
+  const json::value* count = object->if_contains("count");
   if (count == nullptr) {
     return 0;
   }
--- a/src/daemon/upstream_json.cc
+++ b/src/daemon/upstream_json.cc
@@ -6,6 +6,7 @@
 
 #include "absl/strings/numbers.h"
 #include "include/base/error.h"
+#include "include/base/json_object.h"
 
 namespace papaya {
 
@@ -18,15 +19,6 @@
                    "the answer is not of the form that was agreed");
 }
 
-std::optional<json::object> ParseObject(const std::string& text) {
-  json::error_code error;
-  json::value value = json::parse(text, error);
-  if (error || !value.is_object()) {
-    return std::nullopt;
-  }
-  return std::move(value.get_object());
-}
-
 // The number at `key`; `absent` if there is none.
 int64_t ReadNumber(const json::object& object,
                    const char* key,
@@ -86,7 +78,7 @@
 }  // namespace
 
 absl::StatusOr<LoadReport> ParseLoadReport(const std::string& text) {
-  const std::optional<json::object> object = ParseObject(text);
+  const std::optional<json::object> object = ParseJsonObject(text);
   if (!object.has_value() || !object->contains("running")) {
     return Malformed("upstream.load");
   }
@@ -99,7 +91,7 @@
 }
 
 absl::StatusOr<CacheNews> ParseCacheNews(const std::string& text) {
-  const std::optional<json::object> object = ParseObject(text);
+  const std::optional<json::object> object = ParseJsonObject(text);
   const json::value* events =
       object.has_value() ? object->if_contains("events") : nullptr;
   if (events == nullptr || !events->is_array()) {
@@ -117,7 +109,7 @@
 }
 
 absl::StatusOr<EngineState> ParseEngineState(const std::string& text) {
-  const std::optional<json::object> object = ParseObject(text);
+  const std::optional<json::object> object = ParseJsonObject(text);
   if (!object.has_value() || !object->contains("loaded")) {
     return Malformed("upstream.state");
   }
--- a/src/once/claim_record.cc
+++ b/src/once/claim_record.cc
@@ -3,6 +3,7 @@
 #include <boost/json.hpp>
 
 #include "include/base/error.h"
+#include "include/base/json_object.h"
 
 namespace papaya {
 
@@ -30,12 +31,11 @@
 }
 
 absl::StatusOr<ClaimRecord> DecodeClaimRecord(const std::string& text) {
-  boost::json::error_code error;
-  const boost::json::value value = boost::json::parse(text, error);
-  if (error || !value.is_object()) {
+  const std::optional<boost::json::object> parsed = ParseJsonObject(text);
+  if (!parsed.has_value()) {
     return NotARecord();
   }
-  const boost::json::object& object = value.get_object();
+  const boost::json::object& object = *parsed;
   const boost::json::value* router = object.if_contains(kRouter);
   const boost::json::value* incarnation = object.if_contains(kIncarnation);
   const boost::json::value* claimed_at = object.if_contains(kClaimedAt);
--- a/src/standin/engine_face.cc
+++ b/src/standin/engine_face.cc
@@ -98,18 +98,20 @@
       co_await HandleResume(exchange, stream_id);
     }
   } else if (path == "/v1/load") {
-    co_await Answer(exchange, JsonResponse(200, LoadJson()));
+    co_await Answer(exchange, MakeJsonResponse(200, LoadJson()));
   } else if (path == "/v1/state") {
-    co_await Answer(exchange, JsonResponse(200, StateJson()));
+    co_await Answer(exchange, MakeJsonResponse(200, StateJson()));
   } else if (path == "/v1/cache_events") {
-    co_await Answer(exchange, JsonResponse(200, CacheEventsJson(NumberInQuery(
-                                                    request.target, "after"))));
+    co_await Answer(exchange,
+                    MakeJsonResponse(200, CacheEventsJson(NumberInQuery(
+                                              request.target, "after"))));
   } else if (path == "/v1/orders") {
     co_await HandleOrder(exchange);
   } else if (path == "/badness") {
     co_await HandleBadness(exchange);
   } else if (path == "/healthz") {
-    co_await Answer(exchange, JsonResponse(faults().leaving ? 503 : 200, "{}"));
+    co_await Answer(exchange,
+                    MakeJsonResponse(faults().leaving ? 503 : 200, "{}"));
   } else {
     co_await Answer(exchange, ErrorResponse(404, "no such path"));
   }
@@ -180,7 +182,7 @@
   const VersionId version = stream->version;
   HttpResponse response =
       stream->state == StreamState::kDone
-          ? JsonResponse(200, FormatChatAnswer(*stream, stream_id, model))
+          ? MakeJsonResponse(200, FormatChatAnswer(*stream, stream_id, model))
           : ErrorResponse(500, "the version failed");
   co_await Answer(exchange, WithVersion(std::move(response), version));
 }
@@ -253,7 +255,7 @@
                                                const std::string& stream_id) {
   model_.Cancel(stream_id, SteadyNow());
   progress_.cancel();
-  co_await Answer(exchange, JsonResponse(200, "{}"));
+  co_await Answer(exchange, MakeJsonResponse(200, "{}"));
 }
 
 asio::awaitable<void> EngineFace::HandleOrder(HttpExchange& exchange) {
@@ -264,7 +266,8 @@
     co_return;
   }
   const OrderAnswer answer = model_.Order(*order, SteadyNow());
-  co_await Answer(exchange, JsonResponse(StatusOfOrder(answer), StateJson()));
+  co_await Answer(exchange,
+                  MakeJsonResponse(StatusOfOrder(answer), StateJson()));
 }
 
 asio::awaitable<void> EngineFace::HandleBadness(HttpExchange& exchange) {
@@ -275,7 +278,7 @@
     co_return;
   }
   model_.SetBadness(*badness);
-  co_await Answer(exchange, JsonResponse(200, "{}"));
+  co_await Answer(exchange, MakeJsonResponse(200, "{}"));
 }
 
 void EngineFace::ScheduleStep() {
--- a/src/standin/engine_json.cc
+++ b/src/standin/engine_json.cc
@@ -4,6 +4,7 @@
 #include <boost/json.hpp>
 
 #include "absl/strings/str_cat.h"
+#include "include/base/json_object.h"
 #include "include/standin/answer_text.h"
 
 namespace papaya {
@@ -14,15 +15,6 @@
 
 constexpr int64_t kMaxOutputTokens = 100'000;
 
-std::optional<json::object> ParseObject(const std::string& body) {
-  boost::system::error_code error;
-  json::value parsed = json::parse(body, error);
-  if (error || !parsed.is_object()) {
-    return std::nullopt;
-  }
-  return std::move(parsed.as_object());
-}
-
 std::string TextOf(const json::object& object, const char* key) {
   const json::value* value = object.if_contains(key);
   return value != nullptr && value->is_string()
@@ -51,7 +43,7 @@
 }  // namespace
 
 std::optional<ChatRequest> ParseChatRequest(const std::string& body) {
-  const std::optional<json::object> object = ParseObject(body);
+  const std::optional<json::object> object = ParseJsonObject(body);
   if (!object) {
     return std::nullopt;
   }
@@ -79,7 +71,7 @@
 }
 
 std::optional<StandinOrder> ParseStandinOrder(const std::string& body) {
-  const std::optional<json::object> object = ParseObject(body);
+  const std::optional<json::object> object = ParseJsonObject(body);
   if (!object) {
     return std::nullopt;
   }
@@ -96,7 +88,7 @@
 }
 
 std::optional<VersionBadness> ParseVersionBadness(const std::string& body) {
-  const std::optional<json::object> object = ParseObject(body);
+  const std::optional<json::object> object = ParseJsonObject(body);
   if (!object || TextOf(*object, "version").empty()) {
     return std::nullopt;
   }
--- a/src/standin/platform_face.cc
+++ b/src/standin/platform_face.cc
@@ -157,9 +157,9 @@
   }
   HttpResponse response;
   if (written.ok()) {
-    response = JsonResponse(200, VersionJson(*written));
+    response = MakeJsonResponse(200, VersionJson(*written));
   } else if (absl::IsAborted(written.status())) {
-    response = JsonResponse(412, VersionJson(present));
+    response = MakeJsonResponse(412, VersionJson(present));
   } else {
     response = StatusResponse(written.status());
   }
@@ -193,7 +193,8 @@
   HttpResponse response;
   response.status = 204;
   if (watch->object) {
-    response = JsonResponse(200, json::serialize(ObjectJson(*watch->object)));
+    response =
+        MakeJsonResponse(200, json::serialize(ObjectJson(*watch->object)));
   }
   co_await Answer(exchange, std::move(response));
 }
@@ -203,7 +204,7 @@
   if (!object.ok()) {
     return StatusResponse(object.status());
   }
-  return JsonResponse(200, json::serialize(ObjectJson(*object)));
+  return MakeJsonResponse(200, json::serialize(ObjectJson(*object)));
 }
 
 HttpResponse PlatformFace::List(const std::string& target) {
@@ -216,7 +217,8 @@
   for (const StoredObject& object : *objects) {
     listed.push_back(ObjectJson(object));
   }
-  return JsonResponse(200, json::serialize(json::object{{"objects", listed}}));
+  return MakeJsonResponse(200,
+                          json::serialize(json::object{{"objects", listed}}));
 }
 
 HttpResponse PlatformFace::ListVms() {
@@ -230,7 +232,7 @@
     listed.push_back(json::object{{"id", vm.id.value()},
                                   {"state", vm.leaving ? "leaving" : "live"}});
   }
-  return JsonResponse(200, json::serialize(json::object{{"vms", listed}}));
+  return MakeJsonResponse(200, json::serialize(json::object{{"vms", listed}}));
 }
 
 HttpResponse PlatformFace::ChangeVm(const std::string& body) {
@@ -248,11 +250,11 @@
   } else {
     model_.SetVm({.id = vm_id, .leaving = *state == "leaving"}, SteadyNow());
   }
-  return JsonResponse(200, "{}");
+  return MakeJsonResponse(200, "{}");
 }
 
 HttpResponse PlatformFace::Counts() const {
-  return JsonResponse(
+  return MakeJsonResponse(
       200, json::serialize(json::object{{"reads", model_.reads()},
                                         {"writes", model_.writes()},
                                         {"watches", model_.watches()}}));
--- a/src/standin/service_face.cc
+++ b/src/standin/service_face.cc
@@ -28,11 +28,12 @@
 asio::awaitable<void> ServiceFace::HandleRequest(HttpExchange& exchange) {
   const std::string path = PathOfTarget(exchange.request().target);
   if (path == "/healthz") {
-    co_await Answer(exchange, JsonResponse(faults().leaving ? 503 : 200, "{}"));
+    co_await Answer(exchange,
+                    MakeJsonResponse(faults().leaving ? 503 : 200, "{}"));
   } else if (path == "/v1/load") {
-    co_await Answer(exchange, JsonResponse(200, LoadJson()));
+    co_await Answer(exchange, MakeJsonResponse(200, LoadJson()));
   } else if (path == "/ledger") {
-    co_await Answer(exchange, JsonResponse(200, LedgerJson()));
+    co_await Answer(exchange, MakeJsonResponse(200, LedgerJson()));
   } else {
     co_await HandleCall(exchange);
   }
@@ -62,7 +63,7 @@
   co_await SleepFor(
       SecondsToDuration(ToSeconds(service_time_) * faults().slow_factor));
   --running_;
-  HttpResponse response = JsonResponse(200, ServiceAnswer(key));
+  HttpResponse response = MakeJsonResponse(200, ServiceAnswer(key));
   if (fault == FaultChoice::kFail) {
     response = ErrorResponse(500, "failed");
   }
--- a/src/standin/standin_face.cc
+++ b/src/standin/standin_face.cc
@@ -46,7 +46,7 @@
     }
     OnFaultsChanged();
   }
-  co_await Answer(exchange, JsonResponse(200, FaultsToJson(faults_)));
+  co_await Answer(exchange, MakeJsonResponse(200, FaultsToJson(faults_)));
 }
 
 asio::awaitable<void> StandinFace::HandleOutage(HttpExchange& /*exchange*/) {
@@ -88,17 +88,9 @@
   sent.IgnoreError();
 }
 
-HttpResponse JsonResponse(int status, const std::string& body) {
-  HttpResponse response;
-  response.status = status;
-  response.headers.Set("Content-Type", "application/json");
-  response.body = body;
-  return response;
-}
-
 HttpResponse ErrorResponse(int status, const std::string& message) {
-  return JsonResponse(status, boost::json::serialize(boost::json::object{
-                                  {"error", {{"message", message}}}}));
+  return MakeJsonResponse(status, boost::json::serialize(boost::json::object{
+                                      {"error", {{"message", message}}}}));
 }
 
 }  // namespace papaya
--- a/src/standin/standin_face.h
+++ b/src/standin/standin_face.h
@@ -65,9 +65,6 @@
 boost::asio::awaitable<void> Answer(HttpExchange& exchange,
                                     HttpResponse response);
 
-// An answer with a JSON body.
-HttpResponse JsonResponse(int status, const std::string& body);
-
 // An answer that says what was wrong.
 HttpResponse ErrorResponse(int status, const std::string& message);
 
--- a/src/standin/standin_faults.cc
+++ b/src/standin/standin_faults.cc
@@ -6,6 +6,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "include/base/error.h"
+#include "include/base/json_object.h"
 
 namespace papaya {
 
@@ -97,13 +98,12 @@
 }  // namespace
 
 absl::Status ApplyFaultsJson(const std::string& text, StandinFaults& faults) {
-  boost::system::error_code error;
-  const json::value parsed = json::parse(text, error);
-  if (error || !parsed.is_object()) {
+  const std::optional<json::object> parsed = ParseJsonObject(text);
+  if (!parsed.has_value()) {
     return BadFaults("expected a JSON object");
   }
   StandinFaults changed = faults;
-  for (const json::key_value_pair& pair : parsed.as_object()) {
+  for (const json::key_value_pair& pair : *parsed) {
     const std::string name(pair.key());
     const auto key = Keys().find(name);
     if (key == Keys().end()) {
--- a/src/wire/chat_body.cc
+++ b/src/wire/chat_body.cc
@@ -4,6 +4,7 @@
 #include <boost/json/value.hpp>
 
 #include "include/base/error.h"
+#include "include/base/json_object.h"
 
 namespace papaya {
 
@@ -50,12 +51,11 @@
 }  // namespace
 
 absl::StatusOr<ChatBody> ParseChatBody(const std::string& body) {
-  json::error_code error;
-  const json::value value = json::parse(body, error);
-  if (error || !value.is_object()) {
+  const std::optional<json::object> parsed = ParseJsonObject(body);
+  if (!parsed.has_value()) {
     return Fault("the body is not a JSON object");
   }
-  const json::object& object = value.get_object();
+  const json::object& object = *parsed;
   ChatBody request;
   request.model = PoolId(GetText(object, "model"));
   if (request.model.empty()) {
--- a/src/wire/http_message.cc
+++ b/src/wire/http_message.cc
@@ -1,6 +1,7 @@
 #include "include/wire/http_message.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_split.h"
@@ -35,6 +36,14 @@
   });
 }
 
+HttpResponse MakeJsonResponse(int status, std::string body) {
+  HttpResponse response;
+  response.status = status;
+  response.headers.Set("Content-Type", "application/json");
+  response.body = std::move(body);
+  return response;
+}
+
 std::string PathOfTarget(const std::string& target) {
   return target.substr(0, target.find('?'));
 }
--- a/src/wire/object_json.cc
+++ b/src/wire/object_json.cc
@@ -2,6 +2,8 @@
 
 #include <boost/json.hpp>
 
+#include "include/base/json_object.h"
+
 namespace papaya {
 
 namespace {
@@ -29,15 +31,6 @@
   return ObjectVersion(number);
 }
 
-std::optional<json::object> ParseObject(const std::string& body) {
-  boost::system::error_code error;
-  json::value parsed = json::parse(body, error);
-  if (error || !parsed.is_object()) {
-    return std::nullopt;
-  }
-  return std::move(parsed.as_object());
-}
-
 std::optional<StoredObject> ToStoredObject(const json::object& object) {
   const std::optional<std::string> key = TextOf(object, "key");
   const std::optional<std::string> operation = TextOf(object, "operation");
@@ -67,7 +60,7 @@
     const std::string& body,
     const char* key,
     std::optional<T> (*read)(const json::object&)) {
-  const std::optional<json::object> object = ParseObject(body);
+  const std::optional<json::object> object = ParseJsonObject(body);
   const json::value* array = object ? object->if_contains(key) : nullptr;
   if (array == nullptr || !array->is_array()) {
     return std::nullopt;
@@ -87,7 +80,7 @@
 }  // namespace
 
 std::optional<StoredObject> ParseStoredObject(const std::string& body) {
-  const std::optional<json::object> object = ParseObject(body);
+  const std::optional<json::object> object = ParseJsonObject(body);
   return object ? ToStoredObject(*object) : std::nullopt;
 }
 
@@ -97,7 +90,7 @@
 }
 
 std::optional<ObjectVersion> ParseObjectVersion(const std::string& body) {
-  const std::optional<json::object> object = ParseObject(body);
+  const std::optional<json::object> object = ParseJsonObject(body);
   return object ? VersionOf(*object) : std::nullopt;
 }
 
