Ask the object store's own contract which writes are doubtful; drop three more twins

Cause: NoteBook and ClaimKeeper each wrote out which errors leave a write in doubt, which is ObjectStore's contract. Six encoders made a payload in the same three lines. The note mover brought upstreams that change at once in two identical loops. Change: MayHaveTakenEffect beside ObjectStore, MakePayload beside the codecs, NoteMover::BringAtOnce. Conclusion: behaviour stays.

--- a/include/config/object_store.h
+++ b/include/config/object_store.h
@@ -69,6 +69,9 @@
                      GetCallback done) = 0;
 };
 
+// True if a write that ended with `status` may have taken effect.
+bool MayHaveTakenEffect(const absl::Status& status);
+
 }  // namespace papaya
 
 #endif  // INCLUDE_CONFIG_OBJECT_STORE_H_
--- a/src/once/claim_keeper.cc
+++ b/src/once/claim_keeper.cc
@@ -18,12 +18,6 @@
 // The table outlives the claims in the store by this time.
 constexpr Duration kTableMargin = std::chrono::minutes(10);
 
-// True if a write that ended with `status` may have taken effect.
-bool MayHaveTakenEffect(const absl::Status& status) {
-  return status.code() == absl::StatusCode::kUnavailable ||
-         status.code() == absl::StatusCode::kDeadlineExceeded;
-}
-
 }  // namespace
 
 ClaimKeeper::ClaimKeeper(Options options,
--- a/src/rollout/note_book.cc
+++ b/src/rollout/note_book.cc
@@ -24,12 +24,6 @@
   return MakeError(code, {kStep, id.value()}, message);
 }
 
-// True if a write with this error may have taken effect all the same.
-bool IsDoubtful(const absl::Status& status) {
-  return status.code() == absl::StatusCode::kUnavailable ||
-         status.code() == absl::StatusCode::kDeadlineExceeded;
-}
-
 // The note in `object`, with its version and operation.
 absl::StatusOr<StoredNote> ReadNote(const StoredObject& object) {
   absl::StatusOr<NoteRecord> record = ParseNoteRecord(object.value);
@@ -260,7 +254,7 @@
       return;
     }
     // A late write may still take effect, so doubt stays doubt.
-    if (IsDoubtful(write_error) || !result.status.ok()) {
+    if (MayHaveTakenEffect(write_error) || !result.status.ok()) {
       done({write_error, result.note, {}});
       return;
     }
--- a/src/rollout/note_mover.h
+++ b/src/rollout/note_mover.h
@@ -72,6 +72,10 @@
              const UpstreamSpec& upstream,
              const EngineGoal& goal,
              TimePoint read_after);
+  // Brings each of `upstreams` that is not set aside to the version that it
+  // shall serve.
+  bool BringAtOnce(const NotePlan& plan,
+                   const std::vector<UpstreamSpec>& upstreams);
   void SetAside(const NotePlan& plan,
                 const UpstreamId& upstream,
                 const std::string& why);
--- a/src/rollout/note_mover_engines.cc
+++ b/src/rollout/note_mover_engines.cc
@@ -107,8 +107,14 @@
     }
     is_ready = ReturnToOld(plan, move) && is_ready;
   }
-  for (const UpstreamSpec& upstream : AddedAtOnce(plan, record.before)) {
-    if (Contains(record.set_aside, upstream.id)) {
+  return BringAtOnce(plan, AddedAtOnce(plan, record.before)) && is_ready;
+}
+
+bool NoteMover::BringAtOnce(const NotePlan& plan,
+                            const std::vector<UpstreamSpec>& upstreams) {
+  bool is_ready = true;
+  for (const UpstreamSpec& upstream : upstreams) {
+    if (Contains(note_->record.set_aside, upstream.id)) {
       continue;
     }
     EngineGoal goal = GoalOf(plan, upstream);
@@ -153,15 +159,7 @@
       is_ready = Bring(plan, upstream, goal, TimePoint()) && is_ready;
     }
   }
-  for (const UpstreamSpec& upstream : ChangedAtOnce(plan, record.before)) {
-    if (Contains(record.set_aside, upstream.id)) {
-      continue;
-    }
-    EngineGoal goal = GoalOf(plan, upstream);
-    goal.active = upstream.version;
-    is_ready = Bring(plan, upstream, goal, TimePoint()) && is_ready;
-  }
-  return is_ready;
+  return BringAtOnce(plan, ChangedAtOnce(plan, record.before)) && is_ready;
 }
 
 void NoteMover::PreloadNext(const NotePlan& plan) {
--- a/src/wire/demand_codec.cc
+++ b/src/wire/demand_codec.cc
@@ -7,9 +7,7 @@
   const std::string packed = PackDemand(notice);
   fb::DemandReportT encoded;
   encoded.packed.assign(packed.begin(), packed.end());
-  fb::PayloadUnion payload;
-  payload.Set(std::move(encoded));
-  return payload;
+  return MakePayload(std::move(encoded));
 }
 
 std::optional<DemandNotice> DecodeDemandNotice(
--- a/src/wire/once_codec.cc
+++ b/src/wire/once_codec.cc
@@ -87,9 +87,7 @@
   encoded.from = query.from.value();
   encoded.claimer = query.claimer.value();
   encoded.claim = query.claim;
-  fb::PayloadUnion payload;
-  payload.Set(std::move(encoded));
-  return payload;
+  return MakePayload(std::move(encoded));
 }
 
 fb::PayloadUnion EncodeOnceMessage(const ClaimReply& reply) {
@@ -98,9 +96,7 @@
   encoded.state = static_cast<uint8_t>(reply.state);
   encoded.outcome = static_cast<uint8_t>(reply.outcome);
   encoded.answer = EncodeAnswer(reply.answer);
-  fb::PayloadUnion payload;
-  payload.Set(std::move(encoded));
-  return payload;
+  return MakePayload(std::move(encoded));
 }
 
 fb::PayloadUnion EncodeOnceMessage(const ForwardRequest& request) {
@@ -115,9 +111,7 @@
   encoded.deadline_ms =
       std::chrono::duration_cast<std::chrono::milliseconds>(request.time_left)
           .count();
-  fb::PayloadUnion payload;
-  payload.Set(std::move(encoded));
-  return payload;
+  return MakePayload(std::move(encoded));
 }
 
 fb::PayloadUnion EncodeOnceMessage(const ForwardReply& reply) {
@@ -126,9 +120,7 @@
   encoded.status = reply.response.status;
   encoded.headers = EncodeHeaders(reply.response.headers);
   encoded.body = reply.response.body;
-  fb::PayloadUnion payload;
-  payload.Set(std::move(encoded));
-  return payload;
+  return MakePayload(std::move(encoded));
 }
 
 std::optional<PeerMessage> DecodeOnceMessage(const fb::PayloadUnion& payload) {
--- a/src/wire/peer_codecs.h
+++ b/src/wire/peer_codecs.h
@@ -2,12 +2,21 @@
 #define SRC_WIRE_PEER_CODECS_H_
 
 #include <optional>
+#include <utility>
 
 #include "include/wire/peer_message.h"
 #include "src/wire/peer_generated.h"
 
 namespace papaya {
 
+// A payload of the one message `encoded`.
+template <typename Encoded>
+fb::PayloadUnion MakePayload(Encoded encoded) {
+  fb::PayloadUnion payload;
+  payload.Set(std::move(encoded));
+  return payload;
+}
+
 // One codec a module. Each gives the payload of a message, and reads back the
 // payloads of its own types; empty if the payload is another's, or a value in
 // it is out of range.
--- a/src/wire/stats_codec.cc
+++ b/src/wire/stats_codec.cc
@@ -91,9 +91,7 @@
     EncodeBuckets(row.counts, index, &encoded.buckets);
   }
   encoded.names = names.Take();
-  fb::PayloadUnion payload;
-  payload.Set(std::move(encoded));
-  return payload;
+  return MakePayload(std::move(encoded));
 }
 
 std::optional<StatsReport> DecodeStatsReport(const fb::PayloadUnion& payload) {
