Estimate counts by the sizes that other messages use; look routers up when due

Cause: EstimateReportBytes had constants of its own beside base/encoded_size, two methods of VersionStats filled the same head, and RolloutPlane listed all routers' ids ten times a second for a sender that looks once a second. Change: EncodedStringBytes and kVectorBytes in the estimate; MakeEmptyReport; StatsSender::IsDue is asked before the list is made.

--- a/include/rollout/stats_sender.h
+++ b/include/rollout/stats_sender.h
@@ -29,7 +29,11 @@
   // nobody.
   StatsSender(const RouterId& self, VersionStats* stats, SendHook send);
 
-  // Call every 100 ms with the routers that live, this one among them.
+  // True if it is time for OnTick to look; false most of the time.
+  bool IsDue(TimePoint now) const { return now >= next_look_; }
+
+  // Call every 100 ms, or when IsDue, with the routers that live, this one
+  // among them.
   void OnTick(TimePoint now, const std::vector<RouterId>& routers);
 
  private:
--- a/include/rollout/version_stats.h
+++ b/include/rollout/version_stats.h
@@ -156,6 +156,9 @@
     std::vector<UpstreamId> named;
   };
 
+  // The report with that sequence, without rows.
+  StatsReport MakeEmptyReport(uint64_t sequence) const;
+
   // The next report, with its rows left as they are.
   StatsReport PeekReport(const std::set<PoolId>& wanted) const;
 
--- a/src/daemon/rollout_plane.cc
+++ b/src/daemon/rollout_plane.cc
@@ -83,7 +83,7 @@
     runner_.OnEvidence(evidence.note, evidence.requests);
   }
   runner_.OnTick(now, WallNow(), is_candidate);
-  if (is_counting_) {
+  if (is_counting_ && sender_.IsDue(now)) {
     sender_.OnTick(now, IdsOf(view));
   }
 }
--- a/src/rollout/stats_sender.cc
+++ b/src/rollout/stats_sender.cc
@@ -18,10 +18,10 @@
     : self_(self), stats_(stats), send_(std::move(send)) {}
 
 void StatsSender::OnTick(TimePoint now, const std::vector<RouterId>& routers) {
-  last_report_ = last_report_.value_or(now);
-  if (now < next_look_) {
+  if (!IsDue(now)) {
     return;
   }
+  last_report_ = last_report_.value_or(now);
   next_look_ = now + kLookEvery;
   send_(self_, stats_->MakeSnapshot());
   const std::set<PoolId> wanted = PoolsToReport(routers);
--- a/src/rollout/version_stats.cc
+++ b/src/rollout/version_stats.cc
@@ -7,6 +7,7 @@
 #include <tuple>
 #include <utility>
 
+#include "include/base/encoded_size.h"
 #include "include/base/stable_hash.h"
 
 namespace papaya {
@@ -17,13 +18,13 @@
 constexpr double kComparedTokens = 64.0;
 constexpr uint64_t kJudgeSalt = 0;
 constexpr uint64_t kCounterSalt = 1;
-// Frame, table and vectors of a report, without its rows and strings.
-constexpr size_t kReportOverheadBytes = 104;
+// A report's root, message table, identifier, numbers, and the empty name.
+constexpr size_t kReportBytes = 76;
+// Of names, rows and buckets.
+constexpr size_t kReportVectors = 3;
 // A row's key and counts; a latency bucket that is not zero.
 constexpr size_t kRowBytes = 20;
 constexpr size_t kBucketBytes = 8;
-// A string's offset, length, end and half of the padding to four bytes.
-constexpr size_t kStringOverheadBytes = 11;
 
 size_t RowBytes(const StatsRow& row) {
   const auto filled =
@@ -99,7 +100,8 @@
 
 size_t EstimateReportBytes(const StatsReport& report) {
   std::set<std::string> strings;
-  size_t bytes = kReportOverheadBytes;
+  size_t bytes = kReportBytes + kReportVectors * kVectorBytes +
+                 EncodedStringBytes(report.router.value());
   for (const StatsRow& row : report.rows) {
     bytes += RowBytes(row);
     strings.insert({row.key.note.value(), row.key.pool.value(),
@@ -107,7 +109,7 @@
                     row.key.route.value(), row.key.upstream.value()});
   }
   for (const std::string& text : strings) {
-    bytes += text.size() + kStringOverheadBytes;
+    bytes += EncodedStringBytes(text);
   }
   return bytes;
 }
@@ -192,11 +194,16 @@
   }
 }
 
-StatsReport VersionStats::PeekReport(const std::set<PoolId>& wanted) const {
+StatsReport VersionStats::MakeEmptyReport(uint64_t sequence) const {
   StatsReport report;
   report.router = router_;
   report.incarnation = incarnation_;
-  report.sequence = sequence_ + 1;
+  report.sequence = sequence;
+  return report;
+}
+
+StatsReport VersionStats::PeekReport(const std::set<PoolId>& wanted) const {
+  StatsReport report = MakeEmptyReport(sequence_ + 1);
   const bool is_whole = report.sequence % kWholeReportEvery == 0;
   for (const auto& [key, row] : rows_) {
     if ((row.is_changed || is_whole) && wanted.contains(key.pool)) {
@@ -224,10 +231,7 @@
 }
 
 StatsReport VersionStats::MakeSnapshot() const {
-  StatsReport report;
-  report.router = router_;
-  report.incarnation = incarnation_;
-  report.sequence = sequence_;
+  StatsReport report = MakeEmptyReport(sequence_);
   for (const auto& [key, row] : rows_) {
     if (IsCounting(key.pool)) {
       report.rows.push_back({key, row.counts});
