--- a/bench/fake_fleet.h
+++ b/bench/fake_fleet.h
@@ -15,7 +15,7 @@
 #include "bench/fleet_links.h"
 #include "bench/fleet_options.h"
 #include "bench/fleet_record.h"
-#include "bench/router_policy.h"
+#include "bench/fleet_router.h"
 #include "bench/virtual_loop.h"
 #include "include/admission/demand_names.h"
 #include "include/admission/demand_packing.h"
@@ -124,15 +124,6 @@
   }
 
  private:
-  struct Router {
-    std::unique_ptr<RouterPolicy> policy;
-    bool is_alive = true;
-    bool is_listed = true;
-    TimePoint paused_until;
-    std::shared_ptr<const RoutingSnapshot> snapshot;
-    DemandNames names;
-  };
-
   static constexpr uint64_t kMaxAttempts = 1024;
 
   // Calls `body` on the router after the link's delay, if it lives then.
@@ -385,7 +376,7 @@
   std::vector<UpstreamId> leaving_;
   std::vector<std::unique_ptr<FakeEngine>> engines_;
   std::map<UpstreamId, size_t> numbers_;
-  std::vector<Router> routers_;
+  std::vector<FleetRouter> routers_;
   size_t partition_ = 0;
   uint64_t last_id_ = 0;
   std::map<uint64_t, FleetRecord> records_;
