Measure demand reports while the other routers are short too

Cause: in the loads of capacity.demand the other routers have nothing in hand, so that a way that spares idle routers would look better than it is. Change: a load `contested`: as short, but the others run and queue requests of all tiers, are short of critical slots, and streams given up end.

--- a/bench/peer_codec_bench.cc
+++ b/bench/peer_codec_bench.cc
@@ -34,6 +34,8 @@
 // Arrivals at a router at the planned size: 4,100 a second at 390 routers.
 constexpr double kRequestsPerSecond = 10.5;
 constexpr Duration kTimeLimit = std::chrono::seconds(10);
+// Of a tier at one of the other routers.
+constexpr uint64_t kMostWaiting = 8;
 
 struct FleetSize {
   int routers;
@@ -44,10 +46,11 @@
 
 // What a router has in hand.
 enum class Load {
-  kQuiet,    // nothing
-  kBusy,     // requests running at all its upstreams, in all tiers
-  kShort,    // twice what comes, all slots taken, and queues in all tiers
-  kPressed,  // the same, and all requests are critical
+  kQuiet,      // nothing
+  kBusy,       // requests running at all its upstreams, in all tiers
+  kShort,      // twice what comes, all slots taken, and queues in all tiers
+  kPressed,    // the same, and all requests are critical
+  kContested,  // as kShort, and the other routers run lower tiers and are short
 };
 
 struct NamedLoad {
@@ -58,7 +61,8 @@
 constexpr NamedLoad kLoads[] = {{Load::kQuiet, "quiet"},
                                 {Load::kBusy, "busy"},
                                 {Load::kShort, "short"},
-                                {Load::kPressed, "pressed"}};
+                                {Load::kPressed, "pressed"},
+                                {Load::kContested, "contested"}};
 
 AvailabilityZoneId ZoneOf(int index) {
   return AvailabilityZoneId(absl::StrCat("region-zone-", index % kZones));
@@ -116,7 +120,7 @@
 }
 
 // One Scheduler under a load, with what it reports written down. The other
-// routers have nothing in hand.
+// routers have nothing in hand, unless the load says otherwise.
 class ReportBed {
  public:
   ReportBed(const FleetSize& size, Load load)
@@ -127,7 +131,11 @@
       fresh_.push_back(id);
     };
     hooks.refuse = [](RequestId, const Refusal&) {};
-    hooks.preempt = [](RequestId) {};
+    hooks.preempt = [this](RequestId id) {
+      if (load_ == Load::kContested) {
+        given_up_.push_back(id);
+      }
+    };
     hooks.send_demand = [this](const DemandReport& report) { Count(report); };
     hooks.event = [](const Event&) {};
     SchedulerOptions options;
@@ -174,9 +182,42 @@
   }
 
   void HearOthers() {
+    std::map<RouterId, DemandReport> reports;
     for (const auto& [router, part] : SplitDemandReport({}, *snapshot_)) {
-      scheduler_->OnDemandReport({.router = router, .sequence = ++sequence_},
-                                 now_);
+      reports[router] = {.router = router, .sequence = ++sequence_};
+    }
+    if (load_ == Load::kContested) {
+      AddDemand(&reports);
+    }
+    for (const auto& [router, report] : reports) {
+      scheduler_->OnDemandReport(report, now_);
+    }
+  }
+
+  // Each has one request running at each upstream, of its own tier, and some
+  // waiting; some come and go between reports.
+  void AddDemand(std::map<RouterId, DemandReport>* reports) {
+    for (auto& [router, report] : *reports) {
+      std::map<PoolVersion, GroupDemand> groups;
+      for (const RoutedUpstream& upstream : snapshot_->upstreams()) {
+        if (std::find(upstream.routers.begin(), upstream.routers.end(),
+                      router) == upstream.routers.end()) {
+          continue;
+        }
+        const PoolVersion& name = snapshot_->group(upstream.group).name;
+        GroupDemand& demand = groups[name];
+        demand.group = name;
+        demand.short_tier = Tier::kCritical;
+        ++demand.tiers[random_.Below(kTierCount)].running;
+        report.upstreams.push_back(
+            {.upstream = upstream.spec.id, .running = 1});
+      }
+      for (auto& [name, demand] : groups) {
+        for (TierDemand& tier : demand.tiers) {
+          tier.waiting = static_cast<int32_t>(1 + random_.Below(kMostWaiting));
+        }
+        report.groups.push_back(demand);
+      }
     }
   }
 
@@ -218,6 +259,16 @@
     scheduler_->OnFinished(id, {AttemptEnd::kOk, Tokens(250)}, now_);
   }
 
+  // Streams that were given up have ended by now.
+  void EndGivenUp() {
+    std::vector<RequestId> ended;
+    ended.swap(given_up_);
+    for (RequestId id : ended) {
+      std::erase(running_, id);
+      scheduler_->OnFinished(id, {AttemptEnd::kPreempted, Tokens()}, now_);
+    }
+  }
+
   // What was dispatched before this step has its first token.
   void BeginTokens() {
     std::vector<RequestId> fresh;
@@ -232,11 +283,12 @@
     const double arrivals = kRequestsPerSecond * ToSeconds(kTick);
     while (now_ < end) {
       now_ += kTick;
+      EndGivenUp();
       if (load_ != Load::kQuiet && random_.Chance(arrivals)) {
         BeginTokens();
         EndOne();
         Request();
-        if (load_ == Load::kShort || load_ == Load::kPressed) {
+        if (load_ != Load::kBusy) {
           Request();
         }
       }
@@ -255,6 +307,7 @@
   TimePoint next_hearing_;
   std::vector<RequestId> running_;
   std::vector<RequestId> fresh_;
+  std::vector<RequestId> given_up_;
   uint64_t last_id_ = 0;
   uint64_t sequence_ = 0;
   TimePoint start_;
