Never wait for the reader of the log

Cause: a router logs from its control thread, and a write to a full pipe waits for the reader. The known red test reads the routers' logs only up to `router_dead`; then each `issuer_gone` that it is told is logged in 130 bytes, so after 504 of them on one router (64 KiB) that router's control thread stands in write() for good and no booking is answered. Seen there: r1's thread in anon_pipe_write while `running`, asked again, gets no answer. How many it is depends on how soon r2 is known to live again.

Change: LogOutput queues lines (1 MiB) and writes them by a thread of its own, with poll before each write of at most PIPE_BUF; beyond that lines are lost and the new event `log_lines_lost` (1005) stands in their place; at the end the reader has 1 s. papayad logs through it.

Conclusion: a stalled log reader costs lines, no longer answers.

--- a/include/telemetry/event_catalog.h
+++ b/include/telemetry/event_catalog.h
@@ -16,6 +16,7 @@
   kRouterReady = 1002,
   kRouterDraining = 1003,
   kRouterStopped = 1004,
+  kLogLinesLost = 1005,
 
   // Wire.
   kListening = 2001,
--- a/include/telemetry/logger.h
+++ b/include/telemetry/logger.h
@@ -15,7 +15,8 @@
 // "severity":"info","revision":"7"}`.
 std::string FormatEvent(const Event& event, WallTime time);
 
-// Writes events as lines through Boost.Log. Any thread.
+// Writes events as lines through Boost.Log. Any thread. Whoever logs waits for
+// the stream; LogOutput is one that keeps nobody waiting.
 class Logger {
  public:
   // Lines go to `out`, which must outlive the logger; events below `least` are
--- a/src/papayad_main.cc
+++ b/src/papayad_main.cc
@@ -2,6 +2,7 @@
 
 #include <gflags/gflags.h>
 #include <signal.h>
+#include <unistd.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -12,6 +13,7 @@
 #include "include/daemon/router_daemon.h"
 #include "include/settings/router_settings.h"
 #include "include/telemetry/event_page.h"
+#include "include/telemetry/log_output.h"
 #include "include/telemetry/logger.h"
 #include "src/program_flags.h"
 
@@ -74,8 +76,10 @@
     std::cerr << "papayad: needs --settings=FILE and takes nothing more\n";
     return kExitBadSettings;
   }
-  papaya::Logger logger(std::cout, FLAGS_debug_log ? papaya::Severity::kDebug
-                                                   : papaya::Severity::kInfo);
+  papaya::LogOutput output(STDOUT_FILENO);
+  papaya::Logger logger(output.stream(), FLAGS_debug_log
+                                             ? papaya::Severity::kDebug
+                                             : papaya::Severity::kInfo);
   const absl::StatusOr<papaya::RouterSettings> settings =
       papaya::LoadRouterSettings(FLAGS_settings);
   if (!settings.ok()) {
--- a/src/telemetry/event_catalog.cc
+++ b/src/telemetry/event_catalog.cc
@@ -31,6 +31,9 @@
        "what it has."},
       {EventId::kRouterStopped, Severity::kInfo, "router_stopped",
        "The router has finished all it had and ends."},
+      {EventId::kLogLinesLost, Severity::kWarning, "log_lines_lost",
+       "That many lines would have stood here, but nobody took the log for a "
+       "while; look at what reads the router's standard output."},
 
       // Wire.
       {EventId::kListening, Severity::kInfo, "listening",
--- a/tests/router_process_test.cc
+++ b/tests/router_process_test.cc
@@ -62,5 +62,24 @@
   CHECK(CheckLedger(tally.bookings(), fleet.Ledger()).IsGood());
 }
 
+TEST_CASE("papayad: answers on and ends while nobody reads its log",
+          "[process]") {
+  ProcessFleet fleet;
+  fleet.StartRouter("r1");
+  const std::string ticket = fleet.Tickets("r1", 1).front();
+  fleet.KillRouter("r1");
+  fleet.StartRouter("r1");
+  const HttpRequest booking =
+      ProcessFleet::Booking("booking", "papaya-ticket", ticket);
+  // Each answer is logged; a pipe holds about 500 of them.
+  constexpr int kAnswers = 1500;
+  for (int i = 0; i < kAnswers; ++i) {
+    const HttpResponse answer = fleet.Ask(fleet.address("r1"), booking);
+    REQUIRE(answer.headers.Get("papaya-outcome") == "unknown");
+  }
+  fleet.router("r1").Signal(SIGTERM);
+  CHECK(fleet.router("r1").Wait() == 0);
+}
+
 }  // namespace
 }  // namespace papaya
