Give the issuer of a ticket the time that is left, not a fresh deadline

Cause: ForwardRequest::time_left was sent and never read; the issuer gave a request that another router handed over its own route's whole deadline again. The time that the request had spent, and a shorter deadline in the other router's settings, did not count.

Change: the issuer takes time_left as the caller's own deadline. The reading of deadlines moves from CallerFront to request_deadline.{h,cc}.

That CallerFront::ServeForwarded calls it has no test of its own; the cases with tickets of other routers go through it.

--- a/src/daemon/caller_front.cc
+++ b/src/daemon/caller_front.cc
@@ -1,6 +1,5 @@
 #include "src/daemon/caller_front.h"
 
-#include <algorithm>
 #include <utility>
 
 #include "absl/strings/match.h"
@@ -13,6 +12,7 @@
 #include "include/wire/steady_time.h"
 #include "src/daemon/once_gate.h"
 #include "src/daemon/once_plane.h"
+#include "src/daemon/request_deadline.h"
 #include "src/daemon/route_table.h"
 #include "src/daemon/stream_id.h"
 #include "src/daemon/stream_relay.h"
@@ -31,8 +31,6 @@
 constexpr char kServicePath[] = "/svc/";
 constexpr char kTicketsPath[] = "/v1/tickets";
 constexpr size_t kMaxKeyBytes = 128;
-// A caller's own deadline below this is taken as this.
-constexpr int64_t kMinDeadlineMs = 1;
 // Time that a resumed stream may take in all.
 constexpr std::chrono::minutes kResumedStreamTimeout{30};
 
@@ -55,20 +53,6 @@
           .step = "caller.check"};
 }
 
-// The deadline that the route gives, shortened by the caller's own.
-TimePoint DeadlineOf(const RouteSettings& route,
-                     const HttpRequest& request,
-                     TimePoint arrival) {
-  Duration allowed = route.deadline;
-  int64_t own_ms = 0;
-  if (absl::SimpleAtoi(request.headers.Get(kDeadlineHeader), &own_ms)) {
-    const auto own =
-        std::chrono::milliseconds(std::max(own_ms, kMinDeadlineMs));
-    allowed = own < allowed ? Duration(own) : allowed;
-  }
-  return arrival + allowed;
-}
-
 HttpRequest MakeForward(HttpRequest request) {
   for (const char* name : kHopHeaders) {
     request.headers.Remove(name);
@@ -115,11 +99,13 @@
 
 asio::awaitable<void> CallerFront::ServeForwarded(HttpExchange& exchange,
                                                   AccountId account,
-                                                  std::string ticket) {
+                                                  std::string ticket,
+                                                  Duration time_left) {
   ++services_->open_requests;
   const AccountSettings* found = accounts_.FindById(account);
   HttpRequest request = exchange.TakeRequest();
   request.headers.Set(kTicketHeader, ticket);
+  SetTimeLeft(time_left, &request.headers);
   if (found != nullptr) {
     co_await ServeAccepted(exchange, Check(std::move(request), *found));
   } else {
@@ -285,7 +271,7 @@
   spec.pool = route.pool;
   spec.tier = route.tier;
   spec.arrival = SteadyNow();
-  spec.deadline = DeadlineOf(route, request, spec.arrival);
+  spec.deadline = DeadlineOf(route, request.headers, spec.arrival);
   spec.idempotent = route.idempotent;
   const std::string key = request.headers.Get(kIdempotencyKeyHeader);
   const std::string share_name =
--- a/src/daemon/caller_front.h
+++ b/src/daemon/caller_front.h
@@ -25,10 +25,12 @@
   boost::asio::awaitable<void> Serve(HttpExchange& exchange);
 
   // Serves a request that another router handed over, as the issuer of its
-  // ticket. The other router has checked that it is of `account`.
+  // ticket. The other router has checked that it is of `account`, and
+  // has `time_left` of its deadline.
   boost::asio::awaitable<void> ServeForwarded(HttpExchange& exchange,
                                               AccountId account,
-                                              std::string ticket);
+                                              std::string ticket,
+                                              Duration time_left);
 
  private:
   using Checked = std::variant<AcceptedRequest, ErrorAnswer>;
--- /dev/null
+++ b/src/daemon/request_deadline.cc
@@ -0,0 +1,39 @@
+#include "src/daemon/request_deadline.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "src/daemon/error_answer.h"
+
+namespace papaya {
+
+namespace {
+
+// A caller's own deadline below this is taken as this.
+constexpr int64_t kMinDeadlineMs = 1;
+
+}  // namespace
+
+TimePoint DeadlineOf(const RouteSettings& route,
+                     const HttpHeaders& headers,
+                     TimePoint arrival) {
+  Duration allowed = route.deadline;
+  int64_t own_ms = 0;
+  if (absl::SimpleAtoi(headers.Get(kDeadlineHeader), &own_ms)) {
+    const auto own =
+        std::chrono::milliseconds(std::max(own_ms, kMinDeadlineMs));
+    allowed = own < allowed ? Duration(own) : allowed;
+  }
+  return arrival + allowed;
+}
+
+void SetTimeLeft(Duration left, HttpHeaders* headers) {
+  const int64_t left_ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(left).count();
+  headers->Set(kDeadlineHeader, absl::StrCat(left_ms));
+}
+
+}  // namespace papaya
--- a/src/daemon/router_impl.cc
+++ b/src/daemon/router_impl.cc
@@ -260,8 +260,8 @@
       [this, forward, reply = std::move(reply),
        executor = context.get_executor()]() -> asio::awaitable<void> {
         ForwardedExchange exchange(executor, forward.request, reply);
-        co_await caller_front_->ServeForwarded(exchange, forward.account,
-                                               forward.ticket);
+        co_await caller_front_->ServeForwarded(
+            exchange, forward.account, forward.ticket, forward.time_left);
       },
       asio::detached);
 }
