--- a/src/rollout/pool_judge.cc
+++ b/src/rollout/pool_judge.cc
@@ -24,19 +24,6 @@
 // The part of the false alarms that is for versions; the rest is for replicas.
 constexpr double kVersionAlarms = 0.75;
 
-// Parts of one view's evidence. They add up to 1.
-constexpr double kQuantityWeights[kQuantities] = {0.5, 0.4, 0.1};
-constexpr double kOverallWeight = 0.5;
-
-double LogSum(const std::vector<double>& logs) {
-  const double largest = *std::max_element(logs.begin(), logs.end());
-  double sum = 0.0;
-  for (const double log : logs) {
-    sum += std::exp(log - largest);
-  }
-  return largest + std::log(sum);
-}
-
 uint32_t Succeeded(const StatsCounts& counts) {
   return counts.requests - counts.failures;
 }
@@ -191,7 +178,7 @@
 
 void PoolJudge::AddViews() {
   // A replica that comes later had no part in what was seen before.
-  const View so_far = views_[{ViewKind::kAll, UpstreamId()}];
+  const EvidenceView so_far = views_[{ViewKind::kAll, UpstreamId()}];
   for (const UpstreamId& replica : replicas_) {
     views_.try_emplace({ViewKind::kWithout, replica}, so_far);
   }
@@ -215,7 +202,7 @@
     requests_ += id.second.has_value() ? 0 : counts.requests;
   }
   for (const auto& [view_id, fresh] : sides) {
-    View& view = views_[view_id];
+    EvidenceView& view = views_[view_id];
     std::array<EvidenceTrack, kQuantities>& on_route = view.by_route[id.first];
     for (size_t i = 0; i < kQuantities; ++i) {
       const std::optional<LogRatios> ratios = RatiosOf(
@@ -303,49 +290,7 @@
   }
 }
 
-double PoolJudge::View::Log() const {
-  std::vector<double> logs;
-  for (size_t i = 0; i < kQuantities; ++i) {
-    const double weight = std::log(kQuantityWeights[i]);
-    logs.push_back(weight + std::log(kOverallWeight) + overall[i].Log());
-    const double route_weight =
-        std::log((1.0 - kOverallWeight) / static_cast<double>(by_route.size()));
-    for (const auto& [route, tracks] : by_route) {
-      logs.push_back(weight + route_weight + tracks[i].Log());
-    }
-  }
-  return LogSum(logs);
-}
-
-std::pair<Quantity, RouteId> PoolJudge::View::MainPart() const {
-  std::pair<Quantity, RouteId> part;
-  double most = -HUGE_VAL;
-  const auto consider = [&](const EvidenceTrack& track, size_t quantity,
-                            const RouteId& route) {
-    if (track.Log() > most) {
-      most = track.Log();
-      part = {static_cast<Quantity>(quantity), route};
-    }
-  };
-  for (size_t i = 0; i < kQuantities; ++i) {
-    consider(overall[i], i, RouteId());
-    for (const auto& [route, tracks] : by_route) {
-      consider(tracks[i], i, route);
-    }
-  }
-  return part;
-}
-
-double PoolJudge::View::LogOf(const std::pair<Quantity, RouteId>& part) const {
-  const size_t quantity = static_cast<size_t>(part.first);
-  if (part.second.empty()) {
-    return overall[quantity].Log();
-  }
-  const auto found = by_route.find(part.second);
-  return found == by_route.end() ? 0.0 : found->second[quantity].Log();
-}
-
-StopFact PoolJudge::MakeFact(const View& view,
+StopFact PoolJudge::MakeFact(const EvidenceView& view,
                              const UpstreamId& upstream) const {
   const auto [quantity, route] = view.MainPart();
   const StopCause cause = quantity == Quantity::kFailure ? StopCause::kFailures
@@ -355,8 +300,8 @@
 
 // True if the evidence is there without any one replica, on the quantity and
 // the route where it is strongest.
-bool PoolJudge::StandsWithoutEach(const View& all) const {
-  const std::pair<Quantity, RouteId> part = all.MainPart();
+bool PoolJudge::StandsWithoutEach(const EvidenceView& all) const {
+  const EvidenceView::Part part = all.MainPart();
   return std::all_of(
       replicas_.begin(), replicas_.end(), [&](const UpstreamId& replica) {
         const auto without = views_.find({ViewKind::kWithout, replica});
--- a/src/rollout/pool_judge.h
+++ b/src/rollout/pool_judge.h
@@ -15,7 +15,7 @@
 #include "include/rollout/stop_fact.h"
 #include "include/rollout/version_judge.h"
 #include "include/rollout/version_stats.h"
-#include "src/rollout/evidence.h"
+#include "src/rollout/evidence_view.h"
 #include "src/rollout/latency_ratio.h"
 
 namespace papaya {
@@ -74,18 +74,6 @@
   // A set of replicas whose evidence is kept.
   enum class ViewKind : uint8_t { kAll, kOnly, kWithout };
 
-  // Evidence of one view: over all routes, and on each.
-  struct View {
-    std::array<EvidenceTrack, kQuantities> overall;
-    std::map<RouteId, std::array<EvidenceTrack, kQuantities>> by_route;
-
-    double Log() const;
-    // The quantity and the route (empty: over all) with most evidence.
-    std::pair<Quantity, RouteId> MainPart() const;
-    // The evidence on that quantity and route alone.
-    double LogOf(const std::pair<Quantity, RouteId>& part) const;
-  };
-
   using ViewId = std::pair<ViewKind, UpstreamId>;
 
   // How latencies of a window are compared.
@@ -116,9 +104,9 @@
   ReplicaCounts CountReplicas(const StratumId& id, const ViewId& view) const;
   void AddViews();
   void AddStarts(TimePoint now);
-  bool StandsWithoutEach(const View& all) const;
+  bool StandsWithoutEach(const EvidenceView& all) const;
   void FindBad(std::vector<StopFact>* found);
-  StopFact MakeFact(const View& view, const UpstreamId& upstream) const;
+  StopFact MakeFact(const EvidenceView& view, const UpstreamId& upstream) const;
 
   const VersionJudgeOptions options_;
   const NoteId note_;
@@ -129,7 +117,7 @@
            absl::flat_hash_map<StatsKey, StatsCounts>>
       reported_;
   std::map<StratumId, Stratum> strata_;
-  std::map<ViewId, View> views_;
+  std::map<ViewId, EvidenceView> views_;
   std::set<UpstreamId> replicas_;
   // Replicas in the configuration, by generation.
   std::map<GenerationId, ReplicaCounts> configured_;
