Let the fake fleet of notes drive the StatsSender

Cause: the release-note measures and the tests with random faults sent each router's counts to all judges every second, in one piece; the product paces them by what a judge may receive, and that was measured only alone. Change: FakeRollout gives each router a StatsSender and carries its reports over the late and lossy link; FakeReply moves to the header of the router.

--- a/tests/fakes/fake_rollout_fleet.h
+++ b/tests/fakes/fake_rollout_fleet.h
@@ -17,6 +17,7 @@
 #include "include/config/fleet_config_json.h"
 #include "include/rollout/note_book.h"
 #include "include/rollout/note_runner.h"
+#include "include/rollout/stats_sender.h"
 #include "include/rollout/stop_fact.h"
 #include "include/rollout/version_judge.h"
 #include "include/rollout/version_stats.h"
@@ -28,12 +29,6 @@
 
 inline constexpr char kFakePrefix[] = "fleet";
 
-// What an upstream does with one request.
-struct FakeReply {
-  bool failed = false;
-  Duration latency{};
-};
-
 // A fleet in virtual time: platform store, engines, routers with all cores of
 // the module, gossip as late messages, and requests of one pool.
 struct FakeRollout {
@@ -81,6 +76,11 @@
         [this, router](const StopFact& fact) { Learn(router, fact); });
     router->stats = std::make_unique<VersionStats>(
         router->id, Incarnation(router->incarnation));
+    router->sender = std::make_unique<StatsSender>(
+        router->id, router->stats.get(),
+        [this, router](const RouterId& judge, const StatsReport& report) {
+          SendReport(router, judge, report);
+        });
     router->runner = std::make_unique<NoteRunner>(
         router->store.get(), kFakePrefix,
         absl::StrCat(router->id.value(), "#", router->incarnation), chart,
@@ -235,22 +235,34 @@
     }
   }
 
-  void SpreadReports() {
-    for (const std::unique_ptr<FakeRouter>& from : routers) {
-      if (!IsUp(*from)) {
-        continue;
+  // The routers that others know to live.
+  std::vector<RouterId> LivingRouters() const {
+    std::vector<RouterId> living;
+    for (const std::unique_ptr<FakeRouter>& router : routers) {
+      if (IsUp(*router)) {
+        living.push_back(router->id);
       }
-      const StatsReport report = from->stats->MakeReport();
+    }
+    return living;
+  }
+
+  // Reports to others come late or never; those to a router's own judge at
+  // once.
+  void SendReport(FakeRouter* from,
+                  const RouterId& judge,
+                  const StatsReport& report) {
+    if (judge == from->id) {
       from->judge->OnReport(report);
+      return;
+    }
+    const bool is_lost = from->is_cut_off || random.Chance(options.lost_gossip);
+    backend.At(backend.now + LinkDelay(), [this, judge, report, is_lost] {
       for (const std::unique_ptr<FakeRouter>& to : routers) {
-        const bool arrives = to != from && IsUp(*to) && !from->is_cut_off &&
-                             !to->is_cut_off &&
-                             !random.Chance(options.lost_gossip);
-        if (arrives && !report.rows.empty()) {
+        if (to->id == judge && IsUp(*to) && !to->is_cut_off && !is_lost) {
           to->judge->OnReport(report);
         }
       }
-    }
+    });
   }
 
   // One tick of every router, then all that is due up to the next one.
@@ -258,12 +270,10 @@
     for (auto& [id, engine] : engines) {
       engine.FinishLoads(backend.now);
     }
-    const bool is_second =
-        ++ticks % (std::chrono::seconds(1) / options.tick) == 0;
-    if (is_second) {
+    if (++ticks % (std::chrono::seconds(1) / options.tick) == 0) {
       SpreadConfig();
-      SpreadReports();
     }
+    const std::vector<RouterId> living = LivingRouters();
     for (const std::unique_ptr<FakeRouter>& router : routers) {
       if (!IsUp(*router)) {
         continue;
@@ -273,6 +283,7 @@
         router->runner->OnEvidence(evidence.note, evidence.requests);
       }
       router->runner->OnTick(backend.now, wall(), true);
+      router->sender->OnTick(backend.now, living);
     }
     SendRequests();
     backend.RunUntil(backend.now + options.tick);
--- a/tests/fakes/fake_rollout_router.h
+++ b/tests/fakes/fake_rollout_router.h
@@ -11,6 +11,7 @@
 #include "include/base/units.h"
 #include "include/config/fleet_config.h"
 #include "include/rollout/note_runner.h"
+#include "include/rollout/stats_sender.h"
 #include "include/rollout/stop_fact.h"
 #include "include/rollout/version_judge.h"
 #include "include/rollout/version_stats.h"
@@ -18,6 +19,12 @@
 
 namespace papaya {
 
+// What an upstream does with one request.
+struct FakeReply {
+  bool failed = false;
+  Duration latency{};
+};
+
 // One router: its cores and what it has learnt.
 struct FakeRouter {
   RouterId id;
@@ -26,6 +33,7 @@
   std::unique_ptr<NoteRunner> runner;
   std::unique_ptr<VersionJudge> judge;
   std::unique_ptr<VersionStats> stats;
+  std::unique_ptr<StatsSender> sender;
   StopSet stops;
   FleetConfig config;
   // `config` without what is stopped.
