--- a/include/rollout/version_judge.h
+++ b/include/rollout/version_judge.h
@@ -45,8 +45,8 @@
 // the counts of all routers, and says when it is bad or one of its replicas is.
 //
 // Sequential test: for each route, each short window gives an exact conditional
-// likelihood ratio for failures, and for latencies above a threshold, of `the
-// odds are clearly worse` against `the odds are hardly worse`. Products over
+// likelihood ratio for failures, for latencies by rank and for very slow
+// replies, of `clearly worse` against `hardly worse`. Products over
 // windows, mixed over starting times, effects, routes and quantities, form one
 // supermartingale, so the chance of a false alarm stays bounded however often
 // one looks.
