Name all four words that a truth value may have

Cause: settings take true, yes, false and no, but their fault said "true or false"; that of release notes said "`yes` or `no`" of the same four. Change: both name all four. The fault of a chat route that is not idempotent says that yes would do too. File, line, section, key and what was found were there already; the tests now ask for them, and for by_header and notes as well.

--- a/src/rollout/release_note.cc
+++ b/src/rollout/release_note.cc
@@ -58,7 +58,7 @@
 
 const char* TakeBool(const std::string& value, std::optional<bool>* into) {
   *into = ParseBool(value);
-  return into->has_value() ? nullptr : "`yes` or `no`";
+  return into->has_value() ? nullptr : "one of yes, true, no and false";
 }
 
 template <typename Id>
@@ -70,7 +70,7 @@
 const char* TakeWithdrawn(const std::string& value, bool* into) {
   const std::optional<bool> read = ParseBool(value);
   *into = read.value_or(false);
-  return read.has_value() ? nullptr : "`yes` or `no`";
+  return read.has_value() ? nullptr : "one of yes, true, no and false";
 }
 
 const std::vector<KeyReader<ReleaseNote>>& NoteKeys() {
--- a/src/settings/router_settings_checks.cc
+++ b/src/settings/router_settings_checks.cc
@@ -126,9 +126,10 @@
                                      " takes it from `model`"));
     }
     if (!route.idempotent && route.path == kChatPath) {
-      AddAtKey(section, "idempotent",
-               absl::StrCat("true, as ", kChatPath, " may be tried again"),
-               faults);
+      AddAtKey(
+          section, "idempotent",
+          absl::StrCat("true or yes, as ", kChatPath, " may be tried again"),
+          faults);
     }
   }
 }
--- a/src/settings/router_settings_rules.cc
+++ b/src/settings/router_settings_rules.cc
@@ -32,7 +32,7 @@
 constexpr const char* kBytesExpected =
     "a positive size in bytes, as 4096, 16KiB or 4MiB";
 constexpr const char* kCountExpected = "a whole number from 1 to 10000000";
-constexpr const char* kBoolExpected = "true or false";
+constexpr const char* kBoolExpected = "one of true, yes, false and no";
 
 template <typename T>
 using Read = std::function<bool(const std::string&, T&)>;
--- a/tests/release_note_test.cc
+++ b/tests/release_note_test.cc
@@ -101,6 +101,9 @@
                           "address = 10.0.0.1:8000\n"),
              Contains("same address"));
   CHECK_THAT(first(hour), Contains("changes nothing"));
+  CHECK_THAT(first(hour + "[pool plans]\nwithdrawn = maybe\n"),
+             Contains("[pool plans] withdrawn: found `maybe`, expected one of "
+                      "yes, true, no and false"));
   FleetConfig services = fleet;
   for (UpstreamSpec& upstream : services.upstreams) {
     upstream.kind = UpstreamKind::kPlainService;
--- a/tests/router_settings_test.cc
+++ b/tests/router_settings_test.cc
@@ -129,7 +129,11 @@
       {"pool = booking\n", "",
        "[route book] pool: found nothing, expected a pool"},
       {"idempotent = false", "idempotent = maybe",
-       "[route book] idempotent: found `maybe`, expected true or false"},
+       "r.ini:28: [route book] idempotent: found `maybe`, expected one of "
+       "true, yes, false and no"},
+      {"by_header = true", "by_header = True",
+       "r.ini:32: [route report] by_header: found `True`, expected one of "
+       "true, yes, false and no"},
       {"tier = critical", "tier = gold",
        "[route book] tier: found `gold`, expected one of critical"},
       {"by_header = true\n", "",
@@ -138,7 +142,8 @@
       {"tier = interactive",
        "tier = interactive\nidempotent = false\n"
        "deadline = 1s",
-       "[route chat] idempotent: found `false`, expected true"},
+       "[route chat] idempotent: found `false`, expected true or yes, as "
+       "/v1/chat/completions may be tried again"},
       {"path = /svc/booking/hires", "path = /svc/*/hires",
        "[route book] path: found `/svc/*/hires`, expected a path"},
       {"path = /svc/booking/hires", "path = /svc/booking/hires\nmethod = post",
