Take demand reports of a router whose clock was set back

Cause: a router that restarts with its VM's clock set back reports under an earlier incarnation. Membership gives it a later one, but its demand reports go on with the first; PeerTable passed them over until it forgot the former ones, ten lifetimes after the last of them.

Change: a report of an earlier incarnation counts once the later one's don't count any more, one lifetime after the last of them.

A report that was overtaken for longer than a lifetime by those of a later incarnation that is dead counts for one lifetime more.

--- a/src/admission/peer_table.cc
+++ b/src/admission/peer_table.cc
@@ -22,7 +22,11 @@
   Peer& peer = found->second;
   const std::pair<Incarnation, uint64_t> known(peer.report.incarnation,
                                                peer.report.sequence);
-  if (std::pair(report.incarnation, report.sequence) <= known) {
+  // The clock that incarnations come from may have been set back between two
+  // starts of a router.
+  const bool is_back =
+      report.incarnation < known.first && now - peer.arrival > lifetime_;
+  if (!is_back && std::pair(report.incarnation, report.sequence) <= known) {
     return false;
   }
   peer = {report, now};
--- a/src/admission/peer_table.h
+++ b/src/admission/peer_table.h
@@ -17,7 +17,8 @@
   // Reports count for `lifetime` after their arrival.
   explicit PeerTable(Duration lifetime) : lifetime_(lifetime) {}
 
-  // Takes in `report`; false if a later one of that router is here already.
+  // Takes in `report`; false if a later one of that router is here already. One
+  // of an earlier incarnation counts once the later one has fallen silent.
   bool Update(const DemandReport& report, TimePoint now);
 
   // The report of `router`; null if there is none or it is too old.
--- a/tests/peer_table_test.cc
+++ b/tests/peer_table_test.cc
@@ -48,4 +48,20 @@
   CHECK(table.size() == 1);
 }
 
+TEST_CASE(
+    "PeerTable: a router that restarts with its clock set back counts once "
+    "its former reports don't",
+    "[admission]") {
+  PeerTable table(kLifetime);
+  CHECK(table.Update(MakeReport(2, 900), kStart));
+  CHECK(!table.Update(MakeReport(1, 1), kStart + kLifetime));
+  const TimePoint later = kStart + kLifetime + std::chrono::milliseconds(1);
+  CHECK(!table.Update(MakeReport(2, 899), later));
+  CHECK(table.Update(MakeReport(1, 2), later));
+  REQUIRE(table.Find(kPeer, later) != nullptr);
+  CHECK(table.Find(kPeer, later)->incarnation == Incarnation(1));
+  CHECK(table.Update(MakeReport(1, 3), later));
+  CHECK(table.Update(MakeReport(2, 901), later));
+}
+
 }  // namespace papaya
