Give a free slot to a router that is short before the others

The rendezvous hash of each upstream named another router each time a slot came free, so that one request waited its 4 s, not once dispatched, while requests that came after it ran; a batch stream was still served when it was shed. Ruled out: lost news (the shortage was told), a dead router, a straggler set aside.

Change: of the routers that lack some of their part, SlotPlanner takes first those that reported to be short for the tier, then goes by the hash as before. What is short is in the reports, so that all come to the same plan. Nothing changes on the wire.

--- a/src/admission/slot_planner.cc
+++ b/src/admission/slot_planner.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <numeric>
+#include <utility>
 
 namespace papaya {
 
@@ -34,6 +35,9 @@
         report != nullptr ? FindGroup(*report, state.name) : nullptr;
     Router& router = routers_[i];
     router.demand.is_known = report != nullptr;
+    if (demand != nullptr) {
+      router.short_tier = demand->short_tier;
+    }
     for (size_t tier = 0; demand != nullptr && tier < kTierCount; ++tier) {
       const TierDemand& known = demand->tiers[tier];
       router.demand.tiers[tier] = known.running + known.waiting;
@@ -74,19 +78,27 @@
 
 // Of several routers, a rendezvous hash names one: it stays the same while
 // reports come in one by one, unlike the router that lacks most, and so two
-// routers seldom take one slot.
+// routers seldom take one slot. One that is short goes before the others, or
+// the hash could pass it over until its requests are past their deadlines.
 bool SlotPlanner::GrantOne(const PlannedGroup::Upstream& upstream,
                            int64_t self,
                            Tier tier,
                            int* limit) {
   const size_t index = TierIndex(tier);
   const PlannedGroup::User* chosen = nullptr;
+  std::pair<bool, uint64_t> chosen_rank;
   for (const PlannedGroup::User& user : upstream.users) {
     const Router& router = routers_[user.position];
     const double lacking = router.allotment[index] - router.running[index];
-    if (router.waiting[index] > 0.0 && lacking > 0.0 &&
-        (chosen == nullptr || user.weight > chosen->weight)) {
+    if (router.waiting[index] <= 0.0 || lacking <= 0.0) {
+      continue;
+    }
+    const bool is_short =
+        router.short_tier.has_value() && *router.short_tier <= tier;
+    const std::pair<bool, uint64_t> rank(is_short, user.weight);
+    if (chosen == nullptr || rank > chosen_rank) {
       chosen = &user;
+      chosen_rank = rank;
     }
   }
   if (chosen == nullptr) {
--- a/src/admission/slot_planner.h
+++ b/src/admission/slot_planner.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "include/base/units.h"
@@ -44,6 +45,8 @@
     TierSlots running{};
     TierSlots waiting{};
     TierSlots allotment{};
+    // Its requests of this tier have waited too long.
+    std::optional<Tier> short_tier;
   };
 
   void CollectDemand(const GroupState& state);
@@ -53,8 +56,9 @@
   double CountFree(const PlannedGroup& group) const;
   void GrantFreeSlots(const PlannedGroup& group);
   // Gives a free slot of `upstream` to a router that lacks some of its
-  // allotment for `tier` and has requests of it waiting; `limit` grows if that
-  // is this one. False if there is no such router.
+  // allotment for `tier` and has requests of it waiting, first to one that is
+  // short for it; `limit` grows if that is this one. False if there is no such
+  // router.
   bool GrantOne(const PlannedGroup::Upstream& upstream,
                 int64_t self,
                 Tier tier,
--- a/tests/scheduler_test.cc
+++ b/tests/scheduler_test.cc
@@ -53,6 +53,14 @@
     scheduler->OnSnapshot(RoutingSnapshot::Build(input), now);
   }
 
+  // Publishes a snapshot in which these routers use the upstreams.
+  void UseRouters(const std::vector<RouterId>& routers) {
+    for (const RouterId& router : routers) {
+      input.routers.push_back({.id = router});
+    }
+    UseVersion("v1");
+  }
+
   RequestSpec MakeRequest(uint64_t id, Tier tier = Tier::kInteractive) {
     RequestSpec spec;
     spec.id = RequestId(id);
@@ -186,6 +194,32 @@
   CHECK(f.dispatched[2].first == RequestId(1));
 }
 
+// Which router takes a free slot is drawn by a hash of its name.
+TEST_CASE("a free slot goes to the router whose critical request waits longest",
+          "[admission]") {
+  for (int i = 1; i <= 8; ++i) {
+    Fixture f(1);
+    const RouterId peer("r" + std::to_string(i));
+    f.UseRouters({RouterId("r0"), peer});
+    DemandReport report;
+    report.router = peer;
+    report.groups = {{.group = {kPool, VersionId("v1")}}};
+    report.groups[0].tiers[TierIndex(Tier::kCritical)] = {.running = 0,
+                                                          .waiting = 3};
+    f.scheduler->OnDemandReport(report, f.now);
+    f.Advance(std::chrono::milliseconds(250));
+    f.Request(1, Tier::kCritical);
+    const TimePoint asked = f.now;
+    while (f.now < asked + std::chrono::seconds(6)) {
+      ++report.sequence;
+      f.scheduler->OnDemandReport(report, f.now);
+      f.Advance(std::chrono::milliseconds(250));
+    }
+    INFO(peer.value());
+    CHECK(f.dispatched.size() == 1);
+  }
+}
+
 TEST_CASE("a request of an unknown pool is refused", "[admission]") {
   Fixture f(1);
   RequestSpec spec = f.MakeRequest(1);
