Run overload.without_retry_budget at the load that its name says

Cause: RunWithout ran every part at twice the capacity, also the line [0.8x,cuts] of the retry budget. Change: it runs at the part's own load.

--- a/bench/policy_parts_bench.cc
+++ b/bench/policy_parts_bench.cc
@@ -63,7 +63,7 @@
 // The value is without the part, the baseline with it.
 std::vector<Figure> RunWithout(const Part& part, const FakeSite& site) {
   SchedulingRun run{
-      .site = site, .load = kOverload, .has_faults = part.has_faults};
+      .site = site, .load = part.load, .has_faults = part.has_faults};
   run.links.cut = part.cut;
   const Outcome with = MeanOutcome(run);
   run.parts.*part.flag = false;
