Measure routing part by part

Change: SchedulerParts has a flag for each of nine parts; routing.without_* prints ttft_p95, wasted prefill and the straggler's seconds without it, with the whole policy as baseline. The straggler's time has a file of its own, since two measures take it.

--- a/bench/routing_bench.cc
+++ b/bench/routing_bench.cc
@@ -5,6 +5,7 @@
 #include "absl/strings/str_cat.h"
 #include "bench/measure.h"
 #include "bench/scheduling_run.h"
+#include "bench/straggler_time.h"
 
 namespace papaya::bench {
 namespace {
@@ -75,72 +76,13 @@
   return figures;
 }
 
-// Part of the dispatches to model engines in [begin, end) that went to
-// `engine`.
-double ShareOf(const FakeFleet& fleet,
-               size_t engine,
-               TimePoint begin,
-               TimePoint end) {
-  double all = 0.0;
-  double own = 0.0;
-  for (const auto& [id, record] : fleet.records()) {
-    for (size_t i = 0; i < record.dispatched.size(); ++i) {
-      const TimePoint when = record.dispatch_times[i];
-      if (record.spec.prompt_tokens.value() > 0 && when >= begin &&
-          when < end) {
-        all += 1.0;
-        own += record.dispatched[i] == engine ? 1.0 : 0.0;
-      }
-    }
-  }
-  return all > 0.0 ? own / all : 0.0;
-}
-
-// The first engine, not counting the first two, that got work in [begin, end):
-// one without any has no share to fall from.
-size_t FirstUsed(const FakeFleet& fleet, TimePoint begin, TimePoint end) {
-  size_t engine = 2;
-  while (engine + 1 < fleet.engine_count() &&
-         ShareOf(fleet, engine, begin, end) == 0.0) {
-    ++engine;
-  }
-  return engine;
-}
-
-// Seconds from slowing until an upstream gets under 5% of its former share,
-// over the minute that follows.
-double StragglerSeconds(const FakeSite& site,
-                        PolicyKind policy,
-                        uint64_t seed) {
-  constexpr Duration kBefore = std::chrono::seconds(60);
-  SchedulingRun run{.site = site, .policy = policy, .load = kLoad};
-  TimePoint slowed;
-  size_t engine = 0;
-  run.prepare = [&slowed, &engine, kBefore](FakeFleet* fleet, FakeTraffic*) {
-    slowed = fleet->loop().now() + kBefore;
-    fleet->loop().After(kBefore, [&slowed, &engine, kBefore, fleet] {
-      engine = FirstUsed(*fleet, slowed - kBefore, slowed);
-      fleet->engine(engine).SetSlowness(4.0);
-    });
-  };
-  const auto fleet = RunFleet(run, seed);
-  const double limit = 0.05 * ShareOf(*fleet, engine, slowed - kBefore, slowed);
-  const Duration step = std::chrono::milliseconds(250);
-  Duration after{};
-  while (after < std::chrono::seconds(60) &&
-         ShareOf(*fleet, engine, slowed + after, slowed + after + kBefore) >=
-             limit) {
-    after += step;
-  }
-  return ToSeconds(after);
-}
-
 std::vector<Figure> RunStraggler() {
   std::vector<Figure> figures;
   for (const FakeSite& site : Sites()) {
     const auto seconds = [&site](PolicyKind policy) {
       return MeanOverSeeds([&site, policy](uint64_t seed) {
-        return StragglerSeconds(site, policy, seed);
+        return StragglerSeconds({.site = site, .policy = policy, .load = kLoad},
+                                seed);
       });
     };
     figures.push_back({.name = "routing.straggler[" + site.name + "]",
--- /dev/null
+++ b/bench/routing_parts_bench.cc
@@ -0,0 +1,95 @@
+#include <array>
+#include <cstddef>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "absl/strings/str_format.h"
+#include "bench/measure.h"
+#include "bench/scheduling_run.h"
+#include "bench/straggler_time.h"
+
+namespace papaya::bench {
+namespace {
+
+// The load of the routing measures, as a part of capacity.
+constexpr double kLoad = 0.8;
+
+// A part of the choice of an upstream that can be left out.
+struct Part {
+  const char* name;
+  bool SchedulerParts::*flag;
+};
+
+constexpr Part kParts[] = {
+    {"decode_time", &SchedulerParts::decode_time},
+    {"kind_speed", &SchedulerParts::kind_speed},
+    {"last_slot_price", &SchedulerParts::last_slot_price},
+    {"observed_speed", &SchedulerParts::observed_speed},
+    {"output_length", &SchedulerParts::output_length},
+    {"peer_prefill", &SchedulerParts::peer_prefill},
+    {"prefix_affinity", &SchedulerParts::prefix_affinity},
+    {"straggler_detection", &SchedulerParts::straggler_detection},
+    {"token_price", &SchedulerParts::token_price},
+};
+
+struct Quantity {
+  const char* name;
+  const char* unit;
+};
+
+// What a part is judged by, in the order of MeanValues.
+constexpr Quantity kQuantities[] = {{"ttft_p95", "s"},
+                                    {"wasted_prefill", "tokens"},
+                                    {"straggler", "s"}};
+
+std::vector<double> MeanValues(const SchedulingRun& run) {
+  return MeansOverSeeds([&run](uint64_t seed) {
+    const std::unique_ptr<FakeFleet> fleet = RunFleet(run, seed);
+    return std::vector<double>{FirstTokenP95(*fleet), fleet->wasted_prefill(),
+                               StragglerSeconds(run, seed)};
+  });
+}
+
+// The values without the part; the baselines are `with` it.
+std::vector<Figure> RunWithout(const std::string& name,
+                               const Part& part,
+                               const FakeSite& site,
+                               const std::vector<double>& with) {
+  SchedulingRun run{.site = site, .load = kLoad};
+  run.parts.*part.flag = false;
+  const std::vector<double> without = MeanValues(run);
+  std::vector<Figure> figures;
+  for (size_t i = 0; i < without.size(); ++i) {
+    figures.push_back({.name = name + "." + kQuantities[i].name,
+                       .value = without[i],
+                       .unit = kQuantities[i].unit,
+                       .baseline = with[i],
+                       .seeds = 5});
+  }
+  return figures;
+}
+
+bool RegisterAll() {
+  for (const FakeSite& site : {MakeSkokan(), MakeWadiRum()}) {
+    // Of the whole policy, which all parts are compared with.
+    const auto with = std::make_shared<std::vector<double>>();
+    for (const Part& part : kParts) {
+      const std::string name =
+          absl::StrFormat("routing.without_%s[%s]", part.name, site.name);
+      RegisterMeasure({name, [name, part, site, with] {
+                         if (with->empty()) {
+                           *with = MeanValues({.site = site, .load = kLoad});
+                         }
+                         return RunWithout(name, part, site, *with);
+                       }});
+    }
+  }
+  return true;
+}
+
+const bool kWithout = RegisterAll();
+
+}  // namespace
+}  // namespace papaya::bench
--- /dev/null
+++ b/bench/straggler_time.cc
@@ -0,0 +1,67 @@
+#include "bench/straggler_time.h"
+
+#include <chrono>
+#include <memory>
+
+namespace papaya::bench {
+
+namespace {
+
+// Part of the dispatches to model engines in [begin, end) that went to
+// `engine`.
+double ShareOf(const FakeFleet& fleet,
+               size_t engine,
+               TimePoint begin,
+               TimePoint end) {
+  double all = 0.0;
+  double own = 0.0;
+  for (const auto& [id, record] : fleet.records()) {
+    for (size_t i = 0; i < record.dispatched.size(); ++i) {
+      const TimePoint when = record.dispatch_times[i];
+      if (record.spec.prompt_tokens.value() > 0 && when >= begin &&
+          when < end) {
+        all += 1.0;
+        own += record.dispatched[i] == engine ? 1.0 : 0.0;
+      }
+    }
+  }
+  return all > 0.0 ? own / all : 0.0;
+}
+
+// The first engine, not counting the first two, that got work in [begin, end):
+// one without any has no share to fall from.
+size_t FirstUsed(const FakeFleet& fleet, TimePoint begin, TimePoint end) {
+  size_t engine = 2;
+  while (engine + 1 < fleet.engine_count() &&
+         ShareOf(fleet, engine, begin, end) == 0.0) {
+    ++engine;
+  }
+  return engine;
+}
+
+}  // namespace
+
+double StragglerSeconds(SchedulingRun run, uint64_t seed) {
+  constexpr Duration kBefore = std::chrono::seconds(60);
+  TimePoint slowed;
+  size_t engine = 0;
+  run.prepare = [&slowed, &engine, kBefore](FakeFleet* fleet, FakeTraffic*) {
+    slowed = fleet->loop().now() + kBefore;
+    fleet->loop().After(kBefore, [&slowed, &engine, kBefore, fleet] {
+      engine = FirstUsed(*fleet, slowed - kBefore, slowed);
+      fleet->engine(engine).SetSlowness(4.0);
+    });
+  };
+  const auto fleet = RunFleet(run, seed);
+  const double limit = 0.05 * ShareOf(*fleet, engine, slowed - kBefore, slowed);
+  const Duration step = std::chrono::milliseconds(250);
+  Duration after{};
+  while (after < std::chrono::seconds(60) &&
+         ShareOf(*fleet, engine, slowed + after, slowed + after + kBefore) >=
+             limit) {
+    after += step;
+  }
+  return ToSeconds(after);
+}
+
+}  // namespace papaya::bench
--- a/include/admission/scheduler_parts.h
+++ b/include/admission/scheduler_parts.h
@@ -18,6 +18,25 @@
   bool retry_budget = true;
   // Work past its deadline is refused.
   bool deadlines = true;
+
+  // Upstreams that hold a prompt's prefix are known to have less to do.
+  bool prefix_affinity = true;
+  // Each uncached token costs something besides its time.
+  bool token_price = true;
+  // The last free slots of an upstream cost something.
+  bool last_slot_price = true;
+  // Speeds are observed. Without it all upstreams are taken to be alike.
+  bool observed_speed = true;
+  // What an upstream shows of its speed counts for its kind, too.
+  bool kind_speed = true;
+  // Prompts that other routers have outstanding at an upstream count.
+  bool peer_prefill = true;
+  // The length of answers is learnt. Without it all are taken to be alike.
+  bool output_length = true;
+  // The time after the first token counts a little.
+  bool decode_time = true;
+  // Upstreams slower than their kind are set aside.
+  bool straggler_detection = true;
 };
 
 }  // namespace papaya
--- a/src/admission/scheduler_attempts.cc
+++ b/src/admission/scheduler_attempts.cc
@@ -72,8 +72,10 @@
   const double seconds = ToSeconds(now - entry->dispatched);
   usual += (seconds - usual) * (usual > 0.0 ? kAttemptStep : 1.0);
   if (entry->spec.prompt_tokens.value() > 0) {
-    lengths_.Learn(entry->spec.account, entry->spec.route,
-                   result.output_tokens);
+    if (options_.parts.output_length) {
+      lengths_.Learn(entry->spec.account, entry->spec.route,
+                     result.output_tokens);
+    }
   } else {
     upstreams_.OnServiceAnswer(*entry, now);
   }
--- a/src/admission/scheduler_core.cc
+++ b/src/admission/scheduler_core.cc
@@ -18,9 +18,10 @@
 SchedulerCore::SchedulerCore(SchedulerOptions options, SchedulerHooks hooks)
     : options_(std::move(options)),
       hooks_(std::move(hooks)),
+      upstreams_(options_.parts),
       peers_(options_.report_lifetime),
       prefixes_(kPrefixes),
-      chooser_(&upstreams_, &prefixes_),
+      chooser_(options_.parts, &upstreams_, &prefixes_),
       pacer_(options_.report_interval, options_.report_budget) {}
 
 void SchedulerCore::OnSnapshot(std::shared_ptr<const RoutingSnapshot> snapshot,
--- a/src/admission/scheduler_pressure.cc
+++ b/src/admission/scheduler_pressure.cc
@@ -134,6 +134,9 @@
 }
 
 void SchedulerCore::UpdateStragglers(GroupState* group, TimePoint now) {
+  if (!options_.parts.straggler_detection) {
+    return;
+  }
   for (int32_t number : upstreams_.UpdateStragglers(group->upstreams, now)) {
     const UpstreamState& state = upstreams_.at(number);
     const EventId id = state.straggler.set_aside ? EventId::kStragglerSetAside
--- a/src/admission/upstream_chooser.cc
+++ b/src/admission/upstream_chooser.cc
@@ -72,7 +72,7 @@
     const RequestEntry& entry) const {
   Cached cached;
   const std::vector<uint64_t>& hashes = entry.spec.prefix_hashes;
-  if (hashes.empty()) {
+  if (hashes.empty() || !parts_.prefix_affinity) {
     return cached;
   }
   cached.count = prefixes_->Find(hashes, &cached.matches);
@@ -89,13 +89,22 @@
     return upstreams_->DecodeSeconds(state) * (state.TotalRunning() + 1.0) /
            state.slots;
   }
-  const double first_token =
-      (state.prefill + state.peer_prefill + kPrefillWeight * prefill_tokens) *
-      upstreams_->PrefillSeconds(state);
-  const double rest = static_cast<double>(entry.expected_output.value()) *
-                      upstreams_->DecodeSeconds(state);
-  return first_token + kPrefillTokenSeconds * prefill_tokens +
-         kDecodeWeight * rest + CrowdingSeconds(state);
+  const double ahead =
+      state.prefill + (parts_.peer_prefill ? state.peer_prefill : 0.0);
+  double seconds = (ahead + kPrefillWeight * prefill_tokens) *
+                   upstreams_->PrefillSeconds(state);
+  if (parts_.token_price) {
+    seconds += kPrefillTokenSeconds * prefill_tokens;
+  }
+  if (parts_.decode_time) {
+    seconds += kDecodeWeight *
+               static_cast<double>(entry.expected_output.value()) *
+               upstreams_->DecodeSeconds(state);
+  }
+  if (parts_.last_slot_price) {
+    seconds += CrowdingSeconds(state);
+  }
+  return seconds;
 }
 
 void UpstreamChooser::Consider(int32_t number, Search* search) const {
--- a/src/admission/upstream_chooser.h
+++ b/src/admission/upstream_chooser.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <vector>
 
+#include "include/admission/scheduler_parts.h"
 #include "include/base/units.h"
 #include "include/routing/prefix_index.h"
 #include "src/admission/group_state.h"
@@ -16,9 +17,11 @@
 // it is estimated to finish first.
 class UpstreamChooser {
  public:
-  // Both must outlive the chooser.
-  UpstreamChooser(const UpstreamTable* upstreams, const PrefixIndex* prefixes)
-      : upstreams_(upstreams), prefixes_(prefixes) {}
+  // The pointers must outlive the chooser.
+  UpstreamChooser(const SchedulerParts& parts,
+                  const UpstreamTable* upstreams,
+                  const PrefixIndex* prefixes)
+      : parts_(parts), upstreams_(upstreams), prefixes_(prefixes) {}
 
   // What was chosen.
   struct Choice {
@@ -64,6 +67,7 @@
                         const UpstreamState& state,
                         double prefill_tokens) const;
 
+  SchedulerParts parts_;
   const UpstreamTable* upstreams_;
   const PrefixIndex* prefixes_;
 };
--- a/src/admission/upstream_table.cc
+++ b/src/admission/upstream_table.cc
@@ -345,14 +345,23 @@
   }
 }
 
+double UpstreamTable::SecondsOf(const SpeedMean& own,
+                                const SpeedMean& kind,
+                                double first) const {
+  if (!parts_.observed_speed) {
+    return first;
+  }
+  return own.Get(parts_.kind_speed ? kind.Get(first) : first);
+}
+
 double UpstreamTable::PrefillSeconds(const UpstreamState& state) const {
-  const UpstreamSpeed& kind = state.kind->speed;
-  return state.speed.prefill.Get(kind.prefill.Get(kFirstPrefillSeconds));
+  return SecondsOf(state.speed.prefill, state.kind->speed.prefill,
+                   kFirstPrefillSeconds);
 }
 
 double UpstreamTable::DecodeSeconds(const UpstreamState& state) const {
-  const UpstreamSpeed& kind = state.kind->speed;
-  return state.speed.decode.Get(kind.decode.Get(kFirstDecodeSeconds));
+  return SecondsOf(state.speed.decode, state.kind->speed.decode,
+                   kFirstDecodeSeconds);
 }
 
 }  // namespace papaya
--- a/src/admission/upstream_table.h
+++ b/src/admission/upstream_table.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "include/admission/scheduler_parts.h"
 #include "include/base/ids.h"
 #include "include/base/units.h"
 #include "include/routing/routing_snapshot.h"
@@ -21,6 +22,8 @@
 // stays the same over snapshots.
 class UpstreamTable {
  public:
+  explicit UpstreamTable(const SchedulerParts& parts) : parts_(parts) {}
+
   // Takes over the upstreams of `snapshot`.
   void Apply(const RoutingSnapshot& snapshot);
 
@@ -74,12 +77,17 @@
   double DecodeSeconds(const UpstreamState& state) const;
 
  private:
+  // What `own` shows, drawn towards the speed of its kind.
+  double SecondsOf(const SpeedMean& own,
+                   const SpeedMean& kind,
+                   double first) const;
   void FollowPeers(const std::vector<int32_t>& numbers, TimePoint now);
   // Notes which other routers use which upstreams.
   void ListRouters(const RoutingSnapshot& snapshot);
   int32_t Add(const UpstreamSpec& spec);
   std::shared_ptr<UpstreamKindSpeed> KindOf(const UpstreamSpec& spec);
 
+  SchedulerParts parts_;
   std::vector<std::unique_ptr<UpstreamState>> states_;
   std::vector<int32_t> unused_;
   absl::flat_hash_map<UpstreamId, int32_t> numbers_;
