--- a/src/config/fleet_config_json.cc
+++ b/src/config/fleet_config_json.cc
@@ -108,7 +108,7 @@
 }
 
 // Reads one text; all faults go to its JsonReader.
-class ConfigReader {
+class FleetConfigReader {
  public:
   FleetConfig Read(const json::value& root) {
     const json::object* object = reader_.AsObject("config", root);
@@ -271,7 +271,7 @@
   if (error) {
     return MakeParseError({"config: broken JSON: " + error.message()});
   }
-  ConfigReader reader;
+  FleetConfigReader reader;
   FleetConfig config = reader.Read(root);
   if (!reader.faults().empty()) {
     return MakeParseError(reader.faults());
--- a/src/rollout/engine_keeper.cc
+++ b/src/rollout/engine_keeper.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "absl/algorithm/container.h"
 #include "absl/strings/str_cat.h"
 
 namespace papaya {
@@ -15,11 +16,6 @@
 // A load that takes this many times its usual time is a failure.
 constexpr int kLongLoad = 6;
 
-template <typename T>
-bool Contains(const std::vector<T>& items, const T& item) {
-  return std::find(items.begin(), items.end(), item) != items.end();
-}
-
 // The next order towards a goal.
 struct NextOrder {
   OrderAction action;
@@ -44,12 +40,12 @@
                                        const EngineGoal& goal) {
   for (const VersionId& version : {goal.active, goal.loaded}) {
     if (!version.empty() && state.active != version &&
-        !Contains(state.loaded, version)) {
+        !absl::c_linear_search(state.loaded, version)) {
       return NextOrder{OrderAction::kLoadVersion, version.value()};
     }
   }
   for (const std::string& adapter : goal.adapters) {
-    if (!Contains(state.adapters, adapter)) {
+    if (!absl::c_linear_search(state.adapters, adapter)) {
       return NextOrder{OrderAction::kLoadAdapter, adapter};
     }
   }
@@ -219,7 +215,8 @@
     loading_.erase(upstream.id);
     engine->loading_since.reset();
   }
-  if (is_load && Contains(engine->state->loading, VersionId(next->argument))) {
+  if (is_load && absl::c_linear_search(engine->state->loading,
+                                       VersionId(next->argument))) {
     engine->is_stale = true;
     engine->next_try = now_ + random_->Jitter(kLookAgain, kLookSpread);
     return;
--- a/src/rollout/note_delta.cc
+++ b/src/rollout/note_delta.cc
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "absl/algorithm/container.h"
 #include "include/rollout/note_plan.h"
 
 namespace papaya {
@@ -95,10 +96,6 @@
   });
 }
 
-bool Contains(const std::vector<UpstreamId>& ids, const UpstreamId& id) {
-  return std::find(ids.begin(), ids.end(), id) != ids.end();
-}
-
 }  // namespace
 
 // Pools that `note` changes, in `base` or in `target`.
@@ -200,7 +197,7 @@
 FleetConfig RestoreBefore(const FleetConfig& config, const NoteBefore& before) {
   FleetConfig restored = config;
   std::erase_if(restored.upstreams, [&before](const UpstreamSpec& upstream) {
-    return Contains(before.added, upstream.id) ||
+    return absl::c_linear_search(before.added, upstream.id) ||
            std::any_of(before.upstreams.begin(), before.upstreams.end(),
                        [&upstream](const UpstreamSpec& earlier) {
                          return earlier.id == upstream.id;
--- a/src/rollout/note_mover.cc
+++ b/src/rollout/note_mover.cc
@@ -5,6 +5,7 @@
 #include <set>
 #include <utility>
 
+#include "absl/algorithm/container.h"
 #include "absl/strings/str_cat.h"
 #include "include/chart/chart_machine.h"
 #include "include/chart/state_chart.h"
@@ -26,10 +27,6 @@
 // Taking back waits so long for slow engines before it moves the others.
 constexpr Duration kPartialRestoreAfter = std::chrono::seconds(10);
 
-bool Contains(const std::vector<UpstreamId>& ids, const UpstreamId& id) {
-  return std::find(ids.begin(), ids.end(), id) != ids.end();
-}
-
 size_t CountMembers(const NotePlan& plan, const PoolId& pool) {
   return static_cast<size_t>(std::count_if(
       plan.target().upstreams.begin(), plan.target().upstreams.end(),
@@ -45,12 +42,13 @@
 void LeaveOut(const std::vector<UpstreamId>& missing, FleetConfig* config) {
   std::set<PoolId> present;
   for (const UpstreamSpec& upstream : config->upstreams) {
-    if (!Contains(missing, upstream.id)) {
+    if (!absl::c_linear_search(missing, upstream.id)) {
       present.insert(upstream.pool);
     }
   }
   std::erase_if(config->upstreams, [&](const UpstreamSpec& upstream) {
-    return Contains(missing, upstream.id) && present.contains(upstream.pool);
+    return absl::c_linear_search(missing, upstream.id) &&
+           present.contains(upstream.pool);
   });
 }
 
@@ -209,7 +207,7 @@
       plan.target().upstreams.begin(), plan.target().upstreams.end(),
       [this, &pool](const UpstreamSpec& upstream) {
         return upstream.pool == pool &&
-               Contains(note_->record.set_aside, upstream.id);
+               absl::c_linear_search(note_->record.set_aside, upstream.id);
       }));
 }
 
@@ -256,7 +254,8 @@
                     [&fact](const PoolMove& move) {
                       return move.pool == fact.pool && move.to == fact.version;
                     });
-    if (is_moved && !Contains(note_->record.set_aside, fact.upstream)) {
+    if (is_moved &&
+        !absl::c_linear_search(note_->record.set_aside, fact.upstream)) {
       SetAside(plan, fact.upstream,
                fact.cause == StopCause::kFailures ? "fails more than others"
                                                   : "is slower than others");
@@ -333,12 +332,12 @@
   FleetConfig wanted = plan.target();
   wanted.note = record.id;
   std::erase_if(wanted.upstreams, [&record](const UpstreamSpec& upstream) {
-    return Contains(record.set_aside, upstream.id);
+    return absl::c_linear_search(record.set_aside, upstream.id);
   });
   bool is_ready = true;
   for (const PoolMove& move : plan.moves()) {
     for (const UpstreamSpec& upstream : move.sequence) {
-      if (Contains(record.set_aside, upstream.id)) {
+      if (absl::c_linear_search(record.set_aside, upstream.id)) {
         continue;
       }
       EngineGoal goal = GoalOf(plan, upstream);
--- a/src/rollout/note_mover_engines.cc
+++ b/src/rollout/note_mover_engines.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "absl/algorithm/container.h"
 #include "include/rollout/release_note.h"
 #include "src/rollout/note_mover.h"
 
@@ -9,10 +10,6 @@
 
 namespace {
 
-bool Contains(const std::vector<UpstreamId>& ids, const UpstreamId& id) {
-  return std::find(ids.begin(), ids.end(), id) != ids.end();
-}
-
 const UpstreamChange* FindChange(const ReleaseNote& note,
                                  const UpstreamId& upstream) {
   for (const UpstreamChange& change : note.upstreams) {
@@ -35,7 +32,8 @@
                                       const NoteBefore& before) {
   std::vector<UpstreamSpec> added;
   for (const UpstreamSpec& upstream : plan.target().upstreams) {
-    if (!IsMoved(plan, upstream.pool) && Contains(before.added, upstream.id)) {
+    if (!IsMoved(plan, upstream.pool) &&
+        absl::c_linear_search(before.added, upstream.id)) {
       added.push_back(upstream);
     }
   }
@@ -50,7 +48,7 @@
     const bool is_touched = std::find(plan.pools().begin(), plan.pools().end(),
                                       upstream.pool) != plan.pools().end();
     if (is_touched && !IsMoved(plan, upstream.pool) &&
-        !Contains(before.added, upstream.id)) {
+        !absl::c_linear_search(before.added, upstream.id)) {
       changed.push_back(upstream);
     }
   }
@@ -84,7 +82,7 @@
   const GoalProgress progress =
       context_.keeper->Pursue(upstream, goal, read_after);
   if (progress == GoalProgress::kUnreachable &&
-      !Contains(note_->record.set_aside, upstream.id)) {
+      !absl::c_linear_search(note_->record.set_aside, upstream.id)) {
     SetAside(plan, upstream.id, "takes no orders");
   }
   return progress == GoalProgress::kReached;
@@ -114,7 +112,7 @@
                             const std::vector<UpstreamSpec>& upstreams) {
   bool is_ready = true;
   for (const UpstreamSpec& upstream : upstreams) {
-    if (Contains(note_->record.set_aside, upstream.id)) {
+    if (absl::c_linear_search(note_->record.set_aside, upstream.id)) {
       continue;
     }
     EngineGoal goal = GoalOf(plan, upstream);
--- a/src/rollout/note_plan.cc
+++ b/src/rollout/note_plan.cc
@@ -6,6 +6,7 @@
 #include <set>
 #include <utility>
 
+#include "absl/algorithm/container.h"
 #include "absl/strings/str_cat.h"
 #include "include/base/stable_hash.h"
 #include "src/rollout/note_delta.h"
@@ -113,10 +114,6 @@
   return move.sequence.size() == 1 && move.leaving.empty();
 }
 
-bool Contains(const std::vector<UpstreamId>& ids, const UpstreamId& id) {
-  return std::find(ids.begin(), ids.end(), id) != ids.end();
-}
-
 }  // namespace
 
 NotePlan::NotePlan(const NoteId& id,
@@ -193,7 +190,7 @@
     const std::vector<UpstreamId>& set_aside) const {
   std::vector<UpstreamSpec> replicas;
   for (const UpstreamSpec& upstream : move.sequence) {
-    if (!Contains(set_aside, upstream.id)) {
+    if (!absl::c_linear_search(set_aside, upstream.id)) {
       replicas.push_back(upstream);
     }
   }
@@ -218,7 +215,7 @@
                                         return taken.id == upstream.id;
                                       });
     if (upstream.pool == move.pool && !is_fresh &&
-        !Contains(set_aside, upstream.id)) {
+        !absl::c_linear_search(set_aside, upstream.id)) {
       old.push_back(upstream);
     }
   }
@@ -267,7 +264,7 @@
     config.shares.push_back({move.pool, move.to, share, id_});
   }
   std::erase_if(config.upstreams, [&set_aside](const UpstreamSpec& upstream) {
-    return Contains(set_aside, upstream.id);
+    return absl::c_linear_search(set_aside, upstream.id);
   });
   config.note = id_;
   SortConfig(&config);
--- a/src/wire/http_connection.cc
+++ b/src/wire/http_connection.cc
@@ -28,7 +28,6 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
-constexpr int kHttp11 = 11;
 constexpr size_t kFirstReadBytes = 2048;
 // How much of a refused request is still read so that the answer arrives.
 constexpr int64_t kLingerBytes = int64_t{4} << 20;
--- a/src/wire/http_convert.cc
+++ b/src/wire/http_convert.cc
@@ -11,8 +11,6 @@
 
 namespace http = boost::beast::http;
 
-constexpr int kHttp11 = 11;
-
 // RFC 9110, 7.6.1, and the length, which is worked out anew.
 constexpr std::array<const char*, 8> kConnectionHeaders = {
     "connection", "keep-alive", "proxy-connection",  "te",
--- a/src/wire/http_convert.h
+++ b/src/wire/http_convert.h
@@ -8,6 +8,9 @@
 
 namespace papaya {
 
+// HTTP/1.1 as Beast counts versions.
+inline constexpr int kHttp11 = 11;
+
 // Conversions between our HTTP values and Beast's. Headers that belong to one
 // connection only (Connection, Transfer-Encoding and the like) are left out.
 
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -18,10 +18,18 @@
 
 step build
 configure_and_build build "" all
-step style
-tools/check_style.sh build
-step tests
-tools/run_tests.sh build/papaya_tests
+step 'tests and style'
+# Cases that start processes mostly wait, so the lint runs beside them.
+tests_log=$(mktemp)
+trap 'rm -f "$tests_log"' EXIT
+tools/run_tests.sh build/papaya_tests >"$tests_log" 2>&1 &
+tests=$!
+style_ok=1
+tools/check_style.sh build || style_ok=0
+tests_ok=1
+wait "$tests" || tests_ok=0
+cat "$tests_log"
+((style_ok && tests_ok))
 step 'address and undefined behaviour sanitizers'
 configure_and_build build-asan address,undefined papaya_tests
 # The plain build has run all schedules; here a few of each show the memory.
