Split a demand report once

For that DemandReport carried `recipients`, a list that never went over the wire and only told the second split what the first had found.

Change: the hook send_demand passes the parts on with the whole report. `recipients`, the filter in SplitDemandReport, the second DemandCost, which only tests called, and FakeFleet's own split go. The case for the filter goes with it; in its place one asks the scheduler itself: under shortage a router without news gets nothing, and each part is what a split of the whole gives.

--- a/bench/fake_fleet.h
+++ b/bench/fake_fleet.h
@@ -167,21 +167,19 @@
         }
       });
     };
-    hooks.send_demand = [this, router](const DemandReport& report) {
-      SendReport(router, report);
+    hooks.send_demand = [this, router](const DemandReport& /*whole*/,
+                                       const DemandParts& parts) {
+      SendParts(router, parts);
     };
     hooks.event = [](const Event&) {};
     return hooks;
   }
 
-  // Passes `report` on as the daemon does, packed for each router that shares
-  // upstreams.
-  void SendReport(size_t from, const DemandReport& report) {
-    if (routers_[from].snapshot == nullptr) {
+  // Passes `parts` on as the daemon does, packed.
+  void SendParts(size_t from, const DemandParts& parts) {
+    if (parts.empty()) {
       return;
     }
-    const std::map<RouterId, DemandReport> parts =
-        SplitDemandReport(report, *routers_[from].snapshot);
     for (size_t to = 0; to < routers_.size(); ++to) {
       const bool is_cut =
           partition_ > 0 && (from < partition_) != (to < partition_);
@@ -333,7 +331,6 @@
       input.self = PlaceOf(i);
       const auto snapshot = RoutingSnapshot::Build(input);
       ToRouter(i, [this, i, snapshot] {
-        routers_[i].snapshot = snapshot;
         routers_[i].names = DemandNames(*snapshot);
         routers_[i].policy->OnSnapshot(snapshot, loop_.now());
       });
--- a/bench/fleet_router.h
+++ b/bench/fleet_router.h
@@ -17,7 +17,6 @@
   // The snapshots of the others have it.
   bool is_listed = true;
   TimePoint paused_until;
-  std::shared_ptr<const RoutingSnapshot> snapshot;
   DemandNames names;
 };
 
--- a/bench/peer_codec_bench.cc
+++ b/bench/peer_codec_bench.cc
@@ -110,10 +110,10 @@
   return report;
 }
 
-// What `report` takes on the wire.
-size_t SentBytes(const DemandReport& report, const RoutingSnapshot& snapshot) {
+// What `parts` take on the wire.
+size_t SentBytes(const DemandParts& parts) {
   size_t sent = 0;
-  for (const auto& [router, part] : SplitDemandReport(report, snapshot)) {
+  for (const auto& [router, part] : parts) {
     sent += EncodePeerMessage(MakeDemandNotice(part)).size() + kHeaderBytes;
   }
   return sent;
@@ -136,7 +136,9 @@
         given_up_.push_back(id);
       }
     };
-    hooks.send_demand = [this](const DemandReport& report) { Count(report); };
+    hooks.send_demand = [this](const DemandReport&, const DemandParts& parts) {
+      Count(parts);
+    };
     hooks.event = [](const Event&) {};
     SchedulerOptions options;
     options.router = snapshot_->self().id;
@@ -171,13 +173,12 @@
   }
 
  private:
-  void Count(const DemandReport& report) {
+  void Count(const DemandParts& parts) {
     if (seconds_.empty()) {
       return;
     }
     const size_t second = static_cast<size_t>(ToSeconds(now_ - start_));
-    seconds_[std::min(second, seconds_.size() - 1)] +=
-        SentBytes(report, *snapshot_);
+    seconds_[std::min(second, seconds_.size() - 1)] += SentBytes(parts);
     ++reports_;
   }
 
@@ -354,7 +355,8 @@
                          SplitDemandReport(report, *snapshot).size()),
                      .unit = "routers"});
   figures.push_back({.name = absl::StrCat("capacity.demand_report", variant),
-                     .value = static_cast<double>(SentBytes(report, *snapshot)),
+                     .value = static_cast<double>(
+                         SentBytes(SplitDemandReport(report, *snapshot))),
                      .unit = "bytes to all"});
   figures.push_back({.name = absl::StrCat("capacity.demand_codec", variant),
                      .value = TimePerCallNs([&report] {
@@ -368,7 +370,8 @@
                      .unit = "ns"});
   figures.push_back({.name = absl::StrCat("capacity.demand_split", variant),
                      .value = TimePerCallNs([&report, &snapshot] {
-                       if (SentBytes(report, *snapshot) == 0) {
+                       if (SentBytes(SplitDemandReport(report, *snapshot)) ==
+                           0) {
                          std::abort();
                        }
                      }),
--- a/bench/scheduler_bench.cc
+++ b/bench/scheduler_bench.cc
@@ -26,7 +26,7 @@
     hooks.dispatch = [](RequestId, const UpstreamId&) {};
     hooks.refuse = [](RequestId, const Refusal&) {};
     hooks.preempt = [](RequestId) {};
-    hooks.send_demand = [](const DemandReport&) {};
+    hooks.send_demand = [](const DemandReport&, const DemandParts&) {};
     hooks.event = [](const Event&) {};
     SchedulerOptions options;
     options.router = RouterId("r0");
--- a/include/admission/demand_packing.h
+++ b/include/admission/demand_packing.h
@@ -1,14 +1,12 @@
 #ifndef INCLUDE_ADMISSION_DEMAND_PACKING_H_
 #define INCLUDE_ADMISSION_DEMAND_PACKING_H_
 
-#include <map>
 #include <optional>
 #include <string>
 
 #include "include/admission/demand_notice.h"
 #include "include/admission/demand_report.h"
 #include "include/base/units.h"
-#include "include/routing/routing_snapshot.h"
 
 namespace papaya {
 
@@ -25,10 +23,7 @@
 
 // What sending `parts`, one to each router, takes on the wire, headers of TCP
 // and IP included.
-Bytes DemandCost(const std::map<RouterId, DemandReport>& parts);
-
-// The same of `report`, split under `snapshot`.
-Bytes DemandCost(const DemandReport& report, const RoutingSnapshot& snapshot);
+Bytes DemandCost(const DemandParts& parts);
 
 }  // namespace papaya
 
--- a/include/admission/demand_report.h
+++ b/include/admission/demand_report.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <vector>
 
@@ -58,13 +59,13 @@
   std::vector<GroupDemand> groups;
   // Upstreams with nothing to say of are left out.
   std::vector<UpstreamUse> upstreams;
-  // The routers that it goes to, sorted; all that share upstreams, if there are
-  // none. It does not go over the wire.
-  std::vector<RouterId> recipients;
 
   bool operator==(const DemandReport&) const = default;
 };
 
+// What of a report each other router is told.
+using DemandParts = std::map<RouterId, DemandReport>;
+
 }  // namespace papaya
 
 #endif  // INCLUDE_ADMISSION_DEMAND_REPORT_H_
--- a/include/admission/demand_share.h
+++ b/include/admission/demand_share.h
@@ -1,10 +1,7 @@
 #ifndef INCLUDE_ADMISSION_DEMAND_SHARE_H_
 #define INCLUDE_ADMISSION_DEMAND_SHARE_H_
 
-#include <map>
-
 #include "include/admission/demand_report.h"
-#include "include/base/ids.h"
 
 namespace papaya {
 
@@ -12,12 +9,10 @@
 
 // What of `report`, made under `snapshot`, concerns each router that shares
 // upstreams with the reporting one: the groups and upstreams that both use. A
-// router that shares none gets nothing, nor does one that is not among the
-// recipients of `report`, if it has any. In a large fleet each upstream is used
+// router that shares none gets nothing. In a large fleet each upstream is used
 // by a few routers only, so parts are much shorter than the whole.
-std::map<RouterId, DemandReport> SplitDemandReport(
-    const DemandReport& report,
-    const RoutingSnapshot& snapshot);
+DemandParts SplitDemandReport(const DemandReport& report,
+                              const RoutingSnapshot& snapshot);
 
 }  // namespace papaya
 
--- a/include/admission/scheduler.h
+++ b/include/admission/scheduler.h
@@ -28,8 +28,9 @@
   // Cancel the attempt under way, and report kPreempted once the upstream has
   // let go of it, or how else it ended.
   std::function<void(RequestId)> preempt;
-  // Pass the report on to the routers that share upstreams with this one.
-  std::function<void(const DemandReport&)> send_demand;
+  // This router has `whole` in hand: pass each of `parts` on to its router.
+  std::function<void(const DemandReport& whole, const DemandParts& parts)>
+      send_demand;
   EventHook event;
 };
 
--- a/src/admission/demand_ledger.cc
+++ b/src/admission/demand_ledger.cc
@@ -102,7 +102,7 @@
 
 }  // namespace
 
-void DemandLedger::NoteAll(const std::map<RouterId, DemandReport>& parts,
+void DemandLedger::NoteAll(const DemandParts& parts,
                            const DemandPress& press,
                            TimePoint now) {
   DropOthers(parts);
@@ -113,7 +113,7 @@
 }
 
 std::vector<RouterId> DemandLedger::TakeDue(
-    const std::map<RouterId, DemandReport>& parts,
+    const DemandParts& parts,
     const DemandPress& press,
     const std::function<bool(const RouterId&)>& is_heard,
     TimePoint now) {
@@ -147,7 +147,7 @@
   told.when = now;
 }
 
-void DemandLedger::DropOthers(const std::map<RouterId, DemandReport>& parts) {
+void DemandLedger::DropOthers(const DemandParts& parts) {
   std::erase_if(told_, [&parts](const auto& item) {
     return !parts.contains(item.first);
   });
--- a/src/admission/demand_ledger.h
+++ b/src/admission/demand_ledger.h
@@ -17,7 +17,7 @@
 class DemandLedger {
  public:
   // Notes that `parts`, one for each router that shares upstreams, go out.
-  void NoteAll(const std::map<RouterId, DemandReport>& parts,
+  void NoteAll(const DemandParts& parts,
                const DemandPress& press,
                TimePoint now);
 
@@ -26,7 +26,7 @@
   // was not may be doing anything, and is told in any case while a group that
   // it shares is short.
   std::vector<RouterId> TakeDue(
-      const std::map<RouterId, DemandReport>& parts,
+      const DemandParts& parts,
       const DemandPress& press,
       const std::function<bool(const RouterId&)>& is_heard,
       TimePoint now);
@@ -53,7 +53,7 @@
             const DemandReport& part,
             const DemandPress& press,
             TimePoint now);
-  void DropOthers(const std::map<RouterId, DemandReport>& parts);
+  void DropOthers(const DemandParts& parts);
   void FindOldest();
 
   std::map<RouterId, Told> told_;
--- a/src/admission/demand_packing.cc
+++ b/src/admission/demand_packing.cc
@@ -4,7 +4,6 @@
 #include <cstddef>
 #include <limits>
 
-#include "include/admission/demand_share.h"
 #include "include/base/encoded_size.h"
 
 namespace papaya {
@@ -232,7 +231,7 @@
   return notice;
 }
 
-Bytes DemandCost(const std::map<RouterId, DemandReport>& parts) {
+Bytes DemandCost(const DemandParts& parts) {
   size_t sum = 0;
   for (const auto& [router, part] : parts) {
     sum += kFrameBytes + kTableBytes + kVectorBytes +
@@ -241,8 +240,4 @@
   return Bytes(static_cast<int64_t>(sum));
 }
 
-Bytes DemandCost(const DemandReport& report, const RoutingSnapshot& snapshot) {
-  return DemandCost(SplitDemandReport(report, snapshot));
-}
-
 }  // namespace papaya
--- a/src/admission/demand_share.cc
+++ b/src/admission/demand_share.cc
@@ -1,6 +1,5 @@
 #include "include/admission/demand_share.h"
 
-#include <algorithm>
 #include <optional>
 #include <set>
 
@@ -24,12 +23,6 @@
   return shared;
 }
 
-bool IsFor(const DemandReport& report, const RouterId& router) {
-  return report.recipients.empty() ||
-         std::binary_search(report.recipients.begin(), report.recipients.end(),
-                            router);
-}
-
 std::map<PoolVersion, const GroupDemand*> IndexGroups(
     const DemandReport& report) {
   std::map<PoolVersion, const GroupDemand*> groups;
@@ -41,15 +34,11 @@
 
 }  // namespace
 
-std::map<RouterId, DemandReport> SplitDemandReport(
-    const DemandReport& report,
-    const RoutingSnapshot& snapshot) {
+DemandParts SplitDemandReport(const DemandReport& report,
+                              const RoutingSnapshot& snapshot) {
   const std::map<PoolVersion, const GroupDemand*> groups = IndexGroups(report);
-  std::map<RouterId, DemandReport> parts;
+  DemandParts parts;
   for (const auto& [router, indexes] : FindSharedGroups(snapshot)) {
-    if (!IsFor(report, router)) {
-      continue;
-    }
     DemandReport& part = parts[router];
     part.router = report.router;
     part.incarnation = report.incarnation;
--- a/src/admission/scheduler_core.h
+++ b/src/admission/scheduler_core.h
@@ -120,7 +120,7 @@
   void SendToAll(TimePoint now);
   // Reports to those of them that must not wait for the next report to all.
   void SendToDue(TimePoint now);
-  void Send(DemandReport report, TimePoint now);
+  void Send(DemandReport report, const DemandParts& parts, TimePoint now);
   DemandReport MakeReport();
 
   SchedulerOptions options_;
--- a/src/admission/scheduler_reports.cc
+++ b/src/admission/scheduler_reports.cc
@@ -1,8 +1,8 @@
 // The part of SchedulerCore that tells the other routers of its demand.
 
 #include <algorithm>
-#include <map>
 #include <utility>
+#include <vector>
 
 #include "include/admission/demand_packing.h"
 #include "include/admission/demand_share.h"
@@ -127,13 +127,13 @@
   if (!IsNews(report, now)) {
     return;
   }
+  DemandParts parts;
   if (snapshot_ != nullptr) {
-    const std::map<RouterId, DemandReport> parts =
-        SplitDemandReport(report, *snapshot_);
+    parts = SplitDemandReport(report, *snapshot_);
     ledger_.NoteAll(parts, FindPress(), now);
     pacer_.OnReport(DemandCost(parts), now);
   }
-  Send(std::move(report), now);
+  Send(std::move(report), parts, now);
 }
 
 void SchedulerCore::SendToDue(TimePoint now) {
@@ -142,27 +142,28 @@
   }
   next_look_ = now + options_.report_interval;
   DemandReport report = MakeReport();
-  std::map<RouterId, DemandReport> parts =
-      SplitDemandReport(report, *snapshot_);
+  DemandParts parts = SplitDemandReport(report, *snapshot_);
   const auto is_heard = [this, now](const RouterId& router) {
     return peers_.Find(router, now) != nullptr;
   };
-  report.recipients = ledger_.TakeDue(parts, FindPress(), is_heard, now);
+  const std::vector<RouterId> due =
+      ledger_.TakeDue(parts, FindPress(), is_heard, now);
   // Whoever did not know of them is among those told now.
   has_short_news_ = false;
   has_critical_news_ = false;
-  if (report.recipients.empty()) {
+  if (due.empty()) {
     return;
   }
-  std::erase_if(parts, [&report](const auto& item) {
-    return !std::binary_search(report.recipients.begin(),
-                               report.recipients.end(), item.first);
+  std::erase_if(parts, [&due](const auto& item) {
+    return !std::binary_search(due.begin(), due.end(), item.first);
   });
   pacer_.OnReport(DemandCost(parts), now);
-  Send(std::move(report), now);
+  Send(std::move(report), parts, now);
 }
 
-void SchedulerCore::Send(DemandReport report, TimePoint now) {
+void SchedulerCore::Send(DemandReport report,
+                         const DemandParts& parts,
+                         TimePoint now) {
   last_report_ = now;
   has_short_news_ = false;
   has_critical_news_ = false;
@@ -173,7 +174,7 @@
     state.reported_running = state.running;
   }
   has_peer_news_ = true;
-  hooks_.send_demand(own_report_);
+  hooks_.send_demand(own_report_, parts);
 }
 
 }  // namespace papaya
--- a/src/daemon/control_plane.cc
+++ b/src/daemon/control_plane.cc
@@ -6,7 +6,6 @@
 #include <vector>
 
 #include "absl/strings/str_cat.h"
-#include "include/admission/demand_share.h"
 #include "include/base/stable_hash.h"
 #include "include/wire/steady_time.h"
 
@@ -84,11 +83,8 @@
   std::visit([this, &from](const auto& one) { Handle(from, one); }, message);
 }
 
-void ControlPlane::SendDemand(const DemandReport& report) {
-  if (snapshot_ == nullptr) {
-    return;
-  }
-  for (const auto& [router, part] : SplitDemandReport(report, *snapshot_)) {
+void ControlPlane::SendDemand(const DemandParts& parts) {
+  for (const auto& [router, part] : parts) {
     SendTo(router, MakeDemandNotice(part));
   }
 }
--- a/src/daemon/control_plane.h
+++ b/src/daemon/control_plane.h
@@ -61,8 +61,8 @@
 
   void OnMessage(const RouterId& from, const PeerMessage& message);
 
-  // Passes the scheduler's report to the routers that share upstreams.
-  void SendDemand(const DemandReport& report);
+  // Passes the scheduler's demand on, to each router its part.
+  void SendDemand(const DemandParts& parts);
 
   // Tells the others that this router takes nothing new.
   void SetDraining();
--- a/src/daemon/router_impl.cc
+++ b/src/daemon/router_impl.cc
@@ -158,9 +158,9 @@
 
 void RouterDaemon::Impl::MakeScheduler() {
   SchedulerHost::Hooks hooks;
-  hooks.send_demand = [this](const DemandReport& report) {
+  hooks.send_demand = [this](const DemandParts& parts) {
     asio::post(control_.context(),
-               [this, report] { plane_->SendDemand(report); });
+               [this, parts] { plane_->SendDemand(parts); });
   };
   hooks.event = logger_->hook();
   scheduler_ = std::make_unique<SchedulerHost>(
--- a/src/daemon/scheduler_host.cc
+++ b/src/daemon/scheduler_host.cc
@@ -33,8 +33,9 @@
     Refuse(id, refusal);
   };
   hooks.preempt = [this](RequestId id) { Preempt(id); };
-  hooks.send_demand = [this](const DemandReport& report) {
-    hooks_.send_demand(report);
+  hooks.send_demand = [this](const DemandReport& /*whole*/,
+                             const DemandParts& parts) {
+    hooks_.send_demand(parts);
   };
   hooks.event = [this](const Event& event) { hooks_.event(event); };
   return hooks;
--- a/src/daemon/scheduler_host.h
+++ b/src/daemon/scheduler_host.h
@@ -21,8 +21,8 @@
 class SchedulerHost {
  public:
   struct Hooks {
-    // Called on the host's thread.
-    std::function<void(const DemandReport&)> send_demand;
+    // Pass each part on to its router. Called on the host's thread.
+    std::function<void(const DemandParts&)> send_demand;
     EventHook event;
   };
 
--- a/tests/demand_packing_test.cc
+++ b/tests/demand_packing_test.cc
@@ -158,8 +158,8 @@
       sent += EncodePeerMessage(MakeDemandNotice(part)).size() +
               kTcpIpAndLengthBytes;
     }
-    const size_t cost =
-        static_cast<size_t>(DemandCost(report, *snapshot).value());
+    const size_t cost = static_cast<size_t>(
+        DemandCost(SplitDemandReport(report, *snapshot)).value());
     CHECK(cost >= sent);
     CHECK(cost < sent * 11 / 10);
     if (i < snapshot->upstreams().size()) {
--- a/tests/demand_share_test.cc
+++ b/tests/demand_share_test.cc
@@ -91,19 +91,5 @@
   }
 }
 
-TEST_CASE("SplitDemandReport: others than its recipients get nothing",
-          "[admission]") {
-  const std::shared_ptr<const RoutingSnapshot> snapshot = MakeSnapshot(7, 9);
-  DemandReport report = MakeReport(*snapshot);
-  const std::map<RouterId, DemandReport> all =
-      SplitDemandReport(report, *snapshot);
-  report.recipients = {RouterId("r102"), RouterId("r105"), RouterId("r999")};
-  const std::map<RouterId, DemandReport> some =
-      SplitDemandReport(report, *snapshot);
-  REQUIRE(some.size() == 2);
-  CHECK(some.at(RouterId("r102")) == all.at(RouterId("r102")));
-  CHECK(some.at(RouterId("r105")) == all.at(RouterId("r105")));
-}
-
 }  // namespace
 }  // namespace papaya
--- a/tests/scheduler_report_test.cc
+++ b/tests/scheduler_report_test.cc
@@ -7,6 +7,7 @@
 #include <catch2/catch.hpp>
 
 #include "include/admission/demand_packing.h"
+#include "include/admission/demand_share.h"
 #include "include/admission/scheduler.h"
 
 namespace papaya {
@@ -17,10 +18,11 @@
 // So long a request may wait; half of it makes the router short.
 constexpr Duration kLimit = std::chrono::seconds(10);
 
-// One Scheduler of two routers before one upstream with one slot.
+// One Scheduler of two routers or more before one upstream.
 class Fixture {
  public:
-  explicit Fixture(Bytes budget = SchedulerOptions().report_budget) {
+  explicit Fixture(Bytes budget = SchedulerOptions().report_budget,
+                   const std::vector<RouterId>& others = {RouterId("r1")}) {
     SchedulerOptions options;
     options.router = RouterId("r0");
     options.report_budget = budget;
@@ -28,10 +30,12 @@
     hooks.dispatch = [](RequestId, const UpstreamId&) {};
     hooks.refuse = [](RequestId, const Refusal&) {};
     hooks.preempt = [](RequestId) {};
-    hooks.send_demand = [this](const DemandReport& report) {
+    hooks.send_demand = [this](const DemandReport& report,
+                               const DemandParts& parts) {
       reports.push_back(report);
+      told.push_back(parts);
       times.push_back(now);
-      sent += DemandCost(report, *snapshot);
+      sent += DemandCost(parts);
     };
     hooks.event = [](const Event&) {};
     scheduler = std::make_unique<Scheduler>(options, hooks);
@@ -43,7 +47,10 @@
     RoutingInput input;
     input.config = config;
     input.self = {.id = RouterId("r0")};
-    input.routers = {input.self, {.id = RouterId("r1")}};
+    input.routers = {input.self};
+    for (const RouterId& router : others) {
+      input.routers.push_back({.id = router});
+    }
     snapshot = RoutingSnapshot::Build(input);
     scheduler->OnSnapshot(snapshot, now);
   }
@@ -76,6 +83,8 @@
   std::shared_ptr<const RoutingSnapshot> snapshot;
   std::unique_ptr<Scheduler> scheduler;
   std::vector<DemandReport> reports;
+  // To whom each of them went.
+  std::vector<DemandParts> told;
   std::vector<TimePoint> times;
   Bytes sent;
 
@@ -179,6 +188,40 @@
   CHECK(f.reports.back().groups[0].tiers[0].waiting < 3);
 }
 
+TEST_CASE("demand: under shortage others than those it is news for get nothing",
+          "[admission]") {
+  const RouterId heard("r1");
+  const RouterId silent("r2");
+  Fixture f(Bytes(140), {heard, silent});
+  DemandReport other{.router = heard};
+  other.groups = {{.group = {kPool, VersionId("v1")}}};
+  other.groups[0].tiers[kTierCount - 1].running = 1;
+  other.upstreams = {{.upstream = UpstreamId("u0"), .running = 1}};
+  const TimePoint end = f.now + kLimit * 9 / 10;
+  while (f.now < end) {
+    ++other.sequence;
+    f.scheduler->OnDemandReport(other, f.now);
+    for (uint64_t id = 1; other.sequence == 1 && id <= 4; ++id) {
+      f.Request(Tier::kCritical);
+      // Those that run are not queued by their upstream.
+      f.scheduler->OnFirstToken(RequestId(id), f.now);
+    }
+    f.Advance(std::chrono::milliseconds(500));
+  }
+  REQUIRE(f.reports.back().groups[0].short_tier == Tier::kCritical);
+  size_t to_silent_only = 0;
+  for (size_t i = 0; i < f.reports.size(); ++i) {
+    const DemandParts all = SplitDemandReport(f.reports[i], *f.snapshot);
+    REQUIRE(all.size() == 2);
+    for (const auto& [router, part] : f.told[i]) {
+      CHECK(part == all.at(router));
+    }
+    const bool is_partial = f.told[i].size() == 1;
+    to_silent_only += is_partial && f.told[i].contains(silent) ? 1 : 0;
+  }
+  CHECK(to_silent_only >= 8);
+}
+
 TEST_CASE("demand: reports keep to their budget", "[admission]") {
   constexpr Bytes kBudget(300);
   constexpr int64_t kSeconds = 60;
--- a/tests/scheduler_test.cc
+++ b/tests/scheduler_test.cc
@@ -26,7 +26,7 @@
       refused.emplace_back(id, refusal);
     };
     hooks.preempt = [this](RequestId id) { preempted.push_back(id); };
-    hooks.send_demand = [this](const DemandReport& report) {
+    hooks.send_demand = [this](const DemandReport& report, const DemandParts&) {
       reports.push_back(report);
     };
     hooks.event = [](const Event&) {};
--- a/tests/upstream_choice_test.cc
+++ b/tests/upstream_choice_test.cc
@@ -27,7 +27,7 @@
     };
     hooks.refuse = [](RequestId, const Refusal&) {};
     hooks.preempt = [this](RequestId id) { preempted.push_back(id); };
-    hooks.send_demand = [this](const DemandReport& report) {
+    hooks.send_demand = [this](const DemandReport& report, const DemandParts&) {
       reports.push_back(report);
     };
     hooks.event = [](const Event&) {};
