Find groups, count free slots and bound silence in one place each

Cause: the slot planner and the demand ledger each had a FindGroup, and IsShortOfCritical was a third search for a group; SchedulerCore::FreeSlots was SlotPlanner::CountFree over the same upstreams, and the chooser worked out one upstream's free slots again; the pacer and the ledger each had a kMaxSilence, with the same comment, that must stay below the same lifetime.

Change: FindGroup stands beside DemandReport, FreeSlots in UpstreamState, CountFree in UpstreamTable, kMaxSilence in DemandPacer. Nothing decides otherwise than before.

Conclusion: three twins less; behaviour is as it was.

--- a/include/admission/demand_report.h
+++ b/include/admission/demand_report.h
@@ -63,6 +63,10 @@
   bool operator==(const DemandReport&) const = default;
 };
 
+// What `report` says of `group`; null if that has nothing in hand.
+const GroupDemand* FindGroup(const DemandReport& report,
+                             const PoolVersion& group);
+
 // What of a report each other router is told.
 using DemandParts = std::map<RouterId, DemandReport>;
 
--- a/src/admission/demand_ledger.cc
+++ b/src/admission/demand_ledger.cc
@@ -25,16 +25,12 @@
   return sum;
 }
 
-GroupDemand FindGroup(const DemandReport& part, const PoolVersion& name) {
-  for (const GroupDemand& demand : part.groups) {
-    if (demand.group == name) {
-      return demand;
-    }
-  }
-  return {.group = name};
+GroupDemand DemandOf(const DemandReport& part, const PoolVersion& name) {
+  const GroupDemand* found = FindGroup(part, name);
+  return found != nullptr ? *found : GroupDemand{.group = name};
 }
 
-UpstreamUse FindUse(const DemandReport& part, const UpstreamId& id) {
+UpstreamUse UseOf(const DemandReport& part, const UpstreamId& id) {
   for (const UpstreamUse& use : part.upstreams) {
     if (use.upstream == id) {
       return use;
@@ -75,16 +71,16 @@
              const DemandReport& part,
              const DemandPress& press) {
   const auto is_new_group = [&](const GroupDemand& demand) {
-    return IsGroupNews(FindGroup(told, demand.group), demand, press);
+    return IsGroupNews(DemandOf(told, demand.group), demand, press);
   };
   const auto is_old_group = [&](const GroupDemand& demand) {
-    return IsGroupNews(demand, FindGroup(part, demand.group), press);
+    return IsGroupNews(demand, DemandOf(part, demand.group), press);
   };
   const auto is_new_use = [&](const UpstreamUse& use) {
-    return IsUseNews(FindUse(told, use.upstream), use, press);
+    return IsUseNews(UseOf(told, use.upstream), use, press);
   };
   const auto is_old_use = [&](const UpstreamUse& use) {
-    return IsUseNews(use, FindUse(part, use.upstream), press);
+    return IsUseNews(use, UseOf(part, use.upstream), press);
   };
   return std::any_of(part.groups.begin(), part.groups.end(), is_new_group) ||
          std::any_of(told.groups.begin(), told.groups.end(), is_old_group) ||
@@ -122,7 +118,7 @@
   for (const auto& [router, part] : parts) {
     const auto found = told_.find(router);
     const bool is_due = found == told_.end() ||
-                        now - found->second.when >= kMaxSilence ||
+                        now - found->second.when >= DemandPacer::kMaxSilence ||
                         (found->second.repeats_left > 0 &&
                          now - found->second.when >= kRepeatInterval) ||
                         (IsPressed(part, press) && !is_heard(router)) ||
--- a/src/admission/demand_ledger.h
+++ b/src/admission/demand_ledger.h
@@ -8,6 +8,7 @@
 #include "include/admission/demand_report.h"
 #include "include/base/ids.h"
 #include "include/base/units.h"
+#include "src/admission/demand_pacer.h"
 #include "src/admission/demand_press.h"
 
 namespace papaya {
@@ -33,12 +34,10 @@
 
   // True if a router was last told so long ago that it must be told again.
   bool IsAnyOverdue(TimePoint now) const {
-    return !told_.empty() && now - oldest_ >= kMaxSilence;
+    return !told_.empty() && now - oldest_ >= DemandPacer::kMaxSilence;
   }
 
  private:
-  // Must stay well below the time after which a router counts as silent.
-  static constexpr Duration kMaxSilence = std::chrono::seconds(2);
   // News is told again this much later, in case it was lost.
   static constexpr Duration kRepeatInterval = std::chrono::milliseconds(200);
   static constexpr int kRepeats = 1;
--- a/src/admission/demand_pacer.h
+++ b/src/admission/demand_pacer.h
@@ -12,6 +12,10 @@
 // shortest interval; where a report takes many bytes, the interval grows.
 class DemandPacer {
  public:
+  // All are told this often at least. Must stay well below the time after which
+  // a router counts as silent.
+  static constexpr Duration kMaxSilence = std::chrono::seconds(2);
+
   // Reports come `interval` apart at least, and take `bytes_per_second` at
   // most on the average, but for those sent because of MayPress and those that
   // take more than the budget of kMaxSilence.
@@ -53,8 +57,6 @@
   static constexpr Duration kUrgentInterval = std::chrono::milliseconds(50);
   static constexpr Duration kPressInterval = std::chrono::milliseconds(250);
   static constexpr Duration kMaxDebt = std::chrono::seconds(1);
-  // Must stay well below the time after which a router counts as silent.
-  static constexpr Duration kMaxSilence = std::chrono::seconds(2);
 
   Duration interval_;
   double bytes_per_second_;
--- a/src/admission/scheduler_core.h
+++ b/src/admission/scheduler_core.h
@@ -85,7 +85,6 @@
   void RelieveShortage(GroupState* group, TimePoint now);
   void UpdateShortTier(GroupState* group, TimePoint now);
   int CountPressing(const GroupState& group, TimePoint now) const;
-  int FreeSlots(const GroupState& group, TimePoint now) const;
   // Critical attempts that seem to be queued by their upstreams.
   std::vector<RequestEntry*> FindStuck(int32_t group, TimePoint now);
   // Gives up a stream for each of them that shares its upstream with a lower
--- a/src/admission/scheduler_pressure.cc
+++ b/src/admission/scheduler_pressure.cc
@@ -45,11 +45,8 @@
 }
 
 bool IsShortOfCritical(const DemandReport& report, const PoolVersion& group) {
-  return std::any_of(report.groups.begin(), report.groups.end(),
-                     [&group](const GroupDemand& demand) {
-                       return demand.group == group &&
-                              demand.short_tier == Tier::kCritical;
-                     });
+  const GroupDemand* demand = FindGroup(report, group);
+  return demand != nullptr && demand->short_tier == Tier::kCritical;
 }
 
 int LowerThan(const std::array<int, kTierCount>& counts, Tier tier) {
@@ -180,17 +177,6 @@
   return count;
 }
 
-int SchedulerCore::FreeSlots(const GroupState& group, TimePoint now) const {
-  double free = 0.0;
-  for (int32_t number : group.upstreams) {
-    const UpstreamState& state = upstreams_.at(number);
-    if (state.IsOpen(now) && !state.IsSetAside()) {
-      free += std::max(0.0, state.slots - state.TotalRunning());
-    }
-  }
-  return static_cast<int>(free);
-}
-
 void SchedulerCore::RelieveShortage(GroupState* group, TimePoint now) {
   const int32_t number = groups_.Find(group->name);
   if (number < 0) {
@@ -209,7 +195,9 @@
   const int own_lower = LowerThan(group->running, Tier::kCritical);
   const int all_lower =
       own_lower + LowerThan(group->peer_running, Tier::kCritical);
-  const int wanted = group->peer_short_waiting - FreeSlots(*group, now);
+  const int free =
+      static_cast<int>(upstreams_.CountFree(group->upstreams, now));
+  const int wanted = group->peer_short_waiting - free;
   if (own_lower == 0 || wanted <= 0) {
     return;
   }
--- a/src/admission/slot_planner.cc
+++ b/src/admission/slot_planner.cc
@@ -12,16 +12,6 @@
 // Below this the reports of others say too little to be kept out by them.
 constexpr double kLowTrust = 0.5;
 
-const GroupDemand* FindGroup(const DemandReport& report,
-                             const PoolVersion& name) {
-  for (const GroupDemand& demand : report.groups) {
-    if (demand.group == name) {
-      return &demand;
-    }
-  }
-  return nullptr;
-}
-
 }  // namespace
 
 void SlotPlanner::CollectDemand(const GroupState& state) {
@@ -139,17 +129,6 @@
   }
 }
 
-double SlotPlanner::CountFree(const PlannedGroup& group) const {
-  double free = 0.0;
-  for (const PlannedGroup::Upstream& upstream : group.upstreams) {
-    const UpstreamState& state = upstreams_->at(upstream.number);
-    if (state.IsOpen(now_) && !state.IsSetAside()) {
-      free += std::max(0.0, state.slots - state.TotalRunning());
-    }
-  }
-  return free;
-}
-
 void SlotPlanner::GrantFreeSlots(const PlannedGroup& group) {
   for (const PlannedGroup::Upstream& upstream : group.upstreams) {
     UpstreamState& state = upstreams_->at(upstream.number);
@@ -173,7 +152,7 @@
     DiscountPeers(group, trust);
   }
   SetLimits(group, trust);
-  state->free_slots = CountFree(group);
+  state->free_slots = upstreams_->CountFree(state->upstreams, now_);
   GrantFreeSlots(group);
 }
 
--- a/src/admission/slot_planner.h
+++ b/src/admission/slot_planner.h
@@ -53,7 +53,6 @@
   void Divide(GroupState* state);
   void DiscountPeers(const PlannedGroup& group, double trust);
   void SetLimits(const PlannedGroup& group, double trust);
-  double CountFree(const PlannedGroup& group) const;
   void GrantFreeSlots(const PlannedGroup& group);
   // Gives a free slot of `upstream` to a router that lacks some of its
   // allotment for `tier` and has requests of it waiting, first to one that is
--- a/src/admission/upstream_chooser.cc
+++ b/src/admission/upstream_chooser.cc
@@ -35,8 +35,7 @@
 // the same slots and take them before they say so, and a request too many
 // waits there until some answer ends.
 double CrowdingSeconds(const UpstreamState& state) {
-  const double free = std::max(0.0, state.slots - state.TotalRunning());
-  return kCrowdingSeconds * std::exp(-free / kCrowdingSlots);
+  return kCrowdingSeconds * std::exp(-state.FreeSlots() / kCrowdingSlots);
 }
 
 // When an upstream that is set aside may be probed next.
--- a/src/admission/upstream_state.h
+++ b/src/admission/upstream_state.h
@@ -1,6 +1,7 @@
 #ifndef SRC_ADMISSION_UPSTREAM_STATE_H_
 #define SRC_ADMISSION_UPSTREAM_STATE_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <memory>
 #include <vector>
@@ -81,7 +82,9 @@
   double TotalRunning() const {
     return running + peer_running + silent_running;
   }
-  // The same by what the routers have told one another.
+  double FreeSlots() const { return std::max(0.0, slots - TotalRunning()); }
+
+  // As TotalRunning, by what the routers have told one another.
   double TotalReported() const {
     return reported_running + peer_running + silent_running;
   }
--- a/src/admission/upstream_table.cc
+++ b/src/admission/upstream_table.cc
@@ -298,6 +298,18 @@
   }
 }
 
+double UpstreamTable::CountFree(const std::vector<int32_t>& numbers,
+                                TimePoint now) const {
+  double free = 0.0;
+  for (int32_t number : numbers) {
+    const UpstreamState& state = at(number);
+    if (state.IsOpen(now) && !state.IsSetAside()) {
+      free += state.FreeSlots();
+    }
+  }
+  return free;
+}
+
 std::vector<int32_t> UpstreamTable::UpdateStragglers(
     const std::vector<int32_t>& numbers,
     TimePoint now) {
--- a/src/admission/upstream_table.h
+++ b/src/admission/upstream_table.h
@@ -67,6 +67,9 @@
   void OnFirstToken(RequestEntry* entry, TimePoint now);
   void OnTokens(RequestEntry* entry, Tokens total, TimePoint now);
 
+  // Free slots of those of `numbers` that new work may go to.
+  double CountFree(const std::vector<int32_t>& numbers, TimePoint now) const;
+
   // Looks for stragglers among `numbers`, the upstreams of one group; gives
   // those that were set aside or taken back by this.
   std::vector<int32_t> UpdateStragglers(const std::vector<int32_t>& numbers,
