--- a/src/daemon/request_report.cc
+++ b/src/daemon/request_report.cc
@@ -11,26 +11,23 @@
 using SystemClock = std::chrono::system_clock;
 
 RequestReport::RequestReport(TrafficServices* services,
-                             const AcceptedRequest& request)
+                             const AcceptedRequest* request)
     : services_(services),
-      spec_(request.spec),
-      name_(request.name),
-      trace_(request.trace),
-      parent_span_(request.parent_span),
+      request_(request),
       arrived_wall_(SystemClock::now()),
       queued_wall_(arrived_wall_) {}
 
 void RequestReport::OnDispatch() {
   attempt_started_ = SteadyNow();
   first_token_at_ = TimePoint();
-  WriteHop(trace_.NewChild(), "queue_wait", queued_wall_, "", "");
-  services_->metrics->of(spec_.tier)
-      .queue_wait->Record(SteadyNow() - spec_.arrival);
+  WriteHop(request_->trace.NewChild(), "queue_wait", queued_wall_, "", "");
+  services_->metrics->of(request_->spec.tier)
+      .queue_wait->Record(SteadyNow() - request_->spec.arrival);
 }
 
 void RequestReport::OnFirstByte() {
-  services_->metrics->of(spec_.tier)
-      .first_byte->Record(SteadyNow() - spec_.arrival);
+  services_->metrics->of(request_->spec.tier)
+      .first_byte->Record(SteadyNow() - request_->spec.arrival);
 }
 
 bool RequestReport::OnFirstToken() {
@@ -49,7 +46,7 @@
   const TimePoint first = first_token_seen_ ? first_token_at_ : now;
   services_->count_reply({.pool = upstream.pool,
                           .version = upstream.version,
-                          .route = spec_.route,
+                          .route = request_->spec.route,
                           .upstream = upstream.id,
                           .failed = failed,
                           .first_token = first - attempt_started_,
@@ -58,22 +55,24 @@
 }
 
 void RequestReport::CountOutcome(Outcome outcome) {
-  services_->metrics->CountOutcome(spec_.tier, outcome);
+  services_->metrics->CountOutcome(request_->spec.tier, outcome);
 }
 
 void RequestReport::EndAnswered() {
   CountOutcome(Outcome::kRan);
-  services_->metrics->of(spec_.tier).whole->Record(SteadyNow() - spec_.arrival);
+  services_->metrics->of(request_->spec.tier)
+      .whole->Record(SteadyNow() - request_->spec.arrival);
   End("");
 }
 
 void RequestReport::EndAbandoned() {
-  services_->metrics->of(spec_.tier).abandoned->Add();
+  services_->metrics->of(request_->spec.tier).abandoned->Add();
   End("the caller went away");
 }
 
 void RequestReport::End(const std::string& error) {
-  WriteSpan(trace_, parent_span_, "request", arrived_wall_, error, "");
+  WriteSpan(request_->trace, request_->parent_span, "request", arrived_wall_,
+            error, "");
 }
 
 void RequestReport::WriteHop(const TraceContext& context,
@@ -81,7 +80,7 @@
                              SystemClock::time_point start,
                              const std::string& error,
                              const std::string& upstream) {
-  WriteSpan(context, trace_.span_id, name, start, error, upstream);
+  WriteSpan(context, request_->trace.span_id, name, start, error, upstream);
 }
 
 void RequestReport::WriteSpan(const TraceContext& context,
@@ -99,8 +98,8 @@
             .start = start,
             .end = SystemClock::now(),
             .error = error};
-  span.attributes = {{"papaya.request", name_},
-                     {"papaya.tier", TierName(spec_.tier)}};
+  span.attributes = {{"papaya.request", request_->name},
+                     {"papaya.tier", TierName(request_->spec.tier)}};
   if (!upstream.empty()) {
     span.attributes.emplace_back("papaya.upstream", upstream);
   }
--- a/src/daemon/request_report.h
+++ b/src/daemon/request_report.h
@@ -5,7 +5,6 @@
 #include <string>
 
 #include "include/base/outcome.h"
-#include "include/base/request_spec.h"
 #include "include/base/units.h"
 #include "include/config/fleet_config.h"
 #include "include/telemetry/trace_context.h"
@@ -18,8 +17,8 @@
 // What one request leaves in metrics, spans and the comparison of versions.
 class RequestReport {
  public:
-  // `services` must outlive this.
-  RequestReport(TrafficServices* services, const AcceptedRequest& request);
+  // Both must outlive this; what it tells of `request` must not change.
+  RequestReport(TrafficServices* services, const AcceptedRequest* request);
 
   // Its wait is over and an attempt begins.
   void OnDispatch();
@@ -57,10 +56,7 @@
                  const std::string& upstream);
 
   TrafficServices* services_;
-  const RequestSpec spec_;
-  const std::string name_;
-  const TraceContext trace_;
-  const std::string parent_span_;
+  const AcceptedRequest* request_;
   const std::chrono::system_clock::time_point arrived_wall_;
   std::chrono::system_clock::time_point queued_wall_;
   TimePoint attempt_started_;
--- a/src/daemon/request_session.cc
+++ b/src/daemon/request_session.cc
@@ -50,7 +50,7 @@
       request_(std::move(request)),
       mailbox_(std::make_shared<RequestMailbox>(exchange->executor())),
       life_(services->request_chart),
-      report_(services, request_) {}
+      report_(services, &request_) {}
 
 RequestSession::~RequestSession() = default;
 
