Write a ticket's fetching, loopback settings and two lookups once

Cause: two tests fetched a ticket by the same lines; the harness and the wire bench filled in the same settings of a router on loopback; TakeWithdrawn read a truth value beside TakeBool; three places that came or moved with the change still compared std::find with end, where the others ask c_linear_search.

Change: RouterHarness::TakeTicket, tests/fakes/loopback_settings.h, TakeBool and c_linear_search serve them. The case that didn't check the ticket's answer does so now, the other goes on doing it; no assertion went.

--- a/bench/router_wire_bench.cc
+++ b/bench/router_wire_bench.cc
@@ -36,6 +36,7 @@
 #include "include/wire/steady_time.h"
 #include "src/daemon/token_digest.h"
 #include "src/daemon/worker_thread.h"
+#include "tests/fakes/loopback_settings.h"
 
 namespace papaya::bench {
 namespace {
@@ -172,16 +173,7 @@
   }
 
   RouterSettings MakeSettings() {
-    RouterSettings settings;
-    settings.fleet = FleetId("bench");
-    settings.router = RouterId("router-1");
-    settings.zone = AvailabilityZoneId("zone-a");
-    settings.caller_address = "127.0.0.1:0";
-    settings.operator_address = "127.0.0.1:0";
-    settings.peer_address = "127.0.0.1:0";
-    settings.fleet_secret = "a secret of the fleet";
-    settings.store_address = store_.address();
-    settings.store_prefix = "bench";
+    RouterSettings settings = LoopbackSettings("bench", store_.address());
     settings.chart_directory = "charts";
     settings.operator_token_sha256 = absl::BytesToHexString(Sha256("operator"));
     AccountSettings account;
--- a/src/config/reader_choice.cc
+++ b/src/config/reader_choice.cc
@@ -1,8 +1,8 @@
 #include "src/config/reader_choice.h"
 
-#include <algorithm>
 #include <vector>
 
+#include "absl/algorithm/container.h"
 #include "absl/strings/str_cat.h"
 #include "include/config/fleet_view.h"
 #include "include/config/rendezvous.h"
@@ -32,7 +32,7 @@
   const std::vector<RouterId> readers =
       PickByRendezvous(absl::StrCat("config_reader ", self->zone.value()),
                        RoutersOfZone(view, self->zone), readers_per_zone);
-  return std::find(readers.begin(), readers.end(), view.self) != readers.end();
+  return absl::c_linear_search(readers, view.self);
 }
 
 }  // namespace papaya
--- a/src/rollout/note_mover_engines.cc
+++ b/src/rollout/note_mover_engines.cc
@@ -45,8 +45,7 @@
                                         const NoteBefore& before) {
   std::vector<UpstreamSpec> changed;
   for (const UpstreamSpec& upstream : plan.target().upstreams) {
-    const bool is_touched = std::find(plan.pools().begin(), plan.pools().end(),
-                                      upstream.pool) != plan.pools().end();
+    const bool is_touched = absl::c_linear_search(plan.pools(), upstream.pool);
     if (is_touched && !IsMoved(plan, upstream.pool) &&
         !absl::c_linear_search(before.added, upstream.id)) {
       changed.push_back(upstream);
--- a/src/rollout/release_note.cc
+++ b/src/rollout/release_note.cc
@@ -68,9 +68,10 @@
 }
 
 const char* TakeWithdrawn(const std::string& value, bool* into) {
-  const std::optional<bool> read = ParseBool(value);
+  std::optional<bool> read;
+  const char* const expected = TakeBool(value, &read);
   *into = read.value_or(false);
-  return read.has_value() ? nullptr : "one of yes, true, no and false";
+  return expected;
 }
 
 const std::vector<KeyReader<ReleaseNote>>& NoteKeys() {
--- a/src/rollout/stats_sender.cc
+++ b/src/rollout/stats_sender.cc
@@ -4,6 +4,8 @@
 #include <map>
 #include <utility>
 
+#include "absl/algorithm/container.h"
+
 namespace papaya {
 
 namespace {
@@ -39,8 +41,7 @@
     const std::vector<RouterId>& routers) const {
   std::set<PoolId> pools = stats_->CountedPools();
   std::erase_if(pools, [this, &routers](const PoolId& pool) {
-    const std::vector<RouterId> counters = CountersOf(pool, routers);
-    return std::find(counters.begin(), counters.end(), self_) == counters.end();
+    return !absl::c_linear_search(CountersOf(pool, routers), self_);
   });
   return pools;
 }
--- a/tests/router_fleet_test.cc
+++ b/tests/router_fleet_test.cc
@@ -1,6 +1,4 @@
 #include <boost/asio/awaitable.hpp>
-#include <boost/json/parse.hpp>
-#include <boost/json/value.hpp>
 #include <catch2/catch.hpp>
 
 #include "include/daemon/router_daemon.h"
@@ -17,11 +15,6 @@
   (co_await exchange.Respond(std::move(response))).IgnoreError();
 }
 
-std::string FirstTicket(const HttpResponse& response) {
-  const boost::json::value body = boost::json::parse(response.body);
-  return std::string(body.at("tickets").at(0).as_string());
-}
-
 TEST_CASE(
     "RouterDaemon: three routers share a configuration that one of them "
     "can read, and a ticket of one runs once through any",
@@ -31,15 +24,10 @@
   RouterDaemon& second = fleet.AddRouter("router-2");
   RouterDaemon& third = fleet.AddRouter("router-3");
   fleet.Run([&]() -> asio::awaitable<void> {
-    HttpRequest tickets;
-    tickets.method = "POST";
-    tickets.target = "/v1/tickets";
-    tickets.body = R"({"count":1})";
-    const HttpResponse issued = co_await fleet.Ask(second, tickets);
-    REQUIRE(issued.status == 200);
+    const std::string ticket = co_await fleet.TakeTicket(second);
     HttpRequest booking = RouterHarness::Booking("");
     booking.headers.Remove("Idempotency-Key");
-    booking.headers.Set("papaya-ticket", FirstTicket(issued));
+    booking.headers.Set("papaya-ticket", ticket);
     const HttpResponse first = co_await fleet.Ask(third, booking);
     INFO(first.body);
     CHECK(first.status == 200);
--- a/tests/router_harness.cc
+++ b/tests/router_harness.cc
@@ -3,6 +3,7 @@
 #include <unistd.h>
 
 #include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <catch2/catch.hpp>
 #include <filesystem>
@@ -15,6 +16,7 @@
 #include "include/wire/http_client.h"
 #include "include/wire/sse_reader.h"
 #include "src/daemon/token_digest.h"
+#include "tests/fakes/loopback_settings.h"
 #include "tests/loopback.h"
 
 namespace papaya {
@@ -49,17 +51,8 @@
 }
 
 RouterSettings MakeSettings(const std::string& store_address) {
-  RouterSettings settings;
-  settings.fleet = FleetId("test");
-  settings.router = RouterId("router-1");
-  settings.zone = AvailabilityZoneId("zone-a");
-  settings.caller_address = "127.0.0.1:0";
-  settings.operator_address = "127.0.0.1:0";
-  settings.peer_address = "127.0.0.1:0";
-  settings.fleet_secret = "a secret of the fleet";
+  RouterSettings settings = LoopbackSettings("test", store_address);
   settings.operator_token_sha256 = HexSha256("operator");
-  settings.store_address = store_address;
-  settings.store_prefix = "test";
   settings.span_file = RouterHarness::SpanFile();
   settings.chart_directory = PAPAYA_SOURCE_DIR "/charts";
   AccountSettings acme;
@@ -252,6 +245,17 @@
   co_return *response;
 }
 
+asio::awaitable<std::string> RouterHarness::TakeTicket(RouterDaemon& router) {
+  HttpRequest request;
+  request.method = "POST";
+  request.target = "/v1/tickets";
+  request.body = R"({"count":1})";
+  const HttpResponse issued = co_await Ask(router, request);
+  REQUIRE(issued.status == 200);
+  const boost::json::value body = boost::json::parse(issued.body);
+  co_return std::string(body.at("tickets").at(0).as_string());
+}
+
 HttpRequest RouterHarness::Chat(bool stream) {
   HttpRequest request;
   request.method = "POST";
--- a/tests/router_harness.h
+++ b/tests/router_harness.h
@@ -64,6 +64,9 @@
   boost::asio::awaitable<HttpResponse> Ask(RouterDaemon& router,
                                            HttpRequest request);
 
+  // A ticket that `router` issues.
+  boost::asio::awaitable<std::string> TakeTicket(RouterDaemon& router);
+
   // Starts another router of the fleet that knows the first one's address and
   // can't reach the Object API.
   RouterDaemon& AddRouter(const std::string& id);
--- a/tests/trace_test.cc
+++ b/tests/trace_test.cc
@@ -66,16 +66,10 @@
   RouterDaemon& issuer = fleet.AddRouter("router-2");
   RouterDaemon& entry = fleet.AddRouter("router-3");
   fleet.Run([&]() -> asio::awaitable<void> {
-    HttpRequest tickets;
-    tickets.method = "POST";
-    tickets.target = "/v1/tickets";
-    tickets.body = R"({"count":1})";
-    const HttpResponse issued = co_await fleet.Ask(issuer, tickets);
-    const json::value body = json::parse(issued.body);
+    const std::string ticket = co_await fleet.TakeTicket(issuer);
     HttpRequest booking = RouterHarness::Booking("");
     booking.headers.Remove("Idempotency-Key");
-    booking.headers.Set("papaya-ticket",
-                        std::string(body.at("tickets").at(0).as_string()));
+    booking.headers.Set("papaya-ticket", ticket);
     booking.headers.Set(
         "traceparent", std::string("00-") + kTrace + "-" + kCallerSpan + "-01");
     const HttpResponse answer = co_await fleet.Ask(entry, booking);
