--- a/include/admission/attempt_result.h
+++ b/include/admission/attempt_result.h
@@ -10,11 +10,12 @@
 
 // How one attempt at an upstream ended.
 enum class AttemptEnd : uint8_t {
-  kOk,         // the whole answer arrived
-  kNotRun,     // refused, or never handed over: the upstream did nothing
-  kLeaving,    // refused as kNotRun, because the upstream is leaving
-  kUnknown,    // failed after it was handed over
-  kPreempted,  // cancelled as SchedulerHooks::preempt asked
+  kOk,           // the whole answer arrived
+  kNotRun,       // refused, or never handed over: the upstream did nothing
+  kLeaving,      // refused as kNotRun, because the upstream is leaving
+  kUnreachable,  // there was no connection, so nothing was sent
+  kUnknown,      // failed after it was handed over
+  kPreempted,    // cancelled as SchedulerHooks::preempt asked
 };
 
 struct AttemptResult {
--- a/include/admission/scheduler_options.h
+++ b/include/admission/scheduler_options.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 
 #include "absl/container/flat_hash_map.h"
+#include "include/admission/retry_budget_options.h"
 #include "include/admission/scheduler_parts.h"
 #include "include/base/ids.h"
 #include "include/base/units.h"
@@ -25,6 +26,8 @@
   Bytes report_budget{6 * 1024};
   // A peer's report older than this counts for nothing.
   Duration report_lifetime = std::chrono::seconds(3);
+  // Of each pool.
+  RetryBudgetOptions retries;
   SchedulerParts parts;
 };
 
--- a/include/base/request_spec.h
+++ b/include/base/request_spec.h
@@ -32,6 +32,8 @@
   TimePoint deadline;
   // False if it must not run twice.
   bool idempotent = true;
+  // Upstreams at which it may run, one after the other.
+  int max_runs = 4;
 };
 
 }  // namespace papaya
--- /dev/null
+++ b/include/gateway/platform_binding.h
@@ -0,0 +1,40 @@
+#ifndef INCLUDE_GATEWAY_PLATFORM_BINDING_H_
+#define INCLUDE_GATEWAY_PLATFORM_BINDING_H_
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "absl/status/statusor.h"
+#include "include/gateway/gateway_config.h"
+#include "include/gateway/gateway_settings.h"
+#include "include/gateway/object_feed.h"
+#include "include/gateway/upstream_record.h"
+#include "include/gateway/wire_dialect.h"
+
+namespace papaya {
+
+// All that a gateway needs to know of the platform that it runs on. Whatever
+// stands behind it translates and decides nothing.
+struct PlatformBinding {
+  WireDialect dialect;
+  // Opens the platform's store at `address`.
+  std::function<std::unique_ptr<ObjectFeed>(boost::asio::io_context&,
+                                            const std::string& address)>
+      open_store;
+  // The kinds of objects that hold manifests and upstreams, and the name of the
+  // manifest in force.
+  std::string config_kind;
+  std::string config_name;
+  std::string upstream_kind;
+  std::function<absl::StatusOr<GatewayConfig>(const FeedObject&)> decode_config;
+  std::function<absl::StatusOr<UpstreamRecord>(const FeedObject&)>
+      decode_upstream;
+  // The path that the platform asks for readiness.
+  std::string ready_path;
+};
+
+}  // namespace papaya
+
+#endif  // INCLUDE_GATEWAY_PLATFORM_BINDING_H_
--- a/include/telemetry/event_catalog.h
+++ b/include/telemetry/event_catalog.h
@@ -9,7 +9,7 @@
 // The number of a log event. Numbers are never used again for another event.
 // Blocks: 1000 daemon, 2000 wire, 3000 settings and store, 4000 membership and
 // configuration, 5000 routing and admission, 6000 at-most-once, 7000 release
-// notes.
+// notes, 8000 gateway.
 enum class EventId : uint16_t {
   // Daemon.
   kRouterStarting = 1001,
@@ -25,6 +25,10 @@
 
   // Settings and store.
   kSettingsRefused = 3001,
+  kStoreLost = 3002,
+  kStoreRegained = 3003,
+  kEntryRefused = 3004,
+  kSettingsReloaded = 3005,
 
   // Membership and configuration.
   kRevisionInForce = 4001,
@@ -41,6 +45,11 @@
   kRouterLeaving = 4024,
   kSuspicionRefuted = 4025,
   kRouterNameClash = 4026,
+  kUpstreamRegistered = 4031,
+  kUpstreamDraining = 4032,
+  kUpstreamGone = 4033,
+  kManifestInForce = 4034,
+  kManifestRefused = 4035,
 
   // Routing and admission.
   kStragglerSetAside = 5001,
@@ -51,6 +60,11 @@
 
   // Release notes.
   kNoteStateChanged = 7001,
+
+  // Gateway.
+  kRequestServed = 8001,
+  kRequestFailed = 8002,
+  kRequestRejected = 8003,
 };
 
 enum class Severity : uint8_t { kDebug, kInfo, kWarning, kError };
--- a/src/admission/request_entry.h
+++ b/src/admission/request_entry.h
@@ -45,6 +45,8 @@
 
   // Of all attempts.
   int attempts = 0;
+  // Attempts that may have begun.
+  int runs = 0;
   // An earlier attempt may have begun.
   bool may_have_run = false;
 
--- a/src/admission/retry_budget.cc
+++ b/src/admission/retry_budget.cc
@@ -5,7 +5,7 @@
 namespace papaya {
 
 void RetryBudget::OnFirstAttempt() {
-  retries_ = std::min(retries_ + kShare, kMost);
+  retries_ = std::min(retries_ + options_.share, options_.most);
 }
 
 bool RetryBudget::Spend() {
--- a/src/admission/retry_budget.h
+++ b/src/admission/retry_budget.h
@@ -1,12 +1,17 @@
 #ifndef SRC_ADMISSION_RETRY_BUDGET_H_
 #define SRC_ADMISSION_RETRY_BUDGET_H_
 
+#include "include/admission/retry_budget_options.h"
+
 namespace papaya {
 
 // Bounds attempts after the first to a share of live traffic, so that retries
 // never multiply a failure into an overload.
 class RetryBudget {
  public:
+  explicit RetryBudget(const RetryBudgetOptions& options)
+      : options_(options), retries_(options.most) {}
+
   // A first attempt was made.
   void OnFirstAttempt();
 
@@ -14,12 +19,8 @@
   bool Spend();
 
  private:
-  // Retries earned by one first attempt.
-  static constexpr double kShare = 0.1;
-  // The most retries that can be saved up; also what there is at the start.
-  static constexpr double kMost = 20.0;
-
-  double retries_ = kMost;
+  RetryBudgetOptions options_;
+  double retries_;
 };
 
 }  // namespace papaya
--- a/src/admission/scheduler_attempts.cc
+++ b/src/admission/scheduler_attempts.cc
@@ -85,8 +85,12 @@
   Dispatch(group, now);
 }
 
-bool SchedulerCore::SpendRetry() {
-  return !options_.parts.retry_budget || retries_.Spend();
+bool SchedulerCore::SpendRetry(const PoolId& pool) {
+  return !options_.parts.retry_budget || RetriesOf(pool).Spend();
+}
+
+RetryBudget& SchedulerCore::RetriesOf(const PoolId& pool) {
+  return retries_.try_emplace(pool, options_.retries).first->second;
 }
 
 bool SchedulerCore::MayRetry(const RequestEntry& entry, AttemptEnd end) {
@@ -97,11 +101,14 @@
     case AttemptEnd::kLeaving:
       // Our own doing, or once for each upstream that leaves.
       return true;
+    case AttemptEnd::kUnreachable:
+      // Nothing arrived anywhere, so the budget is not touched.
+      return entry.attempts < kMaxAttempts;
     case AttemptEnd::kNotRun:
-      return entry.attempts < kMaxAttempts && SpendRetry();
+      return entry.attempts < kMaxAttempts && SpendRetry(entry.spec.pool);
     case AttemptEnd::kUnknown:
-      return entry.spec.idempotent && entry.attempts < kMaxAttempts &&
-             SpendRetry();
+      return entry.spec.idempotent && entry.runs < entry.spec.max_runs &&
+             entry.attempts < kMaxAttempts && SpendRetry(entry.spec.pool);
   }
   return false;
 }
@@ -110,14 +117,17 @@
   if (end == AttemptEnd::kLeaving) {
     upstreams_.MarkLeaving(entry->upstream, now);
   }
-  const bool failed = end == AttemptEnd::kNotRun || end == AttemptEnd::kUnknown;
+  const bool failed = end == AttemptEnd::kNotRun ||
+                      end == AttemptEnd::kUnknown ||
+                      end == AttemptEnd::kUnreachable;
   if (failed) {
     upstreams_.OnAttemptEnd(entry->upstream, /*failed=*/true, now);
   }
   if (end == AttemptEnd::kUnknown || end == AttemptEnd::kPreempted) {
     entry->may_have_run = true;
+    ++entry->runs;
   }
-  if (end == AttemptEnd::kPreempted) {
+  if (end == AttemptEnd::kPreempted || entry->has_first_token) {
     // It had begun in time; its caller waits for the rest.
     entry->spec.deadline =
         std::max(entry->spec.deadline,
--- a/src/admission/scheduler_core.cc
+++ b/src/admission/scheduler_core.cc
@@ -244,7 +244,7 @@
   entry->upstream = choice.upstream;
   entry->prefill_tokens = choice.prefill_tokens;
   if (entry->attempts == 0) {
-    retries_.OnFirstAttempt();
+    RetriesOf(entry->spec.pool).OnFirstAttempt();
   }
   ++entry->attempts;
   upstreams_.Begin(entry, now);
--- a/src/admission/scheduler_core.h
+++ b/src/admission/scheduler_core.h
@@ -78,7 +78,8 @@
   void EndAttempt(RequestEntry* entry);
   // Decides what follows an attempt that did not answer.
   void Retry(RequestEntry* entry, AttemptEnd end, TimePoint now);
-  bool SpendRetry();
+  bool SpendRetry(const PoolId& pool);
+  RetryBudget& RetriesOf(const PoolId& pool);
   bool MayRetry(const RequestEntry& entry, AttemptEnd end);
 
   // Gives up streams of lower tiers where the highest one would come late.
@@ -131,7 +132,8 @@
   OutputLength lengths_;
   PrefixIndex prefixes_;
   UpstreamChooser chooser_;
-  RetryBudget retries_;
+  // One a pool, so that trouble of one pool takes nothing from another.
+  absl::flat_hash_map<PoolId, RetryBudget> retries_;
   absl::flat_hash_map<AccountId, int32_t> accounts_;
   absl::flat_hash_map<RequestId, std::unique_ptr<RequestEntry>> entries_;
   size_t queued_ = 0;
--- /dev/null
+++ b/src/gateway/caller_connection.cc
@@ -0,0 +1,289 @@
+#include "src/gateway/caller_connection.h"
+
+#include <algorithm>
+#include <boost/beast/http/status.hpp>
+#include <utility>
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+#include "include/wire/steady_time.h"
+#include "src/gateway/tcp_channel.h"
+
+namespace papaya {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+// A caller that takes nothing of its answer for so long is cut off.
+constexpr Duration kWriteTimeout = std::chrono::seconds(10);
+// A body must make progress within this time.
+constexpr Duration kBodyTimeout = std::chrono::seconds(10);
+// What a caller sends ahead of its turn.
+constexpr size_t kMaxAhead = size_t{64} * 1024;
+// Time for the last answer to arrive before the connection is dropped.
+constexpr Duration kLinger = std::chrono::seconds(1);
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
+
+// Headers that say how this very message is framed.
+bool IsFraming(const std::string& name) {
+  return absl::EqualsIgnoreCase(name, "content-length") ||
+         absl::EqualsIgnoreCase(name, "transfer-encoding") ||
+         absl::EqualsIgnoreCase(name, "connection") ||
+         absl::EqualsIgnoreCase(name, "keep-alive");
+}
+
+}  // namespace
+
+CallerConnection::CallerConnection(boost::asio::ip::tcp::socket socket,
+                                   std::shared_ptr<CallerShared> shared)
+    : shared_(std::move(shared)),
+      channel_(std::make_shared<TcpChannel>(std::move(socket))),
+      since_(SteadyNow()),
+      idle_limit_(shared_->limits.idle_timeout) {}
+
+CallerConnection::~CallerConnection() = default;
+
+void CallerConnection::Start() {
+  TcpChannel::Hooks hooks;
+  std::weak_ptr<CallerConnection> weak = weak_from_this();
+  hooks.data = [weak](std::string_view bytes) {
+    if (const auto self = weak.lock()) {
+      self->OnData(bytes);
+    }
+  };
+  hooks.ended = [weak](bool, const std::string&) {
+    if (const auto self = weak.lock()) {
+      self->OnEnded();
+    }
+  };
+  hooks.drained = [weak] {
+    const auto self = weak.lock();
+    if (self != nullptr && self->drained_) {
+      self->drained_();
+    }
+  };
+  channel_->Start(std::move(hooks));
+}
+
+size_t CallerConnection::pending_bytes() const {
+  return channel_->pending_bytes();
+}
+
+void CallerConnection::OnData(std::string_view bytes) {
+  if (state_ == State::kEnding || state_ == State::kClosed) {
+    return;
+  }
+  input_.append(bytes);
+  if (state_ == State::kAnswering) {
+    if (input_.size() > kMaxAhead) {
+      channel_->SetReading(false);
+    }
+    return;
+  }
+  ReadRequest();
+}
+
+void CallerConnection::ReadRequest() {
+  if (state_ == State::kIdle) {
+    reader_ = std::make_unique<RequestReader>(shared_->limits);
+    state_ = State::kReading;
+    since_ = SteadyNow();
+    was_told_to_continue_ = false;
+  }
+  switch (reader_->Feed(&input_)) {
+    case RequestReader::State::kHead:
+      return;
+    case RequestReader::State::kBody:
+      since_ = SteadyNow();
+      if (reader_->expects_continue() && !was_told_to_continue_) {
+        was_told_to_continue_ = true;
+        channel_->Write("HTTP/1.1 100 Continue\r\n\r\n");
+      }
+      return;
+    case RequestReader::State::kFault:
+      Refuse(reader_->fault());
+      return;
+    case RequestReader::State::kDone:
+      TakeRequest();
+      return;
+  }
+}
+
+void CallerConnection::TakeRequest() {
+  keeps_alive_ = reader_->keeps_alive();
+  is_old_version_ = reader_->is_old_version();
+  HttpRequest request = reader_->Take();
+  reader_.reset();
+  is_head_ = request.method == "HEAD";
+  state_ = State::kAnswering;
+  const std::shared_ptr<CallerConnection> self = shared_from_this();
+  shared_->request(self, std::move(request));
+}
+
+void CallerConnection::Refuse(const HttpFault& fault) {
+  state_ = State::kAnswering;
+  keeps_alive_ = false;
+  Respond(shared_->fault(fault));
+}
+
+std::string CallerConnection::FormatHead(const HttpResponse& response,
+                                         std::optional<uint64_t> length) {
+  const std::string reason(
+      http::obsolete_reason(static_cast<http::status>(response.status)));
+  std::string head =
+      absl::StrCat("HTTP/1.1 ", response.status, " ", reason, "\r\n");
+  for (const auto& [name, value] : response.headers.lines()) {
+    if (!IsFraming(name)) {
+      absl::StrAppend(&head, name, ": ", value, "\r\n");
+    }
+  }
+  const bool has_body =
+      response.status != kNoContent && response.status != kNotModified;
+  is_chunked_ = has_body && !length.has_value() && !is_old_version_;
+  if (is_chunked_) {
+    absl::StrAppend(&head, "Transfer-Encoding: chunked\r\n");
+  } else if (length.has_value() && has_body) {
+    absl::StrAppend(&head, "Content-Length: ", *length, "\r\n");
+  } else if (has_body) {
+    keeps_alive_ = false;
+  }
+  keeps_alive_ = keeps_alive_ && !shared_->is_closing;
+  if (!keeps_alive_) {
+    absl::StrAppend(&head, "Connection: close\r\n");
+  }
+  head += "\r\n";
+  return head;
+}
+
+void CallerConnection::Respond(const HttpResponse& response) {
+  if (state_ != State::kAnswering) {
+    return;
+  }
+  std::string bytes = FormatHead(response, response.body.size());
+  if (!is_head_) {
+    bytes += response.body;
+  }
+  channel_->Write(bytes);
+  FinishAnswer();
+}
+
+void CallerConnection::StartAnswer(const HttpResponse& head,
+                                   std::optional<uint64_t> length) {
+  if (state_ == State::kAnswering) {
+    channel_->Write(FormatHead(head, length));
+  }
+}
+
+void CallerConnection::WriteBody(std::string_view bytes) {
+  if (state_ != State::kAnswering || bytes.empty() || is_head_) {
+    return;
+  }
+  if (!is_chunked_) {
+    channel_->Write(bytes);
+    return;
+  }
+  channel_->Write(absl::StrCat(absl::Hex(bytes.size()), "\r\n",
+                               absl::string_view(bytes.data(), bytes.size()),
+                               "\r\n"));
+}
+
+void CallerConnection::EndAnswer() {
+  if (state_ != State::kAnswering) {
+    return;
+  }
+  if (is_chunked_ && !is_head_) {
+    channel_->Write("0\r\n\r\n");
+  }
+  FinishAnswer();
+}
+
+void CallerConnection::FinishAnswer() {
+  gone_ = nullptr;
+  drained_ = nullptr;
+  since_ = SteadyNow();
+  if (!keeps_alive_ || !channel_->is_open()) {
+    state_ = State::kEnding;
+    channel_->EndWriting();
+    return;
+  }
+  state_ = State::kIdle;
+  idle_limit_ = shared_->limits.idle_timeout;
+  channel_->SetReading(true);
+  if (!input_.empty()) {
+    ReadRequest();
+  }
+}
+
+void CallerConnection::OnEnded() {
+  const std::function<void()> gone = std::exchange(gone_, nullptr);
+  Close();
+  if (gone) {
+    gone();
+  }
+}
+
+void CallerConnection::Abort() {
+  if (state_ == State::kClosed) {
+    return;
+  }
+  channel_->Reset();
+  Close();
+}
+
+void CallerConnection::CloseIfIdle() {
+  if (state_ == State::kIdle) {
+    state_ = State::kEnding;
+    since_ = SteadyNow();
+    channel_->EndWriting();
+  }
+}
+
+void CallerConnection::OnTick(TimePoint now) {
+  const Duration age = now - since_;
+  switch (state_) {
+    case State::kIdle:
+      if (age > std::max(idle_limit_, shared_->limits.idle_timeout)) {
+        CloseIfIdle();
+      }
+      return;
+    case State::kReading: {
+      const bool has_head = reader_->is_head_done();
+      if (age > (has_head ? kBodyTimeout : shared_->limits.header_timeout)) {
+        Refuse({.status = 408,
+                .code = "request_timeout",
+                .message = "the request did not come in time"});
+      }
+      return;
+    }
+    case State::kAnswering:
+      if (channel_->pending_bytes() > 0 &&
+          now - channel_->last_progress() > kWriteTimeout) {
+        OnEnded();
+      }
+      return;
+    case State::kEnding:
+      if (age > kLinger + (channel_->pending_bytes() > 0 ? kWriteTimeout
+                                                         : Duration())) {
+        Close();
+      }
+      return;
+    case State::kClosed:
+      return;
+  }
+}
+
+void CallerConnection::Close() {
+  if (has_ended_) {
+    return;
+  }
+  has_ended_ = true;
+  state_ = State::kClosed;
+  gone_ = nullptr;
+  drained_ = nullptr;
+  channel_->Close();
+  shared_->ended(this);
+}
+
+}  // namespace papaya
--- /dev/null
+++ b/src/gateway/caller_listener.h
@@ -0,0 +1,61 @@
+#ifndef SRC_GATEWAY_CALLER_LISTENER_H_
+#define SRC_GATEWAY_CALLER_LISTENER_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/status/status.h"
+#include "include/base/units.h"
+#include "src/gateway/caller_connection.h"
+
+namespace papaya {
+
+// A listening address and its connections. One thread.
+class CallerListener {
+ public:
+  using RequestHook =
+      std::function<void(const std::shared_ptr<CallerConnection>&,
+                         HttpRequest)>;
+
+  // `context` must outlive this. Connections beyond `max_connections` are
+  // closed at once.
+  CallerListener(boost::asio::io_context& context,
+                 int max_connections,
+                 RequestHook request);
+  ~CallerListener();
+
+  // Listens at `address`.
+  absl::Status Start(const std::string& address);
+
+  void SetLimits(const CallerLimits& limits) { shared_->limits = limits; }
+
+  // Answers say from now on that their connection ends.
+  void AnnounceClose() { shared_->is_closing = true; }
+  // Closes the connections that have no request.
+  void CloseIdle();
+  // Takes no new connections.
+  void StopAccepting();
+
+  void OnTick(TimePoint now);
+
+  size_t connections() const { return connections_.size(); }
+
+ private:
+  void Accept();
+  void Add(boost::asio::ip::tcp::socket socket);
+
+  boost::asio::io_context& context_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  const int max_connections_;
+  std::shared_ptr<CallerShared> shared_;
+  absl::flat_hash_map<CallerConnection*, std::shared_ptr<CallerConnection>>
+      connections_;
+};
+
+}  // namespace papaya
+
+#endif  // SRC_GATEWAY_CALLER_LISTENER_H_
--- /dev/null
+++ b/src/gateway/event_splitter.cc
@@ -0,0 +1,96 @@
+#include "src/gateway/event_splitter.h"
+
+#include <utility>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/strip.h"
+
+namespace papaya {
+
+namespace {
+
+// The end of the first event in `text`: behind its empty line. npos if it is
+// not whole.
+size_t FindEventEnd(std::string_view text) {
+  size_t line = 0;
+  while (true) {
+    const size_t end = text.find('\n', line);
+    if (end == std::string_view::npos) {
+      return end;
+    }
+    const bool is_empty =
+        end == line || (end == line + 1 && text[line] == '\r');
+    if (is_empty) {
+      return end + 1;
+    }
+    line = end + 1;
+  }
+}
+
+// The value of the event's `id` line; empty if it has none.
+std::string FindId(std::string_view event) {
+  constexpr std::string_view kIdField = "id:";
+  size_t line = 0;
+  while (line < event.size()) {
+    const size_t end = event.find('\n', line);
+    std::string_view text = event.substr(line, end - line);
+    if (text.starts_with(kIdField)) {
+      text.remove_prefix(kIdField.size());
+      if (text.starts_with(' ')) {
+        text.remove_prefix(1);
+      }
+      if (text.ends_with('\r')) {
+        text.remove_suffix(1);
+      }
+      return std::string(text);
+    }
+    if (end == std::string_view::npos) {
+      break;
+    }
+    line = end + 1;
+  }
+  return "";
+}
+
+}  // namespace
+
+std::string EventSplitter::Feed(std::string_view bytes) {
+  rest_.append(bytes);
+  std::string whole;
+  size_t begin = 0;
+  while (true) {
+    const std::string_view text = std::string_view(rest_).substr(begin);
+    const size_t size = FindEventEnd(text);
+    if (size == std::string_view::npos) {
+      break;
+    }
+    if (Take(text.substr(0, size))) {
+      whole.append(text.substr(0, size));
+    }
+    begin += size;
+  }
+  rest_.erase(0, begin);
+  return whole;
+}
+
+std::string EventSplitter::TakeRest() {
+  return std::exchange(rest_, std::string());
+}
+
+bool EventSplitter::Take(std::string_view text) {
+  const std::string id = FindId(text);
+  int64_t number = 0;
+  if (!id.empty() && absl::SimpleAtoi(id, &number)) {
+    if (last_number_.has_value() && number <= *last_number_) {
+      return false;
+    }
+    last_number_ = number;
+  }
+  if (!id.empty()) {
+    last_id_ = id;
+  }
+  ++events_;
+  return true;
+}
+
+}  // namespace papaya
--- /dev/null
+++ b/src/gateway/gateway.cc
@@ -0,0 +1,357 @@
+#include "include/gateway/gateway.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "include/admission/demand_names.h"
+#include "include/gateway/object_watcher.h"
+#include "include/gateway/upstream_directory.h"
+#include "include/telemetry/logger.h"
+#include "include/wire/steady_time.h"
+#include "src/gateway/caller_listener.h"
+#include "src/gateway/request_desk.h"
+#include "src/gateway/router_mesh.h"
+
+namespace papaya {
+
+namespace {
+
+constexpr std::chrono::milliseconds kTick{25};
+// What need not be looked at on every tick.
+constexpr Duration kSlowTick = std::chrono::milliseconds(100);
+// Descriptors kept free for files, other routers, the store and upstreams.
+constexpr int kReservedDescriptors = 700;
+constexpr int kLeastCallers = 100;
+constexpr int kMaxProbes = 64;
+// The balancer sends no new callers after two questions, a second apart,
+// without a good answer.
+constexpr Duration kBalancerNotice = std::chrono::milliseconds(2200);
+// Requests are given up on this long before the platform ends the process.
+constexpr Duration kGraceMargin = std::chrono::milliseconds(400);
+
+Incarnation NewIncarnation() {
+  return Incarnation(
+      static_cast<uint64_t>(WallNow().time_since_epoch().count()));
+}
+
+}  // namespace
+
+class Gateway::Impl {
+ public:
+  Impl(boost::asio::io_context& context,
+       const GatewaySettings& settings,
+       PlatformBinding binding,
+       Logger* logger);
+
+  absl::Status Start();
+  void Drain(std::function<void()> ended);
+  void SetBounds(const GatewayBounds& bounds) { settings_.bounds = bounds; }
+
+ private:
+  using Fields = std::vector<std::pair<std::string, std::string>>;
+
+  void Log(EventId id, Fields fields);
+  RequestDesk::Hooks MakeDeskHooks();
+  RouterMesh::Hooks MakeMeshHooks();
+  ObjectWatcher::Hooks MakeConfigHooks();
+  ObjectWatcher::Hooks MakeUpstreamHooks();
+  void OnConfig(const FeedObject& object);
+  void OnReport(const RelayReport& report);
+  void OnProbe(const std::shared_ptr<CallerConnection>& caller,
+               const HttpRequest& request);
+  void PublishUpstreams();
+  bool IsReady() const;
+  void ScheduleTick();
+  void Tick();
+  void SlowTick(TimePoint now);
+  void DriveDrain(TimePoint now);
+
+  GatewaySettings settings_;
+  const PlatformBinding binding_;
+  Logger* const logger_;
+  const Incarnation incarnation_ = NewIncarnation();
+  boost::asio::steady_timer timer_;
+  std::unique_ptr<ObjectFeed> feed_;
+  RequestDesk desk_;
+  RouterMesh mesh_;
+  UpstreamDirectory directory_;
+  ObjectWatcher config_watcher_;
+  ObjectWatcher upstream_watcher_;
+  CallerListener callers_;
+  CallerListener probes_;
+  std::shared_ptr<const GatewayConfig> config_;
+  DemandNames demand_names_;
+  TimePoint next_slow_tick_;
+  bool was_ready_ = false;
+  std::optional<TimePoint> drain_began_;
+  std::function<void()> drain_ended_;
+  bool has_stopped_ = false;
+};
+
+Gateway::Impl::Impl(boost::asio::io_context& context,
+                    const GatewaySettings& settings,
+                    PlatformBinding binding,
+                    Logger* logger)
+    : settings_(settings),
+      binding_(std::move(binding)),
+      logger_(logger),
+      timer_(context),
+      feed_(binding_.open_store(context, settings.store_address)),
+      desk_(context,
+            settings_,
+            incarnation_,
+            &binding_.dialect,
+            MakeDeskHooks()),
+      mesh_(context, settings_, incarnation_, MakeMeshHooks()),
+      directory_({.decode = binding_.decode_upstream,
+                  .changed = [this] { PublishUpstreams(); },
+                  .event = logger->hook()}),
+      config_watcher_(feed_.get(),
+                      {.kind = binding_.config_kind},
+                      MakeConfigHooks()),
+      upstream_watcher_(feed_.get(),
+                        {.kind = binding_.upstream_kind},
+                        MakeUpstreamHooks()),
+      callers_(context,
+               std::max(kLeastCallers,
+                        settings.max_descriptors - kReservedDescriptors),
+               [this](const std::shared_ptr<CallerConnection>& caller,
+                      HttpRequest request) {
+                 desk_.OnRequest(caller, std::move(request));
+               }),
+      probes_(
+          context,
+          kMaxProbes,
+          [this](const std::shared_ptr<CallerConnection>& caller,
+                 const HttpRequest& request) { OnProbe(caller, request); }) {}
+
+void Gateway::Impl::Log(EventId id, Fields fields) {
+  Event event{.id = id};
+  event.fields = std::move(fields);
+  logger_->Log(event);
+}
+
+RequestDesk::Hooks Gateway::Impl::MakeDeskHooks() {
+  RequestDesk::Hooks hooks;
+  hooks.send_demand = [this](const DemandParts& parts) {
+    for (const auto& [router, part] : parts) {
+      mesh_.Send(router, MakeDemandNotice(part));
+    }
+  };
+  hooks.report = [this](const RelayReport& report) { OnReport(report); };
+  hooks.event = logger_->hook();
+  return hooks;
+}
+
+RouterMesh::Hooks Gateway::Impl::MakeMeshHooks() {
+  RouterMesh::Hooks hooks;
+  hooks.changed = [this] { PublishUpstreams(); };
+  hooks.receive = [this](const RouterId& from, const PeerMessage& message) {
+    const DemandNotice* notice = std::get_if<DemandNotice>(&message);
+    if (notice != nullptr && notice->incarnation != Incarnation()) {
+      desk_.OnDemand(demand_names_.Resolve(from, *notice));
+    }
+  };
+  hooks.event = logger_->hook();
+  return hooks;
+}
+
+ObjectWatcher::Hooks Gateway::Impl::MakeConfigHooks() {
+  ObjectWatcher::Hooks hooks;
+  hooks.replaced = [this](const std::vector<FeedObject>& objects) {
+    for (const FeedObject& object : objects) {
+      OnConfig(object);
+    }
+  };
+  hooks.changed = [this](const FeedObject& object) { OnConfig(object); };
+  hooks.regained = [] {};
+  hooks.now = &SteadyNow;
+  hooks.event = logger_->hook();
+  return hooks;
+}
+
+ObjectWatcher::Hooks Gateway::Impl::MakeUpstreamHooks() {
+  ObjectWatcher::Hooks hooks;
+  hooks.replaced = [this](const std::vector<FeedObject>& objects) {
+    directory_.Replace(objects, SteadyNow());
+  };
+  hooks.changed = [this](const FeedObject& object) {
+    directory_.Apply(object, SteadyNow());
+  };
+  hooks.regained = [this] { directory_.OnStoreRegained(SteadyNow()); };
+  hooks.now = &SteadyNow;
+  hooks.event = logger_->hook();
+  return hooks;
+}
+
+void Gateway::Impl::OnConfig(const FeedObject& object) {
+  if (object.name != binding_.config_name || object.is_deleted) {
+    return;
+  }
+  absl::StatusOr<GatewayConfig> config = binding_.decode_config(object);
+  if (!config.ok()) {
+    Log(EventId::kManifestRefused,
+        {{"error", std::string(config.status().message())}});
+    return;
+  }
+  if (config_ != nullptr && config->version <= config_->version) {
+    return;
+  }
+  config_ = std::make_shared<const GatewayConfig>(*std::move(config));
+  callers_.SetLimits(config_->limits);
+  desk_.SetTable(std::make_shared<const RouteTable>(config_));
+  Log(EventId::kManifestInForce,
+      {{"version", absl::StrCat(config_->version.value())},
+       {"routes", absl::StrCat(config_->routes.size())}});
+  PublishUpstreams();
+}
+
+void Gateway::Impl::PublishUpstreams() {
+  desk_.SetUpstreams(directory_.Records(), mesh_.Routers());
+  if (desk_.snapshot() != nullptr) {
+    demand_names_ = DemandNames(*desk_.snapshot());
+  }
+}
+
+void Gateway::Impl::OnReport(const RelayReport& report) {
+  const bool is_good = report.reason.empty();
+  Log(is_good ? EventId::kRequestServed : EventId::kRequestFailed,
+      {{"request", report.attempt_id},
+       {"route", report.route.value()},
+       {"account", report.account.value()},
+       {"upstream", report.upstream.value()},
+       {"attempts", absl::StrCat(report.attempts)},
+       {"status", absl::StrCat(report.status)},
+       {"reason", report.reason},
+       {"waited_ms",
+        absl::StrCat(report.waited / std::chrono::milliseconds(1))},
+       {"took_ms", absl::StrCat(report.took / std::chrono::milliseconds(1))},
+       {"events", absl::StrCat(report.events)}});
+}
+
+bool Gateway::Impl::IsReady() const {
+  return config_ != nullptr && upstream_watcher_.IsListed() &&
+         !drain_began_.has_value();
+}
+
+void Gateway::Impl::OnProbe(const std::shared_ptr<CallerConnection>& caller,
+                            const HttpRequest& request) {
+  HttpResponse response;
+  if (PathOfTarget(request.target) != binding_.ready_path) {
+    response.status = 404;
+  } else if (!IsReady()) {
+    response.status = 503;
+  }
+  caller->Respond(response);
+}
+
+absl::Status Gateway::Impl::Start() {
+  Log(EventId::kRouterStarting, {{"router", settings_.router.value()}});
+  absl::Status status = mesh_.Start();
+  if (status.ok()) {
+    status = callers_.Start(settings_.caller_address);
+  }
+  if (status.ok()) {
+    status = probes_.Start(settings_.ready_address);
+  }
+  if (status.ok()) {
+    Tick();
+  }
+  return status;
+}
+
+void Gateway::Impl::ScheduleTick() {
+  timer_.expires_after(kTick);
+  timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error && !has_stopped_) {
+      Tick();
+    }
+  });
+}
+
+void Gateway::Impl::Tick() {
+  const TimePoint now = SteadyNow();
+  config_watcher_.OnTick(now);
+  upstream_watcher_.OnTick(now);
+  directory_.OnTick(now);
+  desk_.OnTick(now);
+  if (now >= next_slow_tick_) {
+    next_slow_tick_ = now + kSlowTick;
+    SlowTick(now);
+  }
+  if (!has_stopped_) {
+    ScheduleTick();
+  }
+}
+
+void Gateway::Impl::SlowTick(TimePoint now) {
+  mesh_.OnTick(now);
+  callers_.OnTick(now);
+  probes_.OnTick(now);
+  if (IsReady() && !was_ready_) {
+    was_ready_ = true;
+    Log(EventId::kRouterReady,
+        {{"revision", absl::StrCat(config_->version.value())}});
+  }
+  if (drain_began_.has_value()) {
+    DriveDrain(now);
+  }
+}
+
+void Gateway::Impl::Drain(std::function<void()> ended) {
+  if (drain_began_.has_value()) {
+    return;
+  }
+  Log(EventId::kRouterDraining, {});
+  drain_began_ = SteadyNow();
+  drain_ended_ = std::move(ended);
+  callers_.AnnounceClose();
+  mesh_.SetDraining(*drain_began_);
+}
+
+void Gateway::Impl::DriveDrain(TimePoint now) {
+  const Duration age = now - *drain_began_;
+  if (age >= kBalancerNotice) {
+    callers_.StopAccepting();
+    callers_.CloseIdle();
+  }
+  const bool is_done = age >= kBalancerNotice && desk_.in_flight() == 0 &&
+                       callers_.connections() == 0;
+  if (!is_done && age < settings_.bounds.grace - kGraceMargin) {
+    return;
+  }
+  has_stopped_ = true;
+  mesh_.Leave(now);
+  Log(EventId::kRouterStopped, {{"cut", absl::StrCat(desk_.in_flight())}});
+  drain_ended_();
+}
+
+Gateway::Gateway(boost::asio::io_context& context,
+                 const GatewaySettings& settings,
+                 PlatformBinding binding,
+                 Logger* logger)
+    : impl_(std::make_unique<Impl>(context,
+                                   settings,
+                                   std::move(binding),
+                                   logger)) {}
+
+Gateway::~Gateway() = default;
+
+absl::Status Gateway::Start() {
+  return impl_->Start();
+}
+
+void Gateway::Drain(std::function<void()> ended) {
+  impl_->Drain(std::move(ended));
+}
+
+void Gateway::SetBounds(const GatewayBounds& bounds) {
+  impl_->SetBounds(bounds);
+}
+
+}  // namespace papaya
--- /dev/null
+++ b/src/gateway/message_reader.cc
@@ -0,0 +1,207 @@
+#include "src/gateway/message_reader.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <utility>
+
+#include "absl/strings/match.h"
+
+namespace papaya {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+constexpr uint32_t kMaxAnswerHeaderBytes = 64 * 1024;
+constexpr int kFirstSuccess = 200;
+
+template <typename Message>
+HttpHeaders CopyHeaders(const Message& message) {
+  HttpHeaders headers;
+  for (const auto& field : message) {
+    headers.Add(std::string(field.name_string()), std::string(field.value()));
+  }
+  return headers;
+}
+
+template <typename Message>
+int CountFields(const Message& message, http::field name) {
+  const auto range = message.equal_range(name);
+  return static_cast<int>(std::distance(range.first, range.second));
+}
+
+// Puts `input` into `parser` and takes off what it used; true if the parser
+// wants more.
+template <typename Parser>
+bool Put(Parser* parser, std::string* input, error_code* error) {
+  size_t used = 0;
+  while (used < input->size() && !parser->is_done()) {
+    const size_t step = parser->put(
+        asio::buffer(input->data() + used, input->size() - used), *error);
+    used += step;
+    if (*error || step == 0) {
+      break;
+    }
+  }
+  input->erase(0, used);
+  if (*error == http::error::need_more) {
+    *error = {};
+  }
+  return !*error && !parser->is_done();
+}
+
+}  // namespace
+
+class RequestReader::Parser : public http::request_parser<http::string_body> {};
+
+RequestReader::RequestReader(const CallerLimits& limits)
+    : parser_(std::make_unique<Parser>()) {
+  parser_->header_limit(static_cast<uint32_t>(limits.max_header_bytes.value()));
+  parser_->body_limit(static_cast<uint64_t>(limits.max_body_bytes.value()));
+  parser_->eager(true);
+}
+
+RequestReader::~RequestReader() = default;
+
+RequestReader::State RequestReader::Fail(int status,
+                                         const char* code,
+                                         const std::string& message) {
+  fault_ = {.status = status, .code = code, .message = message};
+  state_ = State::kFault;
+  return state_;
+}
+
+RequestReader::State RequestReader::Feed(std::string* input) {
+  if (state_ == State::kDone || state_ == State::kFault) {
+    return state_;
+  }
+  error_code error;
+  Put(parser_.get(), input, &error);
+  if (error == http::error::header_limit) {
+    return Fail(431, "headers_too_large", "the request's header is too long");
+  }
+  if (error == http::error::body_limit) {
+    return Fail(413, "body_too_large", "the request's body is too long");
+  }
+  if (error) {
+    return Fail(400, "bad_request", "the request is malformed");
+  }
+  if (state_ == State::kHead && parser_->is_header_done() &&
+      CheckHead() == State::kFault) {
+    return state_;
+  }
+  if (parser_->is_done()) {
+    state_ = State::kDone;
+  }
+  return state_;
+}
+
+RequestReader::State RequestReader::CheckHead() {
+  const auto& message = parser_->get();
+  const int encodings = CountFields(message, http::field::transfer_encoding);
+  const int lengths = CountFields(message, http::field::content_length);
+  is_old_version_ = message.version() < 11;
+  if (encodings > 1 || lengths > 1 || (encodings > 0 && lengths > 0) ||
+      (encodings > 0 &&
+       (is_old_version_ ||
+        !absl::EqualsIgnoreCase(
+            std::string(message[http::field::transfer_encoding]),
+            "chunked")))) {
+    return Fail(400, "bad_framing", "the request's length is not clear");
+  }
+  if (CountFields(message, http::field::host) != 1) {
+    return Fail(400, "bad_host", "the request needs one Host header");
+  }
+  keeps_alive_ = parser_->keep_alive();
+  expects_continue_ = absl::EqualsIgnoreCase(
+      std::string(message[http::field::expect]), "100-continue");
+  state_ = State::kBody;
+  return state_;
+}
+
+HttpRequest RequestReader::Take() {
+  http::request<http::string_body> message = parser_->release();
+  HttpRequest request;
+  request.method = std::string(message.method_string());
+  request.target = std::string(message.target());
+  request.headers = CopyHeaders(message);
+  request.body = std::move(message.body());
+  return request;
+}
+
+class AnswerReader::Parser : public http::response_parser<http::string_body> {};
+
+AnswerReader::AnswerReader(bool has_no_body)
+    : has_no_body_(has_no_body), parser_(std::make_unique<Parser>()) {
+  parser_->header_limit(kMaxAnswerHeaderBytes);
+  parser_->body_limit(boost::none);
+  parser_->eager(true);
+  parser_->skip(has_no_body);
+}
+
+AnswerReader::~AnswerReader() = default;
+
+void AnswerReader::NoteHead() {
+  const auto& message = parser_->get();
+  status_ = static_cast<int>(message.result_int());
+  headers_ = CopyHeaders(message);
+  const auto length = parser_->content_length();
+  if (length.has_value()) {
+    length_ = *length;
+  }
+  keeps_alive_ = parser_->keep_alive();
+  state_ = State::kBody;
+}
+
+AnswerReader::State AnswerReader::Feed(std::string* input) {
+  while (state_ == State::kHead || state_ == State::kBody) {
+    error_code error;
+    Put(parser_.get(), input, &error);
+    if (error) {
+      fault_ = error.message();
+      state_ = State::kFault;
+      return state_;
+    }
+    if (state_ == State::kHead && parser_->is_header_done()) {
+      if (static_cast<int>(parser_->get().result_int()) < kFirstSuccess) {
+        // An interim answer; the real one follows.
+        parser_ = AnswerReader(has_no_body_).parser_;
+        continue;
+      }
+      NoteHead();
+    }
+    if (parser_->is_done()) {
+      state_ = State::kDone;
+    }
+    return state_;
+  }
+  return state_;
+}
+
+AnswerReader::State AnswerReader::FeedEnd() {
+  if (state_ == State::kDone || state_ == State::kFault) {
+    return state_;
+  }
+  error_code error;
+  if (parser_->got_some()) {
+    parser_->put_eof(error);
+  }
+  if (!parser_->got_some() || error || !parser_->is_done()) {
+    fault_ = "the connection ended before the answer";
+    state_ = State::kFault;
+    return state_;
+  }
+  state_ = State::kDone;
+  return state_;
+}
+
+std::string AnswerReader::TakeBody() {
+  return std::exchange(parser_->get().body(), std::string());
+}
+
+}  // namespace papaya
--- /dev/null
+++ b/src/gateway/object_watcher.cc
@@ -0,0 +1,120 @@
+#include "include/gateway/object_watcher.h"
+
+#include <algorithm>
+#include <iterator>
+#include <string>
+#include <utility>
+namespace papaya {
+
+ObjectWatcher::ObjectWatcher(ObjectFeed* feed, Options options, Hooks hooks)
+    : feed_(feed), options_(std::move(options)), hooks_(std::move(hooks)) {}
+
+ObjectWatcher::~ObjectWatcher() = default;
+
+void ObjectWatcher::OnTick(TimePoint now) {
+  now_ = now;
+  if (is_calling_ || now < next_call_) {
+    return;
+  }
+  is_calling_ = true;
+  call_began_ = now;
+  if (must_list_) {
+    List();
+  } else {
+    Watch();
+  }
+}
+
+ObjectFeed::BatchCallback ObjectWatcher::Wrap(
+    void (ObjectWatcher::*handle)(absl::StatusOr<ObjectBatch>, TimePoint)) {
+  return [this, handle, alive = std::weak_ptr<bool>(alive_)](
+             absl::StatusOr<ObjectBatch> batch) {
+    if (alive.expired()) {
+      return;
+    }
+    is_calling_ = false;
+    now_ = hooks_.now();
+    (this->*handle)(std::move(batch), now_);
+    OnTick(now_);
+  };
+}
+
+void ObjectWatcher::List() {
+  const std::string after = pages_.empty() ? "" : pages_.back().name;
+  feed_->List(options_.kind, after, Wrap(&ObjectWatcher::OnList));
+}
+
+void ObjectWatcher::Watch() {
+  feed_->Watch(options_.kind, version_, options_.wait,
+               Wrap(&ObjectWatcher::OnWatch));
+}
+
+void ObjectWatcher::OnList(absl::StatusOr<ObjectBatch> batch, TimePoint now) {
+  if (!batch.ok()) {
+    pages_.clear();
+    OnFailure(batch.status(), now);
+    return;
+  }
+  OnSuccess(now);
+  // Changes made while the pages are read are watched for from the first one.
+  if (pages_.empty()) {
+    version_ = batch->store_version;
+  }
+  std::move(batch->objects.begin(), batch->objects.end(),
+            std::back_inserter(pages_));
+  if (batch->has_more && !batch->objects.empty()) {
+    return;
+  }
+  must_list_ = false;
+  is_listed_ = true;
+  const std::vector<FeedObject> objects = std::exchange(pages_, {});
+  hooks_.replaced(objects);
+}
+
+void ObjectWatcher::OnWatch(absl::StatusOr<ObjectBatch> batch, TimePoint now) {
+  if (absl::IsOutOfRange(batch.status())) {
+    must_list_ = true;
+    OnSuccess(now);
+    return;
+  }
+  if (!batch.ok()) {
+    OnFailure(batch.status(), now);
+    return;
+  }
+  OnSuccess(now);
+  for (const FeedObject& object : batch->objects) {
+    hooks_.changed(object);
+  }
+  version_ = std::max(version_, batch->store_version);
+}
+
+void ObjectWatcher::OnFailure(const absl::Status& status, TimePoint now) {
+  if (!is_out_) {
+    is_out_ = true;
+    out_since_ = absl::IsDeadlineExceeded(status) ? call_began_ : now;
+    hooks_.event(
+        {EventId::kStoreLost,
+         {{"kind", options_.kind}, {"error", std::string(status.message())}}});
+  }
+  pause_ = std::clamp(pause_ * 2, options_.first_pause, options_.longest_pause);
+  next_call_ = now + pause_;
+}
+
+void ObjectWatcher::OnSuccess(TimePoint now) {
+  pause_ = Duration();
+  next_call_ = now;
+  if (!is_out_) {
+    return;
+  }
+  is_out_ = false;
+  const Duration outage = now - out_since_;
+  hooks_.event(
+      {EventId::kStoreRegained,
+       {{"kind", options_.kind},
+        {"outage_ms", std::to_string(outage / std::chrono::milliseconds(1))}}});
+  if (outage >= options_.outage_after) {
+    hooks_.regained();
+  }
+}
+
+}  // namespace papaya
--- /dev/null
+++ b/src/gateway/relayed_request.h
@@ -0,0 +1,163 @@
+#ifndef SRC_GATEWAY_RELAYED_REQUEST_H_
+#define SRC_GATEWAY_RELAYED_REQUEST_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "include/admission/attempt_result.h"
+#include "include/base/ids.h"
+#include "include/base/units.h"
+#include "include/gateway/route_table.h"
+#include "include/gateway/upstream_record.h"
+#include "include/gateway/wire_dialect.h"
+#include "include/wire/http_message.h"
+#include "src/gateway/event_splitter.h"
+
+namespace papaya {
+
+class AnswerReader;
+class CallerConnection;
+class UpstreamConnection;
+class UpstreamPool;
+
+// How a request ended, for logs and metrics.
+struct RelayReport {
+  RequestId id;
+  // As the caller knows it.
+  std::string attempt_id;
+  RouteId route;
+  AccountId account;
+  PoolId service;
+  // Where it was sent last; empty if nowhere.
+  UpstreamId upstream;
+  int attempts = 0;
+  // Of the answer; 0 if there was none or it was cut.
+  int status = 0;
+  // Why there was no answer of an upstream; empty if there was.
+  std::string reason;
+  Duration waited{};
+  Duration took{};
+  int64_t events = 0;
+};
+
+// One request of a caller from its arrival to the end of its answer: sends it
+// to the upstreams that the scheduler names and passes the answer on as it
+// comes. One thread.
+class RelayedRequest : public std::enable_shared_from_this<RelayedRequest> {
+ public:
+  // What all requests of a router share.
+  struct Context {
+    const WireDialect* dialect = nullptr;
+    UpstreamPool* pool = nullptr;
+    std::function<TimePoint()> now;
+    // An attempt has ended; the scheduler decides what follows.
+    std::function<void(RequestId, const AttemptResult&)> finish_attempt;
+    std::function<void(RequestId)> first_token;
+    std::function<void(RequestId, Tokens)> tokens;
+    // The request has ended without the scheduler.
+    std::function<void(RequestId)> cancel;
+    // Last of all.
+    std::function<void(const RelayReport&)> done;
+  };
+
+  struct Input {
+    RequestId id;
+    std::shared_ptr<CallerConnection> caller;
+    HttpRequest request;
+    CallerMetadata metadata;
+    // Keeps `route` alive.
+    std::shared_ptr<const RouteTable> table;
+    const ServiceRoute* route = nullptr;
+    AccountId account;
+    PoolId service;
+    // Output tokens in one event of a stream.
+    Tokens tokens_per_event{1};
+    TimePoint arrival;
+    // The answer must be whole by then.
+    TimePoint give_up;
+  };
+
+  // `context` must outlive this.
+  RelayedRequest(const Context* context, Input input);
+  ~RelayedRequest();
+
+  // Watches the caller from now on.
+  void Start();
+
+  // The scheduler sends it there. `upstream` is null if it is gone by now.
+  void Dispatch(const UpstreamRecord* upstream);
+
+  // The scheduler ends it.
+  void Refuse(const Refusal& refusal);
+
+  // Ends it, or its attempt, if that takes too long.
+  void OnTick(TimePoint now);
+
+  // Answers what did not run and will not.
+  void RefuseNotRun(int status,
+                    const std::string& reason,
+                    std::optional<Duration> retry_after);
+
+  const Input& input() const { return input_; }
+  bool HasEnded() const { return has_ended_; }
+
+ private:
+  enum class AnswerKind : uint8_t {
+    kNone,     // nothing has come of the attempt under way
+    kNotRun,   // the upstream states that it did not run it
+    kFailure,  // a failure that another attempt may make good
+    kWhole,    // passed on once it is whole, or long
+    kStream,   // passed on event by event
+  };
+
+  std::string FormatRequest(const UpstreamRecord& upstream) const;
+  void OnHead(const AnswerReader& reader, const AnswerMetadata& metadata);
+  void OnBody(std::string bytes);
+  void OnAnswerEnd();
+  void OnFailed(bool was_sent, const std::string& error);
+  AnswerKind Classify(int status, const AnswerMetadata& metadata) const;
+  // False if an answer of the upstream promises more than is known.
+  static bool MayPassOn(int status);
+  void PassEvents(const std::string& events);
+  void StartAnswer();
+  void LimitBacklog();
+  void FinishAttempt(AttemptEnd end);
+  void DropConnection();
+  // The time that an attempt may take before another one is tried.
+  std::optional<Duration> Patience() const;
+  void GiveUp();
+  void OnCallerGone();
+  // Ends the request with a failure of this router's own.
+  void Fail(int status,
+            const std::string& reason,
+            std::optional<Duration> retry_after);
+  void Report(int status, const std::string& reason);
+
+  const Context* const context_;
+  Input input_;
+  std::shared_ptr<UpstreamConnection> connection_;
+  UpstreamId upstream_;
+  int attempts_ = 0;
+  TimePoint dispatched_;
+  TimePoint first_dispatched_;
+  AnswerKind answer_kind_ = AnswerKind::kNone;
+  // Of the attempt under way, or the last one that failed.
+  HttpResponse answer_;
+  std::optional<uint64_t> answer_length_;
+  // An upstream's failure to answer with if no attempt does better.
+  std::optional<HttpResponse> held_failure_;
+  // The attempts so far may have run the request.
+  bool may_have_run_ = false;
+  // The header has gone to the caller.
+  bool has_started_ = false;
+  bool is_reading_ = true;
+  bool has_ended_ = false;
+  EventSplitter events_;
+};
+
+}  // namespace papaya
+
+#endif  // SRC_GATEWAY_RELAYED_REQUEST_H_
--- /dev/null
+++ b/src/gateway/request_desk.cc
@@ -0,0 +1,333 @@
+#include "src/gateway/request_desk.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "include/base/stable_hash.h"
+#include "include/wire/steady_time.h"
+#include "src/gateway/caller_connection.h"
+
+namespace papaya {
+
+namespace {
+
+// The part of a caller's time within which its request must have begun.
+constexpr double kBeginPart = 0.35;
+// Blocks that prompts are cut into, to know what of one an engine may hold.
+constexpr int64_t kBlockTokens = 512;
+// Callers come back within the first third of the time that they have left.
+constexpr double kLatestReturn = 0.3;
+constexpr Duration kSoonestReturn = std::chrono::milliseconds(100);
+// Return times are spread by this part, so that callers don't come together.
+constexpr double kReturnSpread = 0.5;
+// What a caller without a manifest to go by is told to wait.
+constexpr Duration kStartupReturn = std::chrono::milliseconds(300);
+// The part of the fleet's retry budget that routers divide among them; the rest
+// covers what reaches an upstream later than it was counted.
+constexpr double kBudgetPart = 0.7;
+// Routers that the budget is divided among at least.
+constexpr double kLeastRouters = 7.0;
+constexpr int kNotFound = 404;
+constexpr int kUnauthorized = 401;
+constexpr int kUnavailable = 503;
+
+// Bookings and bids have no tier of their own here: manifests rank from 0, and
+// the highest tier would take work back from upstreams for them.
+Tier TierOf(int priority) {
+  constexpr std::array<Tier, 3> kTiers = {Tier::kInteractive, Tier::kStandard,
+                                          Tier::kBatch};
+  return kTiers[static_cast<size_t>(
+      std::clamp(priority, 0, static_cast<int>(kTiers.size()) - 1))];
+}
+
+SchedulerOptions MakeOptions(const GatewaySettings& settings,
+                             Incarnation incarnation) {
+  SchedulerOptions options;
+  options.router = settings.router;
+  options.incarnation = incarnation;
+  options.retries.share = settings.bounds.retry_share * kBudgetPart;
+  options.retries.most =
+      std::max(1.0, settings.bounds.retry_slack * kBudgetPart / kLeastRouters);
+  // Engines differ in speed by the machine, which they don't tell, and work
+  // that is taken back from one is lost.
+  options.parts.straggler_detection = false;
+  options.parts.preemption = false;
+  return options;
+}
+
+// Chained hashes of the blocks of a prompt, so that prompts that begin alike
+// share their first hashes.
+std::vector<uint64_t> HashPrompt(const std::vector<PromptPart>& parts) {
+  std::vector<uint64_t> hashes;
+  uint64_t chain = 0;
+  for (const PromptPart& part : parts) {
+    const int64_t blocks =
+        (part.tokens.value() + kBlockTokens - 1) / kBlockTokens;
+    for (int64_t block = 0; block < std::max<int64_t>(blocks, 1); ++block) {
+      chain = CombineHashes(
+          chain, CombineHashes(part.hash, static_cast<uint64_t>(block)));
+      hashes.push_back(chain);
+    }
+  }
+  return hashes;
+}
+
+}  // namespace
+
+RequestDesk::RequestDesk(boost::asio::io_context& context,
+                         const GatewaySettings& settings,
+                         Incarnation incarnation,
+                         const WireDialect* dialect,
+                         Hooks hooks)
+    : settings_(settings),
+      hooks_(std::move(hooks)),
+      dialect_(dialect),
+      pool_(context, dialect),
+      scheduler_(MakeOptions(settings, incarnation), MakeHooks()),
+      random_(StableHash(settings.router.value(), incarnation.value())),
+      context_(MakeContext()) {}
+
+RequestDesk::~RequestDesk() = default;
+
+SchedulerHooks RequestDesk::MakeHooks() {
+  SchedulerHooks hooks;
+  hooks.dispatch = [this](RequestId id, const UpstreamId& upstream) {
+    decisions_.push_back({.id = id, .upstream = upstream, .refusal = {}});
+  };
+  hooks.refuse = [this](RequestId id, const Refusal& refusal) {
+    decisions_.push_back({.id = id, .upstream = {}, .refusal = refusal});
+  };
+  hooks.preempt = [](RequestId) {};
+  hooks.send_demand = [this](const DemandReport& /*whole*/,
+                             const DemandParts& parts) {
+    hooks_.send_demand(parts);
+  };
+  hooks.event = [this](const Event& event) { hooks_.event(event); };
+  return hooks;
+}
+
+RelayedRequest::Context RequestDesk::MakeContext() {
+  RelayedRequest::Context context;
+  context.dialect = dialect_;
+  context.pool = &pool_;
+  context.now = &SteadyNow;
+  context.finish_attempt = [this](RequestId id, const AttemptResult& result) {
+    scheduler_.OnFinished(id, result, SteadyNow());
+    RunDecisions();
+  };
+  context.first_token = [this](RequestId id) {
+    scheduler_.OnFirstToken(id, SteadyNow());
+  };
+  context.tokens = [this](RequestId id, Tokens total) {
+    scheduler_.OnTokens(id, total, SteadyNow());
+  };
+  context.cancel = [this](RequestId id) {
+    scheduler_.OnCancelled(id, SteadyNow());
+    RunDecisions();
+  };
+  context.done = [this](const RelayReport& report) {
+    relays_.erase(report.id);
+    hooks_.report(report);
+  };
+  return context;
+}
+
+void RequestDesk::SetTable(std::shared_ptr<const RouteTable> table) {
+  table_ = std::move(table);
+  Publish();
+}
+
+void RequestDesk::SetUpstreams(const std::vector<UpstreamRecord>& records,
+                               const std::vector<RouterPlace>& routers) {
+  records_ = records;
+  routers_ = routers;
+  Publish();
+}
+
+void RequestDesk::Publish() {
+  if (table_ == nullptr) {
+    return;
+  }
+  auto config = std::make_shared<FleetConfig>();
+  RoutingInput input;
+  upstreams_.clear();
+  for (const UpstreamRecord& record : records_) {
+    const ServiceInfo* service = table_->FindService(record.service);
+    UpstreamSpec spec;
+    spec.id = record.id;
+    spec.address = record.address;
+    spec.zone = record.zone;
+    spec.kind = service != nullptr && service->is_engine
+                    ? UpstreamKind::kModelEngine
+                    : UpstreamKind::kPlainService;
+    spec.pool = record.service;
+    spec.slots = record.slots;
+    if (record.is_draining) {
+      input.leaving.push_back(record.id);
+    }
+    config->upstreams.push_back(std::move(spec));
+    upstreams_[record.id] = record;
+  }
+  std::sort(
+      config->upstreams.begin(), config->upstreams.end(),
+      [](const UpstreamSpec& a, const UpstreamSpec& b) { return a.id < b.id; });
+  input.config = std::move(config);
+  input.self = {.id = settings_.router, .zone = settings_.zone};
+  input.routers = routers_;
+  snapshot_ = RoutingSnapshot::Build(input);
+  scheduler_.OnSnapshot(snapshot_, SteadyNow());
+  RunDecisions();
+}
+
+void RequestDesk::Reject(CallerConnection* caller,
+                         int status,
+                         const std::string& reason,
+                         const CallerMetadata& metadata) {
+  hooks_.event(
+      {EventId::kRequestRejected,
+       {{"request", metadata.attempt_id},
+        {"status", absl::StrCat(status)},
+        {"reason", reason},
+        {"manifest", table_ == nullptr
+                         ? "none"
+                         : absl::StrCat(table_->config().version.value())}}});
+  HttpResponse response =
+      MakeJsonResponse(status, absl::StrCat("{\"error\":\"", reason, "\"}"));
+  if (status == kUnavailable) {
+    response.headers.Set("Retry-After",
+                         absl::StrCat(ToSeconds(kStartupReturn)));
+  }
+  caller->Respond(response);
+}
+
+void RequestDesk::OnRequest(const std::shared_ptr<CallerConnection>& caller,
+                            HttpRequest request) {
+  const CallerMetadata metadata = dialect_->read_caller(request.headers);
+  if (table_ == nullptr) {
+    Reject(caller.get(), kUnavailable, "no_manifest", metadata);
+    return;
+  }
+  RelayedRequest::Input input;
+  input.route = table_->FindRoute(request.headers.Get("Host"), request.target);
+  if (input.route == nullptr) {
+    Reject(caller.get(), kNotFound, "no_route", metadata);
+    return;
+  }
+  const ClientAccount* account = table_->FindAccount(metadata.api_key);
+  const bool needs_key =
+      !input.route->is_anonymous && !table_->config().accounts.empty();
+  if (account == nullptr && needs_key) {
+    Reject(caller.get(), kUnauthorized, "unknown_key", metadata);
+    return;
+  }
+  input.id = RequestId(++last_id_);
+  input.caller = caller;
+  input.request = std::move(request);
+  input.metadata = metadata;
+  input.table = table_;
+  if (account != nullptr) {
+    input.account = account->id;
+  }
+  const uint64_t hash = StableHash(metadata.attempt_id);
+  input.service = ChooseService(*input.route, hash);
+  const ServiceInfo* service = table_->FindService(input.service);
+  if (service != nullptr) {
+    input.tokens_per_event = service->tokens_per_event;
+  }
+  input.arrival = SteadyNow();
+  Duration time = input.route->timeout;
+  if (metadata.time_limit.has_value()) {
+    time = std::min(time, *metadata.time_limit);
+  }
+  input.give_up = input.arrival + time;
+  const RequestSpec spec = MakeSpec(input);
+  auto relay = std::make_shared<RelayedRequest>(&context_, std::move(input));
+  relays_[spec.id] = relay;
+  relay->Start();
+  scheduler_.OnRequest(spec, spec.arrival);
+  RunDecisions();
+}
+
+RequestSpec RequestDesk::MakeSpec(const RelayedRequest::Input& input) const {
+  RequestSpec spec;
+  spec.id = input.id;
+  spec.account = input.account;
+  spec.route = input.route->id;
+  spec.pool = input.service;
+  const ClientAccount* account = table_->FindAccount(input.metadata.api_key);
+  spec.tier = TierOf(account != nullptr && account->priority.has_value()
+                         ? *account->priority
+                         : input.route->priority);
+  spec.prompt_tokens = input.metadata.prompt_tokens.value_or(Tokens());
+  spec.max_output_tokens = input.metadata.max_output_tokens.value_or(Tokens());
+  spec.prefix_hashes = HashPrompt(input.metadata.prompt_parts);
+  spec.share_hash = StableHash(input.metadata.attempt_id);
+  spec.arrival = input.arrival;
+  spec.deadline =
+      input.arrival +
+      SecondsToDuration(kBeginPart * ToSeconds(input.give_up - input.arrival));
+  spec.idempotent = input.route->MayRepeat();
+  spec.max_runs = input.route->max_attempts;
+  return spec;
+}
+
+void RequestDesk::OnDemand(const DemandReport& report) {
+  scheduler_.OnDemandReport(report, SteadyNow());
+}
+
+void RequestDesk::OnTick(TimePoint now) {
+  std::vector<std::shared_ptr<RelayedRequest>> relays;
+  relays.reserve(relays_.size());
+  for (const auto& [id, relay] : relays_) {
+    relays.push_back(relay);
+  }
+  for (const std::shared_ptr<RelayedRequest>& relay : relays) {
+    relay->OnTick(now);
+  }
+  scheduler_.OnTick(now);
+  RunDecisions();
+  pool_.OnTick(now);
+}
+
+void RequestDesk::RunDecisions() {
+  // A decision may lead to others; they are run by the outermost call.
+  if (is_deciding_) {
+    return;
+  }
+  is_deciding_ = true;
+  while (!decisions_.empty()) {
+    const Decision decision = std::move(decisions_.front());
+    decisions_.pop_front();
+    Run(decision);
+  }
+  is_deciding_ = false;
+}
+
+void RequestDesk::Run(const Decision& decision) {
+  const auto found = relays_.find(decision.id);
+  if (found == relays_.end()) {
+    return;
+  }
+  const std::shared_ptr<RelayedRequest> relay = found->second;
+  if (decision.refusal.has_value()) {
+    Refusal refusal = *decision.refusal;
+    refusal.retry_after = ReturnTime(*relay, refusal);
+    relay->Refuse(refusal);
+    return;
+  }
+  const auto upstream = upstreams_.find(decision.upstream);
+  relay->Dispatch(upstream == upstreams_.end() ? nullptr : &upstream->second);
+}
+
+Duration RequestDesk::ReturnTime(const RelayedRequest& relay,
+                                 const Refusal& refusal) {
+  const Duration left = relay.input().give_up - SteadyNow();
+  const Duration latest =
+      SecondsToDuration(kLatestReturn * std::max(0.0, ToSeconds(left)));
+  return std::clamp(random_.Jitter(refusal.retry_after, kReturnSpread),
+                    std::min(kSoonestReturn, latest), latest);
+}
+
+}  // namespace papaya
--- /dev/null
+++ b/src/gateway/request_desk.h
@@ -0,0 +1,107 @@
+#ifndef SRC_GATEWAY_REQUEST_DESK_H_
+#define SRC_GATEWAY_REQUEST_DESK_H_
+
+#include <boost/asio/io_context.hpp>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "include/admission/scheduler.h"
+#include "include/base/random.h"
+#include "include/gateway/gateway_settings.h"
+#include "include/gateway/route_table.h"
+#include "include/gateway/upstream_record.h"
+#include "include/gateway/wire_dialect.h"
+#include "include/telemetry/event.h"
+#include "include/wire/http_message.h"
+#include "src/gateway/relayed_request.h"
+#include "src/gateway/upstream_pool.h"
+
+namespace papaya {
+
+class CallerConnection;
+
+// All requests that a router has in hand: takes them in by the manifest, has
+// the scheduler decide when and where each goes, and relays them. One thread.
+class RequestDesk {
+ public:
+  struct Hooks {
+    // Pass each part on to its router.
+    std::function<void(const DemandParts&)> send_demand;
+    std::function<void(const RelayReport&)> report;
+    EventHook event;
+  };
+
+  // `context` and `dialect` must outlive this.
+  RequestDesk(boost::asio::io_context& context,
+              const GatewaySettings& settings,
+              Incarnation incarnation,
+              const WireDialect* dialect,
+              Hooks hooks);
+  ~RequestDesk();
+
+  // Requests that arrive from now on go by `table`.
+  void SetTable(std::shared_ptr<const RouteTable> table);
+
+  // The upstreams that are registered, and the routers that share them.
+  void SetUpstreams(const std::vector<UpstreamRecord>& records,
+                    const std::vector<RouterPlace>& routers);
+
+  void OnRequest(const std::shared_ptr<CallerConnection>& caller,
+                 HttpRequest request);
+
+  void OnDemand(const DemandReport& report);
+
+  // Call every 25 ms.
+  void OnTick(TimePoint now);
+
+  size_t in_flight() const { return relays_.size(); }
+  const RoutingSnapshot* snapshot() const { return snapshot_.get(); }
+  int64_t upstream_connections() const { return pool_.opened(); }
+
+ private:
+  // A decision of the scheduler that waits until its method has returned.
+  struct Decision {
+    RequestId id;
+    UpstreamId upstream;
+    std::optional<Refusal> refusal;
+  };
+
+  SchedulerHooks MakeHooks();
+  RelayedRequest::Context MakeContext();
+  // Answers a request that the manifest does not allow.
+  void Reject(CallerConnection* caller,
+              int status,
+              const std::string& reason,
+              const CallerMetadata& metadata);
+  RequestSpec MakeSpec(const RelayedRequest::Input& input) const;
+  void RunDecisions();
+  void Run(const Decision& decision);
+  Duration ReturnTime(const RelayedRequest& relay, const Refusal& refusal);
+  void Publish();
+
+  const GatewaySettings settings_;
+  const Hooks hooks_;
+  const WireDialect* const dialect_;
+  UpstreamPool pool_;
+  Scheduler scheduler_;
+  Random random_;
+  RelayedRequest::Context context_;
+  std::shared_ptr<const RouteTable> table_;
+  std::shared_ptr<const RoutingSnapshot> snapshot_;
+  std::vector<UpstreamRecord> records_;
+  std::vector<RouterPlace> routers_;
+  absl::flat_hash_map<UpstreamId, UpstreamRecord> upstreams_;
+  absl::flat_hash_map<RequestId, std::shared_ptr<RelayedRequest>> relays_;
+  std::deque<Decision> decisions_;
+  bool is_deciding_ = false;
+  uint64_t last_id_ = 0;
+};
+
+}  // namespace papaya
+
+#endif  // SRC_GATEWAY_REQUEST_DESK_H_
--- /dev/null
+++ b/src/gateway/route_table.cc
@@ -0,0 +1,81 @@
+#include "include/gateway/route_table.h"
+
+#include <utility>
+
+#include "absl/strings/ascii.h"
+#include "include/base/stable_hash.h"
+
+namespace papaya {
+
+namespace {
+
+// The name in a Host header, without its port.
+std::string HostName(const std::string& host) {
+  return absl::AsciiStrToLower(host.substr(0, host.rfind(':')));
+}
+
+}  // namespace
+
+RouteTable::RouteTable(std::shared_ptr<const GatewayConfig> config)
+    : config_(std::move(config)) {
+  for (const ServiceRoute& route : config_->routes) {
+    routes_[route.host].emplace(route.path_prefix, &route);
+  }
+  for (const ClientAccount& account : config_->accounts) {
+    for (const std::string& key : account.api_keys) {
+      accounts_.emplace(key, &account);
+    }
+  }
+  for (const ServiceInfo& service : config_->services) {
+    services_.emplace(service.id, &service);
+  }
+}
+
+const ServiceRoute* RouteTable::FindRoute(const std::string& host,
+                                          const std::string& target) const {
+  const auto found = routes_.find(HostName(host));
+  if (found == routes_.end()) {
+    return nullptr;
+  }
+  // Prefixes end in a slash, so only the path's parts are looked up.
+  std::string prefix = target.substr(0, target.find('?'));
+  while (true) {
+    const size_t slash = prefix.rfind('/');
+    if (slash == std::string::npos) {
+      return nullptr;
+    }
+    prefix.resize(slash + 1);
+    const auto route = found->second.find(prefix);
+    if (route != found->second.end()) {
+      return route->second;
+    }
+    prefix.resize(slash);
+  }
+}
+
+const ClientAccount* RouteTable::FindAccount(const std::string& key) const {
+  const auto found = accounts_.find(key);
+  return found == accounts_.end() ? nullptr : found->second;
+}
+
+const ServiceInfo* RouteTable::FindService(const PoolId& service) const {
+  const auto found = services_.find(service);
+  return found == services_.end() ? nullptr : found->second;
+}
+
+const PoolId& ChooseService(const ServiceRoute& route, uint64_t hash) {
+  int total = 0;
+  for (const ServiceShare& share : route.services) {
+    total += share.weight;
+  }
+  double point = HashToUnit(hash) * total;
+  for (const ServiceShare& share : route.services) {
+    if (point < share.weight) {
+      return share.service;
+    }
+    point -= share.weight;
+  }
+  return route.services.back().service;
+}
+
+}  // namespace papaya
--- /dev/null
+++ b/src/gateway/upstream_connection.cc
@@ -0,0 +1,218 @@
+#include "src/gateway/upstream_connection.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <utility>
+
+#include "include/wire/steady_time.h"
+#include "src/gateway/tcp_channel.h"
+#include "src/wire/address.h"
+
+namespace papaya {
+
+namespace {
+
+using boost::asio::ip::tcp;
+
+// An upstream that does not say how long it keeps an idle connection is taken
+// to keep it so long.
+constexpr Duration kDefaultIdleTimeout = std::chrono::seconds(4);
+// A connection is not used again in the last part of its time, as the request
+// could cross the upstream's close.
+constexpr Duration kIdleMargin = std::chrono::milliseconds(600);
+// Whose answer it is must be clear for these; a refusal may lack it.
+constexpr int kFirstFailure = 400;
+
+}  // namespace
+
+UpstreamConnection::UpstreamConnection(boost::asio::io_context& context,
+                                       const WireDialect* dialect)
+    : context_(context),
+      dialect_(dialect),
+      idle_timeout_(kDefaultIdleTimeout) {}
+
+UpstreamConnection::~UpstreamConnection() = default;
+
+void UpstreamConnection::Send(const std::string& address, Call call) {
+  call_ = std::make_shared<Call>(std::move(call));
+  reader_.emplace(call_->is_head);
+  is_foreign_ = false;
+  has_head_ = false;
+  was_sent_ = false;
+  if (channel_ != nullptr) {
+    SendBytes();
+    return;
+  }
+  const absl::StatusOr<tcp::endpoint> endpoint = ParseEndpoint(address);
+  tcp::socket socket(context_);
+  boost::system::error_code error;
+  if (endpoint.ok()) {
+    socket.open(endpoint->protocol(), error);
+  }
+  channel_ = std::make_shared<TcpChannel>(std::move(socket));
+  if (!endpoint.ok() || error) {
+    const std::string reason = endpoint.ok()
+                                   ? error.message()
+                                   : std::string(endpoint.status().message());
+    boost::asio::post(
+        context_, [self = shared_from_this(), reason] { self->Fail(reason); });
+    return;
+  }
+  channel_->Connect(*endpoint,
+                    [self = shared_from_this()](const std::string& reason) {
+                      self->OnConnected(reason);
+                    });
+}
+
+void UpstreamConnection::OnConnected(const std::string& error) {
+  if (is_closed_) {
+    return;
+  }
+  if (!error.empty()) {
+    Fail(error);
+    return;
+  }
+  TcpChannel::Hooks hooks;
+  // The connection owns the channel, so the hooks must not keep it alive.
+  std::weak_ptr<UpstreamConnection> weak = weak_from_this();
+  hooks.data = [weak](std::string_view bytes) {
+    if (const auto self = weak.lock()) {
+      self->OnData(bytes);
+    }
+  };
+  hooks.ended = [weak](bool is_orderly, const std::string& reason) {
+    if (const auto self = weak.lock()) {
+      self->OnEnded(is_orderly, reason);
+    }
+  };
+  channel_->Start(std::move(hooks));
+  SendBytes();
+}
+
+void UpstreamConnection::SendBytes() {
+  was_sent_ = true;
+  const std::string bytes = std::exchange(call_->bytes, std::string());
+  channel_->Write(bytes);
+}
+
+void UpstreamConnection::SetReading(bool is_reading) {
+  if (channel_ != nullptr && !is_closed_) {
+    channel_->SetReading(is_reading);
+  }
+}
+
+void UpstreamConnection::Close() {
+  is_closed_ = true;
+  call_.reset();
+  if (channel_ != nullptr) {
+    channel_->Close();
+  }
+}
+
+bool UpstreamConnection::IsReusable(TimePoint now) const {
+  return !is_closed_ && !is_last_call_ && call_ == nullptr &&
+         channel_ != nullptr && channel_->is_open() &&
+         channel_->pending_bytes() == 0 && !IsExpired(now);
+}
+
+bool UpstreamConnection::IsExpired(TimePoint now) const {
+  return now - idle_since_ >= idle_timeout_ - kIdleMargin;
+}
+
+void UpstreamConnection::OnData(std::string_view bytes) {
+  if (call_ == nullptr) {
+    // Nobody asked for these bytes.
+    Close();
+    return;
+  }
+  input_.append(bytes);
+  const std::shared_ptr<UpstreamConnection> self = shared_from_this();
+  ReadAnswers();
+}
+
+void UpstreamConnection::ReadAnswers() {
+  while (call_ != nullptr && !is_closed_ && ReadOne()) {
+  }
+}
+
+bool UpstreamConnection::ReadOne() {
+  const AnswerReader::State state = reader_->Feed(&input_);
+  if (state == AnswerReader::State::kFault) {
+    Fail(reader_->fault());
+    return false;
+  }
+  if (state == AnswerReader::State::kHead) {
+    return false;
+  }
+  if (!has_head_ && !TakeHead()) {
+    return false;
+  }
+  std::string body = reader_->TakeBody();
+  if (!is_foreign_ && !body.empty()) {
+    const std::shared_ptr<const Call> call = call_;
+    call->body(std::move(body));
+  }
+  // The hook may have closed this connection.
+  if (state != AnswerReader::State::kDone || call_ == nullptr) {
+    return false;
+  }
+  if (is_foreign_) {
+    reader_.emplace(call_->is_head);
+    has_head_ = false;
+    return !input_.empty();
+  }
+  Finish();
+  return false;
+}
+
+bool UpstreamConnection::TakeHead() {
+  has_head_ = true;
+  const AnswerMetadata metadata =
+      dialect_->read_answer(reader_->status(), reader_->headers());
+  is_foreign_ =
+      metadata.attempt_id != call_->attempt_id &&
+      (!metadata.attempt_id.empty() || reader_->status() < kFirstFailure);
+  is_last_call_ = metadata.closes || !reader_->keeps_alive();
+  idle_timeout_ = metadata.idle_timeout.value_or(kDefaultIdleTimeout);
+  if (!is_foreign_) {
+    const std::shared_ptr<const Call> call = call_;
+    call->head(*reader_, metadata);
+  }
+  return call_ != nullptr;
+}
+
+void UpstreamConnection::OnEnded(bool is_orderly, const std::string& error) {
+  if (call_ == nullptr) {
+    Close();
+    return;
+  }
+  is_last_call_ = true;
+  if (is_orderly && has_head_ && !is_foreign_ &&
+      reader_->FeedEnd() == AnswerReader::State::kDone) {
+    Finish();
+    return;
+  }
+  Fail(error);
+}
+
+void UpstreamConnection::Finish() {
+  const std::shared_ptr<const Call> call = std::exchange(call_, nullptr);
+  reader_.reset();
+  idle_since_ = SteadyNow();
+  if (is_last_call_ || !input_.empty()) {
+    Close();
+  }
+  call->ended();
+}
+
+void UpstreamConnection::Fail(const std::string& error) {
+  if (call_ == nullptr) {
+    return;
+  }
+  const std::shared_ptr<const Call> call = std::exchange(call_, nullptr);
+  const bool was_sent = was_sent_;
+  Close();
+  call->failed(was_sent, error);
+}
+
+}  // namespace papaya
--- /dev/null
+++ b/src/gateway/upstream_directory.cc
@@ -0,0 +1,116 @@
+#include "include/gateway/upstream_directory.h"
+
+#include <set>
+#include <utility>
+
+namespace papaya {
+
+void UpstreamDirectory::Replace(const std::vector<FeedObject>& objects,
+                                TimePoint now) {
+  bool has_changed = false;
+  std::set<std::string> present;
+  for (const FeedObject& object : objects) {
+    present.insert(object.name);
+    has_changed |= Put(object);
+  }
+  std::vector<std::string> missing;
+  for (const auto& [name, entry] : entries_) {
+    if (!present.contains(name)) {
+      missing.push_back(name);
+    }
+  }
+  for (const std::string& name : missing) {
+    has_changed |= Remove(name, now);
+  }
+  if (has_changed) {
+    hooks_.changed();
+  }
+}
+
+void UpstreamDirectory::Apply(const FeedObject& object, TimePoint now) {
+  if (object.is_deleted ? Remove(object.name, now) : Put(object)) {
+    hooks_.changed();
+  }
+}
+
+void UpstreamDirectory::OnStoreRegained(TimePoint now) {
+  grace_until_ = now + kReturnGrace;
+}
+
+void UpstreamDirectory::OnTick(TimePoint now) {
+  bool has_changed = false;
+  for (auto entry = entries_.begin(); entry != entries_.end();) {
+    if (entry->second.drop_at.has_value() && *entry->second.drop_at <= now) {
+      entry = Drop(entry);
+      has_changed = true;
+    } else {
+      ++entry;
+    }
+  }
+  if (has_changed) {
+    hooks_.changed();
+  }
+}
+
+std::vector<UpstreamRecord> UpstreamDirectory::Records() const {
+  std::vector<UpstreamRecord> records;
+  records.reserve(entries_.size());
+  for (const auto& [name, entry] : entries_) {
+    records.push_back(entry.record);
+  }
+  return records;
+}
+
+bool UpstreamDirectory::Put(const FeedObject& object) {
+  const auto found = entries_.find(object.name);
+  absl::StatusOr<UpstreamRecord> record = hooks_.decode(object);
+  if (!record.ok()) {
+    hooks_.event({EventId::kEntryRefused,
+                  {{"entry", object.name},
+                   {"error", std::string(record.status().message())}}});
+    if (found == entries_.end()) {
+      return false;
+    }
+    Drop(found);
+    return true;
+  }
+  if (found != entries_.end() && found->second.record == *record) {
+    found->second.drop_at.reset();
+    return false;
+  }
+  if (found == entries_.end() || found->second.record.id != record->id) {
+    hooks_.event({EventId::kUpstreamRegistered,
+                  {{"upstream", record->id.value()},
+                   {"service", record->service.value()},
+                   {"address", record->address}}});
+  } else if (record->is_draining) {
+    hooks_.event(
+        {EventId::kUpstreamDraining, {{"upstream", record->id.value()}}});
+  }
+  entries_[object.name] = {.record = *std::move(record), .drop_at = {}};
+  return true;
+}
+
+bool UpstreamDirectory::Remove(const std::string& name, TimePoint now) {
+  const auto found = entries_.find(name);
+  if (found == entries_.end()) {
+    return false;
+  }
+  if (now < grace_until_) {
+    if (!found->second.drop_at.has_value()) {
+      found->second.drop_at = grace_until_;
+    }
+    return false;
+  }
+  Drop(found);
+  return true;
+}
+
+UpstreamDirectory::Entries::iterator UpstreamDirectory::Drop(
+    Entries::iterator entry) {
+  hooks_.event({EventId::kUpstreamGone,
+                {{"upstream", entry->second.record.id.value()}}});
+  return entries_.erase(entry);
+}
+
+}  // namespace papaya
--- /dev/null
+++ b/src/gateway/upstream_pool.cc
@@ -0,0 +1,55 @@
+#include "src/gateway/upstream_pool.h"
+
+#include <utility>
+
+#include "src/gateway/upstream_connection.h"
+
+namespace papaya {
+
+UpstreamPool::UpstreamPool(boost::asio::io_context& context,
+                           const WireDialect* dialect)
+    : context_(context), dialect_(dialect) {}
+
+UpstreamPool::~UpstreamPool() = default;
+
+std::shared_ptr<UpstreamConnection> UpstreamPool::Take(
+    const UpstreamId& upstream,
+    TimePoint now) {
+  std::vector<std::shared_ptr<UpstreamConnection>>& idle = idle_[upstream];
+  while (!idle.empty()) {
+    std::shared_ptr<UpstreamConnection> connection = std::move(idle.back());
+    idle.pop_back();
+    if (connection->IsReusable(now)) {
+      return connection;
+    }
+    connection->Close();
+  }
+  ++opened_;
+  return std::make_shared<UpstreamConnection>(context_, dialect_);
+}
+
+void UpstreamPool::Give(const UpstreamId& upstream,
+                        std::shared_ptr<UpstreamConnection> connection,
+                        TimePoint now) {
+  if (connection->IsReusable(now) || connection->IsFinishing()) {
+    idle_[upstream].push_back(std::move(connection));
+  }
+}
+
+void UpstreamPool::OnTick(TimePoint now) {
+  for (auto entry = idle_.begin(); entry != idle_.end();) {
+    std::erase_if(entry->second, [now](const auto& connection) {
+      // One that still sends the rest of a request answered early has until
+      // its idle time is over, too.
+      if (connection->IsReusable(now) ||
+          (connection->IsFinishing() && !connection->IsExpired(now))) {
+        return false;
+      }
+      connection->Close();
+      return true;
+    });
+    entry = entry->second.empty() ? idle_.erase(entry) : std::next(entry);
+  }
+}
+
+}  // namespace papaya
--- /dev/null
+++ b/src/papaya_gateway_main.cc
@@ -0,0 +1,107 @@
+// The router on the users' platform.
+
+#include <gflags/gflags.h>
+#include <signal.h>
+#include <unistd.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <cstdlib>
+#include <iostream>
+#include <optional>
+
+#include "include/base/text_file.h"
+#include "include/gateway/gateway.h"
+#include "include/telemetry/event.h"
+#include "include/telemetry/log_output.h"
+#include "include/telemetry/logger.h"
+#include "platform/binding.h"
+#include "platform/settings_reader.h"
+#include "platform/wire_names.h"
+#include "src/program_flags.h"
+
+DEFINE_string(settings,
+              "",
+              "The settings file that the platform wrote; by default the one "
+              "that its environment variable names.");
+DEFINE_bool(check_settings,
+            false,
+            "Check the settings file, print what is wrong, and end.");
+DEFINE_bool(debug_log, false, "Log events of severity `debug` too.");
+
+namespace {
+
+constexpr int kExitOk = 0;
+constexpr int kExitFailed = 1;
+constexpr int kExitBadSettings = 2;
+
+constexpr char kUsage[] =
+    "papaya_gateway [--settings=FILE]\n"
+    "Runs one router on the users' platform. SIGTERM shuts it down "
+    "gracefully:\n"
+    "it is not ready any more, finishes all it has, and ends with 0. SIGHUP\n"
+    "reads the settings again.\n"
+    "Exit codes: 0 ended or settings good, 1 could not run, 2 wrong flags or\n"
+    "settings.";
+
+std::string SettingsPath() {
+  if (!FLAGS_settings.empty()) {
+    return FLAGS_settings;
+  }
+  const char* path = std::getenv(papaya::platform::kSettingsVariable);
+  return path == nullptr ? "" : path;
+}
+
+absl::StatusOr<papaya::GatewaySettings> LoadSettings(const std::string& path) {
+  const absl::StatusOr<std::string> text = papaya::ReadTextFile(path);
+  if (!text.ok()) {
+    return text.status();
+  }
+  return papaya::platform::ParseSettings(*text, path);
+}
+
+int Run(const papaya::GatewaySettings& settings, papaya::Logger* logger) {
+  boost::asio::io_context context(1);
+  papaya::Gateway gateway(context, settings, papaya::platform::MakeBinding(),
+                          logger);
+  const absl::Status started = gateway.Start();
+  if (!started.ok()) {
+    std::cerr << started.message() << "\n";
+    return kExitFailed;
+  }
+  boost::asio::signal_set stop(context, SIGTERM, SIGINT);
+  stop.async_wait([&](const boost::system::error_code&, int) {
+    gateway.Drain([&context] { context.stop(); });
+  });
+  context.run();
+  return kExitOk;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  const std::optional<int> ended =
+      papaya::ReadProgramFlags("papaya_gateway", kUsage, &argc, &argv);
+  if (ended.has_value()) {
+    return *ended;
+  }
+  signal(SIGPIPE, SIG_IGN);
+  papaya::LogOutput output(STDOUT_FILENO);
+  papaya::Logger logger(output.stream(), FLAGS_debug_log
+                                             ? papaya::Severity::kDebug
+                                             : papaya::Severity::kInfo);
+  const absl::StatusOr<papaya::GatewaySettings> settings =
+      LoadSettings(SettingsPath());
+  if (!settings.ok()) {
+    papaya::Event refused{.id = papaya::EventId::kSettingsRefused};
+    refused.fields = {{"faults", std::string(settings.status().message())}};
+    logger.Log(refused);
+    std::cerr << settings.status().message() << "\n";
+    return kExitBadSettings;
+  }
+  if (FLAGS_check_settings) {
+    std::cout << SettingsPath() << ": good\n";
+    return kExitOk;
+  }
+  return Run(*settings, &logger);
+}
--- a/src/telemetry/event_catalog.cc
+++ b/src/telemetry/event_catalog.cc
@@ -49,6 +49,16 @@
       {EventId::kSettingsRefused, Severity::kError, "settings_refused",
        "The settings have faults, all of them listed; mend them and start "
        "again."},
+      {EventId::kStoreLost, Severity::kWarning, "store_lost",
+       "Calls to the platform's store fail; the router goes on with what it "
+       "knows."},
+      {EventId::kStoreRegained, Severity::kInfo, "store_regained",
+       "The platform's store answers again, after so long."},
+      {EventId::kEntryRefused, Severity::kWarning, "entry_refused",
+       "A registration in the platform's store names no upstream that can be "
+       "used; whoever wrote it must mend it."},
+      {EventId::kSettingsReloaded, Severity::kInfo, "settings_reloaded",
+       "The settings file changed and its bounds are in force."},
 
       // Membership and configuration.
       {EventId::kRevisionInForce, Severity::kInfo, "revision_in_force",
@@ -85,6 +95,16 @@
       {EventId::kRouterNameClash, Severity::kError, "router_name_clash",
        "Another process uses this router's name with a later start; give each "
        "its own name in the settings."},
+      {EventId::kUpstreamRegistered, Severity::kInfo, "upstream_registered",
+       "An upstream, or a new start of one, registered and may get work."},
+      {EventId::kUpstreamDraining, Severity::kInfo, "upstream_draining",
+       "An upstream said that it leaves; it gets no new work."},
+      {EventId::kUpstreamGone, Severity::kInfo, "upstream_gone",
+       "An upstream's registration is gone; it gets no new work."},
+      {EventId::kManifestInForce, Severity::kInfo, "manifest_in_force",
+       "Requests that arrive from now on go by this version of the manifest."},
+      {EventId::kManifestRefused, Severity::kError, "manifest_refused",
+       "A manifest can't be read; the one before stays in force."},
 
       // Routing and admission.
       {EventId::kStragglerSetAside, Severity::kWarning, "straggler_set_aside",
@@ -101,6 +121,17 @@
       // Release notes.
       {EventId::kNoteStateChanged, Severity::kInfo, "note_state_changed",
        "A release note went to another state, with the reason."},
+
+      // Gateway.
+      {EventId::kRequestServed, Severity::kInfo, "request_served",
+       "A request was answered by an upstream, with the time it waited and "
+       "took."},
+      {EventId::kRequestFailed, Severity::kWarning, "request_failed",
+       "A request ended without a good answer; `reason` says why, `upstream` "
+       "where it was last."},
+      {EventId::kRequestRejected, Severity::kInfo, "request_rejected",
+       "A request was turned away by the manifest, or because there is none "
+       "yet."},
   };
   return catalog;
 }
--- a/tools/check_layers.sh
+++ b/tools/check_layers.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/.."
 
 modules=(base chart telemetry settings config membership routing admission
-  once rollout wire standin daemon ctl)
+  once rollout wire gateway standin daemon ctl)
 
 status=0
 for ((i = 0; i < ${#modules[@]}; i++)); do
