Keep quotas of client accounts over all routers

Change: AccountQuotas counts each account at one router that a hash names; the others report their usage there and hear what the rest use.

--- a/include/wire/peer_message.h
+++ b/include/wire/peer_message.h
@@ -4,6 +4,7 @@
 #include <variant>
 
 #include "include/admission/demand_notice.h"
+#include "include/admission/usage_messages.h"
 #include "include/config/config_messages.h"
 #include "include/membership/member_messages.h"
 #include "include/once/claim_messages.h"
@@ -21,7 +22,9 @@
                                  ClaimQuery,
                                  ClaimReply,
                                  ForwardRequest,
-                                 ForwardReply>;
+                                 ForwardReply,
+                                 UsageReport,
+                                 UsageTotals>;
 
 }  // namespace papaya
 
--- a/src/daemon/control_plane.h
+++ b/src/daemon/control_plane.h
@@ -86,6 +86,9 @@
   void Handle(const RouterId& from, const ClaimReply& reply);
   void Handle(const RouterId& from, const ForwardRequest& request);
   void Handle(const RouterId& from, const ForwardReply& reply);
+  // Quotas are kept by gateways only.
+  void Handle(const RouterId&, const UsageReport&) {}
+  void Handle(const RouterId&, const UsageTotals&) {}
 
   void MakeOnce();
   void MakeRollout(const std::shared_ptr<const StateChart>& note_chart);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -143,6 +143,13 @@
       mesh_.Send(router, MakeDemandNotice(part));
     }
   };
+  hooks.send_usage = [this](const RouterId& router, const UsageReport& report) {
+    mesh_.Send(router, report);
+  };
+  hooks.send_totals = [this](const RouterId& router,
+                             const UsageTotals& totals) {
+    mesh_.Send(router, totals);
+  };
   hooks.report = [this](const RelayReport& report) { OnReport(report); };
   hooks.event = logger_->hook();
   return hooks;
@@ -156,6 +163,12 @@
     if (notice != nullptr && notice->incarnation != Incarnation()) {
       desk_.OnDemand(demand_names_.Resolve(from, *notice));
     }
+    if (const UsageReport* report = std::get_if<UsageReport>(&message)) {
+      desk_.OnUsage(from, *report);
+    }
+    if (const UsageTotals* totals = std::get_if<UsageTotals>(&message)) {
+      desk_.OnUsage(from, *totals);
+    }
   };
   hooks.event = logger_->hook();
   return hooks;
--- a/src/gateway/relayed_request.cc
+++ b/src/gateway/relayed_request.cc
@@ -83,6 +83,10 @@
 
 }  // namespace
 
+std::string FormatSeconds(Duration duration) {
+  return absl::StrFormat("%.2f", ToSeconds(duration));
+}
+
 RelayedRequest::RelayedRequest(const Context* context, Input input)
     : context_(context), input_(std::move(input)) {}
 
@@ -377,8 +381,7 @@
   HttpResponse response =
       MakeJsonResponse(status, absl::StrCat("{\"error\":\"", reason, "\"}"));
   if (retry_after.has_value()) {
-    response.headers.Set("Retry-After",
-                         absl::StrFormat("%.2f", ToSeconds(*retry_after)));
+    response.headers.Set("Retry-After", FormatSeconds(*retry_after));
   }
   input_.caller->Respond(response);
   Report(status, reason);
@@ -454,6 +457,8 @@
   report.service = input_.service;
   report.upstream = upstream_;
   report.attempts = attempts_;
+  report.quota_left =
+      status == kUnavailable && !may_have_run_ ? input_.quota_cost : 0.0;
   report.status = status;
   report.reason = reason;
   report.waited = (attempts_ > 0 ? first_dispatched_ : now) - input_.arrival;
--- a/src/gateway/relayed_request.h
+++ b/src/gateway/relayed_request.h
@@ -23,6 +23,9 @@
 class UpstreamConnection;
 class UpstreamPool;
 
+// `duration` as a Retry-After header has it.
+std::string FormatSeconds(Duration duration);
+
 // How a request ended, for logs and metrics.
 struct RelayReport {
   RequestId id;
@@ -34,6 +37,8 @@
   // Where it was sent last; empty if nowhere.
   UpstreamId upstream;
   int attempts = 0;
+  // What of the account's quota was not used, as nothing ran.
+  double quota_left = 0.0;
   // Of the answer; 0 if there was none or it was cut.
   int status = 0;
   // Why there was no answer of an upstream; empty if there was.
@@ -75,6 +80,8 @@
     PoolId service;
     // Output tokens in one event of a stream.
     Tokens tokens_per_event{1};
+    // What was taken of the account's quota.
+    double quota_cost = 0.0;
     TimePoint arrival;
     // The answer must be whole by then.
     TimePoint give_up;
--- a/src/gateway/request_desk.cc
+++ b/src/gateway/request_desk.cc
@@ -31,6 +31,7 @@
 constexpr double kLeastRouters = 7.0;
 constexpr int kNotFound = 404;
 constexpr int kUnauthorized = 401;
+constexpr int kTooManyRequests = 429;
 constexpr int kUnavailable = 503;
 
 // Bookings and bids have no tier of their own here: manifests rank from 0, and
@@ -86,6 +87,8 @@
       dialect_(dialect),
       pool_(context, dialect),
       scheduler_(MakeOptions(settings, incarnation), MakeHooks()),
+      quotas_({.self = settings.router, .window = settings.bounds.quota_window},
+              {.report = hooks_.send_usage, .answer = hooks_.send_totals}),
       random_(StableHash(settings.router.value(), incarnation.value())),
       context_(MakeContext()) {}
 
@@ -129,6 +132,9 @@
   };
   context.done = [this](const RelayReport& report) {
     relays_.erase(report.id);
+    if (report.quota_left > 0.0) {
+      quotas_.GiveBack(report.account, report.quota_left, SteadyNow());
+    }
     hooks_.report(report);
   };
   return context;
@@ -136,6 +142,12 @@
 
 void RequestDesk::SetTable(std::shared_ptr<const RouteTable> table) {
   table_ = std::move(table);
+  std::vector<AccountLimit> limits;
+  for (const ClientAccount& account : table_->config().accounts) {
+    limits.push_back(
+        {.account = account.id, .rate = account.rate, .burst = account.burst});
+  }
+  quotas_.SetLimits(limits);
   Publish();
 }
 
@@ -143,6 +155,11 @@
                                const std::vector<RouterPlace>& routers) {
   records_ = records;
   routers_ = routers;
+  std::vector<RouterId> names;
+  for (const RouterPlace& router : routers) {
+    names.push_back(router.id);
+  }
+  quotas_.SetRouters(names, SteadyNow());
   Publish();
 }
 
@@ -184,7 +201,8 @@
 void RequestDesk::Reject(CallerConnection* caller,
                          int status,
                          const std::string& reason,
-                         const CallerMetadata& metadata) {
+                         const CallerMetadata& metadata,
+                         std::optional<Duration> retry_after) {
   hooks_.event(
       {EventId::kRequestRejected,
        {{"request", metadata.attempt_id},
@@ -195,9 +213,8 @@
                          : absl::StrCat(table_->config().version.value())}}});
   HttpResponse response =
       MakeJsonResponse(status, absl::StrCat("{\"error\":\"", reason, "\"}"));
-  if (status == kUnavailable) {
-    response.headers.Set("Retry-After",
-                         absl::StrCat(ToSeconds(kStartupReturn)));
+  if (retry_after.has_value()) {
+    response.headers.Set("Retry-After", FormatSeconds(*retry_after));
   }
   caller->Respond(response);
 }
@@ -206,20 +223,20 @@
                             HttpRequest request) {
   const CallerMetadata metadata = dialect_->read_caller(request.headers);
   if (table_ == nullptr) {
-    Reject(caller.get(), kUnavailable, "no_manifest", metadata);
+    Reject(caller.get(), kUnavailable, "no_manifest", metadata, kStartupReturn);
     return;
   }
   RelayedRequest::Input input;
   input.route = table_->FindRoute(request.headers.Get("Host"), request.target);
   if (input.route == nullptr) {
-    Reject(caller.get(), kNotFound, "no_route", metadata);
+    Reject(caller.get(), kNotFound, "no_route", metadata, std::nullopt);
     return;
   }
   const ClientAccount* account = table_->FindAccount(metadata.api_key);
   const bool needs_key =
       !input.route->is_anonymous && !table_->config().accounts.empty();
   if (account == nullptr && needs_key) {
-    Reject(caller.get(), kUnauthorized, "unknown_key", metadata);
+    Reject(caller.get(), kUnauthorized, "unknown_key", metadata, std::nullopt);
     return;
   }
   input.id = RequestId(++last_id_);
@@ -242,6 +259,9 @@
     time = std::min(time, *metadata.time_limit);
   }
   input.give_up = input.arrival + time;
+  if (account != nullptr && !SpendQuota(*account, &input)) {
+    return;
+  }
   const RequestSpec spec = MakeSpec(input);
   auto relay = std::make_shared<RelayedRequest>(&context_, std::move(input));
   relays_[spec.id] = relay;
@@ -250,6 +270,26 @@
   RunDecisions();
 }
 
+bool RequestDesk::SpendQuota(const ClientAccount& account,
+                             RelayedRequest::Input* input) {
+  const CallerMetadata& metadata = input->metadata;
+  input->quota_cost = 1.0;
+  if (account.counts_tokens) {
+    const Tokens tokens =
+        metadata.prompt_tokens.has_value()
+            ? *metadata.prompt_tokens + *metadata.max_output_tokens
+            : account.plain_tokens;
+    input->quota_cost = static_cast<double>(tokens.value());
+  }
+  const std::optional<Duration> wait =
+      quotas_.Spend(account.id, input->quota_cost, input->arrival);
+  if (!wait.has_value()) {
+    return true;
+  }
+  Reject(input->caller.get(), kTooManyRequests, "over_quota", metadata, *wait);
+  return false;
+}
+
 RequestSpec RequestDesk::MakeSpec(const RelayedRequest::Input& input) const {
   RequestSpec spec;
   spec.id = input.id;
@@ -277,6 +317,14 @@
   scheduler_.OnDemandReport(report, SteadyNow());
 }
 
+void RequestDesk::OnUsage(const RouterId& from, const UsageReport& report) {
+  quotas_.OnReport(from, report, SteadyNow());
+}
+
+void RequestDesk::OnUsage(const RouterId& from, const UsageTotals& totals) {
+  quotas_.OnTotals(from, totals, SteadyNow());
+}
+
 void RequestDesk::OnTick(TimePoint now) {
   std::vector<std::shared_ptr<RelayedRequest>> relays;
   relays.reserve(relays_.size());
@@ -288,6 +336,7 @@
   }
   scheduler_.OnTick(now);
   RunDecisions();
+  quotas_.OnTick(now);
   pool_.OnTick(now);
 }
 
--- a/src/gateway/request_desk.h
+++ b/src/gateway/request_desk.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "include/admission/account_quota.h"
 #include "include/admission/scheduler.h"
 #include "include/base/random.h"
 #include "include/gateway/gateway_settings.h"
@@ -32,6 +33,8 @@
   struct Hooks {
     // Pass each part on to its router.
     std::function<void(const DemandParts&)> send_demand;
+    std::function<void(const RouterId&, const UsageReport&)> send_usage;
+    std::function<void(const RouterId&, const UsageTotals&)> send_totals;
     std::function<void(const RelayReport&)> report;
     EventHook event;
   };
@@ -55,6 +58,8 @@
                  HttpRequest request);
 
   void OnDemand(const DemandReport& report);
+  void OnUsage(const RouterId& from, const UsageReport& report);
+  void OnUsage(const RouterId& from, const UsageTotals& totals);
 
   // Call every 25 ms.
   void OnTick(TimePoint now);
@@ -77,7 +82,10 @@
   void Reject(CallerConnection* caller,
               int status,
               const std::string& reason,
-              const CallerMetadata& metadata);
+              const CallerMetadata& metadata,
+              std::optional<Duration> retry_after);
+  // False if the account's quota does not allow it, which is then answered.
+  bool SpendQuota(const ClientAccount& account, RelayedRequest::Input* input);
   RequestSpec MakeSpec(const RelayedRequest::Input& input) const;
   void RunDecisions();
   void Run(const Decision& decision);
@@ -89,6 +97,7 @@
   const WireDialect* const dialect_;
   UpstreamPool pool_;
   Scheduler scheduler_;
+  AccountQuotas quotas_;
   Random random_;
   RelayedRequest::Context context_;
   std::shared_ptr<const RouteTable> table_;
--- a/src/wire/peer_codec.cc
+++ b/src/wire/peer_codec.cc
@@ -27,6 +27,12 @@
 fb::PayloadUnion EncodePayload(const DemandNotice& notice) {
   return EncodeDemandNotice(notice);
 }
+fb::PayloadUnion EncodePayload(const UsageReport& report) {
+  return EncodeUsageMessage(report);
+}
+fb::PayloadUnion EncodePayload(const UsageTotals& totals) {
+  return EncodeUsageMessage(totals);
+}
 template <typename OnceMessage>
 fb::PayloadUnion EncodePayload(const OnceMessage& message) {
   return EncodeOnceMessage(message);
@@ -54,6 +60,9 @@
   if (!message.has_value()) {
     message = DecodeOnceMessage(payload);
   }
+  if (!message.has_value()) {
+    message = DecodeUsageMessage(payload);
+  }
   return message;
 }
 
--- a/src/wire/peer_codecs.h
+++ b/src/wire/peer_codecs.h
@@ -41,6 +41,10 @@
 fb::PayloadUnion EncodeOnceMessage(const ForwardReply& reply);
 std::optional<PeerMessage> DecodeOnceMessage(const fb::PayloadUnion& payload);
 
+fb::PayloadUnion EncodeUsageMessage(const UsageReport& report);
+fb::PayloadUnion EncodeUsageMessage(const UsageTotals& totals);
+std::optional<PeerMessage> DecodeUsageMessage(const fb::PayloadUnion& payload);
+
 }  // namespace papaya
 
 #endif  // SRC_WIRE_PEER_CODECS_H_
--- a/src/wire/peer_generated.h
+++ b/src/wire/peer_generated.h
@@ -125,6 +125,16 @@
 struct DemandReportBuilder;
 struct DemandReportT;
 
+struct AccountUsage;
+
+struct UsageReport;
+struct UsageReportBuilder;
+struct UsageReportT;
+
+struct UsageTotals;
+struct UsageTotalsBuilder;
+struct UsageTotalsT;
+
 struct StoredAnswer;
 struct StoredAnswerBuilder;
 struct StoredAnswerT;
@@ -185,11 +195,13 @@
   ClaimReply = 20,
   ForwardRequest = 21,
   ForwardReply = 22,
+  UsageReport = 23,
+  UsageTotals = 24,
   MIN = NONE,
-  MAX = ForwardReply
+  MAX = UsageTotals
 };
 
-inline const Payload (&EnumValuesPayload())[23] {
+inline const Payload (&EnumValuesPayload())[25] {
   static const Payload values[] = {
     Payload::NONE,
     Payload::Hello,
@@ -213,13 +225,15 @@
     Payload::ClaimQuery,
     Payload::ClaimReply,
     Payload::ForwardRequest,
-    Payload::ForwardReply
+    Payload::ForwardReply,
+    Payload::UsageReport,
+    Payload::UsageTotals
   };
   return values;
 }
 
 inline const char * const *EnumNamesPayload() {
-  static const char * const names[24] = {
+  static const char * const names[26] = {
     "NONE",
     "Hello",
     "Proof",
@@ -243,13 +257,15 @@
     "ClaimReply",
     "ForwardRequest",
     "ForwardReply",
+    "UsageReport",
+    "UsageTotals",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamePayload(Payload e) {
-  if (flatbuffers::IsOutRange(e, Payload::NONE, Payload::ForwardReply)) return "";
+  if (flatbuffers::IsOutRange(e, Payload::NONE, Payload::UsageTotals)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesPayload()[index];
 }
@@ -346,6 +362,14 @@
   static const Payload enum_value = Payload::ForwardReply;
 };
 
+template<> struct PayloadTraits<papaya::fb::UsageReport> {
+  static const Payload enum_value = Payload::UsageReport;
+};
+
+template<> struct PayloadTraits<papaya::fb::UsageTotals> {
+  static const Payload enum_value = Payload::UsageTotals;
+};
+
 template<typename T> struct PayloadUnionTraits {
   static const Payload enum_value = Payload::NONE;
 };
@@ -438,6 +462,14 @@
   static const Payload enum_value = Payload::ForwardReply;
 };
 
+template<> struct PayloadUnionTraits<papaya::fb::UsageReportT> {
+  static const Payload enum_value = Payload::UsageReport;
+};
+
+template<> struct PayloadUnionTraits<papaya::fb::UsageTotalsT> {
+  static const Payload enum_value = Payload::UsageTotals;
+};
+
 struct PayloadUnion {
   Payload type;
   void *value;
@@ -644,6 +676,22 @@
     return type == Payload::ForwardReply ?
       reinterpret_cast<const papaya::fb::ForwardReplyT *>(value) : nullptr;
   }
+  papaya::fb::UsageReportT *AsUsageReport() {
+    return type == Payload::UsageReport ?
+      reinterpret_cast<papaya::fb::UsageReportT *>(value) : nullptr;
+  }
+  const papaya::fb::UsageReportT *AsUsageReport() const {
+    return type == Payload::UsageReport ?
+      reinterpret_cast<const papaya::fb::UsageReportT *>(value) : nullptr;
+  }
+  papaya::fb::UsageTotalsT *AsUsageTotals() {
+    return type == Payload::UsageTotals ?
+      reinterpret_cast<papaya::fb::UsageTotalsT *>(value) : nullptr;
+  }
+  const papaya::fb::UsageTotalsT *AsUsageTotals() const {
+    return type == Payload::UsageTotals ?
+      reinterpret_cast<const papaya::fb::UsageTotalsT *>(value) : nullptr;
+  }
 };
 
 bool VerifyPayload(flatbuffers::Verifier &verifier, const void *obj, Payload type);
@@ -823,6 +871,39 @@
   using type = StatsBucket;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) AccountUsage FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint32_t account_;
+  int32_t padding0__;
+  double used_;
+
+ public:
+  struct Traits;
+  AccountUsage()
+      : account_(0),
+        padding0__(0),
+        used_(0) {
+    (void)padding0__;
+  }
+  AccountUsage(uint32_t _account, double _used)
+      : account_(flatbuffers::EndianScalar(_account)),
+        padding0__(0),
+        used_(flatbuffers::EndianScalar(_used)) {
+    (void)padding0__;
+  }
+  uint32_t account() const {
+    return flatbuffers::EndianScalar(account_);
+  }
+  double used() const {
+    return flatbuffers::EndianScalar(used_);
+  }
+};
+FLATBUFFERS_STRUCT_END(AccountUsage, 16);
+
+struct AccountUsage::Traits {
+  using type = AccountUsage;
+};
+
 struct MemberRecordT : public flatbuffers::NativeTable {
   typedef MemberRecord TableType;
   std::string id{};
@@ -3273,6 +3354,142 @@
 
 flatbuffers::Offset<DemandReport> CreateDemandReport(flatbuffers::FlatBufferBuilder &_fbb, const DemandReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct UsageReportT : public flatbuffers::NativeTable {
+  typedef UsageReport TableType;
+  std::vector<papaya::fb::AccountUsage> accounts{};
+};
+
+struct UsageReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef UsageReportT NativeTableType;
+  typedef UsageReportBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ACCOUNTS = 4
+  };
+  const flatbuffers::Vector<const papaya::fb::AccountUsage *> *accounts() const {
+    return GetPointer<const flatbuffers::Vector<const papaya::fb::AccountUsage *> *>(VT_ACCOUNTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ACCOUNTS) &&
+           verifier.VerifyVector(accounts()) &&
+           verifier.EndTable();
+  }
+  UsageReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(UsageReportT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<UsageReport> Pack(flatbuffers::FlatBufferBuilder &_fbb, const UsageReportT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct UsageReportBuilder {
+  typedef UsageReport Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_accounts(flatbuffers::Offset<flatbuffers::Vector<const papaya::fb::AccountUsage *>> accounts) {
+    fbb_.AddOffset(UsageReport::VT_ACCOUNTS, accounts);
+  }
+  explicit UsageReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<UsageReport> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<UsageReport>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<UsageReport> CreateUsageReport(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<const papaya::fb::AccountUsage *>> accounts = 0) {
+  UsageReportBuilder builder_(_fbb);
+  builder_.add_accounts(accounts);
+  return builder_.Finish();
+}
+
+struct UsageReport::Traits {
+  using type = UsageReport;
+  static auto constexpr Create = CreateUsageReport;
+};
+
+inline flatbuffers::Offset<UsageReport> CreateUsageReportDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<papaya::fb::AccountUsage> *accounts = nullptr) {
+  auto accounts__ = accounts ? _fbb.CreateVectorOfStructs<papaya::fb::AccountUsage>(*accounts) : 0;
+  return papaya::fb::CreateUsageReport(
+      _fbb,
+      accounts__);
+}
+
+flatbuffers::Offset<UsageReport> CreateUsageReport(flatbuffers::FlatBufferBuilder &_fbb, const UsageReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct UsageTotalsT : public flatbuffers::NativeTable {
+  typedef UsageTotals TableType;
+  std::vector<papaya::fb::AccountUsage> accounts{};
+};
+
+struct UsageTotals FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef UsageTotalsT NativeTableType;
+  typedef UsageTotalsBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ACCOUNTS = 4
+  };
+  const flatbuffers::Vector<const papaya::fb::AccountUsage *> *accounts() const {
+    return GetPointer<const flatbuffers::Vector<const papaya::fb::AccountUsage *> *>(VT_ACCOUNTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ACCOUNTS) &&
+           verifier.VerifyVector(accounts()) &&
+           verifier.EndTable();
+  }
+  UsageTotalsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(UsageTotalsT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<UsageTotals> Pack(flatbuffers::FlatBufferBuilder &_fbb, const UsageTotalsT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct UsageTotalsBuilder {
+  typedef UsageTotals Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_accounts(flatbuffers::Offset<flatbuffers::Vector<const papaya::fb::AccountUsage *>> accounts) {
+    fbb_.AddOffset(UsageTotals::VT_ACCOUNTS, accounts);
+  }
+  explicit UsageTotalsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<UsageTotals> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<UsageTotals>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<UsageTotals> CreateUsageTotals(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<const papaya::fb::AccountUsage *>> accounts = 0) {
+  UsageTotalsBuilder builder_(_fbb);
+  builder_.add_accounts(accounts);
+  return builder_.Finish();
+}
+
+struct UsageTotals::Traits {
+  using type = UsageTotals;
+  static auto constexpr Create = CreateUsageTotals;
+};
+
+inline flatbuffers::Offset<UsageTotals> CreateUsageTotalsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<papaya::fb::AccountUsage> *accounts = nullptr) {
+  auto accounts__ = accounts ? _fbb.CreateVectorOfStructs<papaya::fb::AccountUsage>(*accounts) : 0;
+  return papaya::fb::CreateUsageTotals(
+      _fbb,
+      accounts__);
+}
+
+flatbuffers::Offset<UsageTotals> CreateUsageTotals(flatbuffers::FlatBufferBuilder &_fbb, const UsageTotalsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct StoredAnswerT : public flatbuffers::NativeTable {
   typedef StoredAnswer TableType;
   int32_t status = 0;
@@ -4228,6 +4445,12 @@
   const papaya::fb::ForwardReply *payload_as_ForwardReply() const {
     return payload_type() == papaya::fb::Payload::ForwardReply ? static_cast<const papaya::fb::ForwardReply *>(payload()) : nullptr;
   }
+  const papaya::fb::UsageReport *payload_as_UsageReport() const {
+    return payload_type() == papaya::fb::Payload::UsageReport ? static_cast<const papaya::fb::UsageReport *>(payload()) : nullptr;
+  }
+  const papaya::fb::UsageTotals *payload_as_UsageTotals() const {
+    return payload_type() == papaya::fb::Payload::UsageTotals ? static_cast<const papaya::fb::UsageTotals *>(payload()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_PAYLOAD_TYPE, 1) &&
@@ -4328,6 +4551,14 @@
   return payload_as_ForwardReply();
 }
 
+template<> inline const papaya::fb::UsageReport *PeerFrame::payload_as<papaya::fb::UsageReport>() const {
+  return payload_as_UsageReport();
+}
+
+template<> inline const papaya::fb::UsageTotals *PeerFrame::payload_as<papaya::fb::UsageTotals>() const {
+  return payload_as_UsageTotals();
+}
+
 struct PeerFrameBuilder {
   typedef PeerFrame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -5323,6 +5554,58 @@
       _packed);
 }
 
+inline UsageReportT *UsageReport::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<UsageReportT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void UsageReport::UnPackTo(UsageReportT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = accounts(); if (_e) { _o->accounts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->accounts[_i] = *_e->Get(_i); } } }
+}
+
+inline flatbuffers::Offset<UsageReport> UsageReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const UsageReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateUsageReport(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<UsageReport> CreateUsageReport(flatbuffers::FlatBufferBuilder &_fbb, const UsageReportT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const UsageReportT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _accounts = _o->accounts.size() ? _fbb.CreateVectorOfStructs(_o->accounts) : 0;
+  return papaya::fb::CreateUsageReport(
+      _fbb,
+      _accounts);
+}
+
+inline UsageTotalsT *UsageTotals::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<UsageTotalsT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void UsageTotals::UnPackTo(UsageTotalsT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = accounts(); if (_e) { _o->accounts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->accounts[_i] = *_e->Get(_i); } } }
+}
+
+inline flatbuffers::Offset<UsageTotals> UsageTotals::Pack(flatbuffers::FlatBufferBuilder &_fbb, const UsageTotalsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateUsageTotals(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<UsageTotals> CreateUsageTotals(flatbuffers::FlatBufferBuilder &_fbb, const UsageTotalsT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const UsageTotalsT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _accounts = _o->accounts.size() ? _fbb.CreateVectorOfStructs(_o->accounts) : 0;
+  return papaya::fb::CreateUsageTotals(
+      _fbb,
+      _accounts);
+}
+
 inline StoredAnswerT *StoredAnswer::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<StoredAnswerT>();
   UnPackTo(_o.get(), _resolver);
@@ -5774,6 +6057,14 @@
       auto ptr = reinterpret_cast<const papaya::fb::ForwardReply *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Payload::UsageReport: {
+      auto ptr = reinterpret_cast<const papaya::fb::UsageReport *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Payload::UsageTotals: {
+      auto ptr = reinterpret_cast<const papaya::fb::UsageTotals *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -5881,6 +6172,14 @@
       auto ptr = reinterpret_cast<const papaya::fb::ForwardReply *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Payload::UsageReport: {
+      auto ptr = reinterpret_cast<const papaya::fb::UsageReport *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Payload::UsageTotals: {
+      auto ptr = reinterpret_cast<const papaya::fb::UsageTotals *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -5976,6 +6275,14 @@
       auto ptr = reinterpret_cast<const papaya::fb::ForwardReplyT *>(value);
       return CreateForwardReply(_fbb, ptr, _rehasher).Union();
     }
+    case Payload::UsageReport: {
+      auto ptr = reinterpret_cast<const papaya::fb::UsageReportT *>(value);
+      return CreateUsageReport(_fbb, ptr, _rehasher).Union();
+    }
+    case Payload::UsageTotals: {
+      auto ptr = reinterpret_cast<const papaya::fb::UsageTotalsT *>(value);
+      return CreateUsageTotals(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -6070,6 +6377,14 @@
       value = new papaya::fb::ForwardReplyT(*reinterpret_cast<papaya::fb::ForwardReplyT *>(u.value));
       break;
     }
+    case Payload::UsageReport: {
+      value = new papaya::fb::UsageReportT(*reinterpret_cast<papaya::fb::UsageReportT *>(u.value));
+      break;
+    }
+    case Payload::UsageTotals: {
+      value = new papaya::fb::UsageTotalsT(*reinterpret_cast<papaya::fb::UsageTotalsT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -6187,6 +6502,16 @@
       delete ptr;
       break;
     }
+    case Payload::UsageReport: {
+      auto ptr = reinterpret_cast<papaya::fb::UsageReportT *>(value);
+      delete ptr;
+      break;
+    }
+    case Payload::UsageTotals: {
+      auto ptr = reinterpret_cast<papaya::fb::UsageTotalsT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
