Hold quotas over kills of routers and between two words of their counter

Change: a token bucket in place of a window, kept by one router; a new one begins nearly empty; a router spends little between two words, and only its share if a report is unanswered.

--- a/include/admission/account_quota.h
+++ b/include/admission/account_quota.h
@@ -6,39 +6,60 @@
 #include <optional>
 #include <vector>
 
-#include "absl/container/flat_hash_map.h"
 #include "include/admission/usage_messages.h"
 #include "include/base/ids.h"
 #include "include/base/units.h"
 
 namespace papaya {
 
-// The quota of one client account over all routers: in any window at most
-// `rate` a second and `burst` beside it.
+// The quota of one client account over all routers: a token bucket of `burst`
+// that fills at `rate` a second.
 struct AccountLimit {
   AccountId account;
   double rate = 0.0;
   double burst = 0.0;
 };
 
+// What quotas are held to: in any `window` at most `rate` x window + burst,
+// and `overage` of that and `slack` beside it, which cover what routers can't
+// know of each other in time.
+struct QuotaAllowance {
+  Duration window = std::chrono::seconds(8);
+  double overage = 0.0;
+  double slack = 0.0;
+
+  bool operator==(const QuotaAllowance&) const = default;
+};
+
+// The size of the bucket that keeps `limit` within `allowance`: as much as can
+// be had, since what is refused of a quota is lost, and half of what is allowed
+// beyond the rate, since a bucket may be spent again after a restart and in
+// part between two words of a router.
+double BucketSize(const AccountLimit& limit, const QuotaAllowance& allowance);
+
 // Keeps client accounts to their quotas, together with the other routers. Each
-// account is counted by one router, which a hash names: the others report their
-// usage to it and hear what the rest use, so that messages grow with accounts
+// account's bucket is kept by one router, which a hash names: the others report
+// what they spent and hear what is left, so that messages grow with accounts
 // and not with routers times routers. A router without that word keeps to an
-// even share. Does no I/O and reads no clock; not thread-safe.
+// even share. What is spent between two words may be spent twice; the bucket
+// then falls below zero and makes up for it. Does no I/O and reads no clock;
+// not thread-safe.
 class AccountQuotas {
  public:
   struct Options {
     RouterId self;
-    // Length of the sliding windows that quotas are counted in.
-    Duration window = std::chrono::seconds(8);
+    Incarnation incarnation;
     // Between reports on an account that is near its quota, and on another one.
     Duration pressed_interval = std::chrono::milliseconds(100);
     Duration calm_interval = std::chrono::seconds(1);
+    // A report not answered by then is lost, and its router perhaps, too.
+    Duration answer_time = std::chrono::milliseconds(250);
     // A word of the counting router older than this counts for nothing.
     Duration word_lifetime = std::chrono::milliseconds(2500);
     // A router that fell silent is taken to use its share for so long.
     Duration silence_time = std::chrono::seconds(30);
+    // The fleet starts for the first time, so nothing was spent before.
+    bool is_first_start = true;
   };
 
   struct Hooks {
@@ -48,8 +69,8 @@
 
   AccountQuotas(Options options, Hooks hooks);
 
-  // The accounts that have quotas; what was used is kept.
-  void SetLimits(const std::vector<AccountLimit>& limits);
+  // The accounts that have quotas; what was spent is kept.
+  void SetLimits(const std::vector<AccountLimit>& limits, TimePoint now);
   // The routers that run, this one among them.
   void SetRouters(const std::vector<RouterId>& routers, TimePoint now);
 
@@ -67,46 +88,55 @@
   // Call at least every 100 ms.
   void OnTick(TimePoint now);
 
-  // The router that counts `account`.
+  // The router that keeps the bucket of `account`.
   const RouterId& CounterOf(const AccountId& account) const;
 
  private:
-  // Usage in the last window, in steps of a part of it.
-  class SlidingSum {
-   public:
-    void Add(double amount, Duration window, TimePoint now);
-    double Get(Duration window, TimePoint now);
-
-   private:
-    std::map<int64_t, double> steps_;
-    double sum_ = 0.0;
+  // A bucket, by its level at some time.
+  struct Bucket {
+    double level = 0.0;
+    TimePoint filled;
+
+    void Fill(double rate, double burst, TimePoint now);
   };
 
-  // What a router reported last.
+  // What a process reported last.
   struct Word {
-    double used = 0.0;
+    Incarnation incarnation;
+    double spent = 0.0;
     TimePoint heard;
   };
 
   struct Account {
     AccountLimit limit;
-    SlidingSum own;
-    // What the counting router said of the others, and how that grows.
-    double others = 0.0;
-    double others_growth = 0.0;
-    std::optional<TimePoint> heard;
-    TimePoint next_report;
-    // Of the counting router: what the others reported.
+    // Spent by this process since its start, and what of it was reported.
+    double spent = 0.0;
+    double reported = 0.0;
+    // Own even share, for want of a word.
+    Bucket share;
+    // What the counting router said is left, when that came, and what was spent
+    // since the report that it answers.
+    std::optional<double> left;
+    TimePoint heard;
+    // What may be spent before the next word.
+    double margin = 0.0;
+    // Since when a report is unanswered.
+    std::optional<TimePoint> asked;
+    TimePoint last_report;
+    // Of the counting router.
+    std::optional<Bucket> fleet;
     std::map<RouterId, Word> words;
   };
 
-  double LimitOf(const Account& account) const;
-  // What the other routers use, as far as this one knows.
-  double Others(const Account& account, TimePoint now) const;
-  double CountOthers(const Account& account,
-                     const RouterId& except,
-                     TimePoint now) const;
-  void ForgetSilent(Account* account, TimePoint now) const;
+  bool IsCounter(const Account& account) const;
+  double FleetSize() const;
+  // The part of the rate that routers may spend that can't be heard.
+  double SilentPart(const Account& account, TimePoint now) const;
+  Bucket& FleetBucket(Account* account, TimePoint now);
+  bool HasWord(const Account& account, TimePoint now) const;
+  // What this router may spend now, as far as it knows.
+  double Available(Account* account, TimePoint now);
+  bool IsPressed(const Account& account) const;
 
   const Options options_;
   const Hooks hooks_;
--- a/include/admission/usage_messages.h
+++ b/include/admission/usage_messages.h
@@ -1,30 +1,34 @@
 #ifndef INCLUDE_ADMISSION_USAGE_MESSAGES_H_
 #define INCLUDE_ADMISSION_USAGE_MESSAGES_H_
 
-#include <cstdint>
 #include <vector>
 
 #include "include/admission/demand_notice.h"
+#include "include/base/ids.h"
 
 namespace papaya {
 
-// What was admitted of one account's quota in the last window.
+// A figure about the quota of one account.
 struct AccountUsage {
   // Of the account's name.
   NameHash account;
-  double used = 0.0;
+  double amount = 0.0;
 
   bool operator==(const AccountUsage&) const = default;
 };
 
-// A router's own usage, to the router that counts those accounts.
+// What a process has spent of each account's quota since its start, to the
+// router that counts those accounts.
 struct UsageReport {
+  // Of the reporting process.
+  Incarnation incarnation;
   std::vector<AccountUsage> accounts;
 
   bool operator==(const UsageReport&) const = default;
 };
 
-// The answer: the usage of all the other routers.
+// The answer: what is left of each of these quotas; below zero if too much was
+// spent.
 struct UsageTotals {
   std::vector<AccountUsage> accounts;
 
--- a/include/gateway/gateway_settings.h
+++ b/include/gateway/gateway_settings.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "include/admission/account_quota.h"
 #include "include/base/ids.h"
 #include "include/base/units.h"
 
@@ -19,8 +20,8 @@
   Duration retry_window = std::chrono::seconds(10);
   double retry_share = 0.2;
   double retry_slack = 50.0;
-  // Length of the windows in which quotas of client accounts are counted.
-  Duration quota_window = std::chrono::seconds(8);
+  // What quotas of client accounts are held to.
+  QuotaAllowance quotas;
 
   bool operator==(const GatewayBounds&) const = default;
 };
@@ -39,6 +40,8 @@
   // Peer addresses of routers to meet first; they may be stale.
   std::vector<std::string> seeds;
   std::string store_address;
+  // The whole fleet starts for the first time.
+  bool is_first_start = false;
   // Open files and sockets of this process at most.
   int max_descriptors = 1024;
   GatewayBounds bounds;
--- a/src/admission/account_quota.cc
+++ b/src/admission/account_quota.cc
@@ -9,14 +9,22 @@
 
 namespace {
 
-// A window is counted in so many steps.
-constexpr int64_t kSteps = 32;
-// An account that has used this part of its quota is near it.
-constexpr double kPressedPart = 0.6;
-// Growth of the others' usage is followed for this long at most without a word.
-constexpr Duration kGrowthTime = std::chrono::milliseconds(500);
-// Waiting for a quota: a caller that comes too soon is refused again, one that
-// comes too late has lost time.
+// The part of what is allowed beyond the rate that a bucket holds.
+constexpr double kBucketPart = 0.5;
+// An account is near its quota below this part of its bucket, or when this part
+// of it was spent and not reported.
+constexpr double kPressedLevel = 0.6;
+constexpr double kPressedSpending = 0.04;
+// A bucket that nobody remembers has this part of its burst: enough for what
+// arrives at once, little enough for what may have been spent before.
+constexpr double kUnknownLevel = 0.25;
+// A router may spend so many even shares of what is left before it reports, as
+// callers are spread unevenly.
+constexpr double kMarginShares = 3.0;
+// The refill that a router counts on between two words.
+constexpr Duration kWordInterval = std::chrono::milliseconds(150);
+// A caller that comes back too soon is refused again, one that comes too late
+// has lost time.
 constexpr Duration kShortestWait = std::chrono::milliseconds(200);
 constexpr Duration kLongestWait = std::chrono::seconds(2);
 
@@ -26,25 +34,18 @@
 
 }  // namespace
 
-void AccountQuotas::SlidingSum::Add(double amount,
-                                    Duration window,
-                                    TimePoint now) {
-  const Duration step = window / kSteps;
-  steps_[now.time_since_epoch() / step] += amount;
-  sum_ += amount;
+double BucketSize(const AccountLimit& limit, const QuotaAllowance& allowance) {
+  const double steady = limit.rate * ToSeconds(allowance.window);
+  const double allowed =
+      (steady + limit.burst) * (1.0 + allowance.overage) + allowance.slack;
+  return std::max(limit.burst, kBucketPart * (allowed - steady));
 }
 
-double AccountQuotas::SlidingSum::Get(Duration window, TimePoint now) {
-  const Duration step = window / kSteps;
-  const int64_t first = now.time_since_epoch() / step - kSteps;
-  while (!steps_.empty() && steps_.begin()->first < first) {
-    sum_ -= steps_.begin()->second;
-    steps_.erase(steps_.begin());
+void AccountQuotas::Bucket::Fill(double rate, double burst, TimePoint now) {
+  if (now > filled) {
+    level = std::min(burst, level + rate * ToSeconds(now - filled));
+    filled = now;
   }
-  if (steps_.empty()) {
-    sum_ = 0.0;
-  }
-  return std::max(0.0, sum_);
 }
 
 AccountQuotas::AccountQuotas(Options options, Hooks hooks)
@@ -52,12 +53,20 @@
       hooks_(std::move(hooks)),
       routers_{options_.self} {}
 
-void AccountQuotas::SetLimits(const std::vector<AccountLimit>& limits) {
+void AccountQuotas::SetLimits(const std::vector<AccountLimit>& limits,
+                              TimePoint now) {
   std::map<NameHash, Account> accounts;
   for (const AccountLimit& limit : limits) {
     const NameHash hash = HashOf(limit.account);
-    accounts[hash] = std::move(accounts_[hash]);
-    accounts[hash].limit = limit;
+    const bool is_new = !accounts_.contains(hash);
+    Account& account = accounts[hash];
+    account = std::move(accounts_[hash]);
+    account.limit = limit;
+    if (is_new) {
+      const double part = options_.is_first_start ? 1.0 : kUnknownLevel;
+      account.share = {.level = part * limit.burst / FleetSize(),
+                       .filled = now};
+    }
   }
   accounts_ = std::move(accounts);
 }
@@ -80,72 +89,109 @@
 }
 
 const RouterId& AccountQuotas::CounterOf(const AccountId& account) const {
+  const uint64_t seed = StableHash(account.value());
   return *std::max_element(
       routers_.begin(), routers_.end(),
-      [&account](const RouterId& a, const RouterId& b) {
-        return StableHash(a.value(), StableHash(account.value())) <
-               StableHash(b.value(), StableHash(account.value()));
+      [seed](const RouterId& a, const RouterId& b) {
+        return StableHash(a.value(), seed) < StableHash(b.value(), seed);
       });
 }
 
-double AccountQuotas::LimitOf(const Account& account) const {
-  return account.limit.rate * ToSeconds(options_.window) + account.limit.burst;
+bool AccountQuotas::IsCounter(const Account& account) const {
+  return CounterOf(account.limit.account) == options_.self;
 }
 
-double AccountQuotas::CountOthers(const Account& account,
-                                  const RouterId& except,
-                                  TimePoint now) const {
-  const double fleet = static_cast<double>(routers_.size() + silent_.size());
-  const double share = LimitOf(account) / fleet;
-  double sum = 0.0;
+double AccountQuotas::FleetSize() const {
+  return static_cast<double>(routers_.size() + silent_.size());
+}
+
+double AccountQuotas::SilentPart(const Account& account, TimePoint now) const {
+  double silent = 0.0;
   for (const auto& [router, word] : account.words) {
-    if (router == except) {
-      continue;
-    }
-    const bool is_silent = now - word.heard > options_.word_lifetime;
-    // It may go on with its share, unheard; never with more.
-    sum += is_silent ? share : word.used;
+    silent += now - word.heard > options_.word_lifetime ? 1.0 : 0.0;
   }
-  return sum;
+  return std::min(1.0, silent / FleetSize());
 }
 
-double AccountQuotas::Others(const Account& account, TimePoint now) const {
-  if (CounterOf(account.limit.account) == options_.self) {
-    return CountOthers(account, options_.self, now);
+AccountQuotas::Bucket& AccountQuotas::FleetBucket(Account* account,
+                                                  TimePoint now) {
+  const AccountLimit& limit = account->limit;
+  if (!account->fleet.has_value()) {
+    const double part = options_.is_first_start ? 1.0 : kUnknownLevel;
+    account->fleet = {.level = part * limit.burst, .filled = now};
   }
-  if (!account.heard.has_value() ||
-      now - *account.heard > options_.word_lifetime) {
-    const double fleet = static_cast<double>(routers_.size() + silent_.size());
-    return LimitOf(account) * (1.0 - 1.0 / fleet);
+  account->fleet->Fill(limit.rate * (1.0 - SilentPart(*account, now)),
+                       limit.burst, now);
+  return *account->fleet;
+}
+
+bool AccountQuotas::HasWord(const Account& account, TimePoint now) const {
+  return account.left.has_value() &&
+         now - account.heard <= options_.word_lifetime &&
+         (!account.asked.has_value() ||
+          now - *account.asked <= options_.answer_time);
+}
+
+double AccountQuotas::Available(Account* account, TimePoint now) {
+  const AccountLimit& limit = account->limit;
+  if (IsCounter(*account)) {
+    return FleetBucket(account, now).level;
   }
-  const Duration age = std::min(now - *account.heard, kGrowthTime);
-  return account.others + account.others_growth * ToSeconds(age);
+  account->share.Fill(limit.rate / FleetSize(), limit.burst / FleetSize(), now);
+  if (!HasWord(*account, now)) {
+    return account->share.level;
+  }
+  const Duration age = std::min(now - account->heard, kWordInterval);
+  return *account->left + limit.rate * ToSeconds(age);
 }
 
-std::optional<Duration> AccountQuotas::Spend(const AccountId& account,
+std::optional<Duration> AccountQuotas::Spend(const AccountId& name,
                                              double cost,
                                              TimePoint now) {
-  const auto found = accounts_.find(HashOf(account));
+  const auto found = accounts_.find(HashOf(name));
   if (found == accounts_.end() || found->second.limit.rate <= 0.0) {
     return std::nullopt;
   }
-  Account& state = found->second;
-  const double used = state.own.Get(options_.window, now) + Others(state, now);
-  const double over = used + cost - LimitOf(state);
-  if (over > 0.0) {
-    return std::clamp(SecondsToDuration(over / state.limit.rate), kShortestWait,
-                      kLongestWait);
+  Account& account = found->second;
+  // What is larger than the bucket needs a full one.
+  const double needed = std::min(cost, account.limit.burst);
+  double lacking = needed - Available(&account, now);
+  // The others may spend the same quota meanwhile. One request is always
+  // allowed, or a large one would never be.
+  const double unreported = account.spent - account.reported;
+  if (!IsCounter(account) && HasWord(account, now) && unreported > 0.0) {
+    lacking = std::max(lacking, unreported + cost - account.margin);
+  }
+  if (lacking > 0.0) {
+    return std::clamp(SecondsToDuration(lacking / account.limit.rate),
+                      kShortestWait, kLongestWait);
+  }
+  account.spent += cost;
+  account.share.level -= cost;
+  if (account.left.has_value()) {
+    *account.left -= cost;
+  }
+  if (IsCounter(account)) {
+    account.fleet->level -= cost;
   }
-  state.own.Add(cost, options_.window, now);
   return std::nullopt;
 }
 
-void AccountQuotas::GiveBack(const AccountId& account,
+void AccountQuotas::GiveBack(const AccountId& name,
                              double cost,
                              TimePoint now) {
-  const auto found = accounts_.find(HashOf(account));
-  if (found != accounts_.end()) {
-    found->second.own.Add(-cost, options_.window, now);
+  const auto found = accounts_.find(HashOf(name));
+  if (found == accounts_.end()) {
+    return;
+  }
+  Account& account = found->second;
+  account.spent -= cost;
+  account.share.level += cost;
+  if (account.left.has_value()) {
+    *account.left += cost;
+  }
+  if (IsCounter(account)) {
+    FleetBucket(&account, now).level += cost;
   }
 }
 
@@ -159,10 +205,19 @@
       continue;
     }
     Account& account = found->second;
-    account.words[from] = {.used = usage.used, .heard = now};
-    const double others =
-        account.own.Get(options_.window, now) + CountOthers(account, from, now);
-    totals.accounts.push_back({.account = usage.account, .used = others});
+    Bucket& bucket = FleetBucket(&account, now);
+    const auto word = account.words.find(from);
+    // All that a process spent counts, unless it was counted elsewhere before
+    // this router kept the bucket.
+    if (word != account.words.end()) {
+      const bool is_same = word->second.incarnation == report.incarnation;
+      bucket.level -= usage.amount - (is_same ? word->second.spent : 0.0);
+    }
+    account.words[from] = {.incarnation = report.incarnation,
+                           .spent = usage.amount,
+                           .heard = now};
+    totals.accounts.push_back(
+        {.account = usage.account, .amount = bucket.level});
   }
   if (!totals.accounts.empty()) {
     hooks_.answer(from, totals);
@@ -179,20 +234,18 @@
       continue;
     }
     Account& account = found->second;
-    const double seconds =
-        account.heard.has_value() ? ToSeconds(now - *account.heard) : 0.0;
-    account.others_growth =
-        seconds > 0.0 ? std::max(0.0, (usage.used - account.others) / seconds)
-                      : 0.0;
-    account.others = usage.used;
+    account.left = usage.amount - (account.spent - account.reported);
+    account.margin =
+        *account.left * std::min(1.0, kMarginShares / FleetSize());
+    account.asked.reset();
     account.heard = now;
   }
 }
 
-void AccountQuotas::ForgetSilent(Account* account, TimePoint now) const {
-  std::erase_if(account->words, [this, now](const auto& item) {
-    return now - item.second.heard > options_.silence_time;
-  });
+bool AccountQuotas::IsPressed(const Account& account) const {
+  const double burst = account.limit.burst;
+  return account.spent - account.reported > kPressedSpending * burst ||
+         (account.left.has_value() && *account.left < kPressedLevel * burst);
 }
 
 void AccountQuotas::OnTick(TimePoint now) {
@@ -201,21 +254,24 @@
   });
   std::map<RouterId, UsageReport> reports;
   for (auto& [hash, account] : accounts_) {
-    ForgetSilent(&account, now);
-    const RouterId& counter = CounterOf(account.limit.account);
-    if (counter == options_.self || account.limit.rate <= 0.0 ||
-        now < account.next_report) {
+    std::erase_if(account.words, [this, now](const auto& item) {
+      return now - item.second.heard > options_.silence_time;
+    });
+    const Duration interval = IsPressed(account) ? options_.pressed_interval
+                                                 : options_.calm_interval;
+    const bool is_used = account.spent != 0.0 || account.left.has_value();
+    if (account.limit.rate <= 0.0 || !is_used || IsCounter(account) ||
+        now < account.last_report + interval) {
       continue;
     }
-    const double used = account.own.Get(options_.window, now);
-    if (used <= 0.0 && !account.heard.has_value()) {
-      continue;
+    account.last_report = now;
+    account.reported = account.spent;
+    if (!account.asked.has_value()) {
+      account.asked = now;
     }
-    const bool is_pressed =
-        used + Others(account, now) > kPressedPart * LimitOf(account);
-    account.next_report =
-        now + (is_pressed ? options_.pressed_interval : options_.calm_interval);
-    reports[counter].accounts.push_back({.account = hash, .used = used});
+    UsageReport& report = reports[CounterOf(account.limit.account)];
+    report.incarnation = options_.incarnation;
+    report.accounts.push_back({.account = hash, .amount = account.spent});
   }
   for (const auto& [router, report] : reports) {
     hooks_.report(router, report);
--- a/src/gateway/request_desk.cc
+++ b/src/gateway/request_desk.cc
@@ -87,7 +87,9 @@
       dialect_(dialect),
       pool_(context, dialect),
       scheduler_(MakeOptions(settings, incarnation), MakeHooks()),
-      quotas_({.self = settings.router, .window = settings.bounds.quota_window},
+      quotas_({.self = settings.router,
+               .incarnation = incarnation,
+               .is_first_start = settings.is_first_start},
               {.report = hooks_.send_usage, .answer = hooks_.send_totals}),
       random_(StableHash(settings.router.value(), incarnation.value())),
       context_(MakeContext()) {}
@@ -144,10 +146,12 @@
   table_ = std::move(table);
   std::vector<AccountLimit> limits;
   for (const ClientAccount& account : table_->config().accounts) {
-    limits.push_back(
-        {.account = account.id, .rate = account.rate, .burst = account.burst});
+    AccountLimit limit{
+        .account = account.id, .rate = account.rate, .burst = account.burst};
+    limit.burst = BucketSize(limit, settings_.bounds.quotas);
+    limits.push_back(std::move(limit));
   }
-  quotas_.SetLimits(limits);
+  quotas_.SetLimits(limits, SteadyNow());
   Publish();
 }
 
--- a/src/wire/peer_generated.h
+++ b/src/wire/peer_generated.h
@@ -875,27 +875,27 @@
  private:
   uint32_t account_;
   int32_t padding0__;
-  double used_;
+  double amount_;
 
  public:
   struct Traits;
   AccountUsage()
       : account_(0),
         padding0__(0),
-        used_(0) {
+        amount_(0) {
     (void)padding0__;
   }
-  AccountUsage(uint32_t _account, double _used)
+  AccountUsage(uint32_t _account, double _amount)
       : account_(flatbuffers::EndianScalar(_account)),
         padding0__(0),
-        used_(flatbuffers::EndianScalar(_used)) {
+        amount_(flatbuffers::EndianScalar(_amount)) {
     (void)padding0__;
   }
   uint32_t account() const {
     return flatbuffers::EndianScalar(account_);
   }
-  double used() const {
-    return flatbuffers::EndianScalar(used_);
+  double amount() const {
+    return flatbuffers::EndianScalar(amount_);
   }
 };
 FLATBUFFERS_STRUCT_END(AccountUsage, 16);
@@ -3356,6 +3356,7 @@
 
 struct UsageReportT : public flatbuffers::NativeTable {
   typedef UsageReport TableType;
+  uint64_t incarnation = 0;
   std::vector<papaya::fb::AccountUsage> accounts{};
 };
 
@@ -3364,13 +3365,18 @@
   typedef UsageReportBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_ACCOUNTS = 4
+    VT_INCARNATION = 4,
+    VT_ACCOUNTS = 6
   };
+  uint64_t incarnation() const {
+    return GetField<uint64_t>(VT_INCARNATION, 0);
+  }
   const flatbuffers::Vector<const papaya::fb::AccountUsage *> *accounts() const {
     return GetPointer<const flatbuffers::Vector<const papaya::fb::AccountUsage *> *>(VT_ACCOUNTS);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
            VerifyOffset(verifier, VT_ACCOUNTS) &&
            verifier.VerifyVector(accounts()) &&
            verifier.EndTable();
@@ -3384,6 +3390,9 @@
   typedef UsageReport Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
+  void add_incarnation(uint64_t incarnation) {
+    fbb_.AddElement<uint64_t>(UsageReport::VT_INCARNATION, incarnation, 0);
+  }
   void add_accounts(flatbuffers::Offset<flatbuffers::Vector<const papaya::fb::AccountUsage *>> accounts) {
     fbb_.AddOffset(UsageReport::VT_ACCOUNTS, accounts);
   }
@@ -3400,8 +3409,10 @@
 
 inline flatbuffers::Offset<UsageReport> CreateUsageReport(
     flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t incarnation = 0,
     flatbuffers::Offset<flatbuffers::Vector<const papaya::fb::AccountUsage *>> accounts = 0) {
   UsageReportBuilder builder_(_fbb);
+  builder_.add_incarnation(incarnation);
   builder_.add_accounts(accounts);
   return builder_.Finish();
 }
@@ -3413,10 +3424,12 @@
 
 inline flatbuffers::Offset<UsageReport> CreateUsageReportDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t incarnation = 0,
     const std::vector<papaya::fb::AccountUsage> *accounts = nullptr) {
   auto accounts__ = accounts ? _fbb.CreateVectorOfStructs<papaya::fb::AccountUsage>(*accounts) : 0;
   return papaya::fb::CreateUsageReport(
       _fbb,
+      incarnation,
       accounts__);
 }
 
@@ -5563,6 +5576,7 @@
 inline void UsageReport::UnPackTo(UsageReportT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
+  { auto _e = incarnation(); _o->incarnation = _e; }
   { auto _e = accounts(); if (_e) { _o->accounts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->accounts[_i] = *_e->Get(_i); } } }
 }
 
@@ -5574,9 +5588,11 @@
   (void)_rehasher;
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const UsageReportT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _incarnation = _o->incarnation;
   auto _accounts = _o->accounts.size() ? _fbb.CreateVectorOfStructs(_o->accounts) : 0;
   return papaya::fb::CreateUsageReport(
       _fbb,
+      _incarnation,
       _accounts);
 }
 
--- a/src/wire/usage_codec.cc
+++ b/src/wire/usage_codec.cc
@@ -1,3 +1,4 @@
+#include <cmath>
 #include <utility>
 #include <vector>
 
@@ -12,7 +13,7 @@
   std::vector<fb::AccountUsage> encoded;
   encoded.reserve(accounts.size());
   for (const AccountUsage& usage : accounts) {
-    encoded.emplace_back(usage.account.value(), usage.used);
+    encoded.emplace_back(usage.account.value(), usage.amount);
   }
   return encoded;
 }
@@ -23,12 +24,11 @@
   std::vector<AccountUsage> accounts;
   accounts.reserve(encoded.size());
   for (const fb::AccountUsage& usage : encoded) {
-    // Also false for what is no number.
-    if (!(usage.used() >= 0.0)) {
+    if (!std::isfinite(usage.amount())) {
       return std::nullopt;
     }
     accounts.push_back(
-        {.account = NameHash(usage.account()), .used = usage.used()});
+        {.account = NameHash(usage.account()), .amount = usage.amount()});
   }
   return accounts;
 }
@@ -37,6 +37,7 @@
 
 fb::PayloadUnion EncodeUsageMessage(const UsageReport& report) {
   fb::UsageReportT encoded;
+  encoded.incarnation = report.incarnation.value();
   encoded.accounts = EncodeUsage(report.accounts);
   return MakePayload(std::move(encoded));
 }
@@ -59,7 +60,8 @@
     return std::nullopt;
   }
   if (report != nullptr) {
-    return UsageReport{.accounts = std::move(*accounts)};
+    return UsageReport{.incarnation = Incarnation(report->incarnation),
+                       .accounts = std::move(*accounts)};
   }
   return UsageTotals{.accounts = std::move(*accounts)};
 }
--- /dev/null
+++ b/tests/account_quota_test.cc
@@ -0,0 +1,306 @@
+#include "include/admission/account_quota.h"
+
+#include <catch2/catch.hpp>
+#include <deque>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "include/base/random.h"
+
+namespace papaya {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration kWindow = seconds(8);
+constexpr Duration kStep = milliseconds(5);
+// What the platform allows beyond a quota.
+constexpr double kOverage = 0.1;
+constexpr double kRate = 160000.0;
+constexpr double kSlack = 140000.0;
+
+// Routers that keep one account's quota together, with messages that take a
+// while, in virtual time.
+class QuotaFleet {
+ public:
+  QuotaFleet(int routers, uint64_t seed) : random_(seed) {
+    for (int i = 0; i < routers; ++i) {
+      names_.emplace_back("router-" + std::to_string(i));
+      routers_.emplace_back();
+    }
+    for (int i = 0; i < routers; ++i) {
+      Start(i, /*is_first_start=*/true);
+    }
+  }
+
+  // The router forgets all, and is unknown to the others for a moment.
+  void Kill(int router, Duration down) {
+    routers_[static_cast<size_t>(router)].reset();
+    restarts_.emplace_back(now_ + down, router);
+    ShowRouters();
+  }
+
+  // The same, and the others don't notice.
+  void KillUnnoticed(int router, Duration down) {
+    routers_[static_cast<size_t>(router)].reset();
+    restarts_.emplace_back(now_ + down, router);
+  }
+
+  // Messages between it and the others are lost.
+  void Cut(int router) { cut_ = router; }
+  void Heal() { cut_ = -1; }
+
+  // Requests for `rate` tokens a second in all arrive for `time`.
+  void Load(double rate, double cost, Duration time) {
+    const TimePoint end = now_ + time;
+    while (now_ < end) {
+      Step();
+      owed_ += rate * ToSeconds(kStep);
+      while (owed_ >= cost) {
+        owed_ -= cost;
+        Ask(cost);
+      }
+    }
+  }
+
+  int asked() const { return asked_; }
+  int refused() const { return refused_; }
+
+  // The most that was admitted in any window.
+  double Peak() const {
+    double peak = 0.0;
+    double sum = 0.0;
+    size_t first = 0;
+    for (const auto& [time, cost] : admitted_) {
+      sum += cost;
+      while (time - admitted_[first].first >= kWindow) {
+        sum -= admitted_[first].second;
+        ++first;
+      }
+      peak = std::max(peak, sum);
+    }
+    return peak;
+  }
+
+ private:
+  struct Message {
+    TimePoint due;
+    int from = 0;
+    RouterId to;
+    std::optional<UsageReport> report;
+    std::optional<UsageTotals> totals;
+  };
+
+  void Start(int router, bool is_first_start) {
+    AccountQuotas::Options options{
+        .self = names_[static_cast<size_t>(router)],
+        .incarnation =
+            Incarnation(static_cast<uint64_t>(now_.time_since_epoch().count()) +
+                        1),
+        .is_first_start = is_first_start};
+    AccountQuotas::Hooks hooks;
+    hooks.report = [this, router](const RouterId& to,
+                                  const UsageReport& report) {
+      Send({.from = router, .to = to, .report = report, .totals = {}});
+    };
+    hooks.answer = [this, router](const RouterId& to,
+                                  const UsageTotals& totals) {
+      Send({.from = router, .to = to, .report = {}, .totals = totals});
+    };
+    std::unique_ptr<AccountQuotas>& quotas =
+        routers_[static_cast<size_t>(router)];
+    quotas = std::make_unique<AccountQuotas>(options, std::move(hooks));
+    quotas->SetLimits(
+        {{.account = AccountId("teachers"),
+          .rate = kRate,
+          .burst = BucketSize({.account = {}, .rate = kRate, .burst = kRate},
+                              {.window = kWindow,
+                               .overage = kOverage,
+                               .slack = kSlack})}},
+        now_);
+    ShowRouters();
+  }
+
+  void ShowRouters() {
+    std::vector<RouterId> running;
+    for (size_t i = 0; i < routers_.size(); ++i) {
+      if (routers_[i] != nullptr) {
+        running.push_back(names_[i]);
+      }
+    }
+    for (const std::unique_ptr<AccountQuotas>& quotas : routers_) {
+      if (quotas != nullptr) {
+        quotas->SetRouters(running, now_);
+      }
+    }
+  }
+
+  void Send(Message message) {
+    constexpr uint64_t kMaxDelayMs = 40;
+    message.due =
+        now_ + milliseconds(5 + random_.Below(kMaxDelayMs));
+    const bool is_cut = message.from == cut_ ||
+                        (cut_ >= 0 &&
+                         message.to == names_[static_cast<size_t>(cut_)]);
+    if (!is_cut) {
+      messages_.push_back(std::move(message));
+    }
+  }
+
+  void Deliver(const Message& message) {
+    for (size_t i = 0; i < routers_.size(); ++i) {
+      if (names_[i] != message.to || routers_[i] == nullptr) {
+        continue;
+      }
+      const RouterId& from = names_[static_cast<size_t>(message.from)];
+      if (message.report.has_value()) {
+        routers_[i]->OnReport(from, *message.report, now_);
+      } else {
+        routers_[i]->OnTotals(from, *message.totals, now_);
+      }
+    }
+  }
+
+  void Step() {
+    now_ += kStep;
+    while (!restarts_.empty() && restarts_.front().first <= now_) {
+      Start(restarts_.front().second, /*is_first_start=*/false);
+      restarts_.pop_front();
+    }
+    std::deque<Message> due;
+    for (Message& message : std::exchange(messages_, {})) {
+      (message.due <= now_ ? due : messages_).push_back(std::move(message));
+    }
+    for (const Message& message : due) {
+      Deliver(message);
+    }
+    if (now_.time_since_epoch() % milliseconds(25) == Duration()) {
+      for (const std::unique_ptr<AccountQuotas>& quotas : routers_) {
+        if (quotas != nullptr) {
+          quotas->OnTick(now_);
+        }
+      }
+    }
+  }
+
+  void Ask(double cost) {
+    // Callers are spread unevenly: the first routers get most of them.
+    const size_t count = routers_.size();
+    const size_t router = std::min(random_.Below(count), random_.Below(count));
+    if (routers_[router] == nullptr) {
+      return;
+    }
+    ++asked_;
+    if (routers_[router]
+            ->Spend(AccountId("teachers"), cost, now_)
+            .has_value()) {
+      ++refused_;
+    } else {
+      admitted_.emplace_back(now_, cost);
+    }
+  }
+
+  Random random_;
+  TimePoint now_{seconds(1000)};
+  std::vector<RouterId> names_;
+  std::vector<std::unique_ptr<AccountQuotas>> routers_;
+  std::deque<std::pair<TimePoint, int>> restarts_;
+  std::deque<Message> messages_;
+  std::vector<std::pair<TimePoint, double>> admitted_;
+  double owed_ = 0.0;
+  int cut_ = -1;
+  int asked_ = 0;
+  int refused_ = 0;
+};
+
+constexpr double kAllowed =
+    (kRate * 8.0 + kRate) * (1.0 + kOverage) + kSlack;
+
+TEST_CASE("AccountQuotas: an account within its quota is never refused",
+          "[admission]") {
+  for (uint64_t seed = 1; seed <= 5; ++seed) {
+    QuotaFleet fleet(7, seed);
+    fleet.Load(0.9 * kRate, 5000.0, seconds(30));
+    CHECK(fleet.asked() > 0);
+    CHECK(fleet.refused() == 0);
+  }
+}
+
+TEST_CASE("AccountQuotas: a hot account is held to its quota over all routers",
+          "[admission]") {
+  for (uint64_t seed = 1; seed <= 5; ++seed) {
+    QuotaFleet fleet(7, seed);
+    fleet.Load(0.5 * kRate, 5000.0, seconds(10));
+    fleet.Load(5.0 * kRate, 5000.0, seconds(20));
+    CHECK(fleet.Peak() <= kAllowed);
+    CHECK(fleet.Peak() >= 0.95 * kRate * 9.0);
+  }
+}
+
+TEST_CASE("AccountQuotas: what was used before a kill of all routers counts",
+          "[admission]") {
+  for (uint64_t seed = 1; seed <= 5; ++seed) {
+    QuotaFleet fleet(7, seed);
+    fleet.Load(4.0 * kRate, 5000.0, seconds(12));
+    for (int router = 0; router < 7; ++router) {
+      fleet.Kill(router, milliseconds(1000));
+    }
+    fleet.Load(4.0 * kRate, 5000.0, seconds(12));
+    CHECK(fleet.Peak() <= kAllowed);
+  }
+}
+
+TEST_CASE("AccountQuotas: what was used before a kill of each router counts",
+          "[admission]") {
+  for (int killed = 0; killed < 7; ++killed) {
+    QuotaFleet fleet(7, 3);
+    fleet.Load(4.0 * kRate, 5000.0, seconds(10));
+    fleet.Kill(killed, milliseconds(800));
+    fleet.Load(4.0 * kRate, 5000.0, seconds(10));
+    CHECK(fleet.Peak() <= kAllowed);
+  }
+}
+
+TEST_CASE("AccountQuotas: a hot account finds no gap while a router is dead",
+          "[admission]") {
+  for (int killed = 0; killed < 7; ++killed) {
+    QuotaFleet fleet(7, 5);
+    fleet.Load(0.5 * kRate, 5000.0, seconds(10));
+    fleet.KillUnnoticed(killed, milliseconds(2000));
+    fleet.Load(7.0 * kRate, 5000.0, seconds(10));
+    CHECK(fleet.Peak() <= kAllowed);
+  }
+}
+
+TEST_CASE("AccountQuotas: a restart of all refuses no account within its quota",
+          "[admission]") {
+  for (uint64_t seed = 1; seed <= 5; ++seed) {
+    QuotaFleet fleet(7, seed);
+    fleet.Load(0.55 * kRate, 5000.0, seconds(10));
+    for (int router = 0; router < 7; ++router) {
+      fleet.Kill(router, milliseconds(500));
+    }
+    fleet.Load(0.55 * kRate, 5000.0, seconds(12));
+    // The first moments may be too short to tell it from a hot one.
+    CHECK(fleet.refused() <= fleet.asked() / 50);
+  }
+}
+
+TEST_CASE("AccountQuotas: a router that is cut off keeps to its share",
+          "[admission]") {
+  for (int cut = 0; cut < 7; ++cut) {
+    QuotaFleet fleet(7, 11);
+    fleet.Load(2.0 * kRate, 5000.0, seconds(10));
+    fleet.Cut(cut);
+    fleet.Load(4.0 * kRate, 5000.0, seconds(12));
+    fleet.Heal();
+    fleet.Load(4.0 * kRate, 5000.0, seconds(6));
+    CHECK(fleet.Peak() <= kAllowed);
+  }
+}
+
+}  // namespace
+}  // namespace papaya
