Take unmet routers into account when quotas start anew

Change: a router that knows no other one keeps to a seventh for 1.5 s; buckets hold 0.4 of what is allowed beyond the rate.

--- a/include/admission/account_quota.h
+++ b/include/admission/account_quota.h
@@ -32,7 +32,7 @@
 };
 
 // The size of the bucket that keeps `limit` within `allowance`: as much as can
-// be had, since what is refused of a quota is lost, and half of what is allowed
+// be had, since what is refused of a quota is lost, and a part of what is allowed
 // beyond the rate, since a bucket may be spent again after a restart and in
 // part between two words of a router.
 double BucketSize(const AccountLimit& limit, const QuotaAllowance& allowance);
@@ -67,7 +67,7 @@
     std::function<void(const RouterId&, const UsageTotals&)> answer;
   };
 
-  AccountQuotas(Options options, Hooks hooks);
+  AccountQuotas(Options options, Hooks hooks, TimePoint now);
 
   // The accounts that have quotas; what was spent is kept.
   void SetLimits(const std::vector<AccountLimit>& limits, TimePoint now);
@@ -129,7 +129,10 @@
   };
 
   bool IsCounter(const Account& account) const;
-  double FleetSize() const;
+  // After a start others may run that are not met yet.
+  bool MayLackRouters(TimePoint now) const;
+  // Routers that may spend, met or not.
+  double FleetSize(TimePoint now) const;
   // The part of the rate that routers may spend that can't be heard.
   double SilentPart(const Account& account, TimePoint now) const;
   Bucket& FleetBucket(Account* account, TimePoint now);
@@ -140,6 +143,7 @@
 
   const Options options_;
   const Hooks hooks_;
+  const TimePoint started_;
   std::vector<RouterId> routers_;
   // Routers that fell silent, and when.
   std::map<RouterId, TimePoint> silent_;
--- a/src/admission/account_quota.cc
+++ b/src/admission/account_quota.cc
@@ -10,14 +10,18 @@
 namespace {
 
 // The part of what is allowed beyond the rate that a bucket holds.
-constexpr double kBucketPart = 0.5;
+constexpr double kBucketPart = 0.4;
 // An account is near its quota below this part of its bucket, or when this part
 // of it was spent and not reported.
 constexpr double kPressedLevel = 0.6;
 constexpr double kPressedSpending = 0.04;
 // A bucket that nobody remembers has this part of its burst: enough for what
 // arrives at once, little enough for what may have been spent before.
-constexpr double kUnknownLevel = 0.25;
+constexpr double kUnknownLevel = 0.5;
+// Routers that start together meet within this time, and are taken to be so
+// many till then.
+constexpr Duration kMeetTime = std::chrono::milliseconds(1500);
+constexpr double kUnmetRouters = 7.0;
 // A router may spend so many even shares of what is left before it reports, as
 // callers are spread unevenly.
 constexpr double kMarginShares = 3.0;
@@ -48,9 +52,10 @@
   }
 }
 
-AccountQuotas::AccountQuotas(Options options, Hooks hooks)
+AccountQuotas::AccountQuotas(Options options, Hooks hooks, TimePoint now)
     : options_(std::move(options)),
       hooks_(std::move(hooks)),
+      started_(now),
       routers_{options_.self} {}
 
 void AccountQuotas::SetLimits(const std::vector<AccountLimit>& limits,
@@ -64,7 +69,7 @@
     account.limit = limit;
     if (is_new) {
       const double part = options_.is_first_start ? 1.0 : kUnknownLevel;
-      account.share = {.level = part * limit.burst / FleetSize(),
+      account.share = {.level = part * limit.burst / FleetSize(now),
                        .filled = now};
     }
   }
@@ -101,8 +106,14 @@
   return CounterOf(account.limit.account) == options_.self;
 }
 
-double AccountQuotas::FleetSize() const {
-  return static_cast<double>(routers_.size() + silent_.size());
+bool AccountQuotas::MayLackRouters(TimePoint now) const {
+  return !options_.is_first_start && routers_.size() == 1 &&
+         now - started_ < kMeetTime;
+}
+
+double AccountQuotas::FleetSize(TimePoint now) const {
+  const double known = static_cast<double>(routers_.size() + silent_.size());
+  return MayLackRouters(now) ? std::max(known, kUnmetRouters) : known;
 }
 
 double AccountQuotas::SilentPart(const Account& account, TimePoint now) const {
@@ -110,7 +121,7 @@
   for (const auto& [router, word] : account.words) {
     silent += now - word.heard > options_.word_lifetime ? 1.0 : 0.0;
   }
-  return std::min(1.0, silent / FleetSize());
+  return std::min(1.0, silent / FleetSize(now));
 }
 
 AccountQuotas::Bucket& AccountQuotas::FleetBucket(Account* account,
@@ -134,10 +145,10 @@
 
 double AccountQuotas::Available(Account* account, TimePoint now) {
   const AccountLimit& limit = account->limit;
-  if (IsCounter(*account)) {
+  if (IsCounter(*account) && !MayLackRouters(now)) {
     return FleetBucket(account, now).level;
   }
-  account->share.Fill(limit.rate / FleetSize(), limit.burst / FleetSize(), now);
+  account->share.Fill(limit.rate / FleetSize(now), limit.burst / FleetSize(now), now);
   if (!HasWord(*account, now)) {
     return account->share.level;
   }
@@ -172,7 +183,7 @@
     *account.left -= cost;
   }
   if (IsCounter(account)) {
-    account.fleet->level -= cost;
+    FleetBucket(&account, now).level -= cost;
   }
   return std::nullopt;
 }
@@ -236,7 +247,7 @@
     Account& account = found->second;
     account.left = usage.amount - (account.spent - account.reported);
     account.margin =
-        *account.left * std::min(1.0, kMarginShares / FleetSize());
+        *account.left * std::min(1.0, kMarginShares / FleetSize(now));
     account.asked.reset();
     account.heard = now;
   }
--- a/src/gateway/request_desk.cc
+++ b/src/gateway/request_desk.cc
@@ -90,7 +90,8 @@
       quotas_({.self = settings.router,
                .incarnation = incarnation,
                .is_first_start = settings.is_first_start},
-              {.report = hooks_.send_usage, .answer = hooks_.send_totals}),
+              {.report = hooks_.send_usage, .answer = hooks_.send_totals},
+              SteadyNow()),
       random_(StableHash(settings.router.value(), incarnation.value())),
       context_(MakeContext()) {}
 
--- a/tests/account_quota_test.cc
+++ b/tests/account_quota_test.cc
@@ -1,5 +1,6 @@
 #include "include/admission/account_quota.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <deque>
 #include <memory>
@@ -17,6 +18,7 @@
 
 constexpr Duration kWindow = seconds(8);
 constexpr Duration kStep = milliseconds(5);
+constexpr Duration kMeetTime = milliseconds(400);
 // What the platform allows beyond a quota.
 constexpr double kOverage = 0.1;
 constexpr double kRate = 160000.0;
@@ -30,6 +32,7 @@
     for (int i = 0; i < routers; ++i) {
       names_.emplace_back("router-" + std::to_string(i));
       routers_.emplace_back();
+      met_.emplace_back();
     }
     for (int i = 0; i < routers; ++i) {
       Start(i, /*is_first_start=*/true);
@@ -112,7 +115,7 @@
     };
     std::unique_ptr<AccountQuotas>& quotas =
         routers_[static_cast<size_t>(router)];
-    quotas = std::make_unique<AccountQuotas>(options, std::move(hooks));
+    quotas = std::make_unique<AccountQuotas>(options, std::move(hooks), now_);
     quotas->SetLimits(
         {{.account = AccountId("teachers"),
           .rate = kRate,
@@ -121,20 +124,26 @@
                                .overage = kOverage,
                                .slack = kSlack})}},
         now_);
+    if (!is_first_start) {
+      met_[static_cast<size_t>(router)] = now_ + kMeetTime;
+    }
     ShowRouters();
   }
 
+  // Routers that start are met by the others after a while.
   void ShowRouters() {
-    std::vector<RouterId> running;
     for (size_t i = 0; i < routers_.size(); ++i) {
-      if (routers_[i] != nullptr) {
-        running.push_back(names_[i]);
+      if (routers_[i] == nullptr) {
+        continue;
       }
-    }
-    for (const std::unique_ptr<AccountQuotas>& quotas : routers_) {
-      if (quotas != nullptr) {
-        quotas->SetRouters(running, now_);
+      std::vector<RouterId> running;
+      for (size_t j = 0; j < routers_.size(); ++j) {
+        const bool has_met = now_ >= met_[i] && now_ >= met_[j];
+        if (i == j || (routers_[j] != nullptr && has_met)) {
+          running.push_back(names_[j]);
+        }
       }
+      routers_[i]->SetRouters(running, now_);
     }
   }
 
@@ -177,6 +186,9 @@
     for (const Message& message : due) {
       Deliver(message);
     }
+    if (std::find(met_.begin(), met_.end(), now_) != met_.end()) {
+      ShowRouters();
+    }
     if (now_.time_since_epoch() % milliseconds(25) == Duration()) {
       for (const std::unique_ptr<AccountQuotas>& quotas : routers_) {
         if (quotas != nullptr) {
@@ -207,6 +219,8 @@
   TimePoint now_{seconds(1000)};
   std::vector<RouterId> names_;
   std::vector<std::unique_ptr<AccountQuotas>> routers_;
+  // From when on a router knows the others, and they know it.
+  std::vector<TimePoint> met_;
   std::deque<std::pair<TimePoint, int>> restarts_;
   std::deque<Message> messages_;
   std::vector<std::pair<TimePoint, double>> admitted_;
