Let requests that can't meet their objective go after those that can

Change: a waiting request that has passed its late_after goes to a second queue, which is served when none of the first waits.

--- a/include/base/request_spec.h
+++ b/include/base/request_spec.h
@@ -30,6 +30,9 @@
   TimePoint arrival;
   // Work not begun by then is of no use to the caller.
   TimePoint deadline;
+  // Work not begun by then comes too late for its latency objective: it goes
+  // after all that may still meet its own.
+  TimePoint late_after = TimePoint::max();
   // False if it must not run twice.
   bool idempotent = true;
   // Upstreams at which it may run, one after the other.
--- a/src/admission/group_state.h
+++ b/src/admission/group_state.h
@@ -18,6 +18,14 @@
 
 namespace papaya {
 
+// Orders waiting requests by the time after which they are late.
+struct EarlierLateness {
+  bool operator()(const RequestEntry* a, const RequestEntry* b) const {
+    return std::pair(a->spec.late_after, a->spec.id) <
+           std::pair(b->spec.late_after, b->spec.id);
+  }
+};
+
 // Orders waiting requests by their deadlines.
 struct EarlierDeadline {
   bool operator()(const RequestEntry* a, const RequestEntry* b) const {
@@ -38,7 +46,11 @@
   // No plan was made since the latest news of other routers.
   bool is_plan_old = true;
 
+  // Requests that may still meet their latency objectives, and the others.
   std::array<FairQueue, kTierCount> queues;
+  std::array<FairQueue, kTierCount> late_queues;
+  // Those of the former that will be late some time.
+  std::set<RequestEntry*, EarlierLateness> lateness;
   std::array<std::set<RequestEntry*, EarlierDeadline>, kTierCount> deadlines;
   std::array<int, kTierCount> running{};
   // Own attempts that are being preempted.
@@ -62,10 +74,13 @@
   // Streams are given up for other routers no oftener than reports come.
   TimePoint gave_up;
 
+  size_t WaitingOf(size_t tier) const {
+    return queues[tier].size() + late_queues[tier].size();
+  }
   int Waiting() const {
     size_t waiting = 0;
-    for (const FairQueue& queue : queues) {
-      waiting += queue.size();
+    for (size_t tier = 0; tier < kTierCount; ++tier) {
+      waiting += WaitingOf(tier);
     }
     return static_cast<int>(waiting);
   }
@@ -91,18 +106,43 @@
 
   void Enqueue(RequestEntry* entry, bool at_front) {
     const size_t tier = TierIndex(entry->spec.tier);
+    FairQueue& queue = QueueOf(*entry);
     if (at_front) {
-      queues[tier].PushFront(entry);
+      queue.PushFront(entry);
     } else {
-      queues[tier].Push(entry);
+      queue.Push(entry);
+    }
+    if (!entry->is_late && entry->spec.late_after != TimePoint::max()) {
+      lateness.insert(entry);
     }
     deadlines[tier].insert(entry);
   }
   void Remove(RequestEntry* entry) {
     const size_t tier = TierIndex(entry->spec.tier);
-    queues[tier].Remove(entry);
+    QueueOf(*entry).Remove(entry);
+    lateness.erase(entry);
     deadlines[tier].erase(entry);
   }
+  // Takes out the request whose turn it is in `queue`, one of these.
+  RequestEntry* Pop(FairQueue* queue) {
+    RequestEntry* entry = queue->Pop();
+    lateness.erase(entry);
+    deadlines[TierIndex(entry->spec.tier)].erase(entry);
+    return entry;
+  }
+  // Lets requests that have become late go after the others.
+  void MoveLate(TimePoint now) {
+    while (!lateness.empty() && (*lateness.begin())->spec.late_after <= now) {
+      RequestEntry* entry = *lateness.begin();
+      Remove(entry);
+      entry->is_late = true;
+      Enqueue(entry, /*at_front=*/false);
+    }
+  }
+  FairQueue& QueueOf(const RequestEntry& entry) {
+    const size_t tier = TierIndex(entry.spec.tier);
+    return entry.is_late ? late_queues[tier] : queues[tier];
+  }
 };
 
 }  // namespace papaya
--- a/src/admission/request_entry.h
+++ b/src/admission/request_entry.h
@@ -23,6 +23,8 @@
   double cost = 0.0;
 
   bool is_running = false;
+  // It can't meet its latency objective any more.
+  bool is_late = false;
   // Set while waiting: its place in the queue of its account.
   std::list<RequestEntry*>::iterator queue_place;
 
--- a/src/admission/scheduler_attempts.cc
+++ b/src/admission/scheduler_attempts.cc
@@ -60,7 +60,7 @@
   }
   const int32_t group = entry->group;
   EndAttempt(entry);
-  FairQueue& queue = groups_.at(group).queues[TierIndex(entry->spec.tier)];
+  FairQueue& queue = groups_.at(group).QueueOf(*entry);
   if (result.end != AttemptEnd::kOk) {
     queue.Charge(entry->account, entry->account_weight, -entry->cost);
     Retry(entry, result.end, now);
--- a/src/admission/scheduler_core.cc
+++ b/src/admission/scheduler_core.cc
@@ -98,6 +98,7 @@
     Refuse(entry, RefusalReason::kDeadline);
     return;
   }
+  entry->is_late = request.late_after <= now;
   entry->account = AccountNumber(request.account);
   auto weight = options_.account_weights.find(request.account);
   if (weight != options_.account_weights.end()) {
@@ -154,9 +155,9 @@
     GroupState* longest = nullptr;
     for (size_t i = 0; i < groups_.size(); ++i) {
       GroupState& group = groups_.at(static_cast<int32_t>(i));
-      const size_t size = group.queues[tier].size();
+      const size_t size = group.WaitingOf(tier);
       if (size > 0 &&
-          (longest == nullptr || size > longest->queues[tier].size())) {
+          (longest == nullptr || size > longest->WaitingOf(tier))) {
         longest = &group;
       }
     }
@@ -164,7 +165,8 @@
       continue;
     }
     const bool is_lower = tier > TierIndex(newcomer);
-    RefuseWaiting(longest->queues[tier].Last(),
+    FairQueue& late = longest->late_queues[tier];
+    RefuseWaiting(late.size() > 0 ? late.Last() : longest->queues[tier].Last(),
                   is_lower ? RefusalReason::kShed : RefusalReason::kQueueFull);
     return;
   }
@@ -197,10 +199,14 @@
 }
 
 void SchedulerCore::DispatchTiers(GroupState* group, TimePoint now) {
-  for (Tier tier : kAllTiers) {
-    DispatchTier(group, tier, now);
-    if (group->queues[TierIndex(tier)].size() > 0) {
-      return;
+  group->MoveLate(now);
+  for (auto* queues : {&group->queues, &group->late_queues}) {
+    for (Tier tier : kAllTiers) {
+      FairQueue& queue = (*queues)[TierIndex(tier)];
+      DispatchQueue(group, tier, &queue, now);
+      if (queue.size() > 0) {
+        return;
+      }
     }
   }
 }
@@ -219,16 +225,17 @@
   return !group.IsContended() || group.running[index] < group.allotment[index];
 }
 
-void SchedulerCore::DispatchTier(GroupState* group, Tier tier, TimePoint now) {
-  FairQueue& queue = group->queues[TierIndex(tier)];
-  while (queue.size() > 0 && MayDispatch(*group, tier)) {
-    RequestEntry* entry = queue.Front();
+void SchedulerCore::DispatchQueue(GroupState* group,
+                                  Tier tier,
+                                  FairQueue* queue,
+                                  TimePoint now) {
+  while (queue->size() > 0 && MayDispatch(*group, tier)) {
+    RequestEntry* entry = queue->Front();
     const UpstreamChooser::Choice choice = chooser_.Choose(*entry, *group, now);
     if (choice.upstream < 0) {
       return;
     }
-    queue.Pop();
-    group->deadlines[TierIndex(tier)].erase(entry);
+    group->Pop(queue);
     --queued_;
     Begin(entry, choice, now);
   }
--- a/src/admission/scheduler_core.h
+++ b/src/admission/scheduler_core.h
@@ -69,7 +69,10 @@
   // Dispatches from the queues of a group what may be dispatched now.
   void Dispatch(int32_t group, TimePoint now);
   void DispatchTiers(GroupState* group, TimePoint now);
-  void DispatchTier(GroupState* group, Tier tier, TimePoint now);
+  void DispatchQueue(GroupState* group,
+                     Tier tier,
+                     FairQueue* queue,
+                     TimePoint now);
   bool MayDispatch(const GroupState& group, Tier tier) const;
   void Begin(RequestEntry* entry,
              const UpstreamChooser::Choice& choice,
--- a/src/admission/scheduler_reports.cc
+++ b/src/admission/scheduler_reports.cc
@@ -39,7 +39,7 @@
     demand.short_tier = group.own_short;
     for (size_t tier = 0; tier < kTierCount; ++tier) {
       demand.tiers[tier] = {group.running[tier],
-                            static_cast<int32_t>(group.queues[tier].size())};
+                            static_cast<int32_t>(group.WaitingOf(tier))};
     }
     report.groups.push_back(std::move(demand));
   }
--- a/src/gateway/relayed_request.cc
+++ b/src/gateway/relayed_request.cc
@@ -165,9 +165,9 @@
       self->OnHead(reader, metadata);
     }
   };
-  call.body = [weak](std::string bytes) {
+  call.body = [weak](const std::string& bytes) {
     if (const auto self = weak.lock()) {
-      self->OnBody(std::move(bytes));
+      self->OnBody(bytes);
     }
   };
   call.ended = [weak] {
@@ -222,7 +222,7 @@
   answer_length_ = reader.length();
 }
 
-void RelayedRequest::OnBody(std::string bytes) {
+void RelayedRequest::OnBody(const std::string& bytes) {
   switch (answer_kind_) {
     case AnswerKind::kNone:
     case AnswerKind::kNotRun:
--- a/src/gateway/relayed_request.h
+++ b/src/gateway/relayed_request.h
@@ -122,7 +122,7 @@
 
   std::string FormatRequest(const UpstreamRecord& upstream) const;
   void OnHead(const AnswerReader& reader, const AnswerMetadata& metadata);
-  void OnBody(std::string bytes);
+  void OnBody(const std::string& bytes);
   void OnAnswerEnd();
   void OnFailed(bool was_sent, const std::string& error);
   AnswerKind Classify(int status, const AnswerMetadata& metadata) const;
--- a/src/gateway/request_desk.cc
+++ b/src/gateway/request_desk.cc
@@ -15,6 +15,9 @@
 
 // The part of a caller's time within which its request must have begun.
 constexpr double kBeginPart = 0.35;
+// The part of its latency objective by which a request must have begun to meet
+// it; the rest is for its prompt, or its work.
+constexpr double kFreshPart = 0.7;
 // Blocks that prompts are cut into, to know what of one an engine may hold.
 constexpr int64_t kBlockTokens = 512;
 // Callers come back within the first third of the time that they have left.
@@ -146,6 +149,7 @@
 void RequestDesk::SetTable(std::shared_ptr<const RouteTable> table) {
   table_ = std::move(table);
   std::vector<AccountLimit> limits;
+  limits.reserve(table_->config().accounts.size());
   for (const ClientAccount& account : table_->config().accounts) {
     AccountLimit limit{
         .account = account.id, .rate = account.rate, .burst = account.burst};
@@ -313,6 +317,9 @@
   spec.deadline =
       input.arrival +
       SecondsToDuration(kBeginPart * ToSeconds(input.give_up - input.arrival));
+  spec.late_after = input.arrival + SecondsToDuration(
+                                       kFreshPart *
+                                       ToSeconds(input.route->latency_objective));
   spec.idempotent = input.route->MayRepeat();
   spec.max_runs = input.route->max_attempts;
   return spec;
--- a/src/gateway/upstream_connection.cc
+++ b/src/gateway/upstream_connection.cc
@@ -147,10 +147,10 @@
   if (!has_head_ && !TakeHead()) {
     return false;
   }
-  std::string body = reader_->TakeBody();
+  const std::string body = reader_->TakeBody();
   if (!is_foreign_ && !body.empty()) {
     const std::shared_ptr<const Call> call = call_;
-    call->body(std::move(body));
+    call->body(body);
   }
   // The hook may have closed this connection.
   if (state != AnswerReader::State::kDone || call_ == nullptr) {
--- a/src/gateway/upstream_connection.h
+++ b/src/gateway/upstream_connection.h
@@ -31,7 +31,7 @@
     bool is_head = false;
     // Called in this order; `ended` or `failed` is the last one.
     std::function<void(const AnswerReader&, const AnswerMetadata&)> head;
-    std::function<void(std::string bytes)> body;
+    std::function<void(const std::string& bytes)> body;
     std::function<void()> ended;
     // `was_sent` if the upstream may have seen the request.
     std::function<void(bool was_sent, const std::string& error)> failed;
--- a/tools/check_style.sh
+++ b/tools/check_style.sh
@@ -10,5 +10,4 @@
 tools/check_layers.sh
 
 mapfile -t sources < <(printf '%s\n' "${files[@]}" | grep '\.cc$')
-printf '%s\n' "${sources[@]}" |
-  xargs -P "$(nproc)" -n 2 clang-tidy -p "$build" --quiet 2>/dev/null
+tools/check_lint.sh "$build" "${sources[@]}"
