Place by read time, speed and the caller's estimate of the answer

Cause: the 60 shared tokens of a prompt counted as a whole block of it, and a token price of 2 ms drew requests to the four engines noted as its holders. Change: prefix blocks carry their tokens; weights of placement are options; the caller's length estimate goes before the learnt one.

--- a/include/admission/scheduler_options.h
+++ b/include/admission/scheduler_options.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 
 #include "absl/container/flat_hash_map.h"
+#include "include/admission/placement_weights.h"
 #include "include/admission/retry_budget_options.h"
 #include "include/admission/scheduler_parts.h"
 #include "include/base/ids.h"
@@ -28,6 +29,7 @@
   Duration report_lifetime = std::chrono::seconds(3);
   // Of each pool.
   RetryBudgetOptions retries;
+  PlacementWeights placement;
   SchedulerParts parts;
 };
 
--- a/include/base/request_spec.h
+++ b/include/base/request_spec.h
@@ -2,6 +2,7 @@
 #define INCLUDE_BASE_REQUEST_SPEC_H_
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "include/base/ids.h"
@@ -22,9 +23,13 @@
   Tokens prompt_tokens;
   // The caller's own limit; zero if it set none.
   Tokens max_output_tokens;
+  // The caller's own estimate of the answer's length.
+  std::optional<Tokens> expected_output;
   // Chained hashes of the prompt's blocks, first block first; the n-th stands
   // for all of the prompt up to the end of block n.
   std::vector<uint64_t> prefix_hashes;
+  // The tokens up to the end of each block; empty if all blocks are alike.
+  std::vector<Tokens> prefix_ends;
   // Decides which version's share the request falls in. All routers agree.
   uint64_t share_hash = 0;
   TimePoint arrival;
--- a/include/gateway/wire_dialect.h
+++ b/include/gateway/wire_dialect.h
@@ -28,6 +28,8 @@
   std::optional<Tokens> prompt_tokens;
   std::optional<Tokens> max_output_tokens;
   std::vector<PromptPart> prompt_parts;
+  // The caller's estimate of the answer's length.
+  std::optional<Tokens> expected_output;
   // The caller goes on after this event of a stream; empty if not.
   std::string last_event_id;
 };
--- a/src/admission/scheduler_core.cc
+++ b/src/admission/scheduler_core.cc
@@ -21,7 +21,7 @@
       upstreams_(options_.parts),
       peers_(options_.report_lifetime),
       prefixes_(kPrefixes),
-      chooser_(options_.parts, &upstreams_, &prefixes_),
+      chooser_(options_.parts, options_.placement, &upstreams_, &prefixes_),
       pacer_(options_.report_interval, options_.report_budget) {}
 
 void SchedulerCore::OnSnapshot(std::shared_ptr<const RoutingSnapshot> snapshot,
@@ -84,6 +84,16 @@
   return accounts_.try_emplace(account, next).first->second;
 }
 
+Tokens SchedulerCore::ExpectOutput(const RequestSpec& request) const {
+  if (request.prompt_tokens.value() == 0) {
+    return Tokens();
+  }
+  return request.expected_output.has_value()
+             ? *request.expected_output
+             : lengths_.Expect(request.account, request.route,
+                               request.max_output_tokens);
+}
+
 void SchedulerCore::OnRequest(const RequestSpec& request, TimePoint now) {
   auto owned = std::make_unique<RequestEntry>();
   RequestEntry* entry = owned.get();
@@ -104,10 +114,7 @@
   if (weight != options_.account_weights.end()) {
     entry->account_weight = std::max(weight->second, 1);
   }
-  entry->expected_output = request.prompt_tokens.value() == 0
-                               ? Tokens()
-                               : lengths_.Expect(request.account, request.route,
-                                                 request.max_output_tokens);
+  entry->expected_output = ExpectOutput(request);
   entry->cost = entry->CostOf(entry->expected_output);
   Enqueue(entry, /*at_front=*/false);
   const int32_t group = entry->group;
--- a/src/admission/scheduler_core.h
+++ b/src/admission/scheduler_core.h
@@ -46,6 +46,7 @@
  private:
   // The entry of an attempt under way; null if there is none.
   RequestEntry* FindRunning(RequestId id);
+  Tokens ExpectOutput(const RequestSpec& request) const;
   int32_t AccountNumber(const AccountId& account);
 
   // The number of the group that `spec` goes to; -1 if it has none.
--- a/src/admission/upstream_chooser.cc
+++ b/src/admission/upstream_chooser.cc
@@ -16,26 +16,13 @@
 // that use it; and by one, once another has found it recovered.
 constexpr Duration kProbeInterval = std::chrono::seconds(60);
 constexpr Duration kShortProbeInterval = std::chrono::seconds(1);
-// Weight of the prompt tokens that have to be worked through: they hold up the
-// prompts that come after them, too.
-constexpr double kPrefillWeight = 3.0;
-// What each prompt token that has to be worked through costs besides, in
-// seconds, on the fastest engine as on the slowest: where the time is short it
-// would not be worth going to where the prefix is, and every engine would come
-// to hold every prefix.
-constexpr double kPrefillTokenSeconds = 0.002;
-// Weight of the time after the first token, which nobody waits for idly.
-constexpr double kDecodeWeight = 0.02;
-// What taking the last free slot of an upstream may cost, in seconds, and over
-// how many free slots that falls to 1/e.
-constexpr double kCrowdingSeconds = 3.0;
-constexpr double kCrowdingSlots = 1.5;
-
 // What taking one of the last free slots of `state` may cost: other routers see
 // the same slots and take them before they say so, and a request too many
 // waits there until some answer ends.
-double CrowdingSeconds(const UpstreamState& state) {
-  return kCrowdingSeconds * std::exp(-state.FreeSlots() / kCrowdingSlots);
+double CrowdingSeconds(const PlacementWeights& weights,
+                       const UpstreamState& state) {
+  return weights.crowding_seconds *
+         std::exp(-state.FreeSlots() / weights.crowding_slots);
 }
 
 // When an upstream that is set aside may be probed next.
@@ -61,7 +48,10 @@
 double UpstreamChooser::Cached::TokensAt(int32_t upstream) const {
   for (size_t i = 0; i < count; ++i) {
     if (matches[i].upstream == upstream) {
-      return static_cast<double>(matches[i].blocks) * tokens_per_block;
+      const size_t blocks = matches[i].blocks;
+      return ends != nullptr && !ends->empty()
+                 ? static_cast<double>((*ends)[blocks - 1].value())
+                 : static_cast<double>(blocks) * tokens_per_block;
     }
   }
   return 0.0;
@@ -75,6 +65,7 @@
     return cached;
   }
   cached.count = prefixes_->Find(hashes, &cached.matches);
+  cached.ends = &entry.spec.prefix_ends;
   cached.tokens_per_block =
       static_cast<double>(entry.spec.prompt_tokens.value()) /
       static_cast<double>(hashes.size());
@@ -90,18 +81,18 @@
   }
   const double ahead =
       state.prefill + (parts_.peer_prefill ? state.peer_prefill : 0.0);
-  double seconds = (ahead + kPrefillWeight * prefill_tokens) *
+  double seconds = (ahead + weights_.prefill * prefill_tokens) *
                    upstreams_->PrefillSeconds(state);
   if (parts_.token_price) {
-    seconds += kPrefillTokenSeconds * prefill_tokens;
+    seconds += weights_.prefill_token_seconds * prefill_tokens;
   }
   if (parts_.decode_time) {
-    seconds += kDecodeWeight *
+    seconds += weights_.decode *
                static_cast<double>(entry.expected_output.value()) *
                upstreams_->DecodeSeconds(state);
   }
   if (parts_.last_slot_price) {
-    seconds += CrowdingSeconds(state);
+    seconds += CrowdingSeconds(weights_, state);
   }
   return seconds;
 }
--- a/src/admission/upstream_chooser.h
+++ b/src/admission/upstream_chooser.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <vector>
 
+#include "include/admission/placement_weights.h"
 #include "include/admission/scheduler_parts.h"
 #include "include/base/units.h"
 #include "include/routing/prefix_index.h"
@@ -19,9 +20,13 @@
  public:
   // The pointers must outlive the chooser.
   UpstreamChooser(const SchedulerParts& parts,
+                  const PlacementWeights& weights,
                   const UpstreamTable* upstreams,
                   const PrefixIndex* prefixes)
-      : parts_(parts), upstreams_(upstreams), prefixes_(prefixes) {}
+      : parts_(parts),
+        weights_(weights),
+        upstreams_(upstreams),
+        prefixes_(prefixes) {}
 
   // What was chosen.
   struct Choice {
@@ -45,6 +50,8 @@
     std::array<PrefixIndex::Match, PrefixIndex::kHolders> matches{};
     size_t count = 0;
     double tokens_per_block = 0.0;
+    // RequestSpec::prefix_ends; may be null.
+    const std::vector<Tokens>* ends = nullptr;
 
     double TokensAt(int32_t upstream) const;
   };
@@ -68,6 +75,7 @@
                         double prefill_tokens) const;
 
   SchedulerParts parts_;
+  PlacementWeights weights_;
   const UpstreamTable* upstreams_;
   const PrefixIndex* prefixes_;
 };
--- a/src/gateway/request_desk.cc
+++ b/src/gateway/request_desk.cc
@@ -19,12 +19,18 @@
 // it; the rest is for its prompt, or its work.
 constexpr double kFreshPart = 0.7;
 // Blocks that prompts are cut into, to know what of one an engine may hold.
-constexpr int64_t kBlockTokens = 512;
+constexpr int64_t kBlockTokens = 1024;
 // Callers come back within the first third of the time that they have left.
 constexpr double kLatestReturn = 0.3;
 constexpr Duration kSoonestReturn = std::chrono::milliseconds(100);
 // Return times are spread by this part, so that callers don't come together.
 constexpr double kReturnSpread = 0.5;
+// How upstreams are chosen, as PlacementWeights has it: prompts share little, so
+// that it matters most how soon one is read, and which engine is fast.
+constexpr double kPrefillWeight = 2.0;
+constexpr double kDecodeWeight = 0.15;
+constexpr double kCrowdingSeconds = 0.5;
+constexpr double kCrowdingSlots = 1.5;
 // What a caller without a manifest to go by is told to wait.
 constexpr Duration kStartupReturn = std::chrono::milliseconds(300);
 // The part of the fleet's retry budget that routers divide among them; the rest
@@ -56,26 +62,31 @@
       std::max(1.0, settings.bounds.retry_slack * kBudgetPart / kLeastRouters);
   // Engines differ in speed by the machine, which they don't tell, and work
   // that is taken back from one is lost.
+  options.placement = {.prefill = kPrefillWeight,
+                       .prefill_token_seconds = 0.0,
+                       .decode = kDecodeWeight,
+                       .crowding_seconds = kCrowdingSeconds,
+                       .crowding_slots = kCrowdingSlots};
   options.parts.straggler_detection = false;
   options.parts.preemption = false;
   return options;
 }
 
-// Chained hashes of the blocks of a prompt, so that prompts that begin alike
-// share their first hashes.
-std::vector<uint64_t> HashPrompt(const std::vector<PromptPart>& parts) {
-  std::vector<uint64_t> hashes;
+// Fills in the chained hashes of the blocks of a prompt, so that prompts that
+// begin alike share their first hashes.
+void SetPrefix(const std::vector<PromptPart>& parts, RequestSpec* spec) {
   uint64_t chain = 0;
+  Tokens end;
   for (const PromptPart& part : parts) {
-    const int64_t blocks =
-        (part.tokens.value() + kBlockTokens - 1) / kBlockTokens;
-    for (int64_t block = 0; block < std::max<int64_t>(blocks, 1); ++block) {
-      chain = CombineHashes(
-          chain, CombineHashes(part.hash, static_cast<uint64_t>(block)));
-      hashes.push_back(chain);
+    int64_t left = part.tokens.value();
+    for (uint64_t block = 0; left > 0; ++block) {
+      chain = CombineHashes(chain, CombineHashes(part.hash, block));
+      end += Tokens(std::min(left, kBlockTokens));
+      left -= kBlockTokens;
+      spec->prefix_hashes.push_back(chain);
+      spec->prefix_ends.push_back(end);
     }
   }
-  return hashes;
 }
 
 }  // namespace
@@ -311,7 +322,8 @@
                          : input.route->priority);
   spec.prompt_tokens = input.metadata.prompt_tokens.value_or(Tokens());
   spec.max_output_tokens = input.metadata.max_output_tokens.value_or(Tokens());
-  spec.prefix_hashes = HashPrompt(input.metadata.prompt_parts);
+  SetPrefix(input.metadata.prompt_parts, &spec);
+  spec.expected_output = input.metadata.expected_output;
   spec.share_hash = StableHash(input.metadata.attempt_id);
   spec.arrival = input.arrival;
   spec.deadline =
