--- a/include/admission/account_quota.h
+++ b/include/admission/account_quota.h
@@ -32,9 +32,9 @@
 };
 
 // The size of the bucket that keeps `limit` within `allowance`: as much as can
-// be had, since what is refused of a quota is lost, and a part of what is allowed
-// beyond the rate, since a bucket may be spent again after a restart and in
-// part between two words of a router.
+// be had, since what is refused of a quota is lost, and a part of what is
+// allowed beyond the rate, since a bucket may be spent again after a restart
+// and in part between two words of a router.
 double BucketSize(const AccountLimit& limit, const QuotaAllowance& allowance);
 
 // Keeps client accounts to their quotas, together with the other routers. Each
--- a/include/gateway/service_route.h
+++ b/include/gateway/service_route.h
@@ -43,6 +43,9 @@
   Duration latency_objective = std::chrono::seconds(1);
   // A stream whose events are further apart is late; zero if there is no bound.
   Duration gap_objective{};
+  // Callers give up a stream after so long without an event, also before the
+  // first one; zero if they don't.
+  Duration caller_patience{};
   // Upstreams at which one request may run.
   int max_attempts = 1;
   // 0 goes first.
--- a/src/admission/account_quota.cc
+++ b/src/admission/account_quota.cc
@@ -95,11 +95,11 @@
 
 const RouterId& AccountQuotas::CounterOf(const AccountId& account) const {
   const uint64_t seed = StableHash(account.value());
-  return *std::max_element(
-      routers_.begin(), routers_.end(),
-      [seed](const RouterId& a, const RouterId& b) {
-        return StableHash(a.value(), seed) < StableHash(b.value(), seed);
-      });
+  return *std::max_element(routers_.begin(), routers_.end(),
+                           [seed](const RouterId& a, const RouterId& b) {
+                             return StableHash(a.value(), seed) <
+                                    StableHash(b.value(), seed);
+                           });
 }
 
 bool AccountQuotas::IsCounter(const Account& account) const {
@@ -148,7 +148,8 @@
   if (IsCounter(*account) && !MayLackRouters(now)) {
     return FleetBucket(account, now).level;
   }
-  account->share.Fill(limit.rate / FleetSize(now), limit.burst / FleetSize(now), now);
+  account->share.Fill(limit.rate / FleetSize(now), limit.burst / FleetSize(now),
+                      now);
   if (!HasWord(*account, now)) {
     return account->share.level;
   }
@@ -224,9 +225,8 @@
       const bool is_same = word->second.incarnation == report.incarnation;
       bucket.level -= usage.amount - (is_same ? word->second.spent : 0.0);
     }
-    account.words[from] = {.incarnation = report.incarnation,
-                           .spent = usage.amount,
-                           .heard = now};
+    account.words[from] = {
+        .incarnation = report.incarnation, .spent = usage.amount, .heard = now};
     totals.accounts.push_back(
         {.account = usage.account, .amount = bucket.level});
   }
@@ -268,8 +268,8 @@
     std::erase_if(account.words, [this, now](const auto& item) {
       return now - item.second.heard > options_.silence_time;
     });
-    const Duration interval = IsPressed(account) ? options_.pressed_interval
-                                                 : options_.calm_interval;
+    const Duration interval =
+        IsPressed(account) ? options_.pressed_interval : options_.calm_interval;
     const bool is_used = account.spent != 0.0 || account.left.has_value();
     if (account.limit.rate <= 0.0 || !is_used || IsCounter(account) ||
         now < account.last_report + interval) {
--- a/src/admission/scheduler_core.cc
+++ b/src/admission/scheduler_core.cc
@@ -163,8 +163,7 @@
     for (size_t i = 0; i < groups_.size(); ++i) {
       GroupState& group = groups_.at(static_cast<int32_t>(i));
       const size_t size = group.WaitingOf(tier);
-      if (size > 0 &&
-          (longest == nullptr || size > longest->WaitingOf(tier))) {
+      if (size > 0 && (longest == nullptr || size > longest->WaitingOf(tier))) {
         longest = &group;
       }
     }
--- a/src/gateway/request_desk.cc
+++ b/src/gateway/request_desk.cc
@@ -15,6 +15,8 @@
 
 // The part of a caller's time within which its request must have begun.
 constexpr double kBeginPart = 0.35;
+// The same of the time after which callers give up a silent stream.
+constexpr double kPatiencePart = 0.8;
 // The part of its latency objective by which a request must have begun to meet
 // it; the rest is for its prompt, or its work.
 constexpr double kFreshPart = 0.7;
@@ -25,8 +27,8 @@
 constexpr Duration kSoonestReturn = std::chrono::milliseconds(100);
 // Return times are spread by this part, so that callers don't come together.
 constexpr double kReturnSpread = 0.5;
-// How upstreams are chosen, as PlacementWeights has it: prompts share little, so
-// that it matters most how soon one is read, and which engine is fast.
+// How upstreams are chosen, as PlacementWeights has it: prompts share little,
+// so that it matters most how soon one is read, and which engine is fast.
 constexpr double kPrefillWeight = 2.0;
 constexpr double kDecodeWeight = 0.15;
 constexpr double kCrowdingSeconds = 0.5;
@@ -43,6 +45,10 @@
 constexpr int kTooManyRequests = 429;
 constexpr int kUnavailable = 503;
 
+Duration Part(double part, Duration whole) {
+  return SecondsToDuration(part * ToSeconds(whole));
+}
+
 // Bookings and bids have no tier of their own here: manifests rank from 0, and
 // the highest tier would take work back from upstreams for them.
 Tier TierOf(int priority) {
@@ -326,12 +332,13 @@
   spec.expected_output = input.metadata.expected_output;
   spec.share_hash = StableHash(input.metadata.attempt_id);
   spec.arrival = input.arrival;
-  spec.deadline =
-      input.arrival +
-      SecondsToDuration(kBeginPart * ToSeconds(input.give_up - input.arrival));
-  spec.late_after = input.arrival + SecondsToDuration(
-                                       kFreshPart *
-                                       ToSeconds(input.route->latency_objective));
+  Duration wait = Part(kBeginPart, input.give_up - input.arrival);
+  if (input.route->caller_patience > Duration()) {
+    wait = std::min(wait, Part(kPatiencePart, input.route->caller_patience));
+  }
+  spec.deadline = input.arrival + wait;
+  spec.late_after =
+      input.arrival + Part(kFreshPart, input.route->latency_objective);
   spec.idempotent = input.route->MayRepeat();
   spec.max_runs = input.route->max_attempts;
   return spec;
