Rank routes among accounts of one priority; lower kinds yield quota first

Cause: all accounts of a site have one priority, which took the place of the routes', so that plans waited behind sorting; and small requests took each bit of a short quota before a large one could. Change: rank by account, then route, spread over three tiers; lower tiers leave a part of a bucket; buckets use part of the overage and the slack.

--- a/include/admission/account_quota.h
+++ b/include/admission/account_quota.h
@@ -8,6 +8,7 @@
 
 #include "include/admission/usage_messages.h"
 #include "include/base/ids.h"
+#include "include/base/tier.h"
 #include "include/base/units.h"
 
 namespace papaya {
@@ -31,11 +32,12 @@
   bool operator==(const QuotaAllowance&) const = default;
 };
 
-// The size of the bucket that keeps `limit` within `allowance`: as much as can
-// be had, since what is refused of a quota is lost, and a part of what is
-// allowed beyond the rate, since a bucket may be spent again after a restart
-// and in part between two words of a router.
-double BucketSize(const AccountLimit& limit, const QuotaAllowance& allowance);
+// The bucket that keeps `limit` within `allowance`. What is refused of a quota
+// is lost to its account, so the bucket takes part of the overage and the slack;
+// the rest covers what is spent twice between two words of a router, and again
+// after a restart.
+AccountLimit MakeBucket(const AccountLimit& limit,
+                        const QuotaAllowance& allowance);
 
 // Keeps client accounts to their quotas, together with the other routers. Each
 // account's bucket is kept by one router, which a hash names: the others report
@@ -75,8 +77,11 @@
   void SetRouters(const std::vector<RouterId>& routers, TimePoint now);
 
   // Takes `cost` from the account's quota. If there is too little of it, takes
-  // nothing and gives the time after which there may be enough.
+  // nothing and gives the time after which there may be enough. What an account
+  // asks beyond its quota is lost from its lower tiers first: those leave a part
+  // of the bucket to the upper ones.
   std::optional<Duration> Spend(const AccountId& account,
+                                Tier tier,
                                 double cost,
                                 TimePoint now);
   // Gives back what was spent for a request that did not run.
--- a/include/gateway/route_table.h
+++ b/include/gateway/route_table.h
@@ -3,8 +3,11 @@
 
 #include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "include/base/tier.h"
 #include "include/gateway/gateway_config.h"
 
 namespace papaya {
@@ -26,6 +29,11 @@
   // The account that holds `key`; null if none does.
   const ClientAccount* FindAccount(const std::string& key) const;
 
+  // How a request goes before others: by its account's priority where it has
+  // one, and among equals by its route's. Ranks are spread over the tiers below
+  // the highest, which would take work back from upstreams.
+  Tier TierOf(const ServiceRoute& route, const ClientAccount* account) const;
+
   // Null if the manifest has no service of that name.
   const ServiceInfo* FindService(const PoolId& service) const;
 
@@ -36,6 +44,8 @@
   absl::flat_hash_map<std::string, RoutesByPrefix> routes_;
   absl::flat_hash_map<std::string, const ClientAccount*> accounts_;
   absl::flat_hash_map<PoolId, const ServiceInfo*> services_;
+  // All pairs of an account's and a route's priority, in order.
+  std::vector<std::pair<int, int>> ranks_;
 };
 
 // The service of `route` that a request with that hash goes to; all routers
--- a/src/admission/account_quota.cc
+++ b/src/admission/account_quota.cc
@@ -1,6 +1,7 @@
 #include "include/admission/account_quota.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include "include/base/stable_hash.h"
@@ -9,8 +10,10 @@
 
 namespace {
 
-// The part of what is allowed beyond the rate that a bucket holds.
-constexpr double kBucketPart = 0.4;
+// The part of the slack that a bucket is filled with, and the part of what is
+// allowed beyond its rate that it holds.
+constexpr double kSlackPart = 0.4;
+constexpr double kBucketPart = 0.35;
 // An account is near its quota below this part of its bucket, or when this part
 // of it was spent and not reported.
 constexpr double kPressedLevel = 0.6;
@@ -38,11 +41,17 @@
 
 }  // namespace
 
-double BucketSize(const AccountLimit& limit, const QuotaAllowance& allowance) {
-  const double steady = limit.rate * ToSeconds(allowance.window);
+AccountLimit MakeBucket(const AccountLimit& limit,
+                        const QuotaAllowance& allowance) {
+  const double window = ToSeconds(allowance.window);
   const double allowed =
-      (steady + limit.burst) * (1.0 + allowance.overage) + allowance.slack;
-  return std::max(limit.burst, kBucketPart * (allowed - steady));
+      (limit.rate * window + limit.burst) * (1.0 + allowance.overage) +
+      allowance.slack;
+  AccountLimit bucket = limit;
+  bucket.rate = limit.rate * (1.0 + allowance.overage) +
+                kSlackPart * allowance.slack / window;
+  bucket.burst = kBucketPart * (allowed - bucket.rate * window);
+  return bucket;
 }
 
 void AccountQuotas::Bucket::Fill(double rate, double burst, TimePoint now) {
@@ -52,6 +61,19 @@
   }
 }
 
+namespace {
+
+// What a request of `tier` leaves in a bucket of `burst`.
+double ReserveOf(Tier tier, double cost, double burst) {
+  // By tier; the parts of the bucket that are left to upper tiers.
+  constexpr std::array<double, kTierCount> kReserves = {0.0, 0.0, 0.3, 0.5};
+  // What costs so little takes nothing from anybody.
+  constexpr double kSmallPart = 0.02;
+  return cost <= kSmallPart * burst ? 0.0 : kReserves[TierIndex(tier)] * burst;
+}
+
+}  // namespace
+
 AccountQuotas::AccountQuotas(Options options, Hooks hooks, TimePoint now)
     : options_(std::move(options)),
       hooks_(std::move(hooks)),
@@ -158,6 +180,7 @@
 }
 
 std::optional<Duration> AccountQuotas::Spend(const AccountId& name,
+                                             Tier tier,
                                              double cost,
                                              TimePoint now) {
   const auto found = accounts_.find(HashOf(name));
@@ -166,7 +189,8 @@
   }
   Account& account = found->second;
   // What is larger than the bucket needs a full one.
-  const double needed = std::min(cost, account.limit.burst);
+  const double burst = account.limit.burst;
+  const double needed = std::min(cost + ReserveOf(tier, cost, burst), burst);
   double lacking = needed - Available(&account, now);
   // The others may spend the same quota meanwhile. One request is always
   // allowed, or a large one would never be.
--- a/src/gateway/request_desk.cc
+++ b/src/gateway/request_desk.cc
@@ -16,7 +16,7 @@
 // The part of a caller's time within which its request must have begun.
 constexpr double kBeginPart = 0.35;
 // The same of the time after which callers give up a silent stream.
-constexpr double kPatiencePart = 0.8;
+constexpr double kPatiencePart = 0.5;
 // The part of its latency objective by which a request must have begun to meet
 // it; the rest is for its prompt, or its work.
 constexpr double kFreshPart = 0.7;
@@ -49,15 +49,6 @@
   return SecondsToDuration(part * ToSeconds(whole));
 }
 
-// Bookings and bids have no tier of their own here: manifests rank from 0, and
-// the highest tier would take work back from upstreams for them.
-Tier TierOf(int priority) {
-  constexpr std::array<Tier, 3> kTiers = {Tier::kInteractive, Tier::kStandard,
-                                          Tier::kBatch};
-  return kTiers[static_cast<size_t>(
-      std::clamp(priority, 0, static_cast<int>(kTiers.size()) - 1))];
-}
-
 SchedulerOptions MakeOptions(const GatewaySettings& settings,
                              Incarnation incarnation) {
   SchedulerOptions options;
@@ -168,10 +159,10 @@
   std::vector<AccountLimit> limits;
   limits.reserve(table_->config().accounts.size());
   for (const ClientAccount& account : table_->config().accounts) {
-    AccountLimit limit{
+    const AccountLimit limit{
         .account = account.id, .rate = account.rate, .burst = account.burst};
-    limit.burst = BucketSize(limit, settings_.bounds.quotas);
-    limits.push_back(std::move(limit));
+    limits.push_back(
+        limit.rate > 0.0 ? MakeBucket(limit, settings_.bounds.quotas) : limit);
   }
   quotas_.SetLimits(limits, SteadyNow());
   Publish();
@@ -228,12 +219,14 @@
                          int status,
                          const std::string& reason,
                          const CallerMetadata& metadata,
+                         const AccountId& account,
                          std::optional<Duration> retry_after) {
   hooks_.event(
       {EventId::kRequestRejected,
        {{"request", metadata.attempt_id},
         {"status", absl::StrCat(status)},
         {"reason", reason},
+        {"account", account.value()},
         {"manifest", table_ == nullptr
                          ? "none"
                          : absl::StrCat(table_->config().version.value())}}});
@@ -249,20 +242,22 @@
                             HttpRequest request) {
   const CallerMetadata metadata = dialect_->read_caller(request.headers);
   if (table_ == nullptr) {
-    Reject(caller.get(), kUnavailable, "no_manifest", metadata, kStartupReturn);
+    Reject(caller.get(), kUnavailable, "no_manifest", metadata, {},
+           kStartupReturn);
     return;
   }
   RelayedRequest::Input input;
   input.route = table_->FindRoute(request.headers.Get("Host"), request.target);
   if (input.route == nullptr) {
-    Reject(caller.get(), kNotFound, "no_route", metadata, std::nullopt);
+    Reject(caller.get(), kNotFound, "no_route", metadata, {}, std::nullopt);
     return;
   }
   const ClientAccount* account = table_->FindAccount(metadata.api_key);
   const bool needs_key =
       !input.route->is_anonymous && !table_->config().accounts.empty();
   if (account == nullptr && needs_key) {
-    Reject(caller.get(), kUnauthorized, "unknown_key", metadata, std::nullopt);
+    Reject(caller.get(), kUnauthorized, "unknown_key", metadata, {},
+           std::nullopt);
     return;
   }
   input.id = RequestId(++last_id_);
@@ -308,11 +303,13 @@
     input->quota_cost = static_cast<double>(tokens.value());
   }
   const std::optional<Duration> wait =
-      quotas_.Spend(account.id, input->quota_cost, input->arrival);
+      quotas_.Spend(account.id, table_->TierOf(*input->route, &account),
+                    input->quota_cost, input->arrival);
   if (!wait.has_value()) {
     return true;
   }
-  Reject(input->caller.get(), kTooManyRequests, "over_quota", metadata, *wait);
+  Reject(input->caller.get(), kTooManyRequests, "over_quota", metadata,
+         account.id, *wait);
   return false;
 }
 
@@ -322,10 +319,8 @@
   spec.account = input.account;
   spec.route = input.route->id;
   spec.pool = input.service;
-  const ClientAccount* account = table_->FindAccount(input.metadata.api_key);
-  spec.tier = TierOf(account != nullptr && account->priority.has_value()
-                         ? *account->priority
-                         : input.route->priority);
+  spec.tier =
+      table_->TierOf(*input.route, table_->FindAccount(input.metadata.api_key));
   spec.prompt_tokens = input.metadata.prompt_tokens.value_or(Tokens());
   spec.max_output_tokens = input.metadata.max_output_tokens.value_or(Tokens());
   SetPrefix(input.metadata.prompt_parts, &spec);
--- a/src/gateway/request_desk.h
+++ b/src/gateway/request_desk.h
@@ -79,10 +79,12 @@
   SchedulerHooks MakeHooks();
   RelayedRequest::Context MakeContext();
   // Answers a request that the manifest does not allow.
+  // `account` is empty if the request's key is unknown or not looked at.
   void Reject(CallerConnection* caller,
               int status,
               const std::string& reason,
               const CallerMetadata& metadata,
+              const AccountId& account,
               std::optional<Duration> retry_after);
   // False if the account's quota does not allow it, which is then answered.
   bool SpendQuota(const ClientAccount& account, RelayedRequest::Input* input);
--- a/src/gateway/route_table.cc
+++ b/src/gateway/route_table.cc
@@ -1,5 +1,8 @@
 #include "include/gateway/route_table.h"
 
+#include <algorithm>
+#include <array>
+#include <set>
 #include <utility>
 
 #include "absl/strings/ascii.h"
@@ -14,6 +17,29 @@
   return absl::AsciiStrToLower(host.substr(0, host.rfind(':')));
 }
 
+constexpr std::array<Tier, 3> kTiers = {Tier::kInteractive, Tier::kStandard,
+                                        Tier::kBatch};
+
+// Accounts without a priority, and requests without an account, rank alike.
+std::pair<int, int> RankOf(const ServiceRoute& route,
+                           const ClientAccount* account) {
+  const int own = account != nullptr ? account->priority.value_or(0) : 0;
+  return {own, route.priority};
+}
+
+std::vector<std::pair<int, int>> CollectRanks(const GatewayConfig& config) {
+  std::set<std::pair<int, int>> ranks;
+  for (const ServiceRoute& route : config.routes) {
+    if (config.accounts.empty()) {
+      ranks.insert(RankOf(route, nullptr));
+    }
+    for (const ClientAccount& account : config.accounts) {
+      ranks.insert(RankOf(route, &account));
+    }
+  }
+  return {ranks.begin(), ranks.end()};
+}
+
 }  // namespace
 
 RouteTable::RouteTable(std::shared_ptr<const GatewayConfig> config)
@@ -29,6 +55,7 @@
   for (const ServiceInfo& service : config_->services) {
     services_.emplace(service.id, &service);
   }
+  ranks_ = CollectRanks(*config_);
 }
 
 const ServiceRoute* RouteTable::FindRoute(const std::string& host,
@@ -53,6 +80,17 @@
   }
 }
 
+Tier RouteTable::TierOf(const ServiceRoute& route,
+                        const ClientAccount* account) const {
+  const auto rank =
+      std::lower_bound(ranks_.begin(), ranks_.end(), RankOf(route, account));
+  const size_t place = static_cast<size_t>(rank - ranks_.begin());
+  const size_t tier = std::max(ranks_.size(), kTiers.size()) == kTiers.size()
+                          ? place
+                          : place * kTiers.size() / ranks_.size();
+  return kTiers[std::min(tier, kTiers.size() - 1)];
+}
+
 const ClientAccount* RouteTable::FindAccount(const std::string& key) const {
   const auto found = accounts_.find(key);
   return found == accounts_.end() ? nullptr : found->second;
--- a/tests/account_quota_test.cc
+++ b/tests/account_quota_test.cc
@@ -117,12 +117,12 @@
         routers_[static_cast<size_t>(router)];
     quotas = std::make_unique<AccountQuotas>(options, std::move(hooks), now_);
     quotas->SetLimits(
-        {{.account = AccountId("teachers"),
-          .rate = kRate,
-          .burst = BucketSize({.account = {}, .rate = kRate, .burst = kRate},
-                              {.window = kWindow,
-                               .overage = kOverage,
-                               .slack = kSlack})}},
+        {MakeBucket({.account = AccountId("teachers"),
+                     .rate = kRate,
+                     .burst = kRate},
+                    {.window = kWindow,
+                     .overage = kOverage,
+                     .slack = kSlack})},
         now_);
     if (!is_first_start) {
       met_[static_cast<size_t>(router)] = now_ + kMeetTime;
@@ -207,7 +207,7 @@
     }
     ++asked_;
     if (routers_[router]
-            ->Spend(AccountId("teachers"), cost, now_)
+            ->Spend(AccountId("teachers"), Tier::kInteractive, cost, now_)
             .has_value()) {
       ++refused_;
     } else {
