--- a/include/admission/account_quota.h
+++ b/include/admission/account_quota.h
@@ -33,9 +33,9 @@
 };
 
 // The bucket that keeps `limit` within `allowance`. What is refused of a quota
-// is lost to its account, so the bucket takes part of the overage and the slack;
-// the rest covers what is spent twice between two words of a router, and again
-// after a restart.
+// is lost to its account, so the bucket holds a part of what is allowed beyond
+// the rate; the rest covers what is spent twice between two words of a router,
+// and again after a restart.
 AccountLimit MakeBucket(const AccountLimit& limit,
                         const QuotaAllowance& allowance);
 
--- a/include/telemetry/event_catalog.h
+++ b/include/telemetry/event_catalog.h
@@ -17,6 +17,7 @@
   kRouterDraining = 1003,
   kRouterStopped = 1004,
   kLogLinesLost = 1005,
+  kEventsLeftOut = 1006,
 
   // Wire.
   kListening = 2001,
--- a/src/admission/account_quota.cc
+++ b/src/admission/account_quota.cc
@@ -10,10 +10,7 @@
 
 namespace {
 
-// The part of the slack that a bucket is filled with, and the part of what is
-// allowed beyond its rate that it holds.
-constexpr double kSlackPart = 0.4;
-constexpr double kBucketPart = 0.35;
+constexpr double kBucketPart = 0.4;
 // An account is near its quota below this part of its bucket, or when this part
 // of it was spent and not reported.
 constexpr double kPressedLevel = 0.6;
@@ -48,9 +45,8 @@
       (limit.rate * window + limit.burst) * (1.0 + allowance.overage) +
       allowance.slack;
   AccountLimit bucket = limit;
-  bucket.rate = limit.rate * (1.0 + allowance.overage) +
-                kSlackPart * allowance.slack / window;
-  bucket.burst = kBucketPart * (allowed - bucket.rate * window);
+  bucket.burst =
+      std::max(limit.burst, kBucketPart * (allowed - limit.rate * window));
   return bucket;
 }
 
@@ -66,7 +62,7 @@
 // What a request of `tier` leaves in a bucket of `burst`.
 double ReserveOf(Tier tier, double cost, double burst) {
   // By tier; the parts of the bucket that are left to upper tiers.
-  constexpr std::array<double, kTierCount> kReserves = {0.0, 0.0, 0.3, 0.5};
+  constexpr std::array<double, kTierCount> kReserves = {0.0, 0.0, 0.1, 0.2};
   // What costs so little takes nothing from anybody.
   constexpr double kSmallPart = 0.02;
   return cost <= kSmallPart * burst ? 0.0 : kReserves[TierIndex(tier)] * burst;
--- a/src/gateway/caller_listener.cc
+++ b/src/gateway/caller_listener.cc
@@ -51,6 +51,7 @@
   if (!port.ok()) {
     return port.status();
   }
+  port_ = *port;
   Accept();
   return absl::OkStatus();
 }
--- a/src/gateway/caller_listener.h
+++ b/src/gateway/caller_listener.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -28,8 +29,10 @@
                  RequestHook request);
   ~CallerListener();
 
-  // Listens at `address`.
+  // Listens at `address`; port 0 takes a free one.
   absl::Status Start(const std::string& address);
+  // The port listened on; 0 before Start.
+  uint16_t port() const { return port_; }
 
   void SetLimits(const CallerLimits& limits) { shared_->limits = limits; }
 
@@ -51,6 +54,7 @@
   boost::asio::io_context& context_;
   boost::asio::ip::tcp::acceptor acceptor_;
   const int max_connections_;
+  uint16_t port_ = 0;
   std::shared_ptr<CallerShared> shared_;
   absl::flat_hash_map<CallerConnection*, std::shared_ptr<CallerConnection>>
       connections_;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -11,9 +11,11 @@
 #include "include/admission/demand_names.h"
 #include "include/gateway/object_watcher.h"
 #include "include/gateway/upstream_directory.h"
+#include "include/telemetry/event_budget.h"
 #include "include/telemetry/logger.h"
 #include "include/wire/steady_time.h"
 #include "src/gateway/caller_listener.h"
+#include "src/gateway/gateway_metrics.h"
 #include "src/gateway/request_desk.h"
 #include "src/gateway/router_mesh.h"
 
@@ -34,6 +36,11 @@
 // Requests are given up on this long before the platform ends the process.
 constexpr Duration kGraceMargin = std::chrono::milliseconds(400);
 
+// Log lines a second at most for requests that were served, and for others: an
+// eighth of a core writes them in a hundredth of its time.
+constexpr int kServedLines = 20;
+constexpr int kFailedLines = 60;
+
 Incarnation NewIncarnation() {
   return Incarnation(
       static_cast<uint64_t>(WallNow().time_since_epoch().count()));
@@ -50,7 +57,11 @@
 
   absl::Status Start();
   void Drain(std::function<void()> ended);
-  void SetBounds(const GatewayBounds& bounds) { settings_.bounds = bounds; }
+  void SetBounds(const GatewayBounds& bounds) {
+    settings_.bounds = bounds;
+    desk_.SetBounds(bounds);
+    Log(EventId::kSettingsReloaded, {});
+  }
 
  private:
   using Fields = std::vector<std::pair<std::string, std::string>>;
@@ -62,8 +73,13 @@
   ObjectWatcher::Hooks MakeUpstreamHooks();
   void OnConfig(const FeedObject& object);
   void OnReport(const RelayReport& report);
+  // Logs events of requests, within a budget.
+  void LogRequest(const Event& event);
   void OnProbe(const std::shared_ptr<CallerConnection>& caller,
                const HttpRequest& request);
+  // Serves /metrics.
+  void OnOperator(const std::shared_ptr<CallerConnection>& caller,
+                  const HttpRequest& request);
   void PublishUpstreams();
   bool IsReady() const;
   void ScheduleTick();
@@ -84,8 +100,13 @@
   ObjectWatcher upstream_watcher_;
   CallerListener callers_;
   CallerListener probes_;
+  CallerListener operators_;
   std::shared_ptr<const GatewayConfig> config_;
   DemandNames demand_names_;
+  GatewayMetrics metrics_;
+  EventBudget budget_{{{EventId::kRequestServed, kServedLines},
+                       {EventId::kRequestFailed, kFailedLines},
+                       {EventId::kRequestRejected, kFailedLines}}};
   TimePoint next_slow_tick_;
   bool was_ready_ = false;
   std::optional<TimePoint> drain_began_;
@@ -124,11 +145,16 @@
                       HttpRequest request) {
                  desk_.OnRequest(caller, std::move(request));
                }),
-      probes_(
+      probes_(context,
+              kMaxProbes,
+              [this](const std::shared_ptr<CallerConnection>& caller,
+                     const HttpRequest& request) { OnProbe(caller, request); }),
+      operators_(
           context,
           kMaxProbes,
           [this](const std::shared_ptr<CallerConnection>& caller,
-                 const HttpRequest& request) { OnProbe(caller, request); }) {}
+                 const HttpRequest& request) { OnOperator(caller, request); }) {
+}
 
 void Gateway::Impl::Log(EventId id, Fields fields) {
   Event event{.id = id};
@@ -151,7 +177,10 @@
     mesh_.Send(router, totals);
   };
   hooks.report = [this](const RelayReport& report) { OnReport(report); };
-  hooks.event = logger_->hook();
+  hooks.rejected = [this](const std::string& reason) {
+    metrics_.CountRejected(reason);
+  };
+  hooks.event = [this](const Event& event) { LogRequest(event); };
   return hooks;
 }
 
@@ -232,19 +261,29 @@
 }
 
 void Gateway::Impl::OnReport(const RelayReport& report) {
+  metrics_.Count(report);
   const bool is_good = report.reason.empty();
-  Log(is_good ? EventId::kRequestServed : EventId::kRequestFailed,
-      {{"request", report.attempt_id},
-       {"route", report.route.value()},
-       {"account", report.account.value()},
-       {"upstream", report.upstream.value()},
-       {"attempts", absl::StrCat(report.attempts)},
-       {"status", absl::StrCat(report.status)},
-       {"reason", report.reason},
-       {"waited_ms",
-        absl::StrCat(report.waited / std::chrono::milliseconds(1))},
-       {"took_ms", absl::StrCat(report.took / std::chrono::milliseconds(1))},
-       {"events", absl::StrCat(report.events)}});
+  Event event{.id =
+                  is_good ? EventId::kRequestServed : EventId::kRequestFailed};
+  event.fields = {
+      {"request", report.attempt_id},
+      {"route", report.route.value()},
+      {"account", report.account.value()},
+      {"upstream", report.upstream.value()},
+      {"attempts", absl::StrCat(report.attempts)},
+      {"status", absl::StrCat(report.status)},
+      {"reason", report.reason},
+      {"waited_ms", absl::StrCat(report.waited / std::chrono::milliseconds(1))},
+      {"took_ms", absl::StrCat(report.took / std::chrono::milliseconds(1))},
+      {"events", absl::StrCat(report.events)},
+      {"manifest", absl::StrCat(config_->version.value())}};
+  LogRequest(event);
+}
+
+void Gateway::Impl::LogRequest(const Event& event) {
+  if (budget_.Take(event.id, SteadyNow())) {
+    logger_->Log(event);
+  }
 }
 
 bool Gateway::Impl::IsReady() const {
@@ -263,6 +302,20 @@
   caller->Respond(response);
 }
 
+void Gateway::Impl::OnOperator(const std::shared_ptr<CallerConnection>& caller,
+                               const HttpRequest& request) {
+  HttpResponse response;
+  if (PathOfTarget(request.target) != "/metrics") {
+    response.status = 404;
+  } else {
+    metrics_.SetState(desk_.in_flight(), callers_.connections(),
+                      desk_.upstream_connections());
+    response.headers.Set("Content-Type", "text/plain; version=0.0.4");
+    response.body = metrics_.Export();
+  }
+  caller->Respond(response);
+}
+
 absl::Status Gateway::Impl::Start() {
   Log(EventId::kRouterStarting, {{"router", settings_.router.value()}});
   absl::Status status = mesh_.Start();
@@ -272,6 +325,9 @@
   if (status.ok()) {
     status = probes_.Start(settings_.ready_address);
   }
+  if (status.ok() && !settings_.metrics_address.empty()) {
+    status = operators_.Start(settings_.metrics_address);
+  }
   if (status.ok()) {
     Tick();
   }
@@ -303,9 +359,13 @@
 }
 
 void Gateway::Impl::SlowTick(TimePoint now) {
+  if (const std::optional<Event> loss = budget_.TakeLoss(now)) {
+    logger_->Log(*loss);
+  }
   mesh_.OnTick(now);
   callers_.OnTick(now);
   probes_.OnTick(now);
+  operators_.OnTick(now);
   if (IsReady() && !was_ready_) {
     was_ready_ = true;
     Log(EventId::kRouterReady,
--- /dev/null
+++ b/src/gateway/gateway_metrics.cc
@@ -0,0 +1,53 @@
+#include "src/gateway/gateway_metrics.h"
+
+#include "src/gateway/relayed_request.h"
+
+namespace papaya {
+
+GatewayMetrics::GatewayMetrics()
+    : waited_(registry_.GetHistogram(
+          "papaya_request_wait_seconds",
+          "Time from a request's arrival to its first dispatch.")),
+      took_(registry_.GetHistogram(
+          "papaya_request_seconds",
+          "Time from a request's arrival to the end of its answer.")),
+      attempts_(registry_.GetCounter("papaya_attempts_total",
+                                     "Requests sent to upstreams.")),
+      in_flight_(registry_.GetGauge("papaya_requests_in_flight",
+                                    "Requests that wait or are served.")),
+      callers_(registry_.GetGauge("papaya_caller_connections",
+                                  "Open connections of callers.")),
+      upstream_connections_(
+          registry_.GetGauge("papaya_upstream_connections_opened",
+                             "Connections to upstreams since the start.")) {}
+
+Counter& GatewayMetrics::CounterOf(const std::string& reason) {
+  Counter*& counter = requests_[reason];
+  if (counter == nullptr) {
+    counter = &registry_.GetCounter("papaya_requests_total",
+                                    "Requests by how they ended.",
+                                    {{"outcome", reason}});
+  }
+  return *counter;
+}
+
+void GatewayMetrics::Count(const RelayReport& report) {
+  CounterOf(report.reason.empty() ? "served" : report.reason).Add();
+  attempts_.Add(static_cast<uint64_t>(report.attempts));
+  waited_.Record(report.waited);
+  took_.Record(report.took);
+}
+
+void GatewayMetrics::CountRejected(const std::string& reason) {
+  CounterOf(reason).Add();
+}
+
+void GatewayMetrics::SetState(size_t in_flight,
+                              size_t callers,
+                              int64_t upstream_connections) {
+  in_flight_.Set(static_cast<int64_t>(in_flight));
+  callers_.Set(static_cast<int64_t>(callers));
+  upstream_connections_.Set(upstream_connections);
+}
+
+}  // namespace papaya
--- a/src/gateway/message_reader.cc
+++ b/src/gateway/message_reader.cc
@@ -1,5 +1,6 @@
 #include "src/gateway/message_reader.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -7,6 +8,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <utility>
 
+#include "absl/strings/ascii.h"
 #include "absl/strings/match.h"
 
 namespace papaya {
@@ -106,7 +108,9 @@
   const int encodings = CountFields(message, http::field::transfer_encoding);
   const int lengths = CountFields(message, http::field::content_length);
   is_old_version_ = message.version() < 11;
+  const std::string length(message[http::field::content_length]);
   if (encodings > 1 || lengths > 1 || (encodings > 0 && lengths > 0) ||
+      !std::all_of(length.begin(), length.end(), &absl::ascii_isdigit) ||
       (encodings > 0 &&
        (is_old_version_ ||
         !absl::EqualsIgnoreCase(
--- a/src/gateway/request_desk.cc
+++ b/src/gateway/request_desk.cc
@@ -154,6 +154,13 @@
   return context;
 }
 
+void RequestDesk::SetBounds(const GatewayBounds& bounds) {
+  settings_.bounds = bounds;
+  if (table_ != nullptr) {
+    SetTable(table_);
+  }
+}
+
 void RequestDesk::SetTable(std::shared_ptr<const RouteTable> table) {
   table_ = std::move(table);
   std::vector<AccountLimit> limits;
@@ -221,6 +228,7 @@
                          const CallerMetadata& metadata,
                          const AccountId& account,
                          std::optional<Duration> retry_after) {
+  hooks_.rejected(reason);
   hooks_.event(
       {EventId::kRequestRejected,
        {{"request", metadata.attempt_id},
--- a/src/gateway/request_desk.h
+++ b/src/gateway/request_desk.h
@@ -36,6 +36,8 @@
     std::function<void(const RouterId&, const UsageReport&)> send_usage;
     std::function<void(const RouterId&, const UsageTotals&)> send_totals;
     std::function<void(const RelayReport&)> report;
+    // A request was turned away before it was taken in, for that reason.
+    std::function<void(const std::string& reason)> rejected;
     EventHook event;
   };
 
@@ -47,6 +49,8 @@
               Hooks hooks);
   ~RequestDesk();
 
+  void SetBounds(const GatewayBounds& bounds);
+
   // Requests that arrive from now on go by `table`.
   void SetTable(std::shared_ptr<const RouteTable> table);
 
@@ -94,7 +98,7 @@
   Duration ReturnTime(const RelayedRequest& relay, const Refusal& refusal);
   void Publish();
 
-  const GatewaySettings settings_;
+  GatewaySettings settings_;
   const Hooks hooks_;
   const WireDialect* const dialect_;
   UpstreamPool pool_;
--- a/src/papaya_gateway_main.cc
+++ b/src/papaya_gateway_main.cc
@@ -6,6 +6,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <cstdlib>
 #include <iostream>
 #include <optional>
@@ -60,6 +61,73 @@
   return papaya::platform::ParseSettings(*text, path);
 }
 
+// The settings file may change with a signal or without one.
+constexpr std::chrono::seconds kSettingsInterval{2};
+
+// Puts the bounds of changed settings in force, on SIGHUP and now and then.
+class SettingsWatch {
+ public:
+  SettingsWatch(boost::asio::io_context& context,
+                papaya::GatewayBounds bounds,
+                papaya::Gateway* gateway,
+                papaya::Logger* logger)
+      : timer_(context),
+        reload_(context, SIGHUP),
+        bounds_(bounds),
+        gateway_(gateway),
+        logger_(logger) {
+    AwaitSignal();
+    AwaitTime();
+  }
+
+ private:
+  void AwaitSignal() {
+    reload_.async_wait([this](const boost::system::error_code& error, int) {
+      if (!error) {
+        Read();
+        AwaitSignal();
+      }
+    });
+  }
+
+  void AwaitTime() {
+    timer_.expires_after(kSettingsInterval);
+    timer_.async_wait([this](const boost::system::error_code& error) {
+      if (!error) {
+        Read();
+        AwaitTime();
+      }
+    });
+  }
+
+  void Read() {
+    const absl::StatusOr<papaya::GatewaySettings> settings =
+        LoadSettings(SettingsPath());
+    if (!settings.ok()) {
+      // Told once for each fault: the file may stay so for long.
+      if (settings.status() != fault_) {
+        papaya::Event refused{.id = papaya::EventId::kSettingsRefused};
+        refused.fields = {{"faults", std::string(settings.status().message())}};
+        logger_->Log(refused);
+      }
+      fault_ = settings.status();
+      return;
+    }
+    fault_ = absl::OkStatus();
+    if (settings->bounds != bounds_) {
+      bounds_ = settings->bounds;
+      gateway_->SetBounds(bounds_);
+    }
+  }
+
+  boost::asio::steady_timer timer_;
+  boost::asio::signal_set reload_;
+  papaya::GatewayBounds bounds_;
+  papaya::Gateway* const gateway_;
+  papaya::Logger* const logger_;
+  absl::Status fault_;
+};
+
 int Run(const papaya::GatewaySettings& settings, papaya::Logger* logger) {
   boost::asio::io_context context(1);
   papaya::Gateway gateway(context, settings, papaya::platform::MakeBinding(),
@@ -69,6 +137,7 @@
     std::cerr << started.message() << "\n";
     return kExitFailed;
   }
+  const SettingsWatch watch(context, settings.bounds, &gateway, logger);
   boost::asio::signal_set stop(context, SIGTERM, SIGINT);
   stop.async_wait([&](const boost::system::error_code&, int) {
     gateway.Drain([&context] { context.stop(); });
--- a/src/telemetry/event_catalog.cc
+++ b/src/telemetry/event_catalog.cc
@@ -34,6 +34,9 @@
       {EventId::kLogLinesLost, Severity::kWarning, "log_lines_lost",
        "That many lines would have stood here, but nobody took the log for a "
        "while; look at what reads the router's standard output."},
+      {EventId::kEventsLeftOut, Severity::kInfo, "events_left_out",
+       "So many events of each name were not logged in the last second, to "
+       "bound the log under load; counters have them all."},
 
       // Wire.
       {EventId::kListening, Severity::kInfo, "listening",
--- a/tests/account_quota_test.cc
+++ b/tests/account_quota_test.cc
@@ -100,9 +100,8 @@
   void Start(int router, bool is_first_start) {
     AccountQuotas::Options options{
         .self = names_[static_cast<size_t>(router)],
-        .incarnation =
-            Incarnation(static_cast<uint64_t>(now_.time_since_epoch().count()) +
-                        1),
+        .incarnation = Incarnation(
+            static_cast<uint64_t>(now_.time_since_epoch().count()) + 1),
         .is_first_start = is_first_start};
     AccountQuotas::Hooks hooks;
     hooks.report = [this, router](const RouterId& to,
@@ -117,12 +116,9 @@
         routers_[static_cast<size_t>(router)];
     quotas = std::make_unique<AccountQuotas>(options, std::move(hooks), now_);
     quotas->SetLimits(
-        {MakeBucket({.account = AccountId("teachers"),
-                     .rate = kRate,
-                     .burst = kRate},
-                    {.window = kWindow,
-                     .overage = kOverage,
-                     .slack = kSlack})},
+        {MakeBucket(
+            {.account = AccountId("teachers"), .rate = kRate, .burst = kRate},
+            {.window = kWindow, .overage = kOverage, .slack = kSlack})},
         now_);
     if (!is_first_start) {
       met_[static_cast<size_t>(router)] = now_ + kMeetTime;
@@ -149,11 +145,10 @@
 
   void Send(Message message) {
     constexpr uint64_t kMaxDelayMs = 40;
-    message.due =
-        now_ + milliseconds(5 + random_.Below(kMaxDelayMs));
-    const bool is_cut = message.from == cut_ ||
-                        (cut_ >= 0 &&
-                         message.to == names_[static_cast<size_t>(cut_)]);
+    message.due = now_ + milliseconds(5 + random_.Below(kMaxDelayMs));
+    const bool is_cut =
+        message.from == cut_ ||
+        (cut_ >= 0 && message.to == names_[static_cast<size_t>(cut_)]);
     if (!is_cut) {
       messages_.push_back(std::move(message));
     }
@@ -230,8 +225,7 @@
   int refused_ = 0;
 };
 
-constexpr double kAllowed =
-    (kRate * 8.0 + kRate) * (1.0 + kOverage) + kSlack;
+constexpr double kAllowed = (kRate * 8.0 + kRate) * (1.0 + kOverage) + kSlack;
 
 TEST_CASE("AccountQuotas: an account within its quota is never refused",
           "[admission]") {
--- /dev/null
+++ b/tests/event_splitter_test.cc
@@ -0,0 +1,73 @@
+#include "src/gateway/event_splitter.h"
+
+#include <rapidcheck/catch.h>
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "include/base/random.h"
+
+namespace papaya {
+namespace {
+
+std::string MakeEvents(int first, int last) {
+  std::string text;
+  for (int id = first; id <= last; ++id) {
+    text += "id: " + std::to_string(id) + "\ndata: token " +
+            std::to_string(id) + "\n\n";
+  }
+  return text;
+}
+
+std::string FeedCut(const std::string& text,
+                    uint64_t seed,
+                    EventSplitter* splitter) {
+  Random random(seed);
+  std::string given;
+  size_t at = 0;
+  while (at < text.size()) {
+    const size_t step = 1 + random.Below(30);
+    given += splitter->Feed(text.substr(at, step));
+    at += step;
+  }
+  return given;
+}
+
+TEST_CASE("EventSplitter: passes bytes on unchanged, whole events only",
+          "[gateway]") {
+  rc::prop("any cut", [](uint64_t seed) {
+    EventSplitter splitter;
+    const std::string whole = MakeEvents(1, 8);
+    RC_ASSERT(FeedCut(whole + "id: 9\nda", seed, &splitter) == whole);
+    RC_ASSERT(splitter.last_id() == "8");
+    RC_ASSERT(splitter.events() == 8);
+    RC_ASSERT(splitter.TakeRest() == "id: 9\nda");
+  });
+}
+
+TEST_CASE("EventSplitter: a stream that goes on elsewhere has each event once",
+          "[gateway]") {
+  rc::prop("any break and any overlap", [](uint64_t seed) {
+    Random random(seed);
+    EventSplitter splitter;
+    const std::string whole = MakeEvents(1, 12);
+    std::string given =
+        FeedCut(whole.substr(0, random.Below(whole.size())), seed, &splitter);
+    splitter.Restart();
+    const int next =
+        splitter.last_id().empty() ? 1 : std::stoi(splitter.last_id()) + 1;
+    // The second upstream may begin a little earlier than asked.
+    const int first = std::max(1, next - static_cast<int>(random.Below(3)));
+    given += FeedCut(MakeEvents(first, 12), seed + 1, &splitter);
+    RC_ASSERT(given == whole);
+  });
+}
+
+TEST_CASE("EventSplitter: takes lines that end in CRLF", "[gateway]") {
+  EventSplitter splitter;
+  CHECK(splitter.Feed("id: 4\r\ndata: x\r\n\r\nid") ==
+        "id: 4\r\ndata: x\r\n\r\n");
+  CHECK(splitter.last_id() == "4");
+}
+
+}  // namespace
+}  // namespace papaya
--- /dev/null
+++ b/tests/message_reader_test.cc
@@ -0,0 +1,168 @@
+#include "src/gateway/message_reader.h"
+
+#include <rapidcheck/catch.h>
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "include/base/random.h"
+
+namespace papaya {
+namespace {
+
+using RequestState = RequestReader::State;
+using AnswerState = AnswerReader::State;
+
+// Feeds `text` in pieces whose ends are drawn from `seed`.
+template <typename Reader>
+void FeedInPieces(const std::string& text, uint64_t seed, Reader* reader) {
+  Random random(seed);
+  std::string input;
+  size_t at = 0;
+  while (at < text.size()) {
+    const size_t step = 1 + random.Below(7);
+    input += text.substr(at, step);
+    at += step;
+    reader->Feed(&input);
+  }
+}
+
+TEST_CASE("RequestReader: refuses what two readers may take differently",
+          "[gateway]") {
+  const std::vector<std::string> requests = {
+      // Both ways to say where the body ends.
+      "POST /a/ HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+      "POST /a/ HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+      "Content-Length: 4\r\n\r\n0\r\n\r\n",
+      "POST /a/ HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+      "Content-Length: 5\r\n\r\nabcde",
+      "POST /a/ HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+      "Content-Length: 4\r\n\r\nabcd",
+      "POST /a/ HTTP/1.1\r\nHost: h\r\nContent-Length: +4\r\n\r\nabcd",
+      "POST /a/ HTTP/1.1\r\nHost: h\r\nContent-Length: 4,4\r\n\r\nabcd",
+      "POST /a/ HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: identity, "
+      "chunked\r\n\r\n0\r\n\r\n",
+      "POST /a/ HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: xchunked\r\n\r\n",
+      "POST /a/ HTTP/1.1\r\nHost: h\r\nTransfer-Encoding : chunked\r\n\r\n",
+      "POST /a/ HTTP/1.0\r\nHost: h\r\nTransfer-Encoding: "
+      "chunked\r\n\r\n0\r\n\r\n",
+      // A chunk whose size is no number.
+      "POST /a/ HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
+      "chunked\r\n\r\n-1\r\n\r\n",
+      // None or two hosts.
+      "GET /a/ HTTP/1.1\r\n\r\n",
+      "GET /a/ HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n",
+  };
+  for (const std::string& text : requests) {
+    INFO(text);
+    RequestReader reader{CallerLimits()};
+    std::string input = text;
+    CHECK(reader.Feed(&input) == RequestState::kFault);
+    CHECK(reader.fault().status == 400);
+  }
+}
+
+TEST_CASE(
+    "RequestReader: reads bodies with a length and in chunks, however "
+    "they are cut",
+    "[gateway]") {
+  rc::prop("any cut gives the same request", [](uint64_t seed) {
+    RequestReader plain{CallerLimits()};
+    FeedInPieces(
+        "POST /a/b?c=1 HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello",
+        seed, &plain);
+    const HttpRequest request = plain.Take();
+    RC_ASSERT(request.target == "/a/b?c=1");
+    RC_ASSERT(request.body == "hello");
+
+    RequestReader chunked{CallerLimits()};
+    FeedInPieces(
+        "POST /a/ HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "3\r\nhel\r\n2;x=y\r\nlo\r\n0\r\n\r\n",
+        seed, &chunked);
+    RC_ASSERT(chunked.Take().body == "hello");
+  });
+}
+
+TEST_CASE("RequestReader: leaves the next request alone", "[gateway]") {
+  RequestReader reader{CallerLimits()};
+  std::string input =
+      "GET /a/ HTTP/1.1\r\nHost: h\r\n\r\nGET /b/ HTTP/1.1\r\nHost: h\r\n\r\n";
+  REQUIRE(reader.Feed(&input) == RequestState::kDone);
+  CHECK(input.starts_with("GET /b/"));
+}
+
+TEST_CASE("RequestReader: keeps to the limits", "[gateway]") {
+  CallerLimits limits;
+  limits.max_header_bytes = Bytes(100);
+  limits.max_body_bytes = Bytes(10);
+  RequestReader long_header(limits);
+  std::string input =
+      "GET /a/ HTTP/1.1\r\nHost: h\r\nX: " + std::string(200, 'x') + "\r\n\r\n";
+  CHECK(long_header.Feed(&input) == RequestState::kFault);
+  CHECK(long_header.fault().status == 431);
+  RequestReader long_body(limits);
+  input = "POST /a/ HTTP/1.1\r\nHost: h\r\nContent-Length: 11\r\n\r\n";
+  CHECK(long_body.Feed(&input) == RequestState::kFault);
+  CHECK(long_body.fault().status == 413);
+}
+
+TEST_CASE("AnswerReader: knows a whole answer from a broken one", "[gateway]") {
+  struct Case {
+    std::string text;
+    AnswerState at_end;
+    std::string body;
+  };
+  const std::vector<Case> cases = {
+      {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab", AnswerState::kDone,
+       "ab"},
+      {"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab", AnswerState::kFault,
+       "ab"},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n"
+       "0\r\n\r\n",
+       AnswerState::kDone, "ab"},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
+       AnswerState::kFault, "ab"},
+      // Ends with its connection.
+      {"HTTP/1.1 200 OK\r\n\r\nab", AnswerState::kDone, "ab"},
+      {"HTTP/1.1 204 No Content\r\n\r\n", AnswerState::kDone, ""},
+      {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: "
+       "1\r\n\r\na",
+       AnswerState::kDone, "a"},
+      {"", AnswerState::kFault, ""},
+      {"nonsense\r\n\r\n", AnswerState::kFault, ""},
+  };
+  for (const Case& one : cases) {
+    for (uint64_t seed = 0; seed < 20; ++seed) {
+      INFO(one.text);
+      AnswerReader reader(/*has_no_body=*/false);
+      FeedInPieces(one.text, seed, &reader);
+      CHECK(reader.FeedEnd() == one.at_end);
+      if (!one.body.empty()) {
+        CHECK(reader.TakeBody() == one.body);
+      }
+    }
+  }
+}
+
+TEST_CASE("Message readers: random bytes end in a fault or wait", "[gateway]") {
+  const std::string alphabet = "GETPOST /HTTP1.:\r\n0123chunkedlength\0\xff;";
+  for (uint64_t seed = 1; seed <= 3000; ++seed) {
+    Random random(seed);
+    std::string text;
+    const uint64_t size = random.Below(200);
+    for (uint64_t i = 0; i < size; ++i) {
+      text += alphabet[random.Below(alphabet.size())];
+    }
+    RequestReader request{CallerLimits()};
+    FeedInPieces(text, seed, &request);
+    AnswerReader answer(/*has_no_body=*/false);
+    FeedInPieces("HTTP/1.1 200 OK\r\n" + text, seed, &answer);
+    answer.FeedEnd();
+  }
+  SUCCEED("neither crashed");
+}
+
+}  // namespace
+}  // namespace papaya
--- /dev/null
+++ b/tests/object_watcher_test.cc
@@ -0,0 +1,162 @@
+#include "include/gateway/object_watcher.h"
+
+#include <catch2/catch.hpp>
+#include <deque>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "include/base/error.h"
+
+namespace papaya {
+namespace {
+
+using std::chrono::milliseconds;
+
+absl::Status Failure(absl::StatusCode code) {
+  return MakeError(code, {.step = "store.call", .peer = "store"}, "failed");
+}
+
+// Keeps the calls; the test answers them.
+class FakeFeed final : public ObjectFeed {
+ public:
+  struct Call {
+    bool is_list = false;
+    std::string after;
+    ObjectVersion version;
+    BatchCallback done;
+  };
+
+  void List(const std::string&,
+            const std::string& after,
+            BatchCallback done) override {
+    calls.push_back({.is_list = true,
+                     .after = after,
+                     .version = {},
+                     .done = std::move(done)});
+  }
+  void Watch(const std::string&,
+             ObjectVersion version,
+             Duration,
+             BatchCallback done) override {
+    calls.push_back({.is_list = false,
+                     .after = {},
+                     .version = version,
+                     .done = std::move(done)});
+  }
+  void Create(const std::string&, const FeedObject&, WriteCallback) override {}
+  void PutStatus(const std::string&,
+                 const FeedObject&,
+                 WriteCallback) override {}
+
+  Call Take() {
+    REQUIRE(calls.size() == 1);
+    Call call = std::move(calls.front());
+    calls.pop_front();
+    return call;
+  }
+
+  std::deque<Call> calls;
+};
+
+class Fixture {
+ public:
+  Fixture() {
+    ObjectWatcher::Hooks hooks;
+    hooks.replaced = [this](const std::vector<FeedObject>& objects) {
+      listed = objects.size();
+    };
+    hooks.changed = [this](const FeedObject& object) {
+      changed.push_back(object.name);
+    };
+    hooks.regained = [this] { ++regained; };
+    hooks.now = [this] { return now; };
+    hooks.event = [](const Event&) {};
+    watcher = std::make_unique<ObjectWatcher>(
+        &feed, ObjectWatcher::Options{.kind = "upstreams"}, hooks);
+    watcher->OnTick(now);
+  }
+
+  static ObjectBatch Batch(const std::vector<std::string>& names,
+                           uint64_t version,
+                           bool has_more = false) {
+    ObjectBatch batch;
+    for (const std::string& name : names) {
+      batch.objects.emplace_back();
+      batch.objects.back().name = name;
+    }
+    batch.store_version = ObjectVersion(version);
+    batch.has_more = has_more;
+    return batch;
+  }
+
+  void Wait(Duration time) {
+    now += time;
+    watcher->OnTick(now);
+  }
+
+  TimePoint now{std::chrono::seconds(100)};
+  FakeFeed feed;
+  std::unique_ptr<ObjectWatcher> watcher;
+  size_t listed = 0;
+  std::vector<std::string> changed;
+  int regained = 0;
+};
+
+TEST_CASE("ObjectWatcher: lists all pages, then watches from the first one",
+          "[gateway]") {
+  Fixture f;
+  f.feed.Take().done(Fixture::Batch({"a", "b"}, 7, /*has_more=*/true));
+  CHECK_FALSE(f.watcher->IsListed());
+  const FakeFeed::Call second = f.feed.Take();
+  CHECK(second.after == "b");
+  second.done(Fixture::Batch({"c"}, 9));
+  CHECK(f.listed == 3);
+  const FakeFeed::Call watch = f.feed.Take();
+  CHECK_FALSE(watch.is_list);
+  CHECK(watch.version == ObjectVersion(7));
+  watch.done(Fixture::Batch({"d"}, 11));
+  CHECK(f.changed == std::vector<std::string>{"d"});
+  CHECK(f.feed.Take().version == ObjectVersion(11));
+}
+
+TEST_CASE("ObjectWatcher: lists again where the history is gone", "[gateway]") {
+  Fixture f;
+  f.feed.Take().done(Fixture::Batch({"a"}, 7));
+  f.feed.Take().done(Failure(absl::StatusCode::kOutOfRange));
+  CHECK(f.feed.Take().is_list);
+  CHECK(f.regained == 0);
+}
+
+TEST_CASE("ObjectWatcher: a watch that is cut is no outage", "[gateway]") {
+  Fixture f;
+  f.feed.Take().done(Fixture::Batch({"a"}, 7));
+  f.feed.Take().done(Failure(absl::StatusCode::kUnavailable));
+  CHECK(f.feed.calls.empty());
+  f.Wait(milliseconds(60));
+  f.feed.Take().done(Fixture::Batch({}, 7));
+  CHECK(f.regained == 0);
+}
+
+TEST_CASE("ObjectWatcher: tells the end of an outage, and pauses during it",
+          "[gateway]") {
+  Fixture f;
+  f.feed.Take().done(Fixture::Batch({"a"}, 7));
+  int calls = 0;
+  for (int i = 0; i < 100; ++i) {
+    if (!f.feed.calls.empty()) {
+      ++calls;
+      f.feed.Take().done(Failure(absl::StatusCode::kUnavailable));
+    }
+    f.Wait(milliseconds(25));
+  }
+  CHECK(f.watcher->IsOut());
+  CHECK(calls < 15);
+  f.Wait(milliseconds(500));
+  f.feed.Take().done(Fixture::Batch({}, 7));
+  CHECK(f.regained == 1);
+  CHECK_FALSE(f.watcher->IsOut());
+}
+
+}  // namespace
+}  // namespace papaya
--- /dev/null
+++ b/tests/platform_codec_test.cc
@@ -0,0 +1,132 @@
+#include <boost/json/parse.hpp>
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "platform/header_codec.h"
+#include "platform/object_codec.h"
+#include "platform/settings_reader.h"
+
+namespace papaya::platform {
+namespace {
+
+FeedObject MakeObject(const std::string& name, const std::string& spec) {
+  FeedObject object;
+  object.name = name;
+  object.spec = boost::json::parse(spec);
+  return object;
+}
+
+bool Mentions(const absl::Status& status, const std::string& text) {
+  return std::string(status.message()).find(text) != std::string::npos;
+}
+
+TEST_CASE("Platform: reads a manifest", "[platform]") {
+  const absl::StatusOr<GatewayConfig> config =
+      DecodeManifest(MakeObject("main",
+                                R"({"version":7,"routes":[
+        {"name":"r1","host":"A.example","path_prefix":"/a/","kind":"streaming",
+         "timeout_ms":12000,"target_latency_ms":250,"priority":1,
+         "service":"llm","max_attempts":2,"can_resume":true,"gap_aim_ms":200},
+        {"name":"r2","host":"a.example","path_prefix":"/b/",
+         "kind":"non_idempotent","traffic_split":[
+           {"service":"x","weight":90},{"service":"y","weight":10}]}],
+        "services":[{"name":"llm","max_conns":360,
+                     "engine":{"slots":11,"stride":6}},{"name":"x"}],
+        "limits":{"idle_timeout_ms":15000},
+        "tenants":[{"name":"t","api_keys":["k"],"unit":"token_stream",
+                    "rate_per_s":100,"burst":50,"plain_tokens":200}]})"));
+  REQUIRE(config.ok());
+  CHECK(config->version == Revision(7));
+  const ServiceRoute& stream = config->routes[0];
+  CHECK(stream.host == "a.example");
+  CHECK(stream.MayRepeat());
+  CHECK(stream.caller_patience == std::chrono::seconds(2));
+  CHECK_FALSE(config->routes[1].MayRepeat());
+  CHECK(config->routes[1].services.size() == 2);
+  CHECK(config->services[0].tokens_per_event == Tokens(6));
+  CHECK_FALSE(config->services[1].is_engine);
+  CHECK(config->limits.idle_timeout == std::chrono::seconds(15));
+  CHECK(config->accounts[0].counts_tokens);
+}
+
+TEST_CASE("Platform: names the field of a manifest that can't be read",
+          "[platform]") {
+  const absl::StatusOr<GatewayConfig> config = DecodeManifest(
+      MakeObject("main", R"({"version":7,"routes":[{"name":"r","host":"h",
+        "path_prefix":"/","kind":"maybe","service":"s"}]})"));
+  REQUIRE_FALSE(config.ok());
+  CHECK(Mentions(config.status(), "main.routes.0.kind"));
+}
+
+TEST_CASE("Platform: reads upstreams and refuses what names none",
+          "[platform]") {
+  const std::string good =
+      R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1",
+          "slots":4,"state":"draining","born":17})";
+  const absl::StatusOr<UpstreamRecord> record =
+      DecodeUpstream(MakeObject("i-1", good));
+  REQUIRE(record.ok());
+  CHECK(record->id == UpstreamId("i-1#17"));
+  CHECK(record->is_draining);
+  for (const std::string bad :
+       {R"("text")", R"({})", R"({"service":5})",
+        R"({"service":"s","address":"a","zone":"z","version":"v","slots":0,
+            "state":"ready"})",
+        R"({"service":"s","address":"a","zone":"z","version":"v","slots":1,
+            "state":"asleep"})"}) {
+    INFO(bad);
+    CHECK_FALSE(DecodeUpstream(MakeObject("i-1", bad)).ok());
+  }
+}
+
+TEST_CASE("Platform: reads settings, passes over new keys, names faults",
+          "[platform]") {
+  const std::string good =
+      R"({"node_name":"n","zone":"z","region":"r","ip":"10.0.0.1","new":1,
+          "listen":{"frontend":"10.0.0.1:1","ready":"10.0.0.1:2",
+                    "control":"10.0.0.1:3"},
+          "seeds":["10.0.0.2:3"],"limits":{"max_fds":4100},"bootstrap":true,
+          "bounds":{"grace_s":8,"quota_slack":140000},
+          "platform":{"address":"10.9.0.1:9"}})";
+  const absl::StatusOr<GatewaySettings> settings =
+      ParseSettings(good, "settings.json");
+  REQUIRE(settings.ok());
+  CHECK(settings->peer_address == "10.0.0.1:3");
+  CHECK(settings->bounds.grace == std::chrono::seconds(8));
+  CHECK(settings->bounds.quotas.slack == 140000.0);
+  CHECK(settings->is_first_start);
+  const absl::StatusOr<GatewaySettings> bad =
+      ParseSettings(R"({"node_name":5})", "settings.json");
+  REQUIRE_FALSE(bad.ok());
+  CHECK(Mentions(bad.status(), "settings.json.node_name"));
+  CHECK_FALSE(ParseSettings("{", "settings.json").ok());
+}
+
+TEST_CASE("Platform: reads headers of callers and upstreams", "[platform]") {
+  const WireDialect dialect = MakeDialect();
+  const CallerMetadata caller =
+      dialect.read_caller({{"authorization", "token k1"},
+                           {"papayaarch-deadline-ms", "1500"},
+                           {"Papayaarch-Token-Usage", "1460,80"},
+                           {"Papayaarch-Length-Hint", "40"},
+                           {"Papayaarch-Prompt-Prefix", "1f:60,bad,2a:1400"}});
+  CHECK(caller.api_key == "k1");
+  CHECK(caller.time_limit == std::chrono::milliseconds(1500));
+  CHECK(caller.prompt_tokens == Tokens(1460));
+  CHECK(caller.expected_output == Tokens(40));
+  REQUIRE(caller.prompt_parts.size() == 2);
+  CHECK(caller.prompt_parts[0].hash == 0x1f);
+  CHECK(dialect.is_reserved("AUTHORIZATION"));
+  CHECK(dialect.is_reserved("Kv-From"));
+  CHECK_FALSE(dialect.is_reserved("Papayaarch-Model"));
+  const AnswerMetadata answer = dialect.read_answer(
+      200, {{"Keep-Alive", "timeout=5, max=9"}, {"Connection", "x, Close"}});
+  CHECK(answer.closes);
+  CHECK(answer.idle_timeout == std::chrono::seconds(5));
+  CHECK(dialect.read_answer(421, {}).is_other_instance);
+  CHECK(
+      dialect.read_answer(503, {{"Papayaarch-Not-Executed", "1"}}).is_not_run);
+}
+
+}  // namespace
+}  // namespace papaya::platform
--- a/tests/scheduler_test.cc
+++ b/tests/scheduler_test.cc
@@ -263,4 +263,70 @@
   CHECK(f.scheduler->counts().running == 0);
 }
 
+// Twice what one slot can serve: half of the requests can be in time, and must
+// be. In the order of arrival nearly all would be late.
+TEST_CASE("Scheduler: in an overload some are in time rather than all late",
+          "[admission]") {
+  constexpr Duration kWork = std::chrono::milliseconds(100);
+  constexpr Duration kBetween = std::chrono::milliseconds(50);
+  constexpr Duration kObjective = std::chrono::milliseconds(400);
+  constexpr size_t kRequests = 200;
+  Fixture f(1);
+  std::vector<TimePoint> arrivals(kRequests + 1);
+  size_t finished = 0;
+  size_t begun = 0;
+  int in_time = 0;
+  TimePoint free_at = f.now;
+  for (size_t step = 1; step <= 2 * kRequests; ++step) {
+    f.now += kBetween;
+    if (finished < begun && f.now >= free_at) {
+      const RequestId id = f.dispatched[finished++].first;
+      f.scheduler->OnFinished(id, {.end = AttemptEnd::kOk}, f.now);
+    }
+    if (step <= kRequests) {
+      RequestSpec spec = f.MakeRequest(step);
+      spec.late_after = f.now + kObjective;
+      arrivals[step] = f.now;
+      f.scheduler->OnRequest(spec, f.now);
+    }
+    f.scheduler->OnTick(f.now);
+    for (; begun < f.dispatched.size(); ++begun) {
+      const TimePoint arrival = arrivals[f.dispatched[begun].first.value()];
+      in_time += f.now - arrival <= kObjective ? 1 : 0;
+      free_at = f.now + kWork;
+    }
+  }
+  CHECK(in_time >= static_cast<int>(kRequests) * 9 / 20);
+}
+
+TEST_CASE("Scheduler: attempts that reached nobody take nothing of the budget",
+          "[admission]") {
+  Fixture f(4);
+  for (uint64_t id = 1; id <= 60; ++id) {
+    f.Request(id);
+    f.scheduler->OnFinished(RequestId(id), {.end = AttemptEnd::kUnreachable},
+                            f.now);
+    f.scheduler->OnFinished(RequestId(id), {.end = AttemptEnd::kOk}, f.now);
+    f.now += std::chrono::seconds(20);
+    f.scheduler->OnTick(f.now);
+  }
+  CHECK(f.refused.empty());
+  CHECK(f.dispatched.size() == 120);
+}
+
+TEST_CASE(
+    "Scheduler: a request runs at no more upstreams than its route allows",
+    "[admission]") {
+  Fixture f(5);
+  RequestSpec spec = f.MakeRequest(1);
+  spec.max_runs = 2;
+  f.scheduler->OnRequest(spec, f.now);
+  for (int i = 0; i < 4; ++i) {
+    f.scheduler->OnFinished(RequestId(1), {.end = AttemptEnd::kUnknown}, f.now);
+  }
+  CHECK(f.dispatched.size() == 2);
+  REQUIRE(f.refused.size() == 1);
+  CHECK(f.refused.front().second.outcome == Outcome::kUnknown);
+}
+
 }  // namespace papaya
