--- a/include/admission/account_quota.h
+++ b/include/admission/account_quota.h
@@ -78,8 +78,8 @@
 
   // Takes `cost` from the account's quota. If there is too little of it, takes
   // nothing and gives the time after which there may be enough. What an account
-  // asks beyond its quota is lost from its lower tiers first: those leave a part
-  // of the bucket to the upper ones.
+  // asks beyond its quota is lost from its lower tiers first: those leave a
+  // part of the bucket to the upper ones.
   std::optional<Duration> Spend(const AccountId& account,
                                 Tier tier,
                                 double cost,
