--- a/include/gateway/platform_binding.h
+++ b/include/gateway/platform_binding.h
@@ -9,6 +9,7 @@
 #include "absl/status/statusor.h"
 #include "include/gateway/gateway_config.h"
 #include "include/gateway/gateway_settings.h"
+#include "include/gateway/move_order.h"
 #include "include/gateway/object_feed.h"
 #include "include/gateway/upstream_record.h"
 #include "include/gateway/wire_dialect.h"
@@ -31,6 +32,11 @@
   std::function<absl::StatusOr<GatewayConfig>(const FeedObject&)> decode_config;
   std::function<absl::StatusOr<UpstreamRecord>(const FeedObject&)>
       decode_upstream;
+  // The kind of objects that hold orders to move services between versions.
+  std::string move_kind;
+  std::function<absl::StatusOr<MoveOrder>(const FeedObject&)> decode_move;
+  // The status of an order in that state.
+  std::function<boost::json::value(const MoveOrder&, MoveState)> encode_move;
   // The path that the platform asks for readiness.
   std::string ready_path;
 };
--- /dev/null
+++ b/include/gateway/version_moves.h
@@ -0,0 +1,97 @@
+#ifndef INCLUDE_GATEWAY_VERSION_MOVES_H_
+#define INCLUDE_GATEWAY_VERSION_MOVES_H_
+
+#include <functional>
+#include <map>
+#include <vector>
+
+#include "include/base/ids.h"
+#include "include/base/units.h"
+#include "include/config/fleet_config.h"
+#include "include/gateway/move_order.h"
+#include "include/rollout/stop_fact.h"
+#include "include/rollout/version_judge.h"
+#include "include/rollout/version_stats.h"
+#include "include/telemetry/event.h"
+
+namespace papaya {
+
+// Carries out orders to move services between versions, together with the
+// other routers: a small share of the requests first, compared with the old
+// version all the while; then all of them; then the order is told completed.
+// A version found worse gets nothing more and is told taken back, as is one
+// that too few requests have tried.
+//
+// All routers time the stages from when they first saw the order. The routers
+// that judge a service hear the counts of all; any of them may take back, and
+// the first of them by rank tells the rest, the next one if it does not. Does
+// no I/O and reads no clock; not thread-safe.
+class VersionMoves {
+ public:
+  struct Hooks {
+    // Write that state of the order, unless it was changed meanwhile.
+    std::function<void(const MoveOrder&, MoveState)> write_state;
+    std::function<void(const RouterId&, const StatsReport&)> send;
+    // Apply gives something else from now on.
+    std::function<void()> changed;
+    EventHook event;
+  };
+
+  VersionMoves(const RouterId& self, Incarnation incarnation, Hooks hooks);
+
+  void OnOrder(const MoveOrder& order, TimePoint now);
+  void OnOrderGone(const PoolId& service);
+  void SetRouters(const std::vector<RouterId>& routers) { routers_ = routers; }
+
+  // `config`, whose upstreams have their versions, with the shares that orders
+  // give them. Versions of services without an order are made alike.
+  FleetConfig Apply(FleetConfig config);
+
+  // True if requests to `service` are counted now.
+  bool IsCounting(const PoolId& service) const {
+    return stats_.IsCounting(service);
+  }
+  // An attempt has ended; `latency` is ComparableLatency.
+  void OnAnswer(const PoolId& service,
+                const VersionId& version,
+                const RouteId& route,
+                const UpstreamId& upstream,
+                bool failed,
+                Duration latency);
+
+  void OnReport(const StatsReport& report) { judge_.OnReport(report); }
+
+  // Call every 100 ms.
+  void OnTick(TimePoint now);
+
+ private:
+  struct Move {
+    MoveOrder order;
+    NoteId note;
+    TimePoint began;
+    // All requests go to the new version.
+    bool is_full = false;
+    TimePoint next_write;
+  };
+
+  void OnStop(const StopFact& fact);
+  void Decide(Move* move, TimePoint now);
+  void Write(Move* move, MoveState state, const char* reason, TimePoint now);
+  uint64_t RequestsSeen(const Move& move) const;
+  // This router's place among those that judge the service; -1 if it does not.
+  int RankOf(const Move& move) const;
+  void ShareOut(const Move& move, FleetConfig* config) const;
+
+  const RouterId self_;
+  const Hooks hooks_;
+  std::vector<RouterId> routers_;
+  std::map<PoolId, Move> moves_;
+  VersionStats stats_;
+  VersionJudge judge_;
+  StopSet stops_;
+  TimePoint next_report_;
+};
+
+}  // namespace papaya
+
+#endif  // INCLUDE_GATEWAY_VERSION_MOVES_H_
--- a/include/telemetry/event_catalog.h
+++ b/include/telemetry/event_catalog.h
@@ -66,6 +66,9 @@
   kRequestServed = 8001,
   kRequestFailed = 8002,
   kRequestRejected = 8003,
+  kMoveOrdered = 8011,
+  kMoveDecided = 8012,
+  kMoveWriteFailed = 8013,
 };
 
 enum class Severity : uint8_t { kDebug, kInfo, kWarning, kError };
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -11,6 +11,7 @@
 #include "include/admission/demand_names.h"
 #include "include/gateway/object_watcher.h"
 #include "include/gateway/upstream_directory.h"
+#include "include/gateway/version_moves.h"
 #include "include/telemetry/event_budget.h"
 #include "include/telemetry/logger.h"
 #include "include/wire/steady_time.h"
@@ -36,8 +37,8 @@
 // Requests are given up on this long before the platform ends the process.
 constexpr Duration kGraceMargin = std::chrono::milliseconds(400);
 
-// Log lines a second at most for requests that were served, and for others: an
-// eighth of a core writes them in a hundredth of its time.
+// Log lines a second at most for requests that were served, and for others, so
+// that a burst does not cost its own log's time besides.
 constexpr int kServedLines = 20;
 constexpr int kFailedLines = 60;
 
@@ -71,6 +72,9 @@
   RouterMesh::Hooks MakeMeshHooks();
   ObjectWatcher::Hooks MakeConfigHooks();
   ObjectWatcher::Hooks MakeUpstreamHooks();
+  VersionMoves::Hooks MakeMoveHooks();
+  ObjectWatcher::Hooks MakeMoveWatcherHooks();
+  void OnMove(const FeedObject& object);
   void OnConfig(const FeedObject& object);
   void OnReport(const RelayReport& report);
   // Logs events of requests, within a budget.
@@ -98,6 +102,8 @@
   UpstreamDirectory directory_;
   ObjectWatcher config_watcher_;
   ObjectWatcher upstream_watcher_;
+  VersionMoves moves_;
+  ObjectWatcher move_watcher_;
   CallerListener callers_;
   CallerListener probes_;
   CallerListener operators_;
@@ -138,6 +144,10 @@
       upstream_watcher_(feed_.get(),
                         {.kind = binding_.upstream_kind},
                         MakeUpstreamHooks()),
+      moves_(settings_.router, incarnation_, MakeMoveHooks()),
+      move_watcher_(feed_.get(),
+                    {.kind = binding_.move_kind},
+                    MakeMoveWatcherHooks()),
       callers_(context,
                std::max(kLeastCallers,
                         settings.max_descriptors - kReservedDescriptors),
@@ -177,6 +187,16 @@
     mesh_.Send(router, totals);
   };
   hooks.report = [this](const RelayReport& report) { OnReport(report); };
+  hooks.apply_moves = [this](FleetConfig config) {
+    return moves_.Apply(std::move(config));
+  };
+  hooks.answered = [this](const UpstreamRecord& upstream, const RouteId& route,
+                          bool failed, Duration latency) {
+    if (moves_.IsCounting(upstream.service)) {
+      moves_.OnAnswer(upstream.service, upstream.version, route, upstream.id,
+                      failed, latency);
+    }
+  };
   hooks.rejected = [this](const std::string& reason) {
     metrics_.CountRejected(reason);
   };
@@ -192,6 +212,9 @@
     if (notice != nullptr && notice->incarnation != Incarnation()) {
       desk_.OnDemand(demand_names_.Resolve(from, *notice));
     }
+    if (const StatsReport* report = std::get_if<StatsReport>(&message)) {
+      moves_.OnReport(*report);
+    }
     if (const UsageReport* report = std::get_if<UsageReport>(&message)) {
       desk_.OnUsage(from, *report);
     }
@@ -231,6 +254,60 @@
   return hooks;
 }
 
+VersionMoves::Hooks Gateway::Impl::MakeMoveHooks() {
+  VersionMoves::Hooks hooks;
+  hooks.write_state = [this](const MoveOrder& order, MoveState state) {
+    FeedObject object;
+    object.name = order.object;
+    object.version = order.version;
+    object.status = binding_.encode_move(order, state);
+    feed_->PutStatus(
+        binding_.move_kind, object,
+        [logger = logger_, order](const absl::StatusOr<FeedObject>& written) {
+          if (!written.ok()) {
+            logger->Log({EventId::kMoveWriteFailed,
+                         {{"service", order.service.value()},
+                          {"error", std::string(written.status().message())}}});
+          }
+        });
+  };
+  hooks.send = [this](const RouterId& router, const StatsReport& report) {
+    mesh_.Send(router, report);
+  };
+  hooks.changed = [this] { desk_.OnMovesChanged(); };
+  hooks.event = logger_->hook();
+  return hooks;
+}
+
+ObjectWatcher::Hooks Gateway::Impl::MakeMoveWatcherHooks() {
+  ObjectWatcher::Hooks hooks;
+  hooks.replaced = [this](const std::vector<FeedObject>& objects) {
+    for (const FeedObject& object : objects) {
+      OnMove(object);
+    }
+  };
+  hooks.changed = [this](const FeedObject& object) { OnMove(object); };
+  hooks.regained = [] {};
+  hooks.now = &SteadyNow;
+  hooks.event = logger_->hook();
+  return hooks;
+}
+
+void Gateway::Impl::OnMove(const FeedObject& object) {
+  const absl::StatusOr<MoveOrder> order = binding_.decode_move(object);
+  if (!order.ok()) {
+    Log(EventId::kEntryRefused,
+        {{"entry", object.name},
+         {"error", std::string(order.status().message())}});
+    return;
+  }
+  if (object.is_deleted) {
+    moves_.OnOrderGone(order->service);
+  } else {
+    moves_.OnOrder(*order, SteadyNow());
+  }
+}
+
 void Gateway::Impl::OnConfig(const FeedObject& object) {
   if (object.name != binding_.config_name || object.is_deleted) {
     return;
@@ -254,6 +331,11 @@
 }
 
 void Gateway::Impl::PublishUpstreams() {
+  std::vector<RouterId> routers;
+  for (const RouterPlace& router : mesh_.Routers()) {
+    routers.push_back(router.id);
+  }
+  moves_.SetRouters(routers);
   desk_.SetUpstreams(directory_.Records(), mesh_.Routers());
   if (desk_.snapshot() != nullptr) {
     demand_names_ = DemandNames(*desk_.snapshot());
@@ -273,10 +355,11 @@
       {"attempts", absl::StrCat(report.attempts)},
       {"status", absl::StrCat(report.status)},
       {"reason", report.reason},
+      {"error", report.error},
       {"waited_ms", absl::StrCat(report.waited / std::chrono::milliseconds(1))},
       {"took_ms", absl::StrCat(report.took / std::chrono::milliseconds(1))},
       {"events", absl::StrCat(report.events)},
-      {"manifest", absl::StrCat(config_->version.value())}};
+      {"manifest", absl::StrCat(report.manifest.value())}};
   LogRequest(event);
 }
 
@@ -347,6 +430,7 @@
   const TimePoint now = SteadyNow();
   config_watcher_.OnTick(now);
   upstream_watcher_.OnTick(now);
+  move_watcher_.OnTick(now);
   directory_.OnTick(now);
   desk_.OnTick(now);
   if (now >= next_slow_tick_) {
@@ -363,6 +447,7 @@
     logger_->Log(*loss);
   }
   mesh_.OnTick(now);
+  moves_.OnTick(now);
   callers_.OnTick(now);
   probes_.OnTick(now);
   operators_.OnTick(now);
--- a/src/gateway/relayed_request.cc
+++ b/src/gateway/relayed_request.cc
@@ -9,6 +9,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
 #include "absl/strings/str_split.h"
+#include "include/rollout/version_stats.h"
 #include "src/gateway/caller_connection.h"
 #include "src/gateway/upstream_connection.h"
 #include "src/gateway/upstream_pool.h"
@@ -153,6 +154,7 @@
   ++attempts_;
   upstream_ = upstream->id;
   answer_kind_ = AnswerKind::kNone;
+  first_event_ = TimePoint();
   events_.Restart();
   UpstreamConnection::Call call;
   call.bytes = FormatRequest(*upstream);
@@ -262,6 +264,9 @@
   if (events.empty()) {
     return;
   }
+  if (first_event_ == TimePoint()) {
+    first_event_ = context_->now();
+  }
   if (!has_started_) {
     context_->first_token(input_.id);
     StartAnswer();
@@ -287,10 +292,12 @@
   switch (answer_kind_) {
     case AnswerKind::kNone:
     case AnswerKind::kNotRun:
+      error_ = absl::StrCat("status: ", answer_.status, ", not run");
       FinishAttempt(AttemptEnd::kNotRun);
       return;
     case AnswerKind::kFailure:
       may_have_run_ = true;
+      error_ = absl::StrCat("status: ", answer_.status);
       if (!has_started_ && MayPassOn(answer_.status)) {
         held_failure_ = answer_;
       }
@@ -320,8 +327,9 @@
   Report(answer_.status, "");
 }
 
-void RelayedRequest::OnFailed(bool was_sent, const std::string& /*error*/) {
+void RelayedRequest::OnFailed(bool was_sent, const std::string& error) {
   connection_ = nullptr;
+  error_ = absl::StrCat(was_sent ? "answer: " : "connect: ", error);
   if (!was_sent) {
     FinishAttempt(AttemptEnd::kUnreachable);
     return;
@@ -418,6 +426,7 @@
   const Duration age = now - dispatched_;
   if (!connection_->was_sent() && age > kConnectTimeout) {
     DropConnection();
+    error_ = "connect: no connection in time";
     FinishAttempt(AttemptEnd::kUnreachable);
     return;
   }
@@ -425,6 +434,7 @@
   if (patience.has_value() && age > *patience && !has_started_ &&
       answer_kind_ == AnswerKind::kNone) {
     DropConnection();
+    error_ = "answer: none in time";
     FinishAttempt(AttemptEnd::kUnknown);
   }
 }
@@ -447,6 +457,14 @@
   Report(0, "caller_gone");
 }
 
+Duration RelayedRequest::Latency() const {
+  const Duration whole = context_->now() - dispatched_;
+  const Duration first =
+      first_event_ == TimePoint() ? whole : first_event_ - dispatched_;
+  return ComparableLatency(
+      first, whole, Tokens(events_.events() * input_.tokens_per_event.value()));
+}
+
 void RelayedRequest::Report(int status, const std::string& reason) {
   const TimePoint now = context_->now();
   RelayReport report;
@@ -455,12 +473,14 @@
   report.route = input_.route->id;
   report.account = input_.account;
   report.service = input_.service;
+  report.manifest = input_.table->config().version;
   report.upstream = upstream_;
   report.attempts = attempts_;
   report.quota_left =
       status == kUnavailable && !may_have_run_ ? input_.quota_cost : 0.0;
   report.status = status;
   report.reason = reason;
+  report.error = error_;
   report.waited = (attempts_ > 0 ? first_dispatched_ : now) - input_.arrival;
   report.took = now - input_.arrival;
   report.events = events_.events();
--- a/src/gateway/relayed_request.h
+++ b/src/gateway/relayed_request.h
@@ -34,6 +34,8 @@
   RouteId route;
   AccountId account;
   PoolId service;
+  // The version of the manifest that it arrived under.
+  Revision manifest;
   // Where it was sent last; empty if nowhere.
   UpstreamId upstream;
   int attempts = 0;
@@ -43,6 +45,9 @@
   int status = 0;
   // Why there was no answer of an upstream; empty if there was.
   std::string reason;
+  // What went wrong at the last upstream, in its connection's words; empty if
+  // nothing did.
+  std::string error;
   Duration waited{};
   Duration took{};
   int64_t events = 0;
@@ -108,6 +113,11 @@
                     const std::string& reason,
                     std::optional<Duration> retry_after);
 
+  // Where it was sent last; empty if nowhere.
+  const UpstreamId& upstream() const { return upstream_; }
+  // The time of the last attempt, as versions of an upstream are compared by.
+  Duration Latency() const;
+
   const Input& input() const { return input_; }
   bool HasEnded() const { return has_ended_; }
 
@@ -150,10 +160,14 @@
   int attempts_ = 0;
   TimePoint dispatched_;
   TimePoint first_dispatched_;
+  // Of the attempt under way; the epoch before it.
+  TimePoint first_event_;
   AnswerKind answer_kind_ = AnswerKind::kNone;
   // Of the attempt under way, or the last one that failed.
   HttpResponse answer_;
   std::optional<uint64_t> answer_length_;
+  // What ended the last attempt that failed.
+  std::string error_;
   // An upstream's failure to answer with if no attempt does better.
   std::optional<HttpResponse> held_failure_;
   // The attempts so far may have run the request.
--- a/src/gateway/request_desk.cc
+++ b/src/gateway/request_desk.cc
@@ -131,6 +131,7 @@
   context.pool = &pool_;
   context.now = &SteadyNow;
   context.finish_attempt = [this](RequestId id, const AttemptResult& result) {
+    NoteAnswer(id, result.end);
     scheduler_.OnFinished(id, result, SteadyNow());
     RunDecisions();
   };
@@ -192,7 +193,7 @@
   if (table_ == nullptr) {
     return;
   }
-  auto config = std::make_shared<FleetConfig>();
+  FleetConfig config;
   RoutingInput input;
   upstreams_.clear();
   for (const UpstreamRecord& record : records_) {
@@ -205,17 +206,19 @@
                     ? UpstreamKind::kModelEngine
                     : UpstreamKind::kPlainService;
     spec.pool = record.service;
+    spec.version = record.version;
     spec.slots = record.slots;
     if (record.is_draining) {
       input.leaving.push_back(record.id);
     }
-    config->upstreams.push_back(std::move(spec));
+    config.upstreams.push_back(std::move(spec));
     upstreams_[record.id] = record;
   }
   std::sort(
-      config->upstreams.begin(), config->upstreams.end(),
+      config.upstreams.begin(), config.upstreams.end(),
       [](const UpstreamSpec& a, const UpstreamSpec& b) { return a.id < b.id; });
-  input.config = std::move(config);
+  input.config = std::make_shared<const FleetConfig>(
+      hooks_.apply_moves(std::move(config)));
   input.self = {.id = settings_.router, .zone = settings_.zone};
   input.routers = routers_;
   snapshot_ = RoutingSnapshot::Build(input);
@@ -375,6 +378,19 @@
   pool_.OnTick(now);
 }
 
+void RequestDesk::NoteAnswer(RequestId id, AttemptEnd end) {
+  const auto relay = relays_.find(id);
+  const bool is_answer = end == AttemptEnd::kOk || end == AttemptEnd::kUnknown;
+  if (relay == relays_.end() || !is_answer) {
+    return;
+  }
+  const auto upstream = upstreams_.find(relay->second->upstream());
+  if (upstream != upstreams_.end()) {
+    hooks_.answered(upstream->second, relay->second->input().route->id,
+                    end == AttemptEnd::kUnknown, relay->second->Latency());
+  }
+}
+
 void RequestDesk::RunDecisions() {
   // A decision may lead to others; they are run by the outermost call.
   if (is_deciding_) {
--- a/src/gateway/request_desk.h
+++ b/src/gateway/request_desk.h
@@ -36,6 +36,14 @@
     std::function<void(const RouterId&, const UsageReport&)> send_usage;
     std::function<void(const RouterId&, const UsageTotals&)> send_totals;
     std::function<void(const RelayReport&)> report;
+    // Gives the upstreams' versions their shares.
+    std::function<FleetConfig(FleetConfig)> apply_moves;
+    // An attempt has ended that the upstream answered, well or not.
+    std::function<void(const UpstreamRecord&,
+                       const RouteId&,
+                       bool failed,
+                       Duration latency)>
+        answered;
     // A request was turned away before it was taken in, for that reason.
     std::function<void(const std::string& reason)> rejected;
     EventHook event;
@@ -54,6 +62,9 @@
   // Requests that arrive from now on go by `table`.
   void SetTable(std::shared_ptr<const RouteTable> table);
 
+  // Shares of versions have changed.
+  void OnMovesChanged() { Publish(); }
+
   // The upstreams that are registered, and the routers that share them.
   void SetUpstreams(const std::vector<UpstreamRecord>& records,
                     const std::vector<RouterPlace>& routers);
@@ -93,6 +104,7 @@
   // False if the account's quota does not allow it, which is then answered.
   bool SpendQuota(const ClientAccount& account, RelayedRequest::Input* input);
   RequestSpec MakeSpec(const RelayedRequest::Input& input) const;
+  void NoteAnswer(RequestId id, AttemptEnd end);
   void RunDecisions();
   void Run(const Decision& decision);
   Duration ReturnTime(const RelayedRequest& relay, const Refusal& refusal);
--- a/src/telemetry/event_catalog.cc
+++ b/src/telemetry/event_catalog.cc
@@ -135,6 +135,15 @@
       {EventId::kRequestRejected, Severity::kInfo, "request_rejected",
        "A request was turned away by the manifest, or because there is none "
        "yet."},
+      {EventId::kMoveOrdered, Severity::kInfo, "move_ordered",
+       "Operators ordered a service's requests to be moved to another "
+       "version."},
+      {EventId::kMoveDecided, Severity::kInfo, "move_decided",
+       "This router tells the state of a move, with the reason and the "
+       "requests that tried the new version."},
+      {EventId::kMoveWriteFailed, Severity::kWarning, "move_write_failed",
+       "The state of a move could not be written; it is tried again, here or "
+       "by another router."},
   };
   return catalog;
 }
--- a/tests/gateway_relay_test.cc
+++ b/tests/gateway_relay_test.cc
@@ -138,6 +138,9 @@
     hooks.report = [this](const RelayReport& report) {
       reports.push_back(report);
     };
+    hooks.apply_moves = [](FleetConfig config) { return config; };
+    hooks.answered = [](const UpstreamRecord&, const RouteId&, bool, Duration) {
+    };
     hooks.rejected = [](const std::string&) {};
     hooks.event = [](const Event&) {};
     return hooks;
@@ -251,6 +254,7 @@
   // Nothing is promised of it.
   CHECK(caller->received.starts_with("HTTP/1.1 502"));
   CHECK(f.reports.front().attempts == 1);
+  CHECK(f.reports.front().error.starts_with("answer: "));
 }
 
 TEST_CASE("Gateway: a refusal that does not say `not run` is no promise",
--- /dev/null
+++ b/tests/version_moves_test.cc
@@ -0,0 +1,191 @@
+#include "include/gateway/version_moves.h"
+
+#include <catch2/catch.hpp>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "include/base/random.h"
+
+namespace papaya {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const PoolId kService("booking");
+constexpr Duration kTime = seconds(15);
+constexpr Duration kStep = milliseconds(100);
+
+// Routers that carry out one order together, with requests shared out by
+// the shares that they give.
+class Fleet {
+ public:
+  Fleet(int routers, uint64_t seed) : random_(seed) {
+    for (int i = 0; i < routers; ++i) {
+      names_.emplace_back("router-" + std::to_string(i));
+    }
+    for (int i = 0; i < routers; ++i) {
+      VersionMoves::Hooks hooks;
+      hooks.write_state = [this](const MoveOrder& order, MoveState state) {
+        Write(order, state);
+      };
+      hooks.send = [this](const RouterId& to, const StatsReport& report) {
+        for (size_t j = 0; j < names_.size(); ++j) {
+          if (names_[j] == to) {
+            routers_[j]->OnReport(report);
+          }
+        }
+      };
+      hooks.changed = [] {};
+      hooks.event = [](const Event&) {};
+      routers_.push_back(std::make_unique<VersionMoves>(
+          names_[static_cast<size_t>(i)], Incarnation(1), hooks));
+      routers_.back()->SetRouters(names_);
+    }
+    order_.service = kService;
+    order_.target = VersionId("v2");
+    order_.time = kTime;
+    order_.version = ObjectVersion(1);
+  }
+
+  // Plays the order at so many requests a second; `fails` is the chance that a
+  // request to the new version fails.
+  void Play(double per_second, double fails, double slower = 1.0) {
+    for (auto& router : routers_) {
+      router->OnOrder(order_, now_);
+    }
+    double owed = 0.0;
+    const TimePoint end = now_ + kTime;
+    while (now_ < end && !HasEnded()) {
+      now_ += kStep;
+      owed += per_second * ToSeconds(kStep);
+      for (; owed >= 1.0; owed -= 1.0) {
+        Ask(fails, slower);
+      }
+      for (auto& router : routers_) {
+        router->OnTick(now_);
+      }
+      Deliver();
+    }
+  }
+
+  std::optional<MoveState> state() const { return order_.state; }
+  int exposed() const { return exposed_; }
+  int asked() const { return asked_; }
+  Duration took() const { return now_ - TimePoint(seconds(100)); }
+
+ private:
+  bool HasEnded() const {
+    return order_.state.has_value() && order_.state != MoveState::kRunning;
+  }
+
+  void Write(const MoveOrder& order, MoveState state) {
+    if (order.version == order_.version) {
+      order_.state = state;
+      order_.version = ObjectVersion(order_.version.value() + 1);
+      is_written_ = true;
+    }
+  }
+
+  void Deliver() {
+    if (std::exchange(is_written_, false)) {
+      for (auto& router : routers_) {
+        router->OnOrder(order_, now_);
+      }
+    }
+  }
+
+  FleetConfig Config() const {
+    FleetConfig config;
+    for (int i = 0; i < 6; ++i) {
+      UpstreamSpec upstream;
+      upstream.id = UpstreamId("u" + std::to_string(i));
+      upstream.pool = kService;
+      upstream.version = VersionId(i < 3 ? "v1" : "v2");
+      config.upstreams.push_back(upstream);
+    }
+    return config;
+  }
+
+  void Ask(double fails, double slower) {
+    VersionMoves& router = *routers_[random_.Below(routers_.size())];
+    const FleetConfig config = router.Apply(Config());
+    int share = 0;
+    for (const VersionShare& entry : config.shares) {
+      share = entry.version == VersionId("v2") ? entry.share.value() : share;
+    }
+    const bool is_new = static_cast<int>(random_.Below(1000)) < share;
+    ++asked_;
+    exposed_ += is_new ? 1 : 0;
+    const bool failed = random_.Chance(is_new ? fails : 0.004);
+    const double seconds = random_.LogNormal(0.015, 0.5);
+    router.OnAnswer(
+        kService, VersionId(is_new ? "v2" : "v1"), RouteId("r"),
+        UpstreamId("u" + std::to_string(random_.Below(3) + (is_new ? 3 : 0))),
+        failed, SecondsToDuration(is_new ? seconds * slower : seconds));
+  }
+
+  Random random_;
+  TimePoint now_{seconds(100)};
+  std::vector<RouterId> names_;
+  std::vector<std::unique_ptr<VersionMoves>> routers_;
+  MoveOrder order_;
+  bool is_written_ = false;
+  int asked_ = 0;
+  int exposed_ = 0;
+};
+
+TEST_CASE("VersionMoves: a good version is completed in time", "[gateway]") {
+  for (uint64_t seed = 1; seed <= 10; ++seed) {
+    Fleet fleet(7, seed);
+    fleet.Play(60.0, 0.004);
+    CHECK(fleet.state() == MoveState::kCompleted);
+    CHECK(fleet.took() < kTime);
+  }
+}
+
+TEST_CASE("VersionMoves: a version that fails is taken back with little shown",
+          "[gateway]") {
+  for (uint64_t seed = 1; seed <= 10; ++seed) {
+    Fleet fleet(7, seed);
+    fleet.Play(60.0, 0.5);
+    CHECK(fleet.state() == MoveState::kTakenBack);
+    CHECK(fleet.exposed() <= fleet.asked() / 10 + 50);
+  }
+}
+
+TEST_CASE("VersionMoves: a version that is several times slower is taken back",
+          "[gateway]") {
+  for (uint64_t seed = 1; seed <= 10; ++seed) {
+    Fleet fleet(7, seed);
+    fleet.Play(60.0, 0.004, 8.0);
+    CHECK(fleet.state() == MoveState::kTakenBack);
+    CHECK(fleet.exposed() <= fleet.asked() / 10 + 50);
+  }
+}
+
+TEST_CASE("VersionMoves: one that hardly anybody tried is taken back",
+          "[gateway]") {
+  Fleet fleet(7, 1);
+  fleet.Play(2.0, 0.004);
+  CHECK(fleet.state() == MoveState::kTakenBack);
+}
+
+TEST_CASE("VersionMoves: versions without an order are alike", "[gateway]") {
+  VersionMoves::Hooks hooks;
+  hooks.changed = [] {};
+  hooks.event = [](const Event&) {};
+  VersionMoves moves(RouterId("r"), Incarnation(1), hooks);
+  FleetConfig config;
+  config.upstreams.emplace_back();
+  config.upstreams.back().pool = kService;
+  config.upstreams.back().version = VersionId("v7");
+  const FleetConfig applied = moves.Apply(config);
+  CHECK(applied.upstreams.front().version.empty());
+  CHECK(applied.shares.empty());
+}
+
+}  // namespace
+}  // namespace papaya
