--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -8,7 +8,6 @@
 #include <vector>
 
 #include "absl/strings/str_cat.h"
-#include "include/admission/demand_names.h"
 #include "include/gateway/object_watcher.h"
 #include "include/gateway/upstream_directory.h"
 #include "include/gateway/version_moves.h"
@@ -70,10 +69,11 @@
   void Log(EventId id, Fields fields);
   RequestDesk::Hooks MakeDeskHooks();
   RouterMesh::Hooks MakeMeshHooks();
-  ObjectWatcher::Hooks MakeConfigHooks();
+  // Of a kind whose objects are taken one by one, listed or changed.
+  ObjectWatcher::Hooks MakeWatcherHooks(
+      void (Impl::*handle)(const FeedObject&));
   ObjectWatcher::Hooks MakeUpstreamHooks();
   VersionMoves::Hooks MakeMoveHooks();
-  ObjectWatcher::Hooks MakeMoveWatcherHooks();
   void OnMove(const FeedObject& object);
   void OnConfig(const FeedObject& object);
   void OnReport(const RelayReport& report);
@@ -108,7 +108,6 @@
   CallerListener probes_;
   CallerListener operators_;
   std::shared_ptr<const GatewayConfig> config_;
-  DemandNames demand_names_;
   GatewayMetrics metrics_;
   EventBudget budget_{{{EventId::kRequestServed, kServedLines},
                        {EventId::kRequestFailed, kFailedLines},
@@ -140,14 +139,14 @@
                   .event = logger->hook()}),
       config_watcher_(feed_.get(),
                       {.kind = binding_.config_kind},
-                      MakeConfigHooks()),
+                      MakeWatcherHooks(&Impl::OnConfig)),
       upstream_watcher_(feed_.get(),
                         {.kind = binding_.upstream_kind},
                         MakeUpstreamHooks()),
       moves_(settings_.router, incarnation_, MakeMoveHooks()),
       move_watcher_(feed_.get(),
                     {.kind = binding_.move_kind},
-                    MakeMoveWatcherHooks()),
+                    MakeWatcherHooks(&Impl::OnMove)),
       callers_(context,
                std::max(kLeastCallers,
                         settings.max_descriptors - kReservedDescriptors),
@@ -210,7 +209,7 @@
   hooks.receive = [this](const RouterId& from, const PeerMessage& message) {
     const DemandNotice* notice = std::get_if<DemandNotice>(&message);
     if (notice != nullptr && notice->incarnation != Incarnation()) {
-      desk_.OnDemand(demand_names_.Resolve(from, *notice));
+      desk_.OnDemand(from, *notice);
     }
     if (const StatsReport* report = std::get_if<StatsReport>(&message)) {
       moves_.OnReport(*report);
@@ -226,14 +225,17 @@
   return hooks;
 }
 
-ObjectWatcher::Hooks Gateway::Impl::MakeConfigHooks() {
+ObjectWatcher::Hooks Gateway::Impl::MakeWatcherHooks(
+    void (Impl::*handle)(const FeedObject&)) {
   ObjectWatcher::Hooks hooks;
-  hooks.replaced = [this](const std::vector<FeedObject>& objects) {
+  hooks.replaced = [this, handle](const std::vector<FeedObject>& objects) {
     for (const FeedObject& object : objects) {
-      OnConfig(object);
+      (this->*handle)(object);
     }
   };
-  hooks.changed = [this](const FeedObject& object) { OnConfig(object); };
+  hooks.changed = [this, handle](const FeedObject& object) {
+    (this->*handle)(object);
+  };
   hooks.regained = [] {};
   hooks.now = &SteadyNow;
   hooks.event = logger_->hook();
@@ -279,20 +281,6 @@
   return hooks;
 }
 
-ObjectWatcher::Hooks Gateway::Impl::MakeMoveWatcherHooks() {
-  ObjectWatcher::Hooks hooks;
-  hooks.replaced = [this](const std::vector<FeedObject>& objects) {
-    for (const FeedObject& object : objects) {
-      OnMove(object);
-    }
-  };
-  hooks.changed = [this](const FeedObject& object) { OnMove(object); };
-  hooks.regained = [] {};
-  hooks.now = &SteadyNow;
-  hooks.event = logger_->hook();
-  return hooks;
-}
-
 void Gateway::Impl::OnMove(const FeedObject& object) {
   const absl::StatusOr<MoveOrder> order = binding_.decode_move(object);
   if (!order.ok()) {
@@ -327,19 +315,17 @@
   Log(EventId::kManifestInForce,
       {{"version", absl::StrCat(config_->version.value())},
        {"routes", absl::StrCat(config_->routes.size())}});
-  PublishUpstreams();
 }
 
 void Gateway::Impl::PublishUpstreams() {
+  const std::vector<RouterPlace> places = mesh_.Routers();
   std::vector<RouterId> routers;
-  for (const RouterPlace& router : mesh_.Routers()) {
-    routers.push_back(router.id);
+  routers.reserve(places.size());
+  for (const RouterPlace& place : places) {
+    routers.push_back(place.id);
   }
   moves_.SetRouters(routers);
-  desk_.SetUpstreams(directory_.Records(), mesh_.Routers());
-  if (desk_.snapshot() != nullptr) {
-    demand_names_ = DemandNames(*desk_.snapshot());
-  }
+  desk_.SetUpstreams(directory_.Records(), places);
 }
 
 void Gateway::Impl::OnReport(const RelayReport& report) {
--- a/src/gateway/relayed_request.cc
+++ b/src/gateway/relayed_request.cc
@@ -365,12 +365,6 @@
   Fail(kBadGateway, reason, std::nullopt);
 }
 
-void RelayedRequest::RefuseNotRun(int status,
-                                  const std::string& reason,
-                                  std::optional<Duration> retry_after) {
-  Fail(status, reason, retry_after);
-}
-
 void RelayedRequest::Fail(int status,
                           const std::string& reason,
                           std::optional<Duration> retry_after) {
--- a/src/gateway/relayed_request.h
+++ b/src/gateway/relayed_request.h
@@ -9,6 +9,7 @@
 
 #include "include/admission/attempt_result.h"
 #include "include/base/ids.h"
+#include "include/base/tier.h"
 #include "include/base/units.h"
 #include "include/gateway/route_table.h"
 #include "include/gateway/upstream_record.h"
@@ -83,6 +84,9 @@
     const ServiceRoute* route = nullptr;
     AccountId account;
     PoolId service;
+    Tier tier = Tier::kStandard;
+    // Decides which service and version it goes to; all routers choose alike.
+    uint64_t share_hash = 0;
     // Output tokens in one event of a stream.
     Tokens tokens_per_event{1};
     // What was taken of the account's quota.
@@ -108,18 +112,12 @@
   // Ends it, or its attempt, if that takes too long.
   void OnTick(TimePoint now);
 
-  // Answers what did not run and will not.
-  void RefuseNotRun(int status,
-                    const std::string& reason,
-                    std::optional<Duration> retry_after);
-
   // Where it was sent last; empty if nowhere.
   const UpstreamId& upstream() const { return upstream_; }
   // The time of the last attempt, as versions of an upstream are compared by.
   Duration Latency() const;
 
   const Input& input() const { return input_; }
-  bool HasEnded() const { return has_ended_; }
 
  private:
   enum class AnswerKind : uint8_t {
--- a/src/gateway/request_desk.cc
+++ b/src/gateway/request_desk.cc
@@ -221,8 +221,10 @@
       hooks_.apply_moves(std::move(config)));
   input.self = {.id = settings_.router, .zone = settings_.zone};
   input.routers = routers_;
-  snapshot_ = RoutingSnapshot::Build(input);
-  scheduler_.OnSnapshot(snapshot_, SteadyNow());
+  const std::shared_ptr<const RoutingSnapshot> snapshot =
+      RoutingSnapshot::Build(input);
+  demand_names_ = DemandNames(*snapshot);
+  scheduler_.OnSnapshot(snapshot, SteadyNow());
   RunDecisions();
 }
 
@@ -280,8 +282,9 @@
   if (account != nullptr) {
     input.account = account->id;
   }
-  const uint64_t hash = StableHash(metadata.attempt_id);
-  input.service = ChooseService(*input.route, hash);
+  input.tier = table_->TierOf(*input.route, account);
+  input.share_hash = StableHash(metadata.attempt_id);
+  input.service = ChooseService(*input.route, input.share_hash);
   const ServiceInfo* service = table_->FindService(input.service);
   if (service != nullptr) {
     input.tokens_per_event = service->tokens_per_event;
@@ -315,8 +318,7 @@
     input->quota_cost = static_cast<double>(tokens.value());
   }
   const std::optional<Duration> wait =
-      quotas_.Spend(account.id, table_->TierOf(*input->route, &account),
-                    input->quota_cost, input->arrival);
+      quotas_.Spend(account.id, input->tier, input->quota_cost, input->arrival);
   if (!wait.has_value()) {
     return true;
   }
@@ -325,19 +327,18 @@
   return false;
 }
 
-RequestSpec RequestDesk::MakeSpec(const RelayedRequest::Input& input) const {
+RequestSpec RequestDesk::MakeSpec(const RelayedRequest::Input& input) {
   RequestSpec spec;
   spec.id = input.id;
   spec.account = input.account;
   spec.route = input.route->id;
   spec.pool = input.service;
-  spec.tier =
-      table_->TierOf(*input.route, table_->FindAccount(input.metadata.api_key));
+  spec.tier = input.tier;
   spec.prompt_tokens = input.metadata.prompt_tokens.value_or(Tokens());
   spec.max_output_tokens = input.metadata.max_output_tokens.value_or(Tokens());
   SetPrefix(input.metadata.prompt_parts, &spec);
   spec.expected_output = input.metadata.expected_output;
-  spec.share_hash = StableHash(input.metadata.attempt_id);
+  spec.share_hash = input.share_hash;
   spec.arrival = input.arrival;
   Duration wait = Part(kBeginPart, input.give_up - input.arrival);
   if (input.route->caller_patience > Duration()) {
@@ -351,8 +352,8 @@
   return spec;
 }
 
-void RequestDesk::OnDemand(const DemandReport& report) {
-  scheduler_.OnDemandReport(report, SteadyNow());
+void RequestDesk::OnDemand(const RouterId& from, const DemandNotice& notice) {
+  scheduler_.OnDemandReport(demand_names_.Resolve(from, notice), SteadyNow());
 }
 
 void RequestDesk::OnUsage(const RouterId& from, const UsageReport& report) {
--- a/src/gateway/request_desk.h
+++ b/src/gateway/request_desk.h
@@ -11,6 +11,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "include/admission/account_quota.h"
+#include "include/admission/demand_names.h"
 #include "include/admission/scheduler.h"
 #include "include/base/random.h"
 #include "include/gateway/gateway_settings.h"
@@ -72,7 +73,7 @@
   void OnRequest(const std::shared_ptr<CallerConnection>& caller,
                  HttpRequest request);
 
-  void OnDemand(const DemandReport& report);
+  void OnDemand(const RouterId& from, const DemandNotice& notice);
   void OnUsage(const RouterId& from, const UsageReport& report);
   void OnUsage(const RouterId& from, const UsageTotals& totals);
 
@@ -80,7 +81,6 @@
   void OnTick(TimePoint now);
 
   size_t in_flight() const { return relays_.size(); }
-  const RoutingSnapshot* snapshot() const { return snapshot_.get(); }
   int64_t upstream_connections() const { return pool_.opened(); }
 
  private:
@@ -103,7 +103,7 @@
               std::optional<Duration> retry_after);
   // False if the account's quota does not allow it, which is then answered.
   bool SpendQuota(const ClientAccount& account, RelayedRequest::Input* input);
-  RequestSpec MakeSpec(const RelayedRequest::Input& input) const;
+  static RequestSpec MakeSpec(const RelayedRequest::Input& input);
   void NoteAnswer(RequestId id, AttemptEnd end);
   void RunDecisions();
   void Run(const Decision& decision);
@@ -119,7 +119,8 @@
   Random random_;
   RelayedRequest::Context context_;
   std::shared_ptr<const RouteTable> table_;
-  std::shared_ptr<const RoutingSnapshot> snapshot_;
+  // The names in the scheduler's snapshot.
+  DemandNames demand_names_;
   std::vector<UpstreamRecord> records_;
   std::vector<RouterPlace> routers_;
   absl::flat_hash_map<UpstreamId, UpstreamRecord> upstreams_;
