Cut a request that crosses the close of its connection at once

Cause: a request that arrives after this router closed an idle connection was read and dropped, and its caller learnt so only when the linger of a second ended. Change: such a connection has a state of its own and is reset when bytes come.

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -72,6 +72,12 @@
 }
 
 void CallerConnection::OnData(std::string_view bytes) {
+  if (state_ == State::kHalfClosed) {
+    // A request that crossed the close: its caller must learn at once that
+    // nobody takes it.
+    Abort();
+    return;
+  }
   if (state_ == State::kEnding || state_ == State::kClosed) {
     return;
   }
@@ -234,7 +240,7 @@
 
 void CallerConnection::CloseIfIdle() {
   if (state_ == State::kIdle) {
-    state_ = State::kEnding;
+    state_ = State::kHalfClosed;
     since_ = SteadyNow();
     channel_->EndWriting();
   }
@@ -264,6 +270,7 @@
       }
       return;
     case State::kEnding:
+    case State::kHalfClosed:
       if (age > kLinger + (channel_->pending_bytes() > 0 ? kWriteTimeout
                                                          : Duration())) {
         Close();
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -74,10 +74,11 @@
 
  private:
   enum class State : uint8_t {
-    kIdle,       // nothing of a request has come
-    kReading,    // a request comes
-    kAnswering,  // a request is being served
-    kEnding,     // the last answer goes out
+    kIdle,        // nothing of a request has come
+    kReading,     // a request comes
+    kAnswering,   // a request is being served
+    kEnding,      // the last answer goes out
+    kHalfClosed,  // closed from this side without a request
     kClosed,
   };
 
--- a/tests/gateway_relay_test.cc
+++ b/tests/gateway_relay_test.cc
@@ -333,6 +333,18 @@
   CHECK(f.desk.in_flight() == 0);
 }
 
+TEST_CASE("Gateway: a request that crosses the close of its connection is cut",
+          "[gateway]") {
+  Fixture f(RequestKind::kNonIdempotent);
+  const std::unique_ptr<RawPeer> caller = f.Call(kPost);
+  f.AwaitRequest()->Send(kGood);
+  f.RunUntil([&] { return Has(caller->received, "ok"); });
+  f.listener.CloseIdle();
+  caller->Send(kPost);
+  // Not after the time that a last answer gets: the listener gets no tick.
+  f.RunUntil([&] { return f.listener.connections() == 0; });
+}
+
 TEST_CASE("Gateway: unknown routes and keys are turned away", "[gateway]") {
   Fixture f(RequestKind::kIdempotent);
   const std::unique_ptr<RawPeer> no_route =
