Try new versions among the old upstreams, and judge streams before they end

Slow versions were judged by streams that had ended, which are few; attempts given up late were not counted at all. A stream is counted when it has 64 tokens, an attempt given up past its objective with the time it had. Event 8014 tells each stage.

--- a/include/gateway/version_moves.h
+++ b/include/gateway/version_moves.h
@@ -3,12 +3,14 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <vector>
 
 #include "include/base/ids.h"
 #include "include/base/units.h"
 #include "include/config/fleet_config.h"
 #include "include/gateway/move_order.h"
+#include "include/gateway/trial_plan.h"
 #include "include/rollout/stop_fact.h"
 #include "include/rollout/version_judge.h"
 #include "include/rollout/version_stats.h"
@@ -17,8 +19,10 @@
 namespace papaya {
 
 // Carries out orders to move services between versions, together with the
-// other routers: a small share of the requests first, compared with the old
-// version all the while; then all of them; then the order is told completed.
+// other routers, in stages: a small share of the requests over all upstreams of
+// the new version; then some of these with the load that they will have; then
+// all requests; then the order is told completed (TrialPlan). Both versions are
+// compared all the while.
 // A version found worse gets nothing more and is told taken back, as is one
 // that too few requests have tried.
 //
@@ -69,18 +73,33 @@
     MoveOrder order;
     NoteId note;
     TimePoint began;
-    // All requests go to the new version.
-    bool is_full = false;
+    TrialStage stage = TrialStage::kSpread;
+    // For the upstreams that the version has now.
+    TrialPlan plan;
+    // The upstreams that have their load in that stage.
+    std::set<UpstreamId> loaded;
     TimePoint next_write;
   };
 
   void OnStop(const StopFact& fact);
   void Decide(Move* move, TimePoint now);
   void Write(Move* move, MoveState state, const char* reason, TimePoint now);
-  uint64_t RequestsSeen(const Move& move) const;
+  // What this router's judge has on the new version.
+  VersionEvidence EvidenceOn(const Move& move) const;
+  void EnterStage(Move* move, TrialStage stage);
+  // Takes the new version back if the evidence against it reaches `bound`.
+  void StopIfSuspect(const Move& move, double bound);
   // This router's place among those that judge the service; -1 if it does not.
   int RankOf(const Move& move) const;
-  void ShareOut(const Move& move, FleetConfig* config) const;
+  // Picks the upstreams that get their load.
+  void ChooseLoaded(const FleetConfig& config, Move* move) const;
+  // What the new version gets of the requests.
+  static Permille ShareOf(const Move& move);
+  void ShareOut(Move* move, FleetConfig* config) const;
+  // Has the loaded upstreams serve as if they were of the old version, and the
+  // others of the new version rest. Requests of their own would queue at few
+  // upstreams, which makes a good version slow and callers wait for a bad one.
+  static void Blend(const Move& move, FleetConfig* config);
 
   const RouterId self_;
   const Hooks hooks_;
--- a/include/rollout/version_judge.h
+++ b/include/rollout/version_judge.h
@@ -39,6 +39,8 @@
   // Natural log of the evidence against the version; it is stopped at
   // -log(false_alarm).
   double log_evidence = 0.0;
+  // What most of it is about.
+  StopCause cause = StopCause::kFailures;
 };
 
 // Compares a new version with the old one of its pool over the same time, from
--- a/include/rollout/version_stats.h
+++ b/include/rollout/version_stats.h
@@ -26,9 +26,12 @@
 // The bucket that counts `latency`, below kLatencyBuckets.
 size_t LatencyBucket(Duration latency);
 
+// The tokens of a stream that its pace is compared over.
+inline constexpr Tokens kComparedTokens{64};
+
 // The time of a reply that is compared between versions. Output lengths differ
-// a hundredfold, so a stream counts its first token and a fixed number of
-// tokens at its own pace; other replies count whole, with `tokens` zero.
+// a hundredfold, so a stream counts its first token and kComparedTokens at its
+// own pace; other replies count whole, with `tokens` zero.
 Duration ComparableLatency(Duration first_token, Duration whole, Tokens tokens);
 
 // What a row counts. The order is that of the wire.
--- a/include/telemetry/event_catalog.h
+++ b/include/telemetry/event_catalog.h
@@ -69,6 +69,7 @@
   kMoveOrdered = 8011,
   kMoveDecided = 8012,
   kMoveWriteFailed = 8013,
+  kMoveStaged = 8014,
 };
 
 enum class Severity : uint8_t { kDebug, kInfo, kWarning, kError };
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -189,7 +189,7 @@
   hooks.apply_moves = [this](FleetConfig config) {
     return moves_.Apply(std::move(config));
   };
-  hooks.answered = [this](const UpstreamRecord& upstream, const RouteId& route,
+  hooks.measured = [this](const UpstreamRecord& upstream, const RouteId& route,
                           bool failed, Duration latency) {
     if (moves_.IsCounting(upstream.service)) {
       moves_.OnAnswer(upstream.service, upstream.version, route, upstream.id,
--- a/src/gateway/relayed_request.cc
+++ b/src/gateway/relayed_request.cc
@@ -155,6 +155,7 @@
   upstream_ = upstream->id;
   answer_kind_ = AnswerKind::kNone;
   first_event_ = TimePoint();
+  is_measured_ = false;
   events_.Restart();
   UpstreamConnection::Call call;
   call.bytes = FormatRequest(*upstream);
@@ -272,8 +273,11 @@
     StartAnswer();
   }
   input_.caller->WriteBody(events);
-  context_->tokens(input_.id,
-                   Tokens(events_.events() * input_.tokens_per_event.value()));
+  context_->tokens(input_.id, TokensOut());
+  // A long stream is not waited for.
+  if (TokensOut() >= kComparedTokens) {
+    Measure();
+  }
   LimitBacklog();
 }
 
@@ -319,11 +323,10 @@
       break;
   }
   has_ended_ = true;
+  Measure();
   const std::shared_ptr<RelayedRequest> self = shared_from_this();
   context_->finish_attempt(
-      input_.id, {.end = AttemptEnd::kOk,
-                  .output_tokens = Tokens(events_.events() *
-                                          input_.tokens_per_event.value())});
+      input_.id, {.end = AttemptEnd::kOk, .output_tokens = TokensOut()});
   Report(answer_.status, "");
 }
 
@@ -338,7 +341,29 @@
   FinishAttempt(AttemptEnd::kUnknown);
 }
 
+Tokens RelayedRequest::TokensOut() const {
+  return Tokens(events_.events() * input_.tokens_per_event.value());
+}
+
+void RelayedRequest::Measure() {
+  if (!is_measured_) {
+    is_measured_ = true;
+    context_->measured(*this, /*failed=*/false, Latency());
+  }
+}
+
+void RelayedRequest::MeasureGivenUp() {
+  const bool is_at_upstream = connection_ != nullptr && connection_->was_sent();
+  if (is_at_upstream &&
+      context_->now() - dispatched_ > input_.route->latency_objective) {
+    Measure();
+  }
+}
+
 void RelayedRequest::FinishAttempt(AttemptEnd end) {
+  if (end == AttemptEnd::kUnknown) {
+    context_->measured(*this, /*failed=*/true, Latency());
+  }
   const bool can_go_on = !has_started_ || answer_kind_ == AnswerKind::kStream ||
                          input_.route->kind == RequestKind::kStream;
   if (!can_go_on) {
@@ -434,6 +459,7 @@
 }
 
 void RelayedRequest::GiveUp() {
+  MeasureGivenUp();
   DropConnection();
   const std::shared_ptr<RelayedRequest> self = shared_from_this();
   context_->cancel(input_.id);
@@ -445,6 +471,7 @@
     return;
   }
   has_ended_ = true;
+  MeasureGivenUp();
   DropConnection();
   const std::shared_ptr<RelayedRequest> self = shared_from_this();
   context_->cancel(input_.id);
@@ -455,8 +482,7 @@
   const Duration whole = context_->now() - dispatched_;
   const Duration first =
       first_event_ == TimePoint() ? whole : first_event_ - dispatched_;
-  return ComparableLatency(
-      first, whole, Tokens(events_.events() * input_.tokens_per_event.value()));
+  return ComparableLatency(first, whole, TokensOut());
 }
 
 void RelayedRequest::Report(int status, const std::string& reason) {
--- a/src/gateway/relayed_request.h
+++ b/src/gateway/relayed_request.h
@@ -70,6 +70,10 @@
     std::function<void(RequestId, Tokens)> tokens;
     // The request has ended without the scheduler.
     std::function<void(RequestId)> cancel;
+    // How an upstream served an attempt; once an attempt, and again if one that
+    // went well so far fails. `latency` is ComparableLatency.
+    std::function<void(const RelayedRequest&, bool failed, Duration latency)>
+        measured;
     // Last of all.
     std::function<void(const RelayReport&)> done;
   };
@@ -114,8 +118,6 @@
 
   // Where it was sent last; empty if nowhere.
   const UpstreamId& upstream() const { return upstream_; }
-  // The time of the last attempt, as versions of an upstream are compared by.
-  Duration Latency() const;
 
   const Input& input() const { return input_; }
 
@@ -140,6 +142,13 @@
   void StartAnswer();
   void LimitBacklog();
   void FinishAttempt(AttemptEnd end);
+  Tokens TokensOut() const;
+  // Tells how the attempt under way goes, unless that is told.
+  void Measure();
+  // The same of an attempt that is given up: one that has had less time than
+  // requests are to take says nothing of its upstream.
+  void MeasureGivenUp();
+  Duration Latency() const;
   void DropConnection();
   // The time that an attempt may take before another one is tried.
   std::optional<Duration> Patience() const;
@@ -160,6 +169,8 @@
   TimePoint first_dispatched_;
   // Of the attempt under way; the epoch before it.
   TimePoint first_event_;
+  // The attempt under way has told how it goes.
+  bool is_measured_ = false;
   AnswerKind answer_kind_ = AnswerKind::kNone;
   // Of the attempt under way, or the last one that failed.
   HttpResponse answer_;
--- a/src/gateway/request_desk.cc
+++ b/src/gateway/request_desk.cc
@@ -131,7 +131,6 @@
   context.pool = &pool_;
   context.now = &SteadyNow;
   context.finish_attempt = [this](RequestId id, const AttemptResult& result) {
-    NoteAnswer(id, result.end);
     scheduler_.OnFinished(id, result, SteadyNow());
     RunDecisions();
   };
@@ -145,6 +144,14 @@
     scheduler_.OnCancelled(id, SteadyNow());
     RunDecisions();
   };
+  context.measured = [this](const RelayedRequest& relay, bool failed,
+                            Duration latency) {
+    const auto upstream = upstreams_.find(relay.upstream());
+    if (upstream != upstreams_.end()) {
+      hooks_.measured(upstream->second, relay.input().route->id, failed,
+                      latency);
+    }
+  };
   context.done = [this](const RelayReport& report) {
     relays_.erase(report.id);
     if (report.quota_left > 0.0) {
@@ -379,19 +386,6 @@
   pool_.OnTick(now);
 }
 
-void RequestDesk::NoteAnswer(RequestId id, AttemptEnd end) {
-  const auto relay = relays_.find(id);
-  const bool is_answer = end == AttemptEnd::kOk || end == AttemptEnd::kUnknown;
-  if (relay == relays_.end() || !is_answer) {
-    return;
-  }
-  const auto upstream = upstreams_.find(relay->second->upstream());
-  if (upstream != upstreams_.end()) {
-    hooks_.answered(upstream->second, relay->second->input().route->id,
-                    end == AttemptEnd::kUnknown, relay->second->Latency());
-  }
-}
-
 void RequestDesk::RunDecisions() {
   // A decision may lead to others; they are run by the outermost call.
   if (is_deciding_) {
--- a/src/gateway/request_desk.h
+++ b/src/gateway/request_desk.h
@@ -39,12 +39,12 @@
     std::function<void(const RelayReport&)> report;
     // Gives the upstreams' versions their shares.
     std::function<FleetConfig(FleetConfig)> apply_moves;
-    // An attempt has ended that the upstream answered, well or not.
+    // See RelayedRequest::Context.
     std::function<void(const UpstreamRecord&,
                        const RouteId&,
                        bool failed,
                        Duration latency)>
-        answered;
+        measured;
     // A request was turned away before it was taken in, for that reason.
     std::function<void(const std::string& reason)> rejected;
     EventHook event;
@@ -104,7 +104,6 @@
   // False if the account's quota does not allow it, which is then answered.
   bool SpendQuota(const ClientAccount& account, RelayedRequest::Input* input);
   static RequestSpec MakeSpec(const RelayedRequest::Input& input);
-  void NoteAnswer(RequestId id, AttemptEnd end);
   void RunDecisions();
   void Run(const Decision& decision);
   Duration ReturnTime(const RelayedRequest& relay, const Refusal& refusal);
--- a/src/gateway/version_moves.cc
+++ b/src/gateway/version_moves.cc
@@ -1,6 +1,7 @@
 #include "include/gateway/version_moves.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 #include <string>
 #include <utility>
@@ -11,17 +12,11 @@
 
 namespace {
 
-// The share of the requests that tries a version: below a tenth, which a bad
-// one may get over its whole time.
-constexpr Permille kTrialShare{80};
 constexpr Permille kWhole{1000};
-// The parts of an order's time after which enough must have been seen, after
-// which all requests go to the new version, and after which it is told
-// completed. The time between the last two is short: a version that is found
-// bad only then has its share of requests still within bounds, and the new
-// upstreams may be fewer than the old ones.
+
+// The parts of an order's time after which enough must have been seen, and
+// after which it is told completed.
 constexpr double kTrialPart = 0.8;
-constexpr double kFullPart = 0.86;
 constexpr double kEndPart = 0.92;
 // A version that fewer requests have tried is taken back.
 constexpr uint64_t kLeastRequests = 8;
@@ -32,8 +27,26 @@
 // rank, after this.
 constexpr Duration kWriteInterval = std::chrono::milliseconds(400);
 
+// The chance that a good version is taken back: an order leaves a bad one
+// seconds, in which a stricter judge would let many requests have it.
+constexpr double kFalseAlarm = 0.03;
+// Up to so many times the old version's time counts as no slower: the VMs that
+// upstreams run on differ by as much.
+constexpr double kToleratedSlowness = 1.25;
+// All requests go to the new version only if the log of the evidence against it
+// is below this, odds of 4.5: a bad version costs more than another try.
+constexpr double kDoubt = 1.5;
+bool IsOfTarget(const UpstreamSpec& upstream, const MoveOrder& order) {
+  return upstream.pool == order.service && upstream.version == order.target;
+}
+
+bool IsOnTrial(const MoveOrder& order) {
+  return !order.state.has_value() || order.state == MoveState::kRunning;
+}
+
 VersionJudgeOptions JudgeOptions() {
   VersionJudgeOptions options;
+  options.false_alarm = kFalseAlarm;
   options.look_every = kReportInterval;
   options.min_requests = 4;
   options.longest_window = std::chrono::seconds(3);
@@ -93,32 +106,98 @@
   }
 }
 
-void VersionMoves::ShareOut(const Move& move, FleetConfig* config) const {
+void VersionMoves::ChooseLoaded(const FleetConfig& config, Move* move) const {
+  std::set<UpstreamId> stopped;
+  for (const StopFact& fact : stops_.UpstreamsOf(move->note)) {
+    stopped.insert(fact.upstream);
+  }
+  std::set<UpstreamId> fresh;
+  std::set<UpstreamId> loaded;
+  for (const UpstreamSpec& upstream : config.upstreams) {
+    if (!IsOfTarget(upstream, move->order)) {
+      continue;
+    }
+    if (move->loaded.contains(upstream.id)) {
+      loaded.insert(upstream.id);
+    } else if (!stopped.contains(upstream.id)) {
+      fresh.insert(upstream.id);
+    }
+  }
+  // Ones that were found bad keep their place: the next ones show no more.
+  while (!fresh.empty() &&
+         static_cast<int>(loaded.size()) < move->plan.loaded_upstreams) {
+    loaded.insert(fresh.extract(fresh.begin()));
+  }
+  move->loaded = loaded;
+}
+
+Permille VersionMoves::ShareOf(const Move& move) {
+  if (!IsOnTrial(move.order)) {
+    return move.order.state == MoveState::kCompleted ? kWhole : Permille();
+  }
+  return move.plan.ShareIn(move.stage);
+}
+
+void VersionMoves::ShareOut(Move* move, FleetConfig* config) const {
   std::map<VersionId, int> versions;
   for (const UpstreamSpec& upstream : config->upstreams) {
-    if (upstream.pool == move.order.service) {
+    if (upstream.pool == move->order.service) {
       ++versions[upstream.version];
     }
   }
-  const bool has_target = versions.contains(move.order.target);
+  const auto target = versions.find(move->order.target);
+  const bool has_target = target != versions.end();
   const int others = static_cast<int>(versions.size()) - (has_target ? 1 : 0);
   Permille share;
-  if (has_target && (others == 0 || move.is_full ||
-                     move.order.state == MoveState::kCompleted)) {
-    share = kWhole;
-  } else if (has_target && move.order.state != MoveState::kTakenBack) {
-    share = kTrialShare;
-  }
-  const bool is_judged =
-      !move.order.state.has_value() || move.order.state == MoveState::kRunning;
+  if (has_target) {
+    int old_upstreams = 0;
+    for (const auto& [version, count] : versions) {
+      old_upstreams += version == target->first ? 0 : count;
+    }
+    move->plan = MakeTrialPlan(target->second, old_upstreams);
+    share = others == 0 ? kWhole : ShareOf(*move);
+  }
+  const bool is_on_trial = IsOnTrial(move->order);
+  if (is_on_trial && move->stage == TrialStage::kLoaded) {
+    ChooseLoaded(*config, move);
+  }
+  const Permille rest((kWhole - share).value() / std::max(others, 1));
   for (const auto& [version, count] : versions) {
-    const bool is_target = version == move.order.target;
-    const Permille rest((kWhole - share).value() / std::max(others, 1));
+    const bool is_target = version == move->order.target;
     config->shares.push_back(
-        {.pool = move.order.service,
+        {.pool = move->order.service,
          .version = version,
          .share = is_target ? share : rest,
-         .note = is_target && is_judged ? move.note : NoteId()});
+         .note = is_target && is_on_trial ? move->note : NoteId()});
+  }
+}
+
+void VersionMoves::Blend(const Move& move, FleetConfig* config) {
+  std::map<VersionId, int> others;
+  for (const UpstreamSpec& upstream : config->upstreams) {
+    if (upstream.pool == move.order.service &&
+        upstream.version != move.order.target) {
+      ++others[upstream.version];
+    }
+  }
+  if (others.empty()) {
+    return;
+  }
+  const VersionId main = std::max_element(others.begin(), others.end(),
+                                          [](const auto& a, const auto& b) {
+                                            return a.second < b.second;
+                                          })
+                             ->first;
+  for (UpstreamSpec& upstream : config->upstreams) {
+    if (IsOfTarget(upstream, move.order) && move.loaded.contains(upstream.id)) {
+      upstream.version = main;
+    }
+  }
+  for (VersionShare& share : config->shares) {
+    if (share.pool == move.order.service &&
+        share.version == move.order.target) {
+      share.share = Permille();
+    }
   }
 }
 
@@ -128,12 +207,18 @@
       upstream.version = VersionId();
     }
   }
-  for (const auto& [service, move] : moves_) {
-    ShareOut(move, &config);
+  for (auto& [service, move] : moves_) {
+    ShareOut(&move, &config);
   }
   stats_.OnConfig(config);
   judge_.OnConfig(config);
-  return stops_.Apply(config);
+  FleetConfig routed = stops_.Apply(config);
+  for (const auto& [service, move] : moves_) {
+    if (IsOnTrial(move.order) && move.stage == TrialStage::kLoaded) {
+      Blend(move, &routed);
+    }
+  }
+  return routed;
 }
 
 void VersionMoves::OnAnswer(const PoolId& service,
@@ -142,7 +227,13 @@
                             const UpstreamId& upstream,
                             bool failed,
                             Duration latency) {
-  stats_.OnReply(service, version, route, upstream, failed, latency);
+  const auto move = moves_.find(service);
+  const bool is_target =
+      move != moves_.end() && version == move->second.order.target;
+  stats_.OnReply(
+      service, version, route, upstream, failed,
+      is_target ? SecondsToDuration(ToSeconds(latency) / kToleratedSlowness)
+                : latency);
 }
 
 void VersionMoves::OnStop(const StopFact& fact) {
@@ -154,16 +245,51 @@
                  {"version", fact.version.value()},
                  {"upstream", fact.upstream.value()},
                  {"cause", StopCauseName(fact.cause)}}});
+  const auto move = moves_.find(fact.pool);
+  if (move != moves_.end() && move->second.stage == TrialStage::kLoaded &&
+      move->second.loaded == std::set<UpstreamId>{fact.upstream}) {
+    // It was to show how the others do under load.
+    StopFact whole = fact;
+    whole.upstream = UpstreamId();
+    OnStop(whole);
+    return;
+  }
   hooks_.changed();
 }
 
-uint64_t VersionMoves::RequestsSeen(const Move& move) const {
+VersionEvidence VersionMoves::EvidenceOn(const Move& move) const {
   for (const VersionEvidence& evidence : judge_.Evidence()) {
     if (evidence.note == move.note) {
-      return evidence.requests;
+      return evidence;
     }
   }
-  return 0;
+  return VersionEvidence();
+}
+
+void VersionMoves::StopIfSuspect(const Move& move, double bound) {
+  const VersionEvidence evidence = EvidenceOn(move);
+  if (evidence.log_evidence >= bound) {
+    OnStop({.note = move.note,
+            .pool = move.order.service,
+            .version = move.order.target,
+            .upstream = {},
+            .cause = evidence.cause,
+            .route = {}});
+  }
+}
+
+void VersionMoves::EnterStage(Move* move, TrialStage stage) {
+  move->stage = stage;
+  const VersionEvidence evidence = EvidenceOn(*move);
+  hooks_.event({EventId::kMoveStaged,
+                {{"service", move->order.service.value()},
+                 {"target", move->order.target.value()},
+                 {"stage", TrialStageName(stage)},
+                 {"requests", absl::StrCat(evidence.requests)},
+                 {"evidence", absl::StrCat(evidence.log_evidence)}}});
+  if (stage == TrialStage::kFull) {
+    StopIfSuspect(*move, kDoubt);
+  }
 }
 
 int VersionMoves::RankOf(const Move& move) const {
@@ -180,12 +306,14 @@
     return;
   }
   move->next_write = now + kWriteInterval;
+  const VersionEvidence evidence = EvidenceOn(*move);
   hooks_.event({EventId::kMoveDecided,
                 {{"service", move->order.service.value()},
                  {"target", move->order.target.value()},
                  {"state", MoveStateName(state)},
                  {"reason", reason},
-                 {"requests", absl::StrCat(RequestsSeen(*move))}}});
+                 {"requests", absl::StrCat(evidence.requests)},
+                 {"evidence", absl::StrCat(evidence.log_evidence)}}});
   hooks_.write_state(move->order, state);
 }
 
@@ -204,7 +332,8 @@
   const double part = ToSeconds(elapsed) / ToSeconds(move->order.time);
   if (part >= kEndPart) {
     Write(move, MoveState::kCompleted, "as good as the old version", now);
-  } else if (part >= kTrialPart && RequestsSeen(*move) < kLeastRequests) {
+  } else if (part >= kTrialPart &&
+             EvidenceOn(*move).requests < kLeastRequests) {
     Write(move, MoveState::kTakenBack, "too few requests tried it", now);
   } else if (!move->order.state.has_value() && elapsed >= Duration()) {
     Write(move, MoveState::kRunning, "ordered", now);
@@ -235,10 +364,14 @@
     }
     const double part =
         ToSeconds(now - move.began) / ToSeconds(move.order.time);
-    if (!move.is_full && part >= kFullPart) {
-      move.is_full = true;
+    const TrialStage stage = std::max(move.stage, move.plan.StageAt(part));
+    if (stage != move.stage) {
+      EnterStage(&move, stage);
       has_changed = true;
     }
+    if (move.stage == TrialStage::kLoaded && move.loaded.size() == 1) {
+      StopIfSuspect(move, -std::log(kFalseAlarm));
+    }
     Decide(&move, now);
   }
   if (has_changed) {
--- a/src/rollout/pool_judge.cc
+++ b/src/rollout/pool_judge.cc
@@ -316,6 +316,7 @@
     return;
   }
   log_evidence_ = all->second.Log();
+  cause_ = MakeFact(all->second, UpstreamId()).cause;
   const double version_bound = -std::log(options_.false_alarm * kVersionAlarms);
   const double replica_bound =
       -std::log(options_.false_alarm * (1.0 - kVersionAlarms) /
@@ -342,6 +343,7 @@
   evidence.version = version_;
   evidence.requests = requests_;
   evidence.log_evidence = log_evidence_;
+  evidence.cause = cause_;
   return evidence;
 }
 
--- a/src/rollout/pool_judge.h
+++ b/src/rollout/pool_judge.h
@@ -127,6 +127,7 @@
   uint64_t requests_ = 0;
   // Of all replicas together, at the last look that had more to compare.
   double log_evidence_ = 0.0;
+  StopCause cause_ = StopCause::kFailures;
 };
 
 }  // namespace papaya
--- a/src/rollout/version_stats.cc
+++ b/src/rollout/version_stats.cc
@@ -15,7 +15,6 @@
 namespace {
 
 // A stream counts its first token and so many tokens at its own pace.
-constexpr double kComparedTokens = 64.0;
 constexpr uint64_t kJudgeSalt = 0;
 constexpr uint64_t kCounterSalt = 1;
 // A report's root, message table, identifier, numbers, and the empty name.
@@ -95,7 +94,8 @@
   }
   const double pace =
       ToSeconds(whole - first_token) / static_cast<double>(tokens.value() - 1);
-  return first_token + SecondsToDuration(pace * kComparedTokens);
+  return first_token +
+         SecondsToDuration(pace * static_cast<double>(kComparedTokens.value()));
 }
 
 size_t EstimateReportBytes(const StatsReport& report) {
--- a/src/telemetry/event_catalog.cc
+++ b/src/telemetry/event_catalog.cc
@@ -144,6 +144,9 @@
       {EventId::kMoveWriteFailed, Severity::kWarning, "move_write_failed",
        "The state of a move could not be written; it is tried again, here or "
        "by another router."},
+      {EventId::kMoveStaged, Severity::kInfo, "move_staged",
+       "A move enters its next stage, with the requests seen so far and the "
+       "log of the evidence against the new version."},
   };
   return catalog;
 }
