Gather store changes into fewer watches; wait longer for orders

Change: after changes, the next watch waits 200 ms; the watch for orders waits 5 s, as its orders have many seconds. Configuration and upstreams keep 2 s, which bounds how long a silent connection goes unnoticed.

--- a/include/gateway/object_watcher.h
+++ b/include/gateway/object_watcher.h
@@ -22,6 +22,10 @@
     // The longest wait of one watch. A connection that has gone silent is
     // noticed after this and the feed's own time limit.
     Duration wait = std::chrono::seconds(2);
+    // After changes, the next watch waits so long, so that what changes
+    // together comes in one answer: each call has its price, and all routers
+    // make them.
+    Duration gather = std::chrono::milliseconds(200);
     // Pauses before a failed call is repeated.
     Duration first_pause = std::chrono::milliseconds(50);
     Duration longest_pause = std::chrono::milliseconds(400);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -36,6 +36,9 @@
 // Requests are given up on this long before the platform ends the process.
 constexpr Duration kGraceMargin = std::chrono::milliseconds(400);
 
+// The longest wait of a watch for orders, each of which has many seconds.
+constexpr Duration kMoveWait = std::chrono::seconds(5);
+
 // Log lines a second at most for requests that were served, and for others, so
 // that a burst does not cost its own log's time besides.
 constexpr int kServedLines = 20;
@@ -145,7 +148,7 @@
                         MakeUpstreamHooks()),
       moves_(settings_.router, incarnation_, MakeMoveHooks()),
       move_watcher_(feed_.get(),
-                    {.kind = binding_.move_kind},
+                    {.kind = binding_.move_kind, .wait = kMoveWait},
                     MakeWatcherHooks(&Impl::OnMove)),
       callers_(context,
                std::max(kLeastCallers,
--- a/src/gateway/object_watcher.cc
+++ b/src/gateway/object_watcher.cc
@@ -86,6 +86,9 @@
     hooks_.changed(object);
   }
   version_ = std::max(version_, batch->store_version);
+  if (!batch->objects.empty()) {
+    next_call_ = now + options_.gather;
+  }
 }
 
 void ObjectWatcher::OnFailure(const absl::Status& status, TimePoint now) {
--- a/tests/object_watcher_test.cc
+++ b/tests/object_watcher_test.cc
@@ -117,6 +117,9 @@
   CHECK(watch.version == ObjectVersion(7));
   watch.done(Fixture::Batch({"d"}, 11));
   CHECK(f.changed == std::vector<std::string>{"d"});
+  // What changes soon after comes with the same answer.
+  CHECK(f.feed.calls.empty());
+  f.Wait(milliseconds(200));
   CHECK(f.feed.Take().version == ObjectVersion(11));
 }
 
