papayactl explain: join what all routers logged of one request

Cause: a failed request had one line a router, without what the decision went by, and finding the rest took a search over all logs by hand. Lines of requests that were not served say how many waited for the service, how many upstreams took requests, and how old the store's last answer was.

--- a/include/ctl/ctl_app.h
+++ b/include/ctl/ctl_app.h
@@ -87,8 +87,9 @@
   struct Command {
     // The words that choose it.
     Words name;
-    // How many words follow.
+    // How many words follow; or more, with `takes_more`.
     size_t arguments;
+    bool takes_more;
     CtlExit (CtlApp::*run)(const Words& arguments);
   };
 
@@ -97,6 +98,8 @@
   CtlExit Status(const Words& arguments);
   CtlExit Upstreams(const Words& arguments);
   CtlExit Routers(const Words& arguments);
+  CtlExit Explain(const Words& arguments);
+  CtlExit Completion(const Words& arguments);
   CtlExit NoteCheck(const Words& arguments);
   CtlExit NoteSubmit(const Words& arguments);
   CtlExit NoteRevise(const Words& arguments);
--- a/include/gateway/object_watcher.h
+++ b/include/gateway/object_watcher.h
@@ -54,6 +54,10 @@
   // True once the whole kind was listed.
   bool IsListed() const { return is_listed_; }
 
+  // The time since the store last answered; longer than a watch's wait only
+  // while calls fail.
+  Duration AgeAt(TimePoint now) const { return now - answered_; }
+
   // True while calls fail.
   bool IsOut() const { return is_out_; }
 
@@ -79,6 +83,7 @@
   TimePoint call_began_;
   TimePoint next_call_;
   TimePoint out_since_;
+  TimePoint answered_;
   Duration pause_{};
   ObjectVersion version_;
   // The pages of a list that has begun.
--- a/src/ctl/ctl_app.cc
+++ b/src/ctl/ctl_app.cc
@@ -1,9 +1,14 @@
 #include "include/ctl/ctl_app.h"
 
 #include <algorithm>
+#include <boost/json/serialize.hpp>
+#include <map>
 #include <ostream>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+#include "include/ctl/request_story.h"
 #include "src/ctl/json_text.h"
 
 namespace papaya {
@@ -41,6 +46,9 @@
          "  status                  what is in force, and who lacks it\n"
          "  upstreams               the upstreams as this router sees them\n"
          "  routers                 the routers as this router sees them\n"
+         "  explain REQUEST LOG...  what these logs of routers say about a "
+         "request\n"
+         "  completion              completion of commands for bash\n"
          "Exit codes: 0 good, 1 failed, 2 usage, 3 the note has faults,\n"
          "4 another operator was first, 5 the note was taken back,\n"
          "6 no router answered, 7 not found, 8 wrong token, 9 out of time.";
@@ -48,16 +56,18 @@
 
 const std::vector<CtlApp::Command>& CtlApp::Commands() {
   static const std::vector<Command>& commands = *new std::vector<Command>{
-      {{"note", "check"}, 1, &CtlApp::NoteCheck},
-      {{"note", "submit"}, 2, &CtlApp::NoteSubmit},
-      {{"note", "revise"}, 2, &CtlApp::NoteRevise},
-      {{"note", "withdraw"}, 1, &CtlApp::NoteWithdraw},
-      {{"note", "show"}, 1, &CtlApp::NoteShow},
-      {{"note", "list"}, 0, &CtlApp::NoteList},
-      {{"note", "watch"}, 1, &CtlApp::NoteWatch},
-      {{"status"}, 0, &CtlApp::Status},
-      {{"upstreams"}, 0, &CtlApp::Upstreams},
-      {{"routers"}, 0, &CtlApp::Routers},
+      {{"note", "check"}, 1, false, &CtlApp::NoteCheck},
+      {{"note", "submit"}, 2, false, &CtlApp::NoteSubmit},
+      {{"note", "revise"}, 2, false, &CtlApp::NoteRevise},
+      {{"note", "withdraw"}, 1, false, &CtlApp::NoteWithdraw},
+      {{"note", "show"}, 1, false, &CtlApp::NoteShow},
+      {{"note", "list"}, 0, false, &CtlApp::NoteList},
+      {{"note", "watch"}, 1, false, &CtlApp::NoteWatch},
+      {{"status"}, 0, false, &CtlApp::Status},
+      {{"upstreams"}, 0, false, &CtlApp::Upstreams},
+      {{"routers"}, 0, false, &CtlApp::Routers},
+      {{"explain"}, 2, true, &CtlApp::Explain},
+      {{"completion"}, 0, false, &CtlApp::Completion},
   };
   return commands;
 }
@@ -65,7 +75,9 @@
 CtlExit CtlApp::Run(const Words& words) {
   for (const Command& command : Commands()) {
     const size_t named = command.name.size();
-    if (words.size() == named + command.arguments &&
+    const size_t needed = named + command.arguments;
+    if ((words.size() == needed ||
+         (command.takes_more && words.size() > needed)) &&
         std::equal(command.name.begin(), command.name.end(), words.begin())) {
       return (this->*command.run)(Words(words.begin() + named, words.end()));
     }
@@ -165,4 +177,62 @@
   return ShowTable("/v1/routers", "routers");
 }
 
+CtlExit CtlApp::Explain(const Words& arguments) {
+  RequestStory story(arguments[0]);
+  for (size_t i = 1; i < arguments.size(); ++i) {
+    const absl::StatusOr<std::string> log = hooks_.read_file(arguments[i]);
+    if (!log.ok()) {
+      err_ << "papayactl: " << log.status().message() << "\n";
+      return CtlExit::kUsage;
+    }
+    for (const absl::string_view line : absl::StrSplit(*log, '\n')) {
+      story.AddLine(arguments[i], std::string(line));
+    }
+  }
+  if (!story.IsFound()) {
+    err_ << "papayactl: no line of these logs is about " << arguments[0]
+         << "; each router logs a bounded number of requests a second "
+            "(events_left_out)\n";
+    return CtlExit::kNotFound;
+  }
+  if (options_.json) {
+    out_ << json::serialize(story.ToJson()) << "\n";
+  } else {
+    out_ << story.ToText();
+  }
+  return CtlExit::kOk;
+}
+
+CtlExit CtlApp::Completion(const Words& /*arguments*/) {
+  // The second words by the first ones.
+  std::map<std::string, std::string> second;
+  for (const Command& command : Commands()) {
+    std::string& words = second[command.name.front()];
+    if (command.name.size() > 1) {
+      absl::StrAppend(&words, words.empty() ? "" : " ", command.name[1]);
+    }
+  }
+  std::string first;
+  std::string cases;
+  for (const auto& [name, words] : second) {
+    absl::StrAppend(&first, first.empty() ? "" : " ", name);
+    if (!words.empty()) {
+      absl::StrAppend(&cases, "    ", name, ") words=\"", words, "\" ;;\n");
+    }
+  }
+  out_ << "_papayactl() {\n"
+          "  local words=\""
+       << first
+       << "\"\n"
+          "  case ${COMP_WORDS[COMP_CWORD-1]} in\n"
+       << cases
+       << "    explain) return ;;\n"
+          "  esac\n"
+          "  COMPREPLY=($(compgen -W \"$words\" -- "
+          "\"${COMP_WORDS[COMP_CWORD]}\"))\n"
+          "}\n"
+          "complete -o default -F _papayactl papayactl\n";
+  return CtlExit::kOk;
+}
+
 }  // namespace papaya
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -336,6 +336,10 @@
   const bool is_good = report.reason.empty();
   Event event{.id =
                   is_good ? EventId::kRequestServed : EventId::kRequestFailed};
+  const TimePoint now = SteadyNow();
+  if (!budget_.Take(event.id, now)) {
+    return;
+  }
   event.fields = {
       {"request", report.attempt_id},
       {"route", report.route.value()},
@@ -349,7 +353,16 @@
       {"took_ms", absl::StrCat(report.took / std::chrono::milliseconds(1))},
       {"events", absl::StrCat(report.events)},
       {"manifest", absl::StrCat(report.manifest.value())}};
-  LogRequest(event);
+  if (!is_good) {
+    const ServiceLoad load = desk_.LoadOf(report.service);
+    event.fields.push_back({"service", report.service.value()});
+    event.fields.push_back({"queued", absl::StrCat(load.queued)});
+    event.fields.push_back({"upstreams", absl::StrCat(load.upstreams)});
+    event.fields.push_back(
+        {"store_age_ms", absl::StrCat(upstream_watcher_.AgeAt(now) /
+                                      std::chrono::milliseconds(1))});
+  }
+  logger_->Log(event);
 }
 
 void Gateway::Impl::LogRequest(const Event& event) {
--- a/src/gateway/object_watcher.cc
+++ b/src/gateway/object_watcher.cc
@@ -106,6 +106,7 @@
 void ObjectWatcher::OnSuccess(TimePoint now) {
   pause_ = Duration();
   next_call_ = now;
+  answered_ = now;
   if (!is_out_) {
     return;
   }
--- a/src/gateway/relayed_request.h
+++ b/src/gateway/relayed_request.h
@@ -119,6 +119,9 @@
   // Where it was sent last; empty if nowhere.
   const UpstreamId& upstream() const { return upstream_; }
 
+  // False while it waits to be sent.
+  bool IsAtUpstream() const { return connection_ != nullptr; }
+
   const Input& input() const { return input_; }
 
  private:
--- a/src/gateway/request_desk.cc
+++ b/src/gateway/request_desk.cc
@@ -162,6 +162,19 @@
   return context;
 }
 
+ServiceLoad RequestDesk::LoadOf(const PoolId& service) const {
+  ServiceLoad load;
+  for (const auto& [id, relay] : relays_) {
+    load.queued +=
+        relay->input().service == service && !relay->IsAtUpstream() ? 1 : 0;
+  }
+  for (const auto& [id, upstream] : upstreams_) {
+    load.upstreams +=
+        upstream.service == service && !upstream.is_draining ? 1 : 0;
+  }
+  return load;
+}
+
 void RequestDesk::SetBounds(const GatewayBounds& bounds) {
   settings_.bounds = bounds;
   if (table_ != nullptr) {
--- a/src/gateway/request_desk.h
+++ b/src/gateway/request_desk.h
@@ -27,6 +27,14 @@
 
 class CallerConnection;
 
+// What a router knows of a service when it decides about a request to it.
+struct ServiceLoad {
+  // Requests that wait to be sent.
+  size_t queued = 0;
+  // Upstreams that take requests.
+  size_t upstreams = 0;
+};
+
 // All requests that a router has in hand: takes them in by the manifest, has
 // the scheduler decide when and where each goes, and relays them. One thread.
 class RequestDesk {
@@ -80,6 +88,8 @@
   // Call every 25 ms.
   void OnTick(TimePoint now);
 
+  ServiceLoad LoadOf(const PoolId& service) const;
+
   size_t in_flight() const { return relays_.size(); }
   int64_t upstream_connections() const { return pool_.opened(); }
 
--- a/tests/ctl_app_test.cc
+++ b/tests/ctl_app_test.cc
@@ -88,6 +88,27 @@
   }
 }
 
+TEST_CASE("CtlApp: explain reads all logs that it is given", "[ctl]") {
+  FakeRouter router;
+  router.files = {{"a", ""},
+                  {"b",
+                   "noise\n{\"t\":\"2026-03-01T19:33:20.000Z\",\"request\":"
+                   "\"x\",\"reason\":\"timeout\"}\n"}};
+  CHECK(router.Run({"explain", "x", "a", "b"}) == CtlExit::kOk);
+  CHECK(router.out.str().find("its time was over") != std::string::npos);
+  CHECK(router.Run({"explain", "y", "a", "b"}) == CtlExit::kNotFound);
+  CHECK(router.Run({"explain", "x", "c"}) == CtlExit::kUsage);
+  CHECK(router.Run({"explain", "x"}) == CtlExit::kUsage);
+}
+
+TEST_CASE("CtlApp: completion knows all commands", "[ctl]") {
+  FakeRouter router;
+  CHECK(router.Run({"completion"}) == CtlExit::kOk);
+  const std::string script = router.out.str();
+  CHECK(script.find("note) words=\"check submit revise") != std::string::npos);
+  CHECK(script.find("explain") != std::string::npos);
+}
+
 TEST_CASE("CtlApp: goes to the next router, with the token", "[ctl]") {
   FakeRouter router;
   router.dead = {"r1"};
