Ask the store again at once after a watch was cut

Change: the first watch after a failure waits 50 ms. Result: the case that a cut is no outage failed with the wait checked, and passes.

--- a/include/gateway/object_watcher.h
+++ b/include/gateway/object_watcher.h
@@ -22,6 +22,9 @@
     // The longest wait of one watch. A connection that has gone silent is
     // noticed after this and the feed's own time limit.
     Duration wait = std::chrono::seconds(2);
+    // The wait of the first watch after a failure, which tells whether the
+    // store is back: a long one would count as outage until it ends.
+    Duration probe_wait = std::chrono::milliseconds(50);
     // After changes, the next watch waits so long, so that what changes
     // together comes in one answer: each call has its price, and all routers
     // make them.
--- a/src/gateway/object_watcher.cc
+++ b/src/gateway/object_watcher.cc
@@ -45,7 +45,8 @@
 }
 
 void ObjectWatcher::Watch() {
-  feed_->Watch(options_.kind, version_, options_.wait,
+  feed_->Watch(options_.kind, version_,
+               is_out_ ? options_.probe_wait : options_.wait,
                Wrap(&ObjectWatcher::OnWatch));
 }
 
--- a/tests/object_watcher_test.cc
+++ b/tests/object_watcher_test.cc
@@ -24,6 +24,7 @@
     bool is_list = false;
     std::string after;
     ObjectVersion version;
+    Duration wait{};
     BatchCallback done;
   };
 
@@ -33,15 +34,17 @@
     calls.push_back({.is_list = true,
                      .after = after,
                      .version = {},
+                     .wait = {},
                      .done = std::move(done)});
   }
   void Watch(const std::string&,
              ObjectVersion version,
-             Duration,
+             Duration wait,
              BatchCallback done) override {
     calls.push_back({.is_list = false,
                      .after = {},
                      .version = version,
+                     .wait = wait,
                      .done = std::move(done)});
   }
   void Create(const std::string&, const FeedObject&, WriteCallback) override {}
@@ -137,8 +140,12 @@
   f.feed.Take().done(Failure(absl::StatusCode::kUnavailable));
   CHECK(f.feed.calls.empty());
   f.Wait(milliseconds(60));
-  f.feed.Take().done(Fixture::Batch({}, 7));
+  // Not to be told from an outage if it took the usual wait.
+  const FakeFeed::Call probe = f.feed.Take();
+  CHECK(probe.wait < milliseconds(100));
+  probe.done(Fixture::Batch({}, 7));
   CHECK(f.regained == 0);
+  CHECK(f.feed.Take().wait > std::chrono::seconds(1));
 }
 
 TEST_CASE("ObjectWatcher: tells the end of an outage, and pauses during it",
