--- a/include/ctl/ctl_app.h
+++ b/include/ctl/ctl_app.h
@@ -62,6 +62,10 @@
                                              const HttpRequest& request)>
       fetch;
   std::function<absl::StatusOr<std::string>(const std::string& path)> read_file;
+  // Gives each line of a file of any length.
+  std::function<absl::Status(const std::string& path,
+                             const std::function<void(const std::string&)>&)>
+      read_lines;
   std::function<void(Duration)> sleep;
   // Names a write; another one for each call.
   std::function<std::string()> make_operation;
--- a/src/ctl/ctl_app.cc
+++ b/src/ctl/ctl_app.cc
@@ -7,7 +7,6 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
-#include "absl/strings/str_split.h"
 #include "include/ctl/request_story.h"
 #include "src/ctl/json_text.h"
 
@@ -180,14 +179,13 @@
 CtlExit CtlApp::Explain(const Words& arguments) {
   RequestStory story(arguments[0]);
   for (size_t i = 1; i < arguments.size(); ++i) {
-    const absl::StatusOr<std::string> log = hooks_.read_file(arguments[i]);
-    if (!log.ok()) {
-      err_ << "papayactl: " << log.status().message() << "\n";
+    const absl::Status status = hooks_.read_lines(
+        arguments[i],
+        [&](const std::string& line) { story.AddLine(arguments[i], line); });
+    if (!status.ok()) {
+      err_ << "papayactl: " << status.message() << "\n";
       return CtlExit::kUsage;
     }
-    for (const absl::string_view line : absl::StrSplit(*log, '\n')) {
-      story.AddLine(arguments[i], std::string(line));
-    }
   }
   if (!story.IsFound()) {
     err_ << "papayactl: no line of these logs is about " << arguments[0]
--- a/src/papayactl_main.cc
+++ b/src/papayactl_main.cc
@@ -6,6 +6,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
 #include <chrono>
+#include <fstream>
+#include <functional>
 #include <iostream>
 #include <optional>
 #include <random>
@@ -13,6 +15,7 @@
 
 #include "absl/strings/ascii.h"
 #include "absl/strings/str_cat.h"
+#include "include/base/error.h"
 #include "include/base/text_file.h"
 #include "include/ctl/ctl_app.h"
 #include "include/settings/value_parsers.h"
@@ -54,6 +57,21 @@
   return *std::move(result);
 }
 
+absl::Status ReadLines(const std::string& path,
+                       const std::function<void(const std::string&)>& take) {
+  std::ifstream file(path);
+  std::string line;
+  while (std::getline(file, line)) {
+    take(line);
+  }
+  // A file that can't be opened has failed, one that was read whole has not.
+  if (file.bad() || !file.eof()) {
+    return MakeError(absl::StatusCode::kNotFound,
+                     {.step = "file.read", .peer = path}, "can't be read");
+  }
+  return absl::OkStatus();
+}
+
 std::string MakeOperation() {
   std::random_device device;
   const uint64_t high = device();
@@ -98,6 +116,7 @@
   const CtlHooks hooks = {
       .fetch = Fetch,
       .read_file = ReadTextFile,
+      .read_lines = ReadLines,
       .sleep = [](Duration time) { std::this_thread::sleep_for(time); },
       .make_operation = MakeOperation};
   return CtlApp(*options, hooks, &std::cout, &std::cerr).Run(words);
--- a/tests/ctl_app_test.cc
+++ b/tests/ctl_app_test.cc
@@ -49,6 +49,20 @@
           }
           return file->second;
         },
+        .read_lines = [this](
+                          const std::string& path,
+                          const std::function<void(const std::string&)>& take)
+            -> absl::Status {
+          const auto file = files.find(path);
+          if (file == files.end()) {
+            return absl::NotFoundError("no file " + path);
+          }
+          std::istringstream text(file->second);
+          for (std::string line; std::getline(text, line);) {
+            take(line);
+          }
+          return absl::OkStatus();
+        },
         .sleep = [this](Duration) { ++sleeps; },
         .make_operation = [] { return std::string("op-1"); }};
   }
