--- a/include/wire/http_client.h
+++ b/include/wire/http_client.h
@@ -69,13 +69,25 @@
   std::map<std::string, std::vector<std::unique_ptr<HttpClient>>> idle_;
 };
 
+// What an answer may take at most, unless the caller allows more.
+inline constexpr Bytes kMaxAnswerBytes{8 * 1024 * 1024};
+
 // Sends `request` to `address` on a connection of its own and reads the whole
 // answer, at most `max_bytes` of it.
 boost::asio::awaitable<absl::StatusOr<HttpResponse>> FetchHttp(
     std::string address,
     HttpRequest request,
     TimePoint deadline,
-    Bytes max_bytes = Bytes{8 * 1024 * 1024});
+    Bytes max_bytes = kMaxAnswerBytes);
+
+// The same on a connection of `pool`, which must outlive the call and has it
+// back after a whole answer.
+boost::asio::awaitable<absl::StatusOr<HttpResponse>> FetchHttp(
+    HttpClientPool* pool,
+    std::string address,
+    HttpRequest request,
+    TimePoint deadline,
+    Bytes max_bytes = kMaxAnswerBytes);
 
 }  // namespace papaya
 
--- a/src/wire/http_client.cc
+++ b/src/wire/http_client.cc
@@ -191,24 +191,23 @@
   }
 }
 
-asio::awaitable<absl::StatusOr<HttpResponse>> FetchHttp(std::string address,
-                                                        HttpRequest request,
-                                                        TimePoint deadline,
-                                                        Bytes max_bytes) {
-  absl::StatusOr<std::unique_ptr<HttpClient>> client =
-      co_await HttpClient::Connect(address, deadline);
-  if (!client.ok()) {
-    co_return client.status();
-  }
-  const absl::Status sent = co_await (*client)->Send(request, deadline);
+namespace {
+
+// Sends `request` over `client` and reads the whole answer.
+asio::awaitable<absl::StatusOr<HttpResponse>> Exchange(
+    HttpClient* client,
+    const std::string& address,
+    const HttpRequest& request,
+    TimePoint deadline,
+    Bytes max_bytes) {
+  const absl::Status sent = co_await client->Send(request, deadline);
   if (!sent.ok()) {
     co_return sent;
   }
-  absl::StatusOr<HttpResponse> response =
-      co_await (*client)->ReadHead(deadline);
+  absl::StatusOr<HttpResponse> response = co_await client->ReadHead(deadline);
   while (response.ok()) {
     const absl::StatusOr<std::string> piece =
-        co_await (*client)->ReadPiece(deadline);
+        co_await client->ReadPiece(deadline);
     if (!piece.ok()) {
       co_return piece.status();
     }
@@ -225,4 +224,41 @@
   co_return response;
 }
 
+}  // namespace
+
+asio::awaitable<absl::StatusOr<HttpResponse>> FetchHttp(std::string address,
+                                                        HttpRequest request,
+                                                        TimePoint deadline,
+                                                        Bytes max_bytes) {
+  const absl::StatusOr<std::unique_ptr<HttpClient>> client =
+      co_await HttpClient::Connect(address, deadline);
+  if (!client.ok()) {
+    co_return client.status();
+  }
+  co_return co_await Exchange(client->get(), address, request, deadline,
+                              max_bytes);
+}
+
+asio::awaitable<absl::StatusOr<HttpResponse>> FetchHttp(HttpClientPool* pool,
+                                                        std::string address,
+                                                        HttpRequest request,
+                                                        TimePoint deadline,
+                                                        Bytes max_bytes) {
+  std::unique_ptr<HttpClient> client = pool->TakeIdle(address);
+  if (client == nullptr) {
+    absl::StatusOr<std::unique_ptr<HttpClient>> connected =
+        co_await HttpClient::Connect(address, deadline);
+    if (!connected.ok()) {
+      co_return connected.status();
+    }
+    client = *std::move(connected);
+  }
+  absl::StatusOr<HttpResponse> response =
+      co_await Exchange(client.get(), address, request, deadline, max_bytes);
+  if (response.ok()) {
+    pool->Give(address, std::move(client));
+  }
+  co_return response;
+}
+
 }  // namespace papaya
--- a/src/wire/http_object_store.cc
+++ b/src/wire/http_object_store.cc
@@ -153,7 +153,9 @@
       std::function<void(absl::StatusOr<T>)> done) {
     // Leaves the caller's stack before anything can be known.
     co_await asio::post(self->executor_, asio::use_awaitable);
-    const absl::StatusOr<HttpResponse> response = co_await self->Exchange(call);
+    const absl::StatusOr<HttpResponse> response =
+        co_await FetchHttp(&self->pool_, self->options_.address, call.request,
+                           SteadyNow() + call.timeout, kMaxListBytes);
     absl::StatusOr<T> result = self->Read<T>(call, response, parse);
     if (absl::IsUnavailable(result.status())) {
       call.meter->CountFailure();
@@ -181,50 +183,6 @@
     return *parsed;
   }
 
-  asio::awaitable<absl::StatusOr<HttpResponse>> Exchange(const Call& call) {
-    const TimePoint deadline = SteadyNow() + call.timeout;
-    std::unique_ptr<HttpClient> client = pool_.TakeIdle(options_.address);
-    if (client == nullptr) {
-      absl::StatusOr<std::unique_ptr<HttpClient>> connected =
-          co_await HttpClient::Connect(options_.address, deadline);
-      if (!connected.ok()) {
-        co_return connected.status();
-      }
-      client = std::move(*connected);
-    }
-    const absl::Status sent = co_await client->Send(call.request, deadline);
-    if (!sent.ok()) {
-      co_return sent;
-    }
-    absl::StatusOr<HttpResponse> response =
-        co_await ReadWhole(*client, deadline);
-    if (response.ok()) {
-      pool_.Give(options_.address, std::move(client));
-    }
-    co_return response;
-  }
-
-  static asio::awaitable<absl::StatusOr<HttpResponse>> ReadWhole(
-      HttpClient& client,
-      TimePoint deadline) {
-    absl::StatusOr<HttpResponse> response = co_await client.ReadHead(deadline);
-    while (response.ok()) {
-      const absl::StatusOr<std::string> piece =
-          co_await client.ReadPiece(deadline);
-      if (!piece.ok()) {
-        co_return piece.status();
-      }
-      if (piece->empty()) {
-        break;
-      }
-      response->body += *piece;
-      if (std::ssize(response->body) > kMaxListBytes.value()) {
-        co_return absl::UnavailableError("the answer is too long");
-      }
-    }
-    co_return response;
-  }
-
   ErrorOrigin OriginOf(const Call& call) const {
     return {.step = call.step, .peer = options_.address};
   }
