Remember which router keeps an account's bucket

Cause: each request hashed the names of all routers up to three times to find the router that keeps its account's bucket, and each account did so on each tick; at 90 routers that is 270 hashes a request. The part of a burst that an unknown bucket holds was worked out in two places. Change: the keeper is found when routers or accounts change. UnknownLevel has the part in one place; Word is called Report.

--- a/include/admission/account_quota.h
+++ b/include/admission/account_quota.h
@@ -93,9 +93,6 @@
   // Call at least every 100 ms.
   void OnTick(TimePoint now);
 
-  // The router that keeps the bucket of `account`.
-  const RouterId& CounterOf(const AccountId& account) const;
-
  private:
   // A bucket, by its level at some time.
   struct Bucket {
@@ -106,7 +103,7 @@
   };
 
   // What a process reported last.
-  struct Word {
+  struct Report {
     Incarnation incarnation;
     double spent = 0.0;
     TimePoint heard;
@@ -114,6 +111,8 @@
 
   struct Account {
     AccountLimit limit;
+    // The router that keeps its bucket.
+    RouterId counter;
     // Spent by this process since its start, and what of it was reported.
     double spent = 0.0;
     double reported = 0.0;
@@ -134,16 +133,22 @@
     TimePoint last_report;
     // Of the counting router.
     std::optional<Bucket> fleet;
-    std::map<RouterId, Word> words;
+    std::map<RouterId, Report> reports;
   };
 
-  bool IsCounter(const Account& account) const;
+  // The router whose hash with the account's name is the largest.
+  const RouterId& FindCounter(const AccountId& account) const;
+  bool IsCounter(const Account& account) const {
+    return account.counter == options_.self;
+  }
   // After a start others may run that are not met yet.
   bool MayLackRouters(TimePoint now) const;
   // Routers that may spend, met or not.
   double FleetSize(TimePoint now) const;
   // The part of the rate that routers may spend that can't be heard.
   double SilentPart(const Account& account, TimePoint now) const;
+  // What a bucket of `burst` holds of which this router knows nothing.
+  double UnknownLevel(double burst) const;
   // What a bucket holds that this router begins to keep.
   double TakenOverLevel(const Account& account) const;
   Bucket& FleetBucket(Account* account, TimePoint now);
--- a/src/admission/account_quota.cc
+++ b/src/admission/account_quota.cc
@@ -13,7 +13,7 @@
 constexpr double kBucketPart = 0.4;
 // A bucket that nobody remembers has this part of its burst: several may be
 // forgotten within one window, and what they held may have been spent.
-constexpr double kUnknownLevel = 0.05;
+constexpr double kUnknownPart = 0.05;
 // An account is near its quota below this part of its bucket, or when this part
 // of it was spent and not reported.
 constexpr double kPressedLevel = 0.6;
@@ -85,9 +85,9 @@
     Account& account = accounts[hash];
     account = std::move(accounts_[hash]);
     account.limit = limit;
+    account.counter = FindCounter(limit.account);
     if (is_new) {
-      const double part = options_.is_first_start ? 1.0 : kUnknownLevel;
-      account.share = {.level = part * limit.burst / FleetSize(now),
+      account.share = {.level = UnknownLevel(limit.burst) / FleetSize(now),
                        .filled = now};
     }
   }
@@ -109,9 +109,12 @@
       routers_.end()) {
     routers_.push_back(options_.self);
   }
+  for (auto& [hash, account] : accounts_) {
+    account.counter = FindCounter(account.limit.account);
+  }
 }
 
-const RouterId& AccountQuotas::CounterOf(const AccountId& account) const {
+const RouterId& AccountQuotas::FindCounter(const AccountId& account) const {
   const uint64_t seed = StableHash(account.value());
   return *std::max_element(routers_.begin(), routers_.end(),
                            [seed](const RouterId& a, const RouterId& b) {
@@ -120,10 +123,6 @@
                            });
 }
 
-bool AccountQuotas::IsCounter(const Account& account) const {
-  return CounterOf(account.limit.account) == options_.self;
-}
-
 bool AccountQuotas::MayLackRouters(TimePoint now) const {
   return !options_.is_first_start && routers_.size() == 1 &&
          now - started_ < kMeetTime;
@@ -136,16 +135,18 @@
 
 double AccountQuotas::SilentPart(const Account& account, TimePoint now) const {
   double silent = 0.0;
-  for (const auto& [router, word] : account.words) {
-    silent += now - word.heard > options_.word_lifetime ? 1.0 : 0.0;
+  for (const auto& [router, report] : account.reports) {
+    silent += now - report.heard > options_.word_lifetime ? 1.0 : 0.0;
   }
   return std::min(1.0, silent / FleetSize(now));
 }
 
+double AccountQuotas::UnknownLevel(double burst) const {
+  return options_.is_first_start ? burst : kUnknownPart * burst;
+}
+
 double AccountQuotas::TakenOverLevel(const Account& account) const {
-  const double burst = account.limit.burst;
-  const double unknown =
-      options_.is_first_start ? burst : kUnknownLevel * burst;
+  const double unknown = UnknownLevel(account.limit.burst);
   // What the router that kept it before said last, less what was spent here.
   return account.left.has_value() ? std::min(*account.left, unknown) : unknown;
 }
@@ -245,14 +246,14 @@
     }
     Account& account = found->second;
     Bucket& bucket = FleetBucket(&account, now);
-    const auto word = account.words.find(from);
+    const auto known = account.reports.find(from);
     // All that a process spent counts, unless it was counted elsewhere before
     // this router kept the bucket.
-    if (word != account.words.end()) {
-      const bool is_same = word->second.incarnation == report.incarnation;
-      bucket.level -= usage.amount - (is_same ? word->second.spent : 0.0);
+    if (known != account.reports.end()) {
+      const bool is_same = known->second.incarnation == report.incarnation;
+      bucket.level -= usage.amount - (is_same ? known->second.spent : 0.0);
     }
-    account.words[from] = {
+    account.reports[from] = {
         .incarnation = report.incarnation, .spent = usage.amount, .heard = now};
     totals.accounts.push_back(
         {.account = usage.account, .amount = bucket.level});
@@ -267,8 +268,7 @@
                              TimePoint now) {
   for (const AccountUsage& usage : totals.accounts) {
     const auto found = accounts_.find(usage.account);
-    if (found == accounts_.end() ||
-        CounterOf(found->second.limit.account) != from) {
+    if (found == accounts_.end() || found->second.counter != from) {
       continue;
     }
     Account& account = found->second;
@@ -294,13 +294,12 @@
   std::map<RouterId, UsageReport> introductions;
   std::map<RouterId, UsageReport> reports;
   for (auto& [hash, account] : accounts_) {
-    std::erase_if(account.words, [this, now](const auto& item) {
+    std::erase_if(account.reports, [this, now](const auto& item) {
       return now - item.second.heard > options_.silence_time;
     });
-    const RouterId& counter = CounterOf(account.limit.account);
-    if (counter == options_.self) {
+    if (IsCounter(account)) {
       account.settled = account.spent;
-      account.introduced_to = counter;
+      account.introduced_to = account.counter;
       continue;
     }
     const Duration interval =
@@ -310,9 +309,9 @@
         now < account.last_report + interval) {
       continue;
     }
-    if (account.introduced_to != counter) {
-      account.introduced_to = counter;
-      UsageReport& introduction = introductions[counter];
+    if (account.introduced_to != account.counter) {
+      account.introduced_to = account.counter;
+      UsageReport& introduction = introductions[account.counter];
       introduction.incarnation = options_.incarnation;
       introduction.accounts.push_back(
           {.account = hash, .amount = account.settled});
@@ -322,7 +321,7 @@
     if (!account.asked.has_value()) {
       account.asked = now;
     }
-    UsageReport& report = reports[counter];
+    UsageReport& report = reports[account.counter];
     report.incarnation = options_.incarnation;
     report.accounts.push_back({.account = hash, .amount = account.spent});
   }
