--- a/src/papaya_gateway_main.cc
+++ b/src/papaya_gateway_main.cc
@@ -13,13 +13,13 @@
 
 #include "include/base/text_file.h"
 #include "include/gateway/gateway.h"
-#include "include/telemetry/event.h"
 #include "include/telemetry/log_output.h"
 #include "include/telemetry/logger.h"
 #include "platform/binding.h"
 #include "platform/settings_reader.h"
 #include "platform/wire_names.h"
 #include "src/program_flags.h"
+#include "src/program_settings.h"
 
 DEFINE_string(settings,
               "",
@@ -32,10 +32,6 @@
 
 namespace {
 
-constexpr int kExitOk = 0;
-constexpr int kExitFailed = 1;
-constexpr int kExitBadSettings = 2;
-
 constexpr char kUsage[] =
     "papaya_gateway [--settings=FILE]\n"
     "Runs one router on the users' platform. SIGTERM shuts it down "
@@ -106,9 +102,7 @@
     if (!settings.ok()) {
       // Told once for each fault: the file may stay so for long.
       if (settings.status() != fault_) {
-        papaya::Event refused{.id = papaya::EventId::kSettingsRefused};
-        refused.fields = {{"faults", std::string(settings.status().message())}};
-        logger_->Log(refused);
+        papaya::LogRefusedSettings(settings.status(), logger_);
       }
       fault_ = settings.status();
       return;
@@ -135,7 +129,7 @@
   const absl::Status started = gateway.Start();
   if (!started.ok()) {
     std::cerr << started.message() << "\n";
-    return kExitFailed;
+    return papaya::kExitFailed;
   }
   const SettingsWatch watch(context, settings.bounds, &gateway, logger);
   boost::asio::signal_set stop(context, SIGTERM, SIGINT);
@@ -143,7 +137,7 @@
     gateway.Drain([&context] { context.stop(); });
   });
   context.run();
-  return kExitOk;
+  return papaya::kExitOk;
 }
 
 }  // namespace
@@ -161,16 +155,10 @@
                                              : papaya::Severity::kInfo);
   const absl::StatusOr<papaya::GatewaySettings> settings =
       LoadSettings(SettingsPath());
-  if (!settings.ok()) {
-    papaya::Event refused{.id = papaya::EventId::kSettingsRefused};
-    refused.fields = {{"faults", std::string(settings.status().message())}};
-    logger.Log(refused);
-    std::cerr << settings.status().message() << "\n";
-    return kExitBadSettings;
-  }
-  if (FLAGS_check_settings) {
-    std::cout << SettingsPath() << ": good\n";
-    return kExitOk;
+  const std::optional<int> settled = papaya::CheckSettings(
+      settings, SettingsPath(), FLAGS_check_settings, &logger);
+  if (settled.has_value()) {
+    return *settled;
   }
   return Run(*settings, &logger);
 }
--- a/src/papayad_main.cc
+++ b/src/papayad_main.cc
@@ -16,6 +16,7 @@
 #include "include/telemetry/log_output.h"
 #include "include/telemetry/logger.h"
 #include "src/program_flags.h"
+#include "src/program_settings.h"
 
 DEFINE_string(settings, "", "The router's settings file (INI).");
 DEFINE_bool(check_settings,
@@ -26,10 +27,6 @@
 
 namespace {
 
-constexpr int kExitOk = 0;
-constexpr int kExitFailed = 1;
-constexpr int kExitBadSettings = 2;
-
 constexpr char kUsage[] =
     "papayad --settings=FILE\n"
     "Runs one router. SIGTERM or SIGINT shuts it down gracefully: it takes no\n"
@@ -42,20 +39,20 @@
       papaya::RouterDaemon::Create(settings, &logger);
   if (!daemon.ok()) {
     std::cerr << daemon.status().message() << "\n";
-    return kExitBadSettings;
+    return papaya::kExitBadSettings;
   }
   boost::asio::io_context signals;
   boost::asio::signal_set stop(signals, SIGTERM, SIGINT);
   const absl::Status started = (*daemon)->Start();
   if (!started.ok()) {
     std::cerr << started.message() << "\n";
-    return kExitFailed;
+    return papaya::kExitFailed;
   }
   stop.async_wait(
       [&daemon](const boost::system::error_code&, int) { (*daemon)->Drain(); });
   signals.run();
   (*daemon)->Wait();
-  return kExitOk;
+  return papaya::kExitOk;
 }
 
 }  // namespace
@@ -70,11 +67,11 @@
 
   if (FLAGS_list_events) {
     std::cout << papaya::RenderEventPage();
-    return kExitOk;
+    return papaya::kExitOk;
   }
   if (FLAGS_settings.empty() || argc > 1) {
     std::cerr << "papayad: needs --settings=FILE and takes nothing more\n";
-    return kExitBadSettings;
+    return papaya::kExitBadSettings;
   }
   papaya::LogOutput output(STDOUT_FILENO);
   papaya::Logger logger(output.stream(), FLAGS_debug_log
@@ -82,16 +79,10 @@
                                              : papaya::Severity::kInfo);
   const absl::StatusOr<papaya::RouterSettings> settings =
       papaya::LoadRouterSettings(FLAGS_settings);
-  if (!settings.ok()) {
-    papaya::Event refused{.id = papaya::EventId::kSettingsRefused};
-    refused.fields = {{"faults", std::string(settings.status().message())}};
-    logger.Log(refused);
-    std::cerr << settings.status().message() << "\n";
-    return kExitBadSettings;
-  }
-  if (FLAGS_check_settings) {
-    std::cout << FLAGS_settings << ": good\n";
-    return kExitOk;
+  const std::optional<int> settled = papaya::CheckSettings(
+      settings, FLAGS_settings, FLAGS_check_settings, &logger);
+  if (settled.has_value()) {
+    return *settled;
   }
   return Run(*settings, logger);
 }
