Tidy the moves between versions and the watchers' hooks

Cause: the upstreams of each version were counted in two places, the state of an order was asked beside IsOnTrial, the judge's window had bare numbers, two of the watchers' hooks were set twice, and a comment had lost its constant. Change: CountVersions, IsOnTrial, named constants; the upstreams' hooks begin with those of all watchers.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -77,6 +77,7 @@
       void (Impl::*handle)(const FeedObject&));
   ObjectWatcher::Hooks MakeUpstreamHooks();
   VersionMoves::Hooks MakeMoveHooks();
+  void OnUpstream(const FeedObject& object);
   void OnMove(const FeedObject& object);
   void OnConfig(const FeedObject& object);
   void OnReport(const RelayReport& report);
@@ -246,16 +247,12 @@
 }
 
 ObjectWatcher::Hooks Gateway::Impl::MakeUpstreamHooks() {
-  ObjectWatcher::Hooks hooks;
+  ObjectWatcher::Hooks hooks = MakeWatcherHooks(&Impl::OnUpstream);
+  // What is missing in a list has gone.
   hooks.replaced = [this](const std::vector<FeedObject>& objects) {
     directory_.Replace(objects, SteadyNow());
   };
-  hooks.changed = [this](const FeedObject& object) {
-    directory_.Apply(object, SteadyNow());
-  };
   hooks.regained = [this] { directory_.OnStoreRegained(SteadyNow()); };
-  hooks.now = &SteadyNow;
-  hooks.event = logger_->hook();
   return hooks;
 }
 
@@ -284,6 +281,10 @@
   return hooks;
 }
 
+void Gateway::Impl::OnUpstream(const FeedObject& object) {
+  directory_.Apply(object, SteadyNow());
+}
+
 void Gateway::Impl::OnMove(const FeedObject& object) {
   const absl::StatusOr<MoveOrder> order = binding_.decode_move(object);
   if (!order.ok()) {
--- a/src/gateway/version_moves.cc
+++ b/src/gateway/version_moves.cc
@@ -36,6 +36,11 @@
 // All requests go to the new version only if the log of the evidence against it
 // is below this, odds of 4.5: a bad version costs more than another try.
 constexpr double kDoubt = 1.5;
+// Counts are compared from so few requests on, or after so long: orders have
+// seconds, and new versions a part of the requests.
+constexpr int kLeastCompared = 4;
+constexpr Duration kLongestWindow = std::chrono::seconds(3);
+
 bool IsOfTarget(const UpstreamSpec& upstream, const MoveOrder& order) {
   return upstream.pool == order.service && upstream.version == order.target;
 }
@@ -44,12 +49,24 @@
   return !order.state.has_value() || order.state == MoveState::kRunning;
 }
 
+// The upstreams of each version of `service`.
+std::map<VersionId, int> CountVersions(const FleetConfig& config,
+                                       const PoolId& service) {
+  std::map<VersionId, int> versions;
+  for (const UpstreamSpec& upstream : config.upstreams) {
+    if (upstream.pool == service) {
+      ++versions[upstream.version];
+    }
+  }
+  return versions;
+}
+
 VersionJudgeOptions JudgeOptions() {
   VersionJudgeOptions options;
   options.false_alarm = kFalseAlarm;
   options.look_every = kReportInterval;
-  options.min_requests = 4;
-  options.longest_window = std::chrono::seconds(3);
+  options.min_requests = kLeastCompared;
+  options.longest_window = kLongestWindow;
   return options;
 }
 
@@ -139,12 +156,8 @@
 }
 
 void VersionMoves::ShareOut(Move* move, FleetConfig* config) const {
-  std::map<VersionId, int> versions;
-  for (const UpstreamSpec& upstream : config->upstreams) {
-    if (upstream.pool == move->order.service) {
-      ++versions[upstream.version];
-    }
-  }
+  const std::map<VersionId, int> versions =
+      CountVersions(*config, move->order.service);
   const auto target = versions.find(move->order.target);
   const bool has_target = target != versions.end();
   const int others = static_cast<int>(versions.size()) - (has_target ? 1 : 0);
@@ -173,13 +186,8 @@
 }
 
 void VersionMoves::Blend(const Move& move, FleetConfig* config) {
-  std::map<VersionId, int> others;
-  for (const UpstreamSpec& upstream : config->upstreams) {
-    if (upstream.pool == move.order.service &&
-        upstream.version != move.order.target) {
-      ++others[upstream.version];
-    }
-  }
+  std::map<VersionId, int> others = CountVersions(*config, move.order.service);
+  others.erase(move.order.target);
   if (others.empty()) {
     return;
   }
@@ -358,8 +366,7 @@
   }
   bool has_changed = false;
   for (auto& [service, move] : moves_) {
-    if (move.order.state.has_value() &&
-        move.order.state != MoveState::kRunning) {
+    if (!IsOnTrial(move.order)) {
       continue;
     }
     const double part =
--- a/src/rollout/version_stats.cc
+++ b/src/rollout/version_stats.cc
@@ -14,7 +14,6 @@
 
 namespace {
 
-// A stream counts its first token and so many tokens at its own pace.
 constexpr uint64_t kJudgeSalt = 0;
 constexpr uint64_t kCounterSalt = 1;
 // A report's root, message table, identifier, numbers, and the empty name.
