Take no request on a kept connection late in a shutdown

Cause: a stream whose header was written before SIGTERM promises to keep its connection; when it ended later than the time at which idle connections are closed, the connection was open again until the next tick, 0.1 s at most, and a request that came then was taken and cut when the grace was over. Change: from then on a connection is closed with its answer. Result: the new case runs into its bound before and passes after.

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -215,9 +215,13 @@
     return;
   }
   state_ = State::kIdle;
+  if (shared_->takes_no_more) {
+    // The header was written before that, and promised to keep it.
+    CloseIfIdle();
+  }
   idle_limit_ = shared_->limits.idle_timeout;
   channel_->SetReading(true);
-  if (!input_.empty()) {
+  if (!input_.empty() && state_ == State::kIdle) {
     ReadRequest();
   }
 }
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -25,6 +25,8 @@
   CallerLimits limits;
   // Answers say that the connection ends after them.
   bool is_closing = false;
+  // No connection takes another request.
+  bool takes_no_more = false;
   // A whole request has come; answer it through the connection, now or later.
   std::function<void(const std::shared_ptr<CallerConnection>&, HttpRequest)>
       request;
--- a/src/gateway/caller_listener.cc
+++ b/src/gateway/caller_listener.cc
@@ -85,6 +85,7 @@
 }
 
 void CallerListener::CloseIdle() {
+  shared_->takes_no_more = true;
   for (const auto& [key, connection] : connections_) {
     connection->CloseIfIdle();
   }
--- a/src/gateway/caller_listener.h
+++ b/src/gateway/caller_listener.h
@@ -38,7 +38,8 @@
 
   // Answers say from now on that their connection ends.
   void AnnounceClose() { shared_->is_closing = true; }
-  // Closes the connections that have no request.
+  // Closes the connections that have no request, and from now on each other one
+  // after its answer.
   void CloseIdle();
   // Takes no new connections.
   void StopAccepting();
--- a/tests/gateway_relay_test.cc
+++ b/tests/gateway_relay_test.cc
@@ -364,6 +364,25 @@
   f.RunUntil([&] { return f.listener.connections() == 0; });
 }
 
+TEST_CASE("Gateway: a stream that ends during a shutdown takes its connection",
+          "[gateway]") {
+  Fixture f(RequestKind::kStream);
+  const std::unique_ptr<RawPeer> caller = f.Call(kPost);
+  RawPeer* upstream = f.AwaitRequest();
+  // Its header promises to keep the connection.
+  upstream->Send(kStreamHead + Chunk("id: 1\ndata: a\n\n"));
+  f.RunUntil([&] { return Has(caller->received, "data: a"); });
+  f.listener.AnnounceClose();
+  f.listener.CloseIdle();
+  upstream->Send("0\r\n\r\n");
+  f.RunUntil([&] { return Has(caller->received, "\r\n0\r\n"); });
+  caller->Send(kPost);
+  f.RunUntil([&] { return f.listener.connections() == 0; });
+  // The next request was not taken.
+  CHECK(f.reports.size() == 1);
+  CHECK(f.desk.in_flight() == 0);
+}
+
 TEST_CASE("Gateway: unknown routes and keys are turned away", "[gateway]") {
   Fixture f(RequestKind::kIdempotent);
   const std::unique_ptr<RawPeer> no_route =
