--- a/include/base/units.h
+++ b/include/base/units.h
@@ -1,6 +1,7 @@
 #ifndef INCLUDE_BASE_UNITS_H_
 #define INCLUDE_BASE_UNITS_H_
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 
@@ -25,8 +26,12 @@
 using WallTime = std::chrono::sys_time<std::chrono::milliseconds>;
 
 // `seconds` as a Duration.
+// Longer times are cut to about 31 years, so that sums of a few durations can't
+// overflow.
 constexpr Duration SecondsToDuration(double seconds) {
-  return Duration(static_cast<int64_t>(seconds * 1e9));
+  constexpr double kMaxSeconds = 1e9;
+  return Duration(static_cast<int64_t>(
+      std::clamp(seconds, -kMaxSeconds, kMaxSeconds) * 1e9));
 }
 
 // `duration` in seconds.
--- a/include/gateway/platform_store.h
+++ b/include/gateway/platform_store.h
@@ -28,6 +28,8 @@
 // A page of listed objects, or changes in the order in which they were made.
 struct ObjectBatch {
   std::vector<PlatformObject> objects;
+  // Objects without a readable name, which are left out.
+  int unreadable = 0;
   // There are more pages after the last object.
   bool has_more = false;
   ObjectVersion store_version;
