Follow what upstreams say of themselves, and bound what they send

Cause: nothing read Server-Leaving or Retry-After of an upstream. Responses without end were read for as long as the caller waited: an event without end grew in memory, an error's body was read on, a stream that sent bytes but no event was never given up. An error without the id of its request on a reused connection was taken for the answer to the current request, although it may be a second answer to the last one; with the statement that it did not run, a request could run twice. A prompt of stated size 2^63 tokens was hashed block by block without end. Closing the listening socket at a shutdown reset the connections in its backlog. An exception in a handler ended the process.

Change: the header marks the start of the upstream as leaving, here at once and at other routers by the demand reports; LeavingUpstreams holds it until another start registers. Retry-After of a 503 closes the upstream for this router, and callers that can't be served before are told when. Responses are cut at named limits, streams after the silence that callers bear, counted from the last complete event. The backlog is accepted before the socket closes. RunEventLoop logs exceptions and goes on.

--- a/include/admission/attempt_result.h
+++ b/include/admission/attempt_result.h
@@ -31,6 +31,7 @@
   kShed,            // removed from the queue in favour of work of a higher tier
   kDeadline,        // could not begin before its deadline
   kAttemptsFailed,  // attempts failed and no further attempt is allowed
+  kUpstreamsClosed,  // all upstreams asked for a delay beyond its deadline
 };
 
 // Returns the name used in answers and logs, such as `queue_full`.
@@ -42,6 +43,9 @@
   Outcome outcome = Outcome::kNotRun;
   // Time after which the caller should try again.
   Duration retry_after{};
+  // No upstream accepts work before `retry_after` has passed, so it must not be
+  // shortened.
+  bool is_delay_known = false;
 };
 
 }  // namespace papaya
--- a/include/admission/scheduler.h
+++ b/include/admission/scheduler.h
@@ -53,6 +53,10 @@
 // queue.
 class Scheduler {
  public:
+  // An upstream that asks for more is tried again after this time. It bounds
+  // how long one faulty response can keep an upstream out of use.
+  static constexpr Duration kMaxRequestedDelay = std::chrono::minutes(5);
+
   Scheduler(SchedulerOptions options, SchedulerHooks hooks);
   ~Scheduler();
 
@@ -83,6 +87,10 @@
                     const CacheEvent& event,
                     TimePoint now);
 
+  // The upstream has asked this router to send it no request for `delay`.
+  // Longer delays than kMaxRequestedDelay are cut to it.
+  void OnRetryAfter(const UpstreamId& upstream, Duration delay, TimePoint now);
+
   // Receives a report of another router; it may be late or out of order.
   void OnDemandReport(const DemandReport& report, TimePoint now);
 
--- a/include/gateway/header_codec.h
+++ b/include/gateway/header_codec.h
@@ -57,6 +57,11 @@
   std::optional<Duration> idle_timeout;
   // The upstream closes the connection after this response.
   bool closes = false;
+  // The upstream is shutting down and must get no new requests.
+  bool is_leaving = false;
+  // The upstream rejected the request and wants no further ones from this
+  // router for this time; empty if not stated.
+  std::optional<Duration> retry_after;
 };
 
 // Reads and writes the platform's headers between callers, routers and
--- a/include/gateway/upstream_directory.h
+++ b/include/gateway/upstream_directory.h
@@ -9,6 +9,7 @@
 
 #include "absl/status/statusor.h"
 #include "include/base/units.h"
+#include "include/gateway/leaving_upstreams.h"
 #include "include/gateway/platform_store.h"
 #include "include/gateway/upstream_record.h"
 #include "include/telemetry/event.h"
@@ -39,6 +40,9 @@
   void Replace(const std::vector<PlatformObject>& objects, TimePoint now);
   void Apply(const PlatformObject& object, TimePoint now);
   void OnStoreRecovered(TimePoint now);
+  // The upstream said in a response that it is leaving. From now on it is
+  // returned as draining, whatever the store says of this start of it.
+  void OnLeaving(const UpstreamRecord& upstream);
   // Removes upstreams that did not register again within the grace period.
   void OnTick(TimePoint now);
 
@@ -55,12 +59,13 @@
   using Entries = std::map<std::string, Entry>;
 
   // Both return true if the records have changed.
-  bool Upsert(const PlatformObject& object);
+  bool Upsert(const PlatformObject& object, TimePoint now);
   bool Remove(const std::string& name, TimePoint now);
-  Entries::iterator Drop(Entries::iterator entry);
+  Entries::iterator Drop(Entries::iterator entry, TimePoint now);
 
   Hooks hooks_;
   Entries entries_;
+  LeavingUpstreams leaving_;
   TimePoint grace_until_;
 };
 
--- a/include/telemetry/event_catalog.h
+++ b/include/telemetry/event_catalog.h
@@ -18,6 +18,7 @@
   kRouterStopped = 1004,
   kLogLinesLost = 1005,
   kEventsLeftOut = 1006,
+  kUnexpectedError = 1007,
 
   // Wire.
   kListening = 2001,
@@ -66,6 +67,8 @@
   kRequestServed = 8001,
   kRequestFailed = 8002,
   kRequestRejected = 8003,
+  kUpstreamClosed = 8004,
+  kResponseCut = 8005,
   kMoveOrdered = 8011,
   kMoveDecided = 8012,
   kMoveWriteFailed = 8013,
--- a/src/admission/attempt_result.cc
+++ b/src/admission/attempt_result.cc
@@ -14,6 +14,8 @@
       return "deadline";
     case RejectionReason::kAttemptsFailed:
       return "attempts_failed";
+    case RejectionReason::kUpstreamsClosed:
+      return "upstreams_closed";
   }
   return "no_upstream";
 }
--- a/src/admission/scheduler.cc
+++ b/src/admission/scheduler.cc
@@ -1,5 +1,6 @@
 #include "include/admission/scheduler.h"
 
+#include <algorithm>
 #include <cassert>
 #include <utility>
 
@@ -51,6 +52,12 @@
                              const CacheEvent& event,
                              TimePoint /*now*/) {
   core_->OnCacheEvent(upstream, event);
+void Scheduler::OnRetryAfter(const UpstreamId& upstream,
+                             Duration delay,
+                             TimePoint now) {
+  core_->OnRetryAfter(upstream, std::min(delay, kMaxRequestedDelay), now);
+}
+
 }
 
 void Scheduler::OnDemandReport(const DemandReport& report, TimePoint now) {
--- a/src/admission/scheduler_attempts.cc
+++ b/src/admission/scheduler_attempts.cc
@@ -2,6 +2,7 @@
 // retries.
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 #include "src/admission/scheduler_core.h"
@@ -137,7 +138,11 @@
                  now + (entry->spec.deadline - entry->spec.arrival));
   }
   if (!MayRetry(*entry, end)) {
-    Reject(entry, RejectionReason::kAttemptsFailed);
+    const std::optional<TimePoint> opens =
+        upstreams_.AllClosedUntil(groups_.at(entry->group).upstreams, now);
+    Reject(entry, RejectionReason::kAttemptsFailed,
+           opens.has_value() ? std::optional<Duration>(*opens - now)
+                             : std::nullopt);
     return;
   }
   if (IsPastDeadline(*entry, now)) {
--- a/src/admission/scheduler_core.cc
+++ b/src/admission/scheduler_core.cc
@@ -27,7 +27,7 @@
 void SchedulerCore::OnSnapshot(std::shared_ptr<const RoutingSnapshot> snapshot,
                                TimePoint now) {
   snapshot_ = std::move(snapshot);
-  upstreams_.Apply(*snapshot_);
+  upstreams_.Apply(*snapshot_, now);
   groups_.Apply(*snapshot_, upstreams_);
   Regroup();
   ApplyPeers(now);
@@ -142,13 +142,16 @@
   entries_.erase(id);
 }
 
-void SchedulerCore::Reject(RequestEntry* entry, RejectionReason reason) {
+void SchedulerCore::Reject(RequestEntry* entry,
+                           RejectionReason reason,
+                           std::optional<Duration> known_delay) {
   const RequestId id = entry->spec.id;
   Rejection rejection;
   rejection.reason = reason;
   rejection.outcome =
       entry->may_have_run ? Outcome::kUnknown : Outcome::kNotRun;
-  rejection.retry_after = kRetryAfter;
+  rejection.retry_after = known_delay.value_or(kRetryAfter);
+  rejection.is_delay_known = known_delay.has_value();
   EraseEntry(entry);
   hooks_.reject(id, rejection);
 }
@@ -194,9 +197,28 @@
   }
 }
 
+void SchedulerCore::RejectWhileClosed(GroupState* group, TimePoint now) {
+  if (group->Waiting() == 0) {
+    return;
+  }
+  const std::optional<TimePoint> opens =
+      upstreams_.AllClosedUntil(group->upstreams, now);
+  if (!opens.has_value()) {
+    return;
+  }
+  for (auto& deadlines : group->deadlines) {
+    while (!deadlines.empty() && (*deadlines.begin())->spec.deadline < *opens) {
+      RequestEntry* entry = *deadlines.begin();
+      Unqueue(entry);
+      Reject(entry, RejectionReason::kUpstreamsClosed, *opens - now);
+    }
+  }
+}
+
 void SchedulerCore::Dispatch(int32_t number, TimePoint now) {
   GroupState& group = groups_.at(number);
   RejectExpired(&group, now);
+  RejectWhileClosed(&group, now);
   PlanIfNeeded(&group, now);
   // Before the reports are applied, so that own slots that have just become
   // free are used first: by the reports of other routers these slots may appear
--- a/src/admission/scheduler_core.h
+++ b/src/admission/scheduler_core.h
@@ -37,6 +37,7 @@
                     const LoadReport& report,
                     TimePoint now);
   void OnCacheEvent(const UpstreamId& upstream, const CacheEvent& event);
+  void OnRetryAfter(const UpstreamId& upstream, Duration delay, TimePoint now);
   void OnDemandReport(const DemandReport& report, TimePoint now);
   void OnTick(TimePoint now);
   SchedulerCounts counts() const {
@@ -56,7 +57,11 @@
   void Enqueue(RequestEntry* entry, bool at_front);
   void Unqueue(RequestEntry* entry);
   // Ends a request that is neither waiting nor running.
-  void Reject(RequestEntry* entry, RejectionReason reason);
+  // `known_delay` is set if the request can't be served before that time has
+  // passed.
+  void Reject(RequestEntry* entry,
+              RejectionReason reason,
+              std::optional<Duration> known_delay = std::nullopt);
   // Ends a waiting request.
   void RejectWaiting(RequestEntry* entry, RejectionReason reason);
   void EraseEntry(RequestEntry* entry);
@@ -66,6 +71,9 @@
   bool IsPastDeadline(const RequestEntry& entry, TimePoint now) const;
   void RejectExpired(GroupState* group, TimePoint now);
   // Moves waiting requests whose group has changed to their new group.
+  // Rejects the requests whose deadlines pass before any upstream of the group
+  // accepts work again, because all have asked this router to wait.
+  void RejectWhileClosed(GroupState* group, TimePoint now);
   void Regroup();
 
   // Dispatches the requests of a group that may start now.
--- a/src/admission/scheduler_preemption.cc
+++ b/src/admission/scheduler_preemption.cc
@@ -86,6 +86,15 @@
   }
 }
 
+void SchedulerCore::OnRetryAfter(const UpstreamId& upstream,
+                                 Duration delay,
+                                 TimePoint now) {
+  const int32_t number = upstreams_.Find(upstream);
+  if (number >= 0) {
+    upstreams_.CloseUntil(number, now + delay);
+  }
+}
+
 void SchedulerCore::OnCacheEvent(const UpstreamId& upstream,
                                  const CacheEvent& event) {
   const int32_t number = upstreams_.Find(upstream);
@@ -119,6 +128,7 @@
 
 void SchedulerCore::OnTick(TimePoint now) {
   peers_.RemoveExpired(now);
+  upstreams_.OnTick(now);
   ApplyPeers(now);
   for (size_t i = 0; i < groups_.size(); ++i) {
     const int32_t number = static_cast<int32_t>(i);
--- a/src/admission/upstream_state.h
+++ b/src/admission/upstream_state.h
@@ -69,6 +69,11 @@
   // It gets no work before this time, because attempts have failed.
   TimePoint backoff_until;
   int failures = 0;
+  // It gets no work before this time, because it asked this router to wait.
+  TimePoint closed_until;
+
+  // Time of the first snapshot without it; the epoch while it is routed.
+  TimePoint unrouted_since;
 
   UpstreamSpeed speed;
   // Long-term mean of the time per output token, not updated while ejected.
@@ -108,7 +113,7 @@
   // True if it accepts new work when it has a free slot.
   bool IsOpen(TimePoint now) const {
     return is_routed && !is_leaving && now >= peer_leaving_until &&
-           now >= backoff_until;
+           now >= backoff_until && now >= closed_until;
   }
 };
 
--- a/src/admission/upstream_table.cc
+++ b/src/admission/upstream_table.cc
@@ -14,6 +14,9 @@
 constexpr Duration kLeavingMargin = std::chrono::seconds(1);
 // How long another router's report of a leaving upstream is valid.
 constexpr Duration kPeerLeavingTime = std::chrono::seconds(30);
+// A leaving upstream is remembered this long after it was removed, in case it
+// is registered again, and is reported to the other routers until then.
+constexpr Duration kRemovedLeavingTime = kPeerLeavingTime;
 // Backoff after a failure; it doubles with each further failure in a row.
 constexpr Duration kInitialBackoff = std::chrono::milliseconds(100);
 constexpr int kMaxBackoffDoublings = 6;
@@ -89,8 +92,11 @@
   return number;
 }
 
-void UpstreamTable::Apply(const RoutingSnapshot& snapshot) {
+void UpstreamTable::Apply(const RoutingSnapshot& snapshot, TimePoint now) {
   for (const std::unique_ptr<UpstreamState>& state : states_) {
+    if (state->is_routed) {
+      state->unrouted_since = now;
+    }
     state->is_routed = false;
     state->other_routers.clear();
   }
@@ -113,11 +119,19 @@
     SetProbeTurn(upstream.routers, snapshot.self().id, &state);
   }
   ListRouters(snapshot);
-  absl::erase_if(numbers_, [this](const auto& item) {
-    const UpstreamState& state = at(item.second);
-    const bool is_done = !state.is_routed && state.running == 0;
-    // The leaving state must survive snapshots without the upstream.
-    if (!is_done || state.is_leaving) {
+  OnTick(now);
+}
+
+bool UpstreamTable::IsUnused(const UpstreamState& state, TimePoint now) {
+  const bool is_leaving =
+      state.is_leaving && now - state.unrouted_since < kRemovedLeavingTime;
+  return !state.is_routed && state.running == 0 && !is_leaving &&
+         now >= state.closed_until;
+}
+
+void UpstreamTable::OnTick(TimePoint now) {
+  absl::erase_if(numbers_, [this, now](const auto& item) {
+    if (!IsUnused(at(item.second), now)) {
       return false;
     }
     unused_.push_back(item.second);
@@ -222,6 +236,28 @@
   state.failures = std::min(state.failures + 1, kMaxBackoffDoublings);
 }
 
+void UpstreamTable::CloseUntil(int32_t number, TimePoint until) {
+  UpstreamState& state = at(number);
+  state.closed_until = std::max(state.closed_until, until);
+}
+
+std::optional<TimePoint> UpstreamTable::AllClosedUntil(
+    const std::vector<int32_t>& numbers,
+    TimePoint now) const {
+  std::optional<TimePoint> first;
+  for (int32_t number : numbers) {
+    const UpstreamState& state = at(number);
+    if (!state.is_routed || state.is_leaving) {
+      continue;
+    }
+    if (now >= state.closed_until) {
+      return std::nullopt;
+    }
+    first = std::min(first.value_or(state.closed_until), state.closed_until);
+  }
+  return first;
+}
+
 void UpstreamTable::OnServiceAnswer(const RequestEntry& entry, TimePoint now) {
   UpstreamState& state = at(entry.upstream);
   const double seconds = ToSeconds(now - entry.dispatched);
--- a/src/admission/upstream_table.h
+++ b/src/admission/upstream_table.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -25,7 +26,7 @@
   explicit UpstreamTable(const SchedulerParts& parts) : parts_(parts) {}
 
   // Adds and updates the upstreams of `snapshot`.
-  void Apply(const RoutingSnapshot& snapshot);
+  void Apply(const RoutingSnapshot& snapshot, TimePoint now);
 
   UpstreamState& at(int32_t number) {
     return *states_[static_cast<size_t>(number)];
@@ -40,6 +41,10 @@
   // Indexes run from 0 to below this; some may be unused.
   size_t size() const { return states_.size(); }
 
+  // Forgets upstreams that the snapshot no longer has. Call at least every few
+  // seconds.
+  void OnTick(TimePoint now);
+
   // Recomputes the use of other routers from their reports.
   void ApplyPeers(const PeerTable& peers, TimePoint now);
 
@@ -50,6 +55,16 @@
   // backoff during which the upstream gets no work.
   void OnAttemptEnd(int32_t number, bool failed, TimePoint now);
 
+  // Stops new work there until `until`, because the upstream asked for it. An
+  // earlier, longer wait remains in force.
+  void CloseUntil(int32_t number, TimePoint until);
+
+  // Returns the time at which the first of `numbers` accepts work again, if
+  // all of those that are not leaving have asked this router to wait.
+  // Otherwise returns std::nullopt.
+  std::optional<TimePoint> AllClosedUntil(const std::vector<int32_t>& numbers,
+                                          TimePoint now) const;
+
   // Records the time in which a plain service answered `entry`.
   void OnServiceAnswer(const RequestEntry& entry, TimePoint now);
 
@@ -88,6 +103,8 @@
   void FollowPeerEjections(const std::vector<int32_t>& numbers, TimePoint now);
   // Records which other routers use which upstreams.
   void ListRouters(const RoutingSnapshot& snapshot);
+  // True if nothing about the upstream has to be remembered.
+  static bool IsUnused(const UpstreamState& state, TimePoint now);
   int32_t Add(const UpstreamSpec& spec);
   std::shared_ptr<UpstreamKindSpeed> KindOf(const UpstreamSpec& spec);
 
--- a/src/ctl/request_history.cc
+++ b/src/ctl/request_history.cc
@@ -39,6 +39,8 @@
     {"unknown_key", "rejected: no account in the configuration has its key"},
     {"over_quota", "not run: its account had used up its quota"},
     {"attempts_failed", "failed: all attempts that its route allows failed"},
+    {"upstreams_closed",
+     "not run: all upstreams had asked the router to wait for too long"},
     {"timeout", "failed: it timed out before its response was complete"},
     {"caller_gone", "abandoned: its caller closed the connection"},
     {"answer_cut",
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -4,6 +4,7 @@
 #include <boost/beast/http/status.hpp>
 #include <utility>
 
+#include "absl/cleanup/cleanup.h"
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "include/wire/steady_time.h"
@@ -89,7 +90,21 @@
     }
     return;
   }
-  ReadRequest();
+  ReadRequests();
+}
+
+void CallerConnection::ReadRequests() {
+  // A request may be answered while it is delivered. The loop then reads the
+  // next one, so that the stack does not grow with the pipelined requests.
+  if (is_reading_requests_) {
+    return;
+  }
+  const std::shared_ptr<CallerConnection> self = shared_from_this();
+  is_reading_requests_ = true;
+  const absl::Cleanup end_reading = [this] { is_reading_requests_ = false; };
+  do {
+    ReadRequest();
+  } while (state_ == State::kIdle && !input_.empty());
 }
 
 void CallerConnection::ReadRequest() {
@@ -224,7 +239,7 @@
   idle_limit_ = shared_->limits.idle_timeout;
   channel_->SetReading(true);
   if (!input_.empty() && state_ == State::kIdle) {
-    ReadRequest();
+    ReadRequests();
   }
 }
 
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -93,6 +93,8 @@
 
   void OnData(std::string_view bytes);
   void OnEnded();
+  // Reads the requests in `input_` until one of them waits for its response.
+  void ReadRequests();
   void ReadRequest();
   void DeliverRequest();
   void RejectRequest(const HttpFault& read_error);
@@ -116,6 +118,7 @@
   bool is_head_request_ = false;
   bool is_chunked_ = false;
   bool has_sent_continue_ = false;
+  bool is_reading_requests_ = false;
   bool has_ended_ = false;
   // When the state was entered, or bytes of the body were last received.
   TimePoint state_start_;
--- a/src/gateway/caller_listener.cc
+++ b/src/gateway/caller_listener.cc
@@ -80,9 +80,23 @@
   connection->Start();
 }
 
-void CallerListener::StopAccepting() {
+bool CallerListener::StopAccepting() {
+  if (!acceptor_.is_open()) {
+    return false;
+  }
+  // Closing the socket resets the connections in its backlog.
+  error_code error;
+  acceptor_.non_blocking(true, error);
+  while (!error) {
+    tcp::socket socket(context_);
+    acceptor_.accept(socket, error);
+    if (!error) {
+      Add(std::move(socket));
+    }
+  }
   error_code ignored;
   acceptor_.close(ignored);
+  return true;
 }
 
 void CallerListener::CloseIdle() {
--- a/src/gateway/caller_listener.h
+++ b/src/gateway/caller_listener.h
@@ -41,8 +41,10 @@
   // Closes the idle connections, and from now on each other connection after
   // its current response.
   void CloseIdle();
-  // Stops accepting new connections.
-  void StopAccepting();
+  // Accepts the connections that are in the backlog, then no more. Returns
+  // false if it was called before. Requests that these connections have sent
+  // are read when the event loop runs next.
+  bool StopAccepting();
 
   void OnTick(TimePoint now);
 
--- a/src/gateway/event_splitter.h
+++ b/src/gateway/event_splitter.h
@@ -20,6 +20,9 @@
   // Returns and clears the bytes after the last complete event.
   std::string TakePartialEvent();
 
+  // Bytes after the last complete event.
+  size_t partial_size() const { return partial_event_.size(); }
+
   // Prepares for another response that resumes the stream after last_id().
   void Restart() { partial_event_.clear(); }
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -118,7 +118,9 @@
   GatewayMetrics metrics_;
   EventBudget budget_{{{EventId::kRequestServed, kServedLinesPerSecond},
                        {EventId::kRequestFailed, kFailedLinesPerSecond},
-                       {EventId::kRequestRejected, kFailedLinesPerSecond}}};
+                       {EventId::kRequestRejected, kFailedLinesPerSecond},
+                       {EventId::kUpstreamClosed, kFailedLinesPerSecond},
+                       {EventId::kResponseCut, kFailedLinesPerSecond}}};
   TimePoint next_slow_tick_;
   bool was_ready_ = false;
   std::optional<TimePoint> drain_start_;
@@ -221,6 +223,9 @@
       dispatcher_.OnDemand(from, *notice);
     }
     if (const StatsReport* report = std::get_if<StatsReport>(&message)) {
+  hooks.upstream_leaving = [this](const UpstreamRecord& upstream) {
+    directory_.OnLeaving(upstream);
+  };
       moves_.OnReport(*report);
     }
     if (const UsageReport* report = std::get_if<UsageReport>(&message)) {
@@ -448,9 +453,6 @@
     next_slow_tick_ = now + kSlowTick;
     SlowTick(now);
   }
-  if (!has_stopped_) {
-    ScheduleTick();
-  }
 }
 
 void Gateway::Impl::SlowTick(TimePoint now) {
@@ -485,11 +487,14 @@
 
 void Gateway::Impl::ContinueDrain(TimePoint now) {
   const Duration age = now - *drain_start_;
-  if (age >= kBalancerDetectionTime) {
-    caller_listener_.StopAccepting();
+  // The last connections get one slow tick to send their requests before those
+  // that are idle are closed.
+  const bool has_stopped_accepting =
+      age >= kBalancerDetectionTime && !caller_listener_.StopAccepting();
+  if (has_stopped_accepting) {
     caller_listener_.CloseIdle();
   }
-  const bool is_done = age >= kBalancerDetectionTime &&
+  const bool is_done = has_stopped_accepting && age >= kBalancerDetectionTime &&
                        dispatcher_.in_flight() == 0 &&
                        caller_listener_.connections() == 0;
   if (!is_done && age < settings_.bounds.grace - kGraceMargin) {
@@ -503,6 +508,8 @@
 }
 
 Gateway::Gateway(boost::asio::io_context& context,
+  // First, so that an exception in the work below does not end the ticks.
+  ScheduleTick();
                  const GatewaySettings& settings,
                  PlatformBinding binding,
                  Logger* logger)
--- a/src/gateway/message_reader.cc
+++ b/src/gateway/message_reader.cc
@@ -21,6 +21,8 @@
 
 constexpr uint32_t kMaxResponseHeaderBytes = 64 * 1024;
 constexpr int kFirstSuccess = 200;
+// Responses with more interim responses than this are malformed.
+constexpr int kMaxInterimResponses = 16;
 
 template <typename Message>
 HttpHeaders CopyHeaders(const Message& message) {
@@ -175,6 +177,11 @@
     if (state_ == State::kHead && parser_->is_header_done()) {
       if (static_cast<int>(parser_->get().result_int()) < kFirstSuccess) {
         // An interim response; the final one follows.
+        if (++interim_responses_ > kMaxInterimResponses) {
+          read_error_ = "too many interim responses";
+          state_ = State::kError;
+          return state_;
+        }
         parser_ = ResponseReader(has_no_body_).parser_;
         continue;
       }
--- a/src/gateway/message_reader.h
+++ b/src/gateway/message_reader.h
@@ -92,6 +92,7 @@
   HttpHeaders headers_;
   std::optional<uint64_t> length_;
   bool keeps_alive_ = false;
+  int interim_responses_ = 0;
   std::string read_error_;
 };
 
--- a/src/gateway/relayed_request.cc
+++ b/src/gateway/relayed_request.cc
@@ -28,6 +28,8 @@
 // Responses up to this size are buffered completely, so that the request can be
 // repeated if the response breaks off.
 constexpr size_t kMaxBufferedBytes = size_t{64} * 1024;
+// An event of a stream that is longer than this is taken for one without end.
+constexpr size_t kMaxEventBytes = size_t{256} * 1024;
 // Reading from the upstream pauses while more than this is queued for the
 // caller.
 constexpr size_t kMaxPendingBytes = size_t{256} * 1024;
@@ -159,6 +161,8 @@
   upstream_ = upstream->id;
   response_kind_ = ResponseKind::kNone;
   first_event_ = TimePoint();
+  last_event_ = dispatched_;
+  is_reading_ = true;
   has_measurement_ = false;
   events_.Restart();
   UpstreamConnection::Call call;
@@ -166,6 +170,12 @@
   call.attempt_id = input_.metadata.attempt_id;
   call.is_head_request = input_.request.method == "HEAD";
   std::weak_ptr<RelayedRequest> weak = weak_from_this();
+  call.observed = [context = context_,
+                   id = upstream_](const ResponseMetadata& metadata) {
+    if (metadata.is_leaving || metadata.retry_after.has_value()) {
+      context->observed(id, metadata);
+    }
+  };
   call.head = [weak](const ResponseReader& reader,
                      const ResponseMetadata& metadata) {
     if (const auto self = weak.lock()) {
@@ -233,11 +243,12 @@
 void RelayedRequest::OnBody(const std::string& bytes) {
   switch (response_kind_) {
     case ResponseKind::kNone:
-    case ResponseKind::kNotRun:
       return;
+    case ResponseKind::kNotRun:
     case ResponseKind::kFailure:
-      if (response_.body.size() < kMaxBufferedBytes) {
-        response_.body += bytes;
+      response_.body += bytes;
+      if (response_.body.size() > kMaxBufferedBytes) {
+        CutResponse("an error response is too long");
       }
       return;
     case ResponseKind::kBuffered:
@@ -254,10 +265,30 @@
       return;
     case ResponseKind::kStream:
       ForwardEvents(events_.Feed(bytes));
+      if (events_.partial_size() > kMaxEventBytes) {
+        CutResponse("an event is too long");
+      }
       return;
   }
 }
 
+void RelayedRequest::CutResponse(const std::string& error) {
+  if (has_ended_ || connection_ == nullptr) {
+    return;
+  }
+  context_->cut(*this, error);
+  const bool is_not_run = response_kind_ == ResponseKind::kNotRun;
+  std::exchange(connection_, nullptr)->Close();
+  error_ = absl::StrCat("answer: ", error);
+  if (is_not_run) {
+    // The header has stated it, so the rest of the response does not matter.
+    FinishAttempt(AttemptEnd::kNotRun);
+    return;
+  }
+  may_have_run_ = true;
+  FinishAttempt(AttemptEnd::kUnknown);
+}
+
 void RelayedRequest::StartResponse() {
   has_started_ = true;
   HttpResponse head;
@@ -270,8 +301,9 @@
   if (events.empty()) {
     return;
   }
+  last_event_ = context_->now();
   if (first_event_ == TimePoint()) {
-    first_event_ = context_->now();
+    first_event_ = last_event_;
   }
   if (!has_started_) {
     context_->first_token(input_.id);
@@ -290,6 +322,8 @@
   const bool may_read = input_.caller->pending_bytes() <= kMaxPendingBytes;
   if (may_read != is_reading_ && connection_ != nullptr) {
     is_reading_ = may_read;
+    // The upstream could send no event while reading was paused.
+    last_event_ = context_->now();
     connection_->SetReading(may_read);
   }
 }
@@ -455,6 +489,10 @@
     FinishAttempt(AttemptEnd::kUnreachable);
     return;
   }
+  if (IsStalled(now)) {
+    CutResponse("no event within the time that callers wait for one");
+    return;
+  }
   const std::optional<Duration> attempt_timeout = AttemptTimeout();
   if (attempt_timeout.has_value() && age > *attempt_timeout && !has_started_ &&
       response_kind_ == ResponseKind::kNone) {
@@ -464,6 +502,13 @@
   }
 }
 
+bool RelayedRequest::IsStalled(TimePoint now) const {
+  const Duration timeout = input_.route->caller_silence_timeout;
+  // While reading is paused for a slow caller, the upstream can't be blamed.
+  return response_kind_ == ResponseKind::kStream && timeout > Duration() &&
+         is_reading_ && now - last_event_ > timeout;
+}
+
 void RelayedRequest::TimeOut() {
   MeasureAbandoned();
   DropConnection();
--- a/src/gateway/relayed_request.h
+++ b/src/gateway/relayed_request.h
@@ -63,6 +63,11 @@
     const HeaderCodec* header_codec = nullptr;
     UpstreamPool* pool = nullptr;
     std::function<TimePoint()> now;
+    // An upstream has stated that it is leaving, or that it wants no request
+    // for a time. The response may belong to another request.
+    std::function<void(const UpstreamId&, const ResponseMetadata&)> observed;
+    // A response was abandoned because it exceeded a limit.
+    std::function<void(const RelayedRequest&, const std::string& error)> cut;
     // An attempt has ended. The scheduler decides whether another one follows.
     std::function<void(RequestId, const AttemptResult&)> finish_attempt;
     std::function<void(RequestId)> first_token;
@@ -154,6 +159,11 @@
   void MeasureAbandoned();
   Duration Latency() const;
   void DropConnection();
+  // Ends the current attempt because its response exceeds a limit.
+  void CutResponse(const std::string& error);
+  // True if a stream has sent no complete event for so long that its caller
+  // gives up, even if it sends other bytes.
+  bool IsStalled(TimePoint now) const;
   // Time within which the response header must arrive before another attempt
   // is made. Empty if there may be no other attempt.
   std::optional<Duration> AttemptTimeout() const;
@@ -175,6 +185,8 @@
   TimePoint first_dispatched_;
   // Of the current attempt; the epoch before the first event.
   TimePoint first_event_;
+  // Time of the last complete event, or of the dispatch before the first one.
+  TimePoint last_event_;
   // The current attempt was reported.
   bool has_measurement_ = false;
   ResponseKind response_kind_ = ResponseKind::kNone;
--- a/src/gateway/request_dispatcher.cc
+++ b/src/gateway/request_dispatcher.cc
@@ -24,6 +24,9 @@
 // Prompts are split into blocks of this size to track which prefixes an engine
 // may have cached.
 constexpr int64_t kBlockTokens = 1024;
+// Blocks of a prompt beyond this number are not tracked, which bounds the work
+// and the memory for a request that states a huge prompt.
+constexpr size_t kMaxPrefixBlocks = 4096;
 // Rejected callers are told to retry within this fraction of their remaining
 // time, about its first third.
 constexpr double kMaxRetryAfterFraction = 0.3;
@@ -83,7 +86,8 @@
   Tokens end;
   for (const PromptPart& part : parts) {
     int64_t left = part.tokens.value();
-    for (uint64_t block = 0; left > 0; ++block) {
+    for (uint64_t block = 0;
+         left > 0 && spec->prefix_hashes.size() < kMaxPrefixBlocks; ++block) {
       chain = CombineHashes(chain, CombineHashes(part.hash, block));
       end += Tokens(std::min(left, kBlockTokens));
       left -= kBlockTokens;
@@ -137,6 +141,16 @@
   context.header_codec = header_codec_;
   context.pool = &pool_;
   context.now = &SteadyNow;
+  context.observed = [this](const UpstreamId& id,
+                            const ResponseMetadata& metadata) {
+    OnObserved(id, metadata);
+  };
+  context.cut = [this](const RelayedRequest& relay, const std::string& error) {
+    hooks_.event({EventId::kResponseCut,
+                  {{"request", relay.input().metadata.attempt_id},
+                   {"upstream", relay.upstream().value()},
+                   {"error", error}}});
+  };
   context.finish_attempt = [this](RequestId id, const AttemptResult& result) {
     scheduler_.OnFinished(id, result, SteadyNow());
     RunDecisions();
@@ -169,6 +183,28 @@
   return context;
 }
 
+void RequestDispatcher::OnObserved(const UpstreamId& id,
+                                   const ResponseMetadata& metadata) {
+  const TimePoint now = SteadyNow();
+  if (metadata.retry_after.has_value()) {
+    scheduler_.OnRetryAfter(id, *metadata.retry_after, now);
+    hooks_.event({EventId::kUpstreamClosed,
+                  {{"upstream", id.value()},
+                   {"delay_ms", absl::StrCat(*metadata.retry_after /
+                                             std::chrono::milliseconds(1))}}});
+  }
+  if (!metadata.is_leaving) {
+    return;
+  }
+  scheduler_.OnLoadReport(id, {.leaving = true}, now);
+  pool_.CloseIdle(id);
+  const auto upstream = upstreams_.find(id);
+  if (upstream != upstreams_.end()) {
+    const UpstreamRecord record = upstream->second;
+    hooks_.upstream_leaving(record);
+  }
+}
+
 ServiceLoad RequestDispatcher::LoadOf(const PoolId& service) const {
   ServiceLoad load;
   for (const auto& [id, relay] : relays_) {
@@ -445,6 +481,9 @@
 
 Duration RequestDispatcher::RetryAfter(const RelayedRequest& relay,
                                        const Rejection& rejection) {
+  if (rejection.is_delay_known) {
+    return rejection.retry_after;
+  }
   const Duration left = relay.input().response_deadline - SteadyNow();
   const Duration latest = SecondsToDuration(kMaxRetryAfterFraction *
                                             std::max(0.0, ToSeconds(left)));
--- a/src/gateway/request_dispatcher.h
+++ b/src/gateway/request_dispatcher.h
@@ -54,6 +54,8 @@
                        bool failed,
                        Duration latency)>
         measured;
+    // The upstream said in a response that it is leaving.
+    std::function<void(const UpstreamRecord&)> upstream_leaving;
     // A request was rejected before it was admitted.
     std::function<void(const std::string& reason)> rejected;
     EventHook event;
@@ -105,6 +107,8 @@
 
   SchedulerHooks MakeHooks();
   RelayedRequest::Context MakeContext();
+  // Acts on what an upstream says about itself in a response header.
+  void OnObserved(const UpstreamId& id, const ResponseMetadata& metadata);
   // Rejects a request before admission. `account` is empty if the request's key
   // is unknown or was not checked.
   void Reject(CallerConnection* caller,
--- a/src/gateway/upstream_connection.cc
+++ b/src/gateway/upstream_connection.cc
@@ -19,9 +19,14 @@
 // An idle connection is not reused this shortly before its timeout because the
 // upstream could close it before the request arrives.
 constexpr Duration kIdleMargin = std::chrono::milliseconds(600);
-// Responses below this status must name the attempt that they answer; errors
-// need not.
+// Responses below this status must name the attempt that they answer. Errors
+// need not on a connection's first call, where no earlier response can be late.
 constexpr int kFirstStatusWithoutAttempt = 400;
+// Received bytes that the parser can't use yet, such as the line of a chunk
+// size without end.
+constexpr size_t kMaxUnparsedBytes = size_t{128} * 1024;
+// Total size of responses to other requests during one call.
+constexpr size_t kMaxMismatchedBytes = size_t{4} * 1024 * 1024;
 
 }  // namespace
 
@@ -37,6 +42,8 @@
   call_ = std::make_shared<Call>(std::move(call));
   reader_.emplace(call_->is_head_request);
   is_mismatched_ = false;
+  mismatched_bytes_ = 0;
+  ++calls_;
   has_head_ = false;
   was_sent_ = false;
   if (channel_ != nullptr) {
@@ -141,6 +148,11 @@
     Fail(reader_->read_error());
     return false;
   }
+  if (input_.size() > kMaxUnparsedBytes &&
+      state != ResponseReader::State::kDone) {
+    Fail("the response has a line that is too long");
+    return false;
+  }
   if (state == ResponseReader::State::kHead) {
     return false;
   }
@@ -148,7 +160,13 @@
     return false;
   }
   const std::string body = reader_->TakeBody();
-  if (!is_mismatched_ && !body.empty()) {
+  if (is_mismatched_) {
+    mismatched_bytes_ += body.size();
+    if (mismatched_bytes_ > kMaxMismatchedBytes) {
+      Fail("too many bytes of responses to other requests");
+      return false;
+    }
+  } else if (!body.empty()) {
     const std::shared_ptr<const Call> call = call_;
     call->body(body);
   }
@@ -165,15 +183,34 @@
   return false;
 }
 
+bool UpstreamConnection::IsMismatch(const ResponseMetadata& metadata) const {
+  return metadata.attempt_id != call_->attempt_id &&
+         (!metadata.attempt_id.empty() ||
+          reader_->status() < kFirstStatusWithoutAttempt);
+}
+
+bool UpstreamConnection::IsAmbiguous(const ResponseMetadata& metadata) const {
+  return metadata.attempt_id.empty() && !call_->attempt_id.empty() &&
+         calls_ > 1 && reader_->status() >= kFirstStatusWithoutAttempt;
+}
+
 bool UpstreamConnection::HandleHead() {
   has_head_ = true;
   const ResponseMetadata metadata =
       header_codec_->read_response(reader_->status(), reader_->headers());
-  is_mismatched_ = metadata.attempt_id != call_->attempt_id &&
-                   (!metadata.attempt_id.empty() ||
-                    reader_->status() < kFirstStatusWithoutAttempt);
-  closes_after_call_ = metadata.closes || !reader_->keeps_alive();
+  is_mismatched_ = IsMismatch(metadata);
+  closes_after_call_ =
+      metadata.closes || metadata.is_leaving || !reader_->keeps_alive();
   idle_timeout_ = metadata.idle_timeout.value_or(kDefaultIdleTimeout);
+  const std::shared_ptr<const Call> observing = call_;
+  observing->observed(metadata);
+  if (call_ == nullptr) {
+    return false;
+  }
+  if (IsAmbiguous(metadata)) {
+    Fail("an error response without the id of its request");
+    return false;
+  }
   if (!is_mismatched_) {
     const std::shared_ptr<const Call> call = call_;
     call->head(*reader_, metadata);
--- a/src/gateway/upstream_connection.h
+++ b/src/gateway/upstream_connection.h
@@ -29,6 +29,9 @@
     std::string attempt_id;
     // The response has no body.
     bool is_head_request = false;
+    // Called first for each response header, also for responses to other
+    // requests.
+    std::function<void(const ResponseMetadata&)> observed;
     // Called in this order. Either `ended` or `failed` is called last.
     std::function<void(const ResponseReader&, const ResponseMetadata&)> head;
     std::function<void(const std::string& bytes)> body;
@@ -73,6 +76,10 @@
   // ended.
   bool ReadNextResponse();
   bool HandleHead();
+  // True if the response is not for the current call.
+  bool IsMismatch(const ResponseMetadata& metadata) const;
+  // True if the response may be for the current call or for an earlier one.
+  bool IsAmbiguous(const ResponseMetadata& metadata) const;
   void OnEnded(bool is_orderly, const std::string& error);
   void Finish();
   void Fail(const std::string& error);
@@ -87,6 +94,10 @@
   std::string input_;
   // The response being read belongs to another request.
   bool is_mismatched_ = false;
+  // Bytes of responses to other requests received during the current call.
+  size_t mismatched_bytes_ = 0;
+  // Number of calls so far, with the current one.
+  int calls_ = 0;
   bool has_head_ = false;
   bool was_sent_ = false;
   bool is_closed_ = false;
--- a/src/gateway/upstream_directory.cc
+++ b/src/gateway/upstream_directory.cc
@@ -11,7 +11,7 @@
   std::set<std::string> present;
   for (const PlatformObject& object : objects) {
     present.insert(object.name);
-    has_changed |= Upsert(object);
+    has_changed |= Upsert(object, now);
   }
   std::vector<std::string> missing;
   for (const auto& [name, entry] : entries_) {
@@ -28,7 +28,7 @@
 }
 
 void UpstreamDirectory::Apply(const PlatformObject& object, TimePoint now) {
-  if (object.is_deleted ? Remove(object.name, now) : Upsert(object)) {
+  if (object.is_deleted ? Remove(object.name, now) : Upsert(object, now)) {
     hooks_.changed();
   }
 }
@@ -37,11 +37,21 @@
   grace_until_ = now + kReregistrationGrace;
 }
 
+void UpstreamDirectory::OnLeaving(const UpstreamRecord& upstream) {
+  if (!leaving_.Mark(upstream.id, upstream.instance)) {
+    return;
+  }
+  hooks_.event({EventId::kUpstreamDraining,
+                {{"upstream", upstream.id.value()}, {"source", "response"}}});
+  hooks_.changed();
+}
+
 void UpstreamDirectory::OnTick(TimePoint now) {
+  leaving_.OnTick(now);
   bool has_changed = false;
   for (auto entry = entries_.begin(); entry != entries_.end();) {
     if (entry->second.drop_at.has_value() && *entry->second.drop_at <= now) {
-      entry = Drop(entry);
+      entry = Drop(entry, now);
       has_changed = true;
     } else {
       ++entry;
@@ -57,11 +67,14 @@
   records.reserve(entries_.size());
   for (const auto& [name, entry] : entries_) {
     records.push_back(entry.record);
+    records.back().is_draining =
+        entry.record.is_draining ||
+        leaving_.Contains(entry.record.id, entry.record.instance);
   }
   return records;
 }
 
-bool UpstreamDirectory::Upsert(const PlatformObject& object) {
+bool UpstreamDirectory::Upsert(const PlatformObject& object, TimePoint now) {
   const auto found = entries_.find(object.name);
   absl::StatusOr<UpstreamRecord> record = hooks_.decode(object);
   if (!record.ok()) {
@@ -71,9 +84,10 @@
     if (found == entries_.end()) {
       return false;
     }
-    Drop(found);
+    Drop(found, now);
     return true;
   }
+  leaving_.OnRegistered(record->id, record->instance);
   if (found != entries_.end() && found->second.record == *record) {
     found->second.drop_at.reset();
     return false;
@@ -85,7 +99,8 @@
                    {"address", record->address}}});
   } else if (record->is_draining) {
     hooks_.event(
-        {EventId::kUpstreamDraining, {{"upstream", record->id.value()}}});
+        {EventId::kUpstreamDraining,
+         {{"upstream", record->id.value()}, {"source", "registration"}}});
   }
   entries_[object.name] = {.record = *std::move(record), .drop_at = {}};
   return true;
@@ -102,14 +117,16 @@
     }
     return false;
   }
-  Drop(found);
+  Drop(found, now);
   return true;
 }
 
 UpstreamDirectory::Entries::iterator UpstreamDirectory::Drop(
-    Entries::iterator entry) {
+    Entries::iterator entry,
+    TimePoint now) {
   hooks_.event({EventId::kUpstreamGone,
                 {{"upstream", entry->second.record.id.value()}}});
+  leaving_.OnRemoved(entry->second.record.instance, now);
   return entries_.erase(entry);
 }
 
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "include/wire/steady_time.h"
 #include "src/gateway/upstream_connection.h"
 
 namespace papaya {
@@ -36,6 +37,21 @@
   }
 }
 
+void UpstreamPool::CloseIdle(const UpstreamId& upstream) {
+  const auto found = idle_.find(upstream);
+  if (found == idle_.end()) {
+    return;
+  }
+  std::erase_if(found->second, [](const auto& connection) {
+    // The rest of a request that was answered early is still being sent.
+    if (connection->IsFinishing() && !connection->IsReusable(SteadyNow())) {
+      return false;
+    }
+    connection->Close();
+    return true;
+  });
+}
+
 void UpstreamPool::OnTick(TimePoint now) {
   for (auto entry = idle_.begin(); entry != idle_.end();) {
     std::erase_if(entry->second, [now](const auto& connection) {
--- a/src/gateway/upstream_pool.h
+++ b/src/gateway/upstream_pool.h
@@ -32,6 +32,9 @@
                std::shared_ptr<UpstreamConnection> connection,
                TimePoint now);
 
+  // Closes the idle connections to `upstream`.
+  void CloseIdle(const UpstreamId& upstream);
+
   // Closes the connections that can't be reused any more.
   void OnTick(TimePoint now);
 
--- a/src/papaya_gateway_main.cc
+++ b/src/papaya_gateway_main.cc
@@ -15,6 +15,7 @@
 #include "include/gateway/gateway.h"
 #include "include/telemetry/log_output.h"
 #include "include/telemetry/logger.h"
+#include "include/wire/event_loop.h"
 #include "platform/binding.h"
 #include "platform/settings_reader.h"
 #include "platform/wire_names.h"
@@ -137,7 +138,7 @@
   stop.async_wait([&](const boost::system::error_code&, int) {
     gateway.Drain([&context] { context.stop(); });
   });
-  context.run();
+  papaya::RunEventLoop(&context, logger);
   return papaya::kExitOk;
 }
 
--- a/src/telemetry/event_catalog.cc
+++ b/src/telemetry/event_catalog.cc
@@ -38,6 +38,10 @@
        "So many events of each name were not logged in the last second, to "
        "bound the log under load; counters have them all."},
 
+      {EventId::kUnexpectedError, Severity::kError, "unexpected_error",
+       "An error that the program does not expect was caught; the router goes "
+       "on. Report it with the lines before it."},
+
       // Wire.
       {EventId::kListening, Severity::kInfo, "listening",
        "A server socket is open on the address given."},
@@ -101,7 +105,9 @@
       {EventId::kUpstreamRegistered, Severity::kInfo, "upstream_registered",
        "An upstream, or a new start of one, registered and may get work."},
       {EventId::kUpstreamDraining, Severity::kInfo, "upstream_draining",
-       "An upstream said that it leaves; it gets no new work."},
+       "An upstream said that it leaves, in the source named: its "
+       "registration, a response, or another router's report; it gets no new "
+       "work."},
       {EventId::kUpstreamGone, Severity::kInfo, "upstream_gone",
        "An upstream's registration is gone; it gets no new work."},
       {EventId::kManifestInForce, Severity::kInfo, "manifest_in_force",
@@ -135,6 +141,12 @@
       {EventId::kRequestRejected, Severity::kInfo, "request_rejected",
        "A request was turned away by the manifest, or because there is none "
        "yet."},
+      {EventId::kUpstreamClosed, Severity::kInfo, "upstream_closed",
+       "An upstream rejected a request and asked for a delay; it gets no "
+       "request from this router for so long, five minutes at most."},
+      {EventId::kResponseCut, Severity::kWarning, "response_cut",
+       "An upstream's response exceeded a limit of size or time and was "
+       "abandoned; look at the upstream named."},
       {EventId::kMoveOrdered, Severity::kInfo, "move_ordered",
        "Operators ordered a service's requests to be moved to another "
        "version."},
