Delay the first watch of a starting router until it can be fed

Cause: each starting router made a list and a watch of three kinds before it knew who reads for its zone. Change: the first watch waits 1.2 s.

--- a/include/gateway/object_watcher.h
+++ b/include/gateway/object_watcher.h
@@ -34,6 +34,9 @@
     // available again. It is short because the outage counts as ongoing until
     // the probe is answered.
     Duration probe_wait = std::chrono::milliseconds(50);
+    // Delay of the first watch after the first list. A router that starts
+    // learns in it who can feed it.
+    Duration first_watch_delay{};
     // Delay before the next watch after changes were received, so that changes
     // made close together arrive in one response. This saves calls, which all
     // routers make and which have a cost for the store.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -40,6 +40,9 @@
 // the process.
 constexpr Duration kGraceMargin = std::chrono::milliseconds(400);
 
+// A router that starts discovers the others within about this time.
+constexpr Duration kFirstWatchDelay = std::chrono::milliseconds(1200);
+
 // Maximum wait of a watch for version moves, which take many seconds each.
 constexpr Duration kMoveWatchWait = std::chrono::seconds(5);
 // The same while other routers are fed, and how long a feed of moves is recent.
@@ -158,16 +161,19 @@
       directory_({.decode = binding_.decode_upstream,
                   .changed = [this] { PublishUpstreams(); },
                   .event = logger->hook()}),
-      config_watcher_(store_.get(),
-                      {.kind = binding_.config_kind},
-                      MakeWatcherHooks(&Impl::OnConfig)),
+      config_watcher_(
+          store_.get(),
+          {.kind = binding_.config_kind, .first_watch_delay = kFirstWatchDelay},
+          MakeWatcherHooks(&Impl::OnConfig)),
       upstream_watcher_(store_.get(),
-                        {.kind = binding_.upstream_kind},
+                        {.kind = binding_.upstream_kind,
+                         .first_watch_delay = kFirstWatchDelay},
                         MakeUpstreamHooks()),
       moves_(settings_.router, incarnation_, MakeMoveHooks()),
       move_watcher_(store_.get(),
                     {.kind = binding_.move_kind,
                      .wait = kMoveWatchWait,
+                     .first_watch_delay = kFirstWatchDelay,
                      .feeding_wait = kMoveFeedingWait,
                      .max_feed_age = kMaxMoveFeedAge},
                     MakeWatcherHooks(&Impl::OnMove)),
--- a/src/gateway/object_watcher.cc
+++ b/src/gateway/object_watcher.cc
@@ -90,6 +90,9 @@
   if (batch->has_more && !batch->objects.empty()) {
     return;
   }
+  if (!is_listed_) {
+    next_call_ = now + options_.first_watch_delay;
+  }
   must_list_ = false;
   is_listed_ = true;
   unchanged_since_ = version_;
--- a/tests/object_watcher_test.cc
+++ b/tests/object_watcher_test.cc
@@ -138,6 +138,45 @@
   CHECK(f.store_recovered == 0);
 }
 
+TEST_CASE("ObjectWatcher: a starting router waits for a feed before it watches",
+          "[gateway]") {
+  Fixture f;
+  ObjectWatcher::Hooks hooks;
+  hooks.replaced = [](const std::vector<PlatformObject>&) {};
+  hooks.changed = [&f](const PlatformObject& object) {
+    f.changed.push_back(object.name);
+  };
+  hooks.store_recovered = [] {};
+  hooks.read = [](const KindFeed&) {};
+  hooks.now = [&f] { return f.now; };
+  hooks.event = [](const Event&) {};
+  FakeStore store;
+  ObjectWatcher watcher(
+      &store, {.kind = "upstreams", .first_watch_delay = milliseconds(1000)},
+      hooks);
+  watcher.OnTick(f.now);
+  store.Take().done(Fixture::Batch({"a"}, 7));
+  CHECK(watcher.IsListed());
+  CHECK(store.calls.empty());
+  SECTION("and is fed") {
+    watcher.OnFeed(
+        {.kind = "upstreams", .from = ObjectVersion(6), .to = ObjectVersion(9)},
+        f.now);
+    f.now += milliseconds(1300);
+    watcher.OnTick(f.now);
+    CHECK(store.calls.empty());
+    // The feed has become too old.
+    f.now += milliseconds(200);
+    watcher.OnTick(f.now);
+    CHECK(store.Take().version == ObjectVersion(9));
+  }
+  SECTION("and is not fed") {
+    f.now += milliseconds(1000);
+    watcher.OnTick(f.now);
+    CHECK(store.Take().version == ObjectVersion(7));
+  }
+}
+
 TEST_CASE("ObjectWatcher: one failed watch is not an outage", "[gateway]") {
   Fixture f;
   f.store.Take().done(Fixture::Batch({"a"}, 7));
--- a/tools/check_lint.sh
+++ b/tools/check_lint.sh
@@ -20,6 +20,9 @@
   /^[^ ]/ { source = "" }
   /^ / {
     path = $1
+    # Relative to BUILD_DIR, which is a folder of the root, if ccache has a
+    # base_dir.
+    sub(/^\.\.\//, root, path)
     if (index(path, root) != 1) next
     path = substr(path, length(root) + 1)
     if (source == "") source = path
