Publish changes of the live routers at most every 300 ms

Change: the changes are gathered for 300 ms. An upstream that another router reports as leaving is logged with that source.

--- a/src/admission/scheduler_preemption.cc
+++ b/src/admission/scheduler_preemption.cc
@@ -71,9 +71,16 @@
   // decision.
   for (const UpstreamUse& use : report.upstreams) {
     const int32_t number = use.leaving ? upstreams_.Find(use.upstream) : -1;
-    if (number >= 0) {
-      upstreams_.MarkLeavingByPeer(number, now);
+    if (number < 0) {
+      continue;
+    }
+    const UpstreamState& state = upstreams_.at(number);
+    if (!state.is_leaving && now >= state.peer_leaving_until) {
+      hooks_.event(
+          {EventId::kUpstreamDraining,
+           {{"upstream", use.upstream.value()}, {"source", "router"}}});
     }
+    upstreams_.MarkLeavingByPeer(number, now);
   }
 }
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -26,6 +26,10 @@
 namespace {
 
 constexpr std::chrono::milliseconds kTick{25};
+// Minimum time between two updates for changes of the live routers. Each one
+// computes the subset of upstreams anew, at a cost of routers times upstreams,
+// and while a fleet starts or is replaced there are hundreds of changes.
+constexpr Duration kRouterUpdateInterval = std::chrono::milliseconds(300);
 // Interval of the work that is not needed on every tick.
 constexpr Duration kSlowTick = std::chrono::milliseconds(100);
 // Descriptors that callers can't use: reserved for files, other routers, the
@@ -98,8 +102,8 @@
   void OnMove(const PlatformObject& object);
   void OnConfig(const PlatformObject& object);
   void OnReport(const RelayReport& report);
-  // Logs an event of a request, within the event budget.
-  void LogRequest(const Event& event);
+  // Counts an event and logs it within the event budget.
+  void LogBounded(const Event& event);
   void OnProbe(const std::shared_ptr<CallerConnection>& caller,
                const HttpRequest& request);
   // Serves /metrics.
@@ -137,6 +141,9 @@
                        {EventId::kUpstreamClosed, kFailedLinesPerSecond},
                        {EventId::kResponseCut, kFailedLinesPerSecond}}};
   TimePoint next_slow_tick_;
+  // The live routers have changed since they were last published.
+  bool have_routers_changed_ = false;
+  TimePoint next_router_update_;
   bool was_ready_ = false;
   std::optional<TimePoint> drain_start_;
   std::function<void()> drain_ended_;
@@ -160,7 +167,7 @@
       mesh_(context, settings_, incarnation_, MakeMeshHooks()),
       directory_({.decode = binding_.decode_upstream,
                   .changed = [this] { PublishUpstreams(); },
-                  .event = [this](const Event& event) { LogRequest(event); }}),
+                  .event = [this](const Event& event) { LogBounded(event); }}),
       config_watcher_(
           store_.get(),
           {.kind = binding_.config_kind, .first_watch_delay = kFirstWatchDelay},
@@ -235,13 +242,13 @@
   hooks.rejected = [this](const std::string& reason) {
     metrics_.CountRejected(reason);
   };
-  hooks.event = [this](const Event& event) { LogRequest(event); };
+  hooks.event = [this](const Event& event) { LogBounded(event); };
   return hooks;
 }
 
 RouterMesh::Hooks Gateway::Impl::MakeMeshHooks() {
   RouterMesh::Hooks hooks;
-  hooks.changed = [this] { PublishUpstreams(); };
+  hooks.changed = [this] { have_routers_changed_ = true; };
   hooks.receive = [this](const RouterId& from, const PeerMessage& message) {
     const DemandNotice* notice = std::get_if<DemandNotice>(&message);
     if (notice != nullptr && notice->incarnation != Incarnation()) {
@@ -449,7 +456,7 @@
   logger_->Log(event);
 }
 
-void Gateway::Impl::LogRequest(const Event& event) {
+void Gateway::Impl::LogBounded(const Event& event) {
   metrics_.CountEvent(event.id);
   if (budget_.Take(event.id, SteadyNow())) {
     logger_->Log(event);
@@ -534,6 +541,11 @@
     logger_->Log(*loss);
   }
   mesh_.OnTick(now);
+  if (have_routers_changed_ && now >= next_router_update_) {
+    have_routers_changed_ = false;
+    next_router_update_ = now + kRouterUpdateInterval;
+    PublishUpstreams();
+  }
   feed_.OnTick(now);
   moves_.OnTick(now);
   caller_listener_.OnTick(now);
