--- a/tests/fakes/fake_platform.h
+++ b/tests/fakes/fake_platform.h
@@ -91,7 +91,7 @@
             const std::string& /*after*/,
             BatchCallback done) override {
     Answer(
-        [this, done = std::move(done)] {
+        [this, done] {
           ObjectBatch batch;
           for (const auto& [name, version] : platform_->objects_) {
             PlatformObject object;
--- a/tests/store_feed_test.cc
+++ b/tests/store_feed_test.cc
@@ -64,6 +64,7 @@
   explicit FeedFleet(int count) : platform(&queue), random(1) {
     queue.RunUntil(TimePoint(seconds(100)));
     std::vector<RouterLocation> locations;
+    locations.reserve(static_cast<size_t>(count));
     for (int i = 0; i < count; ++i) {
       locations.push_back({.id = RouterId(absl::StrCat("r", i)),
                            .zone = AvailabilityZoneId("z")});
