Log which attempts upstreams break off, and the shared parts of prompts

Cause: the logs could not tell a part of a prompt that crashes engines from an account, a repeat or load as the cause: nothing named what requests have in common. Change: event attempt_broken with the events of the attempt, `parts` in the lines of ended requests, a counter.

--- a/include/gateway/header_codec.h
+++ b/include/gateway/header_codec.h
@@ -18,6 +18,10 @@
   Tokens tokens;
 };
 
+// Formats the hashes of the parts that other requests may share, that is, all
+// but the last one, for logs. At most kMaxLoggedParts of them.
+std::string FormatSharedParts(const std::vector<PromptPart>& parts);
+
 // Metadata from the headers of a caller's request.
 struct CallerMetadata {
   // Identifies one attempt of the caller; its retries have other ids.
--- a/include/telemetry/event_catalog.h
+++ b/include/telemetry/event_catalog.h
@@ -69,6 +69,7 @@
   kRequestRejected = 8003,
   kUpstreamClosed = 8004,
   kResponseCut = 8005,
+  kAttemptBroken = 8006,
   kMoveOrdered = 8011,
   kMoveDecided = 8012,
   kMoveWriteFailed = 8013,
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -139,7 +139,8 @@
                        {EventId::kRequestFailed, kFailedLinesPerSecond},
                        {EventId::kRequestRejected, kFailedLinesPerSecond},
                        {EventId::kUpstreamClosed, kFailedLinesPerSecond},
-                       {EventId::kResponseCut, kFailedLinesPerSecond}}};
+                       {EventId::kResponseCut, kFailedLinesPerSecond},
+                       {EventId::kAttemptBroken, kFailedLinesPerSecond}}};
   TimePoint next_slow_tick_;
   // The live routers have changed since they were last published.
   bool have_routers_changed_ = false;
@@ -442,6 +443,7 @@
       {"waited_ms", absl::StrCat(report.waited / std::chrono::milliseconds(1))},
       {"took_ms", absl::StrCat(report.took / std::chrono::milliseconds(1))},
       {"events", absl::StrCat(report.events)},
+      {"parts", report.parts},
       {"manifest", absl::StrCat(report.manifest.value())}};
   if (!is_good) {
     const ServiceLoad load = dispatcher_.LoadOf(report.service);
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -47,6 +47,7 @@
     case EventId::kUpstreamDraining:
     case EventId::kUpstreamClosed:
     case EventId::kResponseCut:
+    case EventId::kAttemptBroken:
     case EventId::kEntryRefused:
       registry_
           .GetCounter("papaya_upstream_events_total",
--- a/src/gateway/relayed_request.cc
+++ b/src/gateway/relayed_request.cc
@@ -165,6 +165,7 @@
   is_reading_ = true;
   has_measurement_ = false;
   events_.Restart();
+  earlier_events_ = events_.events();
   UpstreamConnection::Call call;
   call.bytes = FormatRequest(*upstream);
   call.attempt_id = input_.metadata.attempt_id;
@@ -377,6 +378,7 @@
     return;
   }
   may_have_run_ = true;
+  context_->broken(*this, error);
   FinishAttempt(AttemptEnd::kUnknown);
 }
 
@@ -555,6 +557,7 @@
   report.waited = (attempts_ > 0 ? first_dispatched_ : now) - input_.arrival;
   report.took = now - input_.arrival;
   report.events = events_.events();
+  report.parts = FormatSharedParts(input_.metadata.prompt_parts);
   context_->done(report);
 }
 
--- a/src/gateway/relayed_request.h
+++ b/src/gateway/relayed_request.h
@@ -51,6 +51,8 @@
   Duration waited{};
   Duration took{};
   int64_t events = 0;
+  // FormatSharedParts of the request.
+  std::string parts;
 };
 
 // One request of a caller, from its arrival to the end of its response. Sends
@@ -68,6 +70,10 @@
     std::function<void(const UpstreamId&, const ResponseMetadata&)> observed;
     // A response was abandoned because it exceeded a limit.
     std::function<void(const RelayedRequest&, const std::string& error)> cut;
+    // The upstream ended the connection of the current attempt before its
+    // response was complete.
+    std::function<void(const RelayedRequest&, const std::string& error)>
+        broken;
     // An attempt has ended. The scheduler decides whether another one follows.
     std::function<void(RequestId, const AttemptResult&)> finish_attempt;
     std::function<void(RequestId)> first_token;
@@ -128,6 +134,9 @@
   // True while an attempt is in progress.
   bool IsAtUpstream() const { return connection_ != nullptr; }
 
+  // Events that the current attempt, or the last one, has delivered.
+  int64_t attempt_events() const { return events_.events() - earlier_events_; }
+
   const Input& input() const { return input_; }
 
  private:
@@ -205,6 +214,8 @@
   bool is_reading_ = true;
   bool has_ended_ = false;
   EventSplitter events_;
+  // Events of the attempts before the current one.
+  int64_t earlier_events_ = 0;
 };
 
 }  // namespace papaya
--- a/src/gateway/request_dispatcher.cc
+++ b/src/gateway/request_dispatcher.cc
@@ -163,6 +163,18 @@
                    {"upstream", relay.upstream().value()},
                    {"error", error}}});
   };
+  context.broken = [this](const RelayedRequest& relay,
+                          const std::string& error) {
+    const RelayedRequest::Input& input = relay.input();
+    hooks_.event({EventId::kAttemptBroken,
+                  {{"request", input.metadata.attempt_id},
+                   {"route", input.route->id.value()},
+                   {"account", input.account.value()},
+                   {"upstream", relay.upstream().value()},
+                   {"events", absl::StrCat(relay.attempt_events())},
+                   {"parts", FormatSharedParts(input.metadata.prompt_parts)},
+                   {"error", error}}});
+  };
   context.finish_attempt = [this](RequestId id, const AttemptResult& result) {
     scheduler_.OnFinished(id, result, SteadyNow());
     RunDecisions();
--- a/src/telemetry/event_catalog.cc
+++ b/src/telemetry/event_catalog.cc
@@ -147,6 +147,10 @@
       {EventId::kResponseCut, Severity::kWarning, "response_cut",
        "An upstream's response exceeded a limit of size or time and was "
        "abandoned; look at the upstream named."},
+      {EventId::kAttemptBroken, Severity::kWarning, "attempt_broken",
+       "An upstream closed the connection of an attempt before its response "
+       "was complete; `events` it had sent, `parts` of the prompt are those "
+       "that other requests may share."},
       {EventId::kMoveOrdered, Severity::kInfo, "move_ordered",
        "Operators ordered a service's requests to be moved to another "
        "version."},
