Take a stream that ends inside an event for broken off

What callers saw: the piece of an event, and an end that looked complete. Cause: the relay passed on the bytes after the last complete event of a response that had ended by its framing or by the end of its connection. Change: such a response counts as broken off: resumed where the route allows it, else the caller's connection is aborted. Result: 'Gateway: a stream that ended inside an event looked complete' (chunked, and without length) and 'Gateway: resumes a stream that ended inside an event' failed before and pass.

--- a/src/gateway/relayed_request.cc
+++ b/src/gateway/relayed_request.cc
@@ -364,10 +364,13 @@
       }
       break;
     case ResponseKind::kStream:
+      if (!events_.TakePartialEvent().empty()) {
+        OnFailed(CallFailure::kClosed, "the stream ended within an event");
+        return;
+      }
       if (!has_started_) {
         StartResponse();
       }
-      input_.caller->WriteBody(events_.TakePartialEvent());
       input_.caller->EndResponse();
       break;
   }
