Resume a stream only by a response like the first one

What callers saw, by a report of other operators: after a stream had begun and broken off, the next upstream's answer in the middle of it. Cause: any status below 400 was taken for the rest of the stream, as 302, 204 or a 200 that is no event stream. Change: status and content type must be those of the response that the caller has the header of; anything else is a failed attempt. Result: 'Gateway: the next upstream's error appeared in a begun stream' failed before for 302, 204 and the 200, passed for 404, 421, 500, 503 and bytes that are no HTTP, and passes for all.

--- a/src/gateway/relayed_request.cc
+++ b/src/gateway/relayed_request.cc
@@ -207,16 +207,22 @@
   connection->Send(upstream->address, std::move(call));
 }
 
+bool RelayedRequest::ResumesResponse(const ResponseReader& reader) const {
+  constexpr char kContentType[] = "Content-Type";
+  return reader.status() == response_.status &&
+         absl::EqualsIgnoreCase(reader.headers().Get(kContentType),
+                                response_.headers.Get(kContentType));
+}
+
 RelayedRequest::ResponseKind RelayedRequest::Classify(
-    int status,
+    const ResponseReader& reader,
     const ResponseMetadata& metadata) const {
+  const int status = reader.status();
   if (metadata.is_not_run || metadata.is_other_instance) {
     return ResponseKind::kNotRun;
   }
-  // A response that resumes a stream must not be an error response: the caller
-  // already has the header of the first one.
   if (status >= kFirstServerErrorStatus || !MayForwardStatus(status) ||
-      (has_started_ && status >= kFirstErrorStatus)) {
+      (has_started_ && !ResumesResponse(reader))) {
     return ResponseKind::kFailure;
   }
   const bool is_stream = input_.route->kind == RequestKind::kStream;
@@ -235,7 +241,7 @@
 void RelayedRequest::OnHead(const ResponseReader& reader,
                             const ResponseMetadata& metadata) {
   context_->alive(upstream_);
-  response_kind_ = Classify(reader.status(), metadata);
+  response_kind_ = Classify(reader, metadata);
   if (has_started_) {
     // The caller already has the header of the first response.
     return;
--- a/src/gateway/relayed_request.h
+++ b/src/gateway/relayed_request.h
@@ -174,7 +174,11 @@
   void OnBody(const std::string& bytes);
   void OnResponseEnd();
   void OnFailed(CallFailure failure, const std::string& error);
-  ResponseKind Classify(int status, const ResponseMetadata& metadata) const;
+  // True if the response can go on with the one whose header the caller has.
+  // Any other one, such as an error, must not appear within that.
+  bool ResumesResponse(const ResponseReader& reader) const;
+  ResponseKind Classify(const ResponseReader& reader,
+                        const ResponseMetadata& metadata) const;
   // False for statuses that promise that the request did not run.
   static bool MayForwardStatus(int status);
   void ForwardEvents(const std::string& events);
--- a/tests/broken_stream_test.cc
+++ b/tests/broken_stream_test.cc
@@ -94,5 +94,61 @@
   CHECK(Has(caller->received, "Content-Length: 5\r\n"));
 }
 
+// What the next upstream answers after a stream has begun and broken off.
+struct NextAnswer {
+  const char* what;
+  std::string bytes;
+};
+
+std::string Answer(const std::string& status,
+                   const std::string& headers,
+                   const std::string& body) {
+  return absl::StrCat("HTTP/1.1 ", status, "\r\nPapayaarch-Attempt-Id: a1\r\n",
+                      headers, "Content-Length: ", body.size(), "\r\n\r\n",
+                      body);
+}
+
+TEST_CASE("Gateway: the next upstream's error appeared in a begun stream",
+          "[gateway]") {
+  const std::string text = "no such model\n\n";
+  const NextAnswer next = GENERATE_COPY(
+      NextAnswer{"500", Answer("500 No", "", text)},
+      NextAnswer{"404", Answer("404 No", "", text)},
+      NextAnswer{"503", Answer("503 Full", "", text)},
+      NextAnswer{"503, not run",
+                 Answer("503 Full", "Papayaarch-Not-Executed: 1\r\n", text)},
+      NextAnswer{"421", Answer("421 Other", "", text)},
+      NextAnswer{"302", Answer("302 Found", "Location: /x\r\n", text)},
+      NextAnswer{"204", "HTTP/1.1 204 No\r\nPapayaarch-Attempt-Id: a1\r\n\r\n"},
+      NextAnswer{"200, no stream",
+                 Answer("200 OK", "Content-Type: application/json\r\n", text)},
+      NextAnswer{"no HTTP", absl::StrCat("no such model", "\r\n\r\n")});
+  CAPTURE(next.what);
+  GatewayFixture f(RequestKind::kStream, /*is_resumable=*/true);
+  const std::unique_ptr<RawPeer> caller = f.Call(kPostRequest);
+  RawPeer* upstream = f.AwaitRequest();
+  const size_t index = f.IndexOf(upstream);
+  upstream->Send(absl::StrCat(kStreamHead, Chunk(kFirstEvent)));
+  f.RunUntil([&] { return Has(caller->received, "data: a"); });
+  upstream->Reset();
+  f.RunUntil([&] { return f.RequestsAt(1 - index) == 1; });
+  // Later attempts, if any, get the same answer.
+  f.RunUntil([&] {
+    for (const std::unique_ptr<RawUpstream>& other : f.upstreams) {
+      for (const std::unique_ptr<RawPeer>& peer : other->peers) {
+        if (peer.get() != upstream && !peer->has_ended &&
+            Has(peer->received, "Last-Event-Id: 1\r\n")) {
+          peer->received.clear();
+          peer->Send(next.bytes);
+        }
+      }
+    }
+    return caller->has_ended || LooksComplete(*caller);
+  });
+  CHECK_FALSE(LooksComplete(*caller));
+  CHECK_FALSE(Has(caller->received, "no such model"));
+  CHECK_FALSE(Has(caller->received.substr(1), "HTTP/1.1"));
+}
+
 }  // namespace
 }  // namespace papaya
