Repeat a rejected request on another connection

What callers saw, by a report of other operators: "not run" for a request that an upstream ran. Cause: a repeat has the id of the caller's attempt; sent to the same upstream on the kept connection, a second copy of the earlier rejection was taken for its answer. Change: a connection remembers which requests were rejected on it, and the pool gives another one for their repeats. Result: 'Gateway: an earlier refusal was taken for the answer to a repeat' failed before and passes; copies that reach other requests were dropped before, too ('Gateway: a repeated refusal reaches no other request').

--- a/src/gateway/relayed_request.cc
+++ b/src/gateway/relayed_request.cc
@@ -202,7 +202,8 @@
       self->OnFailed(failure, error);
     }
   };
-  connection_ = context_->pool->Acquire(upstream_, dispatched_);
+  connection_ =
+      context_->pool->Acquire(upstream_, call.attempt_id, dispatched_);
   const std::shared_ptr<UpstreamConnection> connection = connection_;
   connection->Send(upstream->address, std::move(call));
 }
--- a/src/gateway/upstream_connection.cc
+++ b/src/gateway/upstream_connection.cc
@@ -1,5 +1,6 @@
 #include "src/gateway/upstream_connection.h"
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <utility>
@@ -25,6 +26,9 @@
 // Received bytes that the parser can't use yet, such as the line of a chunk
 // size without end.
 constexpr size_t kMaxUnparsedBytes = size_t{128} * 1024;
+// A connection is not reused after this number of rejected requests, which
+// bounds the memory for their ids.
+constexpr size_t kMaxRejected = 32;
 // Total size of responses to other requests during one call.
 constexpr size_t kMaxMismatchedBytes = size_t{4} * 1024 * 1024;
 
@@ -116,10 +120,16 @@
   }
 }
 
+bool UpstreamConnection::HasRejected(const std::string& attempt_id) const {
+  return std::find(rejected_.begin(), rejected_.end(), attempt_id) !=
+         rejected_.end();
+}
+
 bool UpstreamConnection::IsReusable(TimePoint now) const {
-  return !is_closed_ && !closes_after_call_ && call_ == nullptr &&
-         channel_ != nullptr && channel_->is_open() &&
-         channel_->pending_bytes() == 0 && !IsExpired(now);
+  return !is_closed_ && rejected_.size() < kMaxRejected &&
+         !closes_after_call_ && call_ == nullptr && channel_ != nullptr &&
+         channel_->is_open() && channel_->pending_bytes() == 0 &&
+         !IsExpired(now);
 }
 
 bool UpstreamConnection::IsExpired(TimePoint now) const {
@@ -212,6 +222,9 @@
     return false;
   }
   if (!is_mismatched_) {
+    if (metadata.is_not_run || metadata.is_other_instance) {
+      rejected_.push_back(call_->attempt_id);
+    }
     const std::shared_ptr<const Call> call = call_;
     call->head(*reader_, metadata);
   }
--- a/src/gateway/upstream_connection.h
+++ b/src/gateway/upstream_connection.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "include/base/units.h"
 #include "include/gateway/header_codec.h"
@@ -71,6 +72,11 @@
   // True if the connection was idle for so long that the upstream may close it.
   bool IsExpired(TimePoint now) const;
 
+  // True if the upstream has rejected the request on this connection. A repeat
+  // of it needs another one, because a second copy of the rejection would be
+  // taken for the response to the repeat.
+  bool HasRejected(const std::string& attempt_id) const;
+
   // True if the upstream may have received the current call.
   bool was_sent() const { return was_sent_; }
 
@@ -104,6 +110,8 @@
   bool is_mismatched_ = false;
   // Bytes of responses to other requests received during the current call.
   size_t mismatched_bytes_ = 0;
+  // The requests that the upstream has rejected on this connection.
+  std::vector<std::string> rejected_;
   // Number of calls so far, with the current one.
   int calls_ = 0;
   bool has_head_ = false;
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -1,5 +1,6 @@
 #include "src/gateway/upstream_pool.h"
 
+#include <cstddef>
 #include <utility>
 
 #include "include/wire/steady_time.h"
@@ -15,11 +16,15 @@
 
 std::shared_ptr<UpstreamConnection> UpstreamPool::Acquire(
     const UpstreamId& upstream,
+    const std::string& attempt_id,
     TimePoint now) {
   std::vector<std::shared_ptr<UpstreamConnection>>& idle = idle_[upstream];
-  while (!idle.empty()) {
-    std::shared_ptr<UpstreamConnection> connection = std::move(idle.back());
-    idle.pop_back();
+  for (size_t i = idle.size(); i-- > 0;) {
+    if (idle[i]->HasRejected(attempt_id)) {
+      continue;
+    }
+    const std::shared_ptr<UpstreamConnection> connection = std::move(idle[i]);
+    idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i));
     if (connection->IsReusable(now)) {
       return connection;
     }
--- a/src/gateway/upstream_pool.h
+++ b/src/gateway/upstream_pool.h
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <map>
 #include <memory>
+#include <string>
 #include <vector>
 
 #include "include/base/ids.h"
@@ -23,8 +24,10 @@
                const HeaderCodec* header_codec);
   ~UpstreamPool();
 
-  // Returns the most recently used idle connection to `upstream`, or a new one.
+  // Returns the most recently used idle connection to `upstream` on which the
+  // request `attempt_id` was not rejected before, or a new one.
   std::shared_ptr<UpstreamConnection> Acquire(const UpstreamId& upstream,
+                                              const std::string& attempt_id,
                                               TimePoint now);
 
   // Returns `connection` to the pool if it can be reused.
--- a/tests/broken_stream_test.cc
+++ b/tests/broken_stream_test.cc
@@ -6,11 +6,14 @@
 #include <string>
 
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_replace.h"
 #include "tests/fakes/gateway_fixture.h"
 
 namespace papaya {
 namespace {
 
+using std::chrono::milliseconds;
+
 // A stream response that ends with its connection.
 constexpr char kUnframedHead[] =
     "HTTP/1.1 200 OK\r\nPapayaarch-Attempt-Id: a1\r\n"
@@ -150,5 +153,71 @@
   CHECK_FALSE(Has(caller->received.substr(1), "HTTP/1.1"));
 }
 
+TEST_CASE("Gateway: an earlier refusal was taken for the answer to a repeat",
+          "[gateway]") {
+  // With one upstream, the repeat goes to the one that refused the request.
+  GatewayFixture f(RequestKind::kNonIdempotent);
+  f.records.resize(1);
+  f.PublishUpstreams();
+  const std::string refusal =
+      Answer("503 Full", "Papayaarch-Not-Executed: 1\r\n", "");
+  const std::unique_ptr<RawPeer> caller = f.Call(kPostRequest);
+  RawPeer* upstream = f.AwaitRequest();
+  upstream->received.clear();
+  upstream->Send(refusal);
+  RawPeer* repeat = nullptr;
+  f.RunUntil([&] {
+    for (const std::unique_ptr<RawPeer>& peer : f.upstreams[0]->peers) {
+      if (Has(peer->received, "Id: a1\r\n")) {
+        repeat = peer.get();
+      }
+    }
+    return repeat != nullptr || !caller->received.empty();
+  });
+  REQUIRE(repeat != nullptr);
+  // The upstream runs the repeat, and writes the refusal once more where it has
+  // written it before.
+  upstream->Send(refusal);
+  const TimePoint later = SteadyNow() + milliseconds(100);
+  f.RunUntil([&] { return SteadyNow() >= later; });
+  CHECK(caller->received.empty());
+  repeat->Send(kOkResponse);
+  f.RunUntil([&] { return !caller->received.empty(); });
+  CHECK(caller->received.starts_with("HTTP/1.1 200"));
+  CHECK(f.RequestsAt(0) <= 2);
+}
+
+TEST_CASE("Gateway: a repeated refusal reaches no other request", "[gateway]") {
+  const bool has_id = GENERATE(true, false);
+  const bool is_idempotent = GENERATE(true, false);
+  CAPTURE(has_id, is_idempotent);
+  GatewayFixture f(is_idempotent ? RequestKind::kIdempotent
+                                 : RequestKind::kNonIdempotent);
+  f.records.resize(1);
+  f.route.max_attempts = 1;
+  f.PublishRoute();
+  f.PublishUpstreams();
+  const std::unique_ptr<RawPeer> first = f.Call(kPostRequest);
+  RawPeer* upstream = f.AwaitRequest();
+  upstream->Send(kOkResponse);
+  f.RunUntil([&] { return Has(first->received, "ok"); });
+  upstream->received.clear();
+  const std::unique_ptr<RawPeer> second =
+      f.Call(absl::StrReplaceAll(kPostRequest, {{"Id: a1", "Id: a2"}}));
+  f.RunUntil([&] { return Has(upstream->received, "Id: a2"); });
+  std::string refusal =
+      Answer("503 Full", "Papayaarch-Not-Executed: 1\r\n", "");
+  if (!has_id) {
+    refusal =
+        absl::StrReplaceAll(refusal, {{"Papayaarch-Attempt-Id: a1\r\n", ""}});
+  }
+  upstream->Send(refusal);
+  const TimePoint later = SteadyNow() + milliseconds(100);
+  f.RunUntil([&] { return SteadyNow() >= later; });
+  // Nothing promises that the second request did not run.
+  CHECK_FALSE(second->received.starts_with("HTTP/1.1 503"));
+  CHECK(f.RequestsAt(0) <= 2);
+}
+
 }  // namespace
 }  // namespace papaya
