Keep quarantines in the store over a restart of all routers

Cause: quarantines were known to running routers only. Change: two routers chosen by hash write the quarantines in force to one object of the store; each router reads it once when it starts (QuarantineArchive).

--- a/include/admission/prompt_quarantine.h
+++ b/include/admission/prompt_quarantine.h
@@ -52,6 +52,8 @@
 
   struct Hooks {
     std::function<void(const RouterId&, const CrashNews&)> send;
+    // A quarantine has begun on this router.
+    std::function<void(PromptPartId)> begun;
     EventHook event;
   };
 
@@ -86,6 +88,8 @@
   // Call at least every 50 ms.
   void OnTick(TimePoint now);
 
+  // Returns the quarantines in force, without the crashes.
+  std::vector<PartNews> Quarantines(TimePoint now) const;
   // Number of quarantined parts.
   size_t size() const;
   // Number of quarantines that have begun on this router.
--- a/include/telemetry/event_catalog.h
+++ b/include/telemetry/event_catalog.h
@@ -76,6 +76,7 @@
   kMoveStaged = 8014,
   kPartQuarantined = 8021,
   kQuarantineEnded = 8022,
+  kArchiveFailed = 8023,
 };
 
 enum class Severity : uint8_t { kDebug, kInfo, kWarning, kError };
--- a/src/admission/prompt_quarantine.cc
+++ b/src/admission/prompt_quarantine.cc
@@ -182,6 +182,7 @@
   ++begun_;
   evidence_->MarkCulprit(part, since, now);
   unsent_.try_emplace(part);
+  hooks_.begun(part);
 }
 
 void PromptQuarantine::Judge(TimePoint now) {
@@ -355,6 +356,16 @@
   }
 }
 
+std::vector<PartNews> PromptQuarantine::Quarantines(TimePoint now) const {
+  std::vector<PartNews> parts;
+  for (const auto& [part, quarantine] : quarantines_) {
+    if (!quarantine.is_over) {
+      parts.push_back(MakeNews(part, {}, now));
+    }
+  }
+  return parts;
+}
+
 size_t PromptQuarantine::size() const {
   return static_cast<size_t>(
       std::count_if(quarantines_.begin(), quarantines_.end(),
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -10,6 +10,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "include/gateway/object_watcher.h"
+#include "include/gateway/quarantine_archive.h"
 #include "include/gateway/store_feed.h"
 #include "include/gateway/upstream_directory.h"
 #include "include/gateway/version_moves.h"
@@ -92,6 +93,7 @@
       void (Impl::*handle)(const PlatformObject&));
   ObjectWatcher::Hooks MakeUpstreamHooks();
   VersionMoves::Hooks MakeMoveHooks();
+  QuarantineArchive::Hooks MakeArchiveHooks();
   StoreFeed::Hooks MakeFeedHooks();
   // The watchers of all kinds.
   std::array<ObjectWatcher*, 3> Watchers() {
@@ -123,6 +125,7 @@
   boost::asio::steady_timer timer_;
   std::unique_ptr<PlatformStore> store_;
   RequestDispatcher dispatcher_;
+  QuarantineArchive archive_;
   RouterMesh mesh_;
   UpstreamDirectory directory_;
   ObjectWatcher config_watcher_;
@@ -165,6 +168,10 @@
                   incarnation_,
                   &binding_.header_codec,
                   MakeDispatcherHooks()),
+      archive_(settings_.router,
+               store_.get(),
+               binding_.quarantine_kind,
+               MakeArchiveHooks()),
       mesh_(context, settings_, incarnation_, MakeMeshHooks()),
       directory_({.decode = binding_.decode_upstream,
                   .changed = [this] { PublishUpstreams(); },
@@ -229,6 +236,13 @@
   hooks.send_crashes = [this](const RouterId& router, const CrashNews& news) {
     mesh_.Send(router, news);
   };
+  hooks.quarantine_begun = [this](PromptPartId part) {
+    std::vector<RouterId> routers;
+    for (const RouterLocation& place : mesh_.Routers()) {
+      routers.push_back(place.id);
+    }
+    archive_.OnBegun(part, routers);
+  };
   hooks.report = [this](const RelayReport& report) { OnReport(report); };
   hooks.apply_moves = [this](FleetConfig config) {
     return moves_.Apply(std::move(config));
@@ -376,6 +390,17 @@
   return hooks;
 }
 
+QuarantineArchive::Hooks Gateway::Impl::MakeArchiveHooks() {
+  QuarantineArchive::Hooks hooks;
+  hooks.restore = [this](const CrashNews& news) {
+    dispatcher_.OnCrashNews(news);
+  };
+  hooks.current = [this] { return dispatcher_.Quarantines(); };
+  hooks.wall_time = &WallNow;
+  hooks.event = [this](const Event& event) { LogBounded(event); };
+  return hooks;
+}
+
 void Gateway::Impl::OnUpstream(const PlatformObject& object) {
   directory_.Apply(object, SteadyNow());
 }
@@ -557,6 +582,7 @@
     PublishUpstreams();
   }
   feed_.OnTick(now);
+  archive_.OnTick(now);
   moves_.OnTick(now);
   caller_listener_.OnTick(now);
   probe_listener_.OnTick(now);
--- a/src/gateway/request_dispatcher.cc
+++ b/src/gateway/request_dispatcher.cc
@@ -141,6 +141,7 @@
       quarantine_(
           settings.router,
           {.send = hooks_.send_crashes,
+           .begun = hooks_.quarantine_begun,
            .event = [this](const Event& event) { hooks_.event(event); }}),
       random_(StableHash(settings.router.value(), incarnation.value())),
       context_(MakeContext()) {}
@@ -546,6 +547,10 @@
   quarantine_.SetNeighbours(neighbours, SteadyNow());
 }
 
+std::vector<PartNews> RequestDispatcher::Quarantines() const {
+  return quarantine_.Quarantines(SteadyNow());
+}
+
 void RequestDispatcher::OnCrashNews(const CrashNews& news) {
   quarantine_.OnNews(news, SteadyNow());
 }
--- a/src/gateway/request_dispatcher.h
+++ b/src/gateway/request_dispatcher.h
@@ -47,6 +47,8 @@
     std::function<void(const RouterId&, const UsageReport&)> send_usage;
     std::function<void(const RouterId&, const UsageTotals&)> send_totals;
     std::function<void(const RouterId&, const CrashNews&)> send_crashes;
+    // A part of prompts was quarantined on this router.
+    std::function<void(PromptPartId)> quarantine_begun;
     std::function<void(const RelayReport&)> report;
     // Returns the config with the version shares of the current moves.
     std::function<FleetConfig(FleetConfig)> apply_moves;
@@ -99,6 +101,8 @@
 
   ServiceLoad LoadOf(const PoolId& service) const;
 
+  // Returns the quarantines in force.
+  std::vector<PartNews> Quarantines() const;
   // Number of prompt parts whose requests are rejected.
   size_t quarantined_parts() const { return quarantine_.size(); }
 
--- a/src/telemetry/event_catalog.cc
+++ b/src/telemetry/event_catalog.cc
@@ -172,6 +172,9 @@
       {EventId::kQuarantineEnded, Severity::kInfo, "quarantine_ended",
        "Requests with the part are sent to upstreams again, because the "
        "quarantine expired or an upstream survived the part."},
+      {EventId::kArchiveFailed, Severity::kWarning, "quarantine_archive_failed",
+       "The quarantines in the platform's store could not be read or written; "
+       "it is tried again. Routers tell each other of them meanwhile."},
   };
   return catalog;
 }
--- a/tests/fakes/crash_fleet.h
+++ b/tests/fakes/crash_fleet.h
@@ -70,6 +70,7 @@
     hooks.send = [this](const RouterId& to, const CrashNews& news) {
       Send(to, news);
     };
+    hooks.begun = [](PromptPartId) {};
     hooks.event = [this](const Event& event) {
       if (event.id == EventId::kPartQuarantined) {
         quarantined.insert(event.fields.front().second);
--- a/tests/fakes/gateway_fixture.h
+++ b/tests/fakes/gateway_fixture.h
@@ -152,6 +152,7 @@
     hooks.send_usage = [](const RouterId&, const UsageReport&) {};
     hooks.send_totals = [](const RouterId&, const UsageTotals&) {};
     hooks.send_crashes = [](const RouterId&, const CrashNews&) {};
+    hooks.quarantine_begun = [](PromptPartId) {};
     hooks.report = [this](const RelayReport& report) {
       reports.push_back(report);
     };
--- a/tests/prompt_quarantine_test.cc
+++ b/tests/prompt_quarantine_test.cc
@@ -30,6 +30,7 @@
             RouterId("r1"),
             {.send = [this](const RouterId&,
                             const CrashNews& news) { sent.push_back(news); },
+             .begun = [](PromptPartId) {},
              .event = [](const Event&) {}}) {}
 
   void RunFor(Duration time) {
