Share the milliseconds of the peers' messages, and mend what the linter found

Cause: the conversion stood in two codecs; clang-tidy refused a const pointer that is returned and parameters copied for each call. Change: one function in peer_codecs.h; no behaviour changed.

--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -23,7 +23,7 @@
     if (idle[i]->HasRejected(attempt_id)) {
       continue;
     }
-    const std::shared_ptr<UpstreamConnection> connection = std::move(idle[i]);
+    std::shared_ptr<UpstreamConnection> connection = std::move(idle[i]);
     idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i));
     if (connection->IsReusable(now)) {
       return connection;
--- a/src/wire/crash_codec.cc
+++ b/src/wire/crash_codec.cc
@@ -1,5 +1,4 @@
 #include <algorithm>
-#include <limits>
 #include <memory>
 #include <utility>
 
@@ -13,13 +12,7 @@
 // Bounds the duration of a quarantine that a faulty message asks for.
 constexpr int32_t kMaxQuarantines = 64;
 
-int32_t ToAgeMs(Duration age) {
-  return static_cast<int32_t>(
-      std::clamp<int64_t>(age / std::chrono::milliseconds(1), 0,
-                          std::numeric_limits<int32_t>::max()));
-}
-
-std::optional<Duration> FromAgeMs(int32_t age_ms) {
+std::optional<Duration> FromWireMilliseconds(int32_t age_ms) {
   if (age_ms < 0) {
     return std::nullopt;
   }
@@ -35,13 +28,15 @@
     entry->part = part.part.value();
     entry->is_innermost = part.is_innermost;
     for (const PartCrash& crash : part.crashes) {
-      entry->crashes.emplace_back(crash.crash.value(),
-                                  static_cast<uint32_t>(ToAgeMs(crash.age)));
+      entry->crashes.emplace_back(
+          crash.crash.value(),
+          static_cast<uint32_t>(ToWireMilliseconds(crash.age)));
     }
-    entry->proven_age_ms =
-        part.proven_age.has_value() ? ToAgeMs(*part.proven_age) : kNoAge;
+    entry->proven_age_ms = part.proven_age.has_value()
+                               ? ToWireMilliseconds(*part.proven_age)
+                               : kNoAge;
     entry->quarantine_age_ms = part.quarantine_age.has_value()
-                                   ? ToAgeMs(*part.quarantine_age)
+                                   ? ToWireMilliseconds(*part.quarantine_age)
                                    : kNoAge;
     entry->quarantines = part.quarantines;
     encoded.parts.push_back(std::move(entry));
@@ -64,8 +59,8 @@
           {.crash = CrashId(crash.crash()),
            .age = std::chrono::milliseconds(crash.age_ms())});
     }
-    part.proven_age = FromAgeMs(entry->proven_age_ms);
-    part.quarantine_age = FromAgeMs(entry->quarantine_age_ms);
+    part.proven_age = FromWireMilliseconds(entry->proven_age_ms);
+    part.quarantine_age = FromWireMilliseconds(entry->quarantine_age_ms);
     part.quarantines = std::clamp(entry->quarantines, 0, kMaxQuarantines);
     news.parts.push_back(std::move(part));
   }
--- a/src/wire/feed_codec.cc
+++ b/src/wire/feed_codec.cc
@@ -1,5 +1,3 @@
-#include <algorithm>
-#include <limits>
 #include <memory>
 #include <utility>
 
@@ -11,12 +9,6 @@
 
 constexpr int32_t kNoRecovery = -1;
 
-int32_t ToMilliseconds(Duration duration) {
-  return static_cast<int32_t>(
-      std::clamp<int64_t>(duration / std::chrono::milliseconds(1), 0,
-                          std::numeric_limits<int32_t>::max()));
-}
-
 }  // namespace
 
 fb::PayloadUnion EncodeFeedMessage(const FeedRequest& /*request*/) {
@@ -30,9 +22,9 @@
     kind->kind = feed.kind;
     kind->from = feed.from.value();
     kind->to = feed.to.value();
-    kind->age_ms = static_cast<uint32_t>(ToMilliseconds(feed.age));
+    kind->age_ms = static_cast<uint32_t>(ToWireMilliseconds(feed.age));
     kind->recovery_age_ms = feed.recovery_age.has_value()
-                                ? ToMilliseconds(*feed.recovery_age)
+                                ? ToWireMilliseconds(*feed.recovery_age)
                                 : kNoRecovery;
     kind->changes = feed.changes;
     encoded.kinds.push_back(std::move(kind));
--- a/src/wire/peer_codecs.h
+++ b/src/wire/peer_codecs.h
@@ -1,9 +1,13 @@
 #ifndef SRC_WIRE_PEER_CODECS_H_
 #define SRC_WIRE_PEER_CODECS_H_
 
+#include <algorithm>
+#include <cstdint>
+#include <limits>
 #include <optional>
 #include <utility>
 
+#include "include/base/units.h"
 #include "include/wire/peer_message.h"
 #include "src/wire/peer_generated.h"
 
@@ -17,6 +21,13 @@
   return payload;
 }
 
+// Returns `duration` as a field of a message, cut to what the field holds.
+inline int32_t ToWireMilliseconds(Duration duration) {
+  return static_cast<int32_t>(
+      std::clamp<int64_t>(duration / std::chrono::milliseconds(1), 0,
+                          std::numeric_limits<int32_t>::max()));
+}
+
 // One codec a module. Each gives the payload of a message, and reads back the
 // payloads of its own types; empty if the payload is another's, or a value in
 // it is out of range.
--- a/tests/quarantine_archive_test.cc
+++ b/tests/quarantine_archive_test.cc
@@ -88,8 +88,8 @@
   static absl::Status Error(absl::StatusCode code) {
     return MakeError(code, {.step = "store.call", .peer = "store"}, "failed");
   }
-  void Answer(std::function<void()> answer,
-              std::function<void(const absl::Status&)> fail) {
+  void Answer(const std::function<void()>& answer,
+              const std::function<void(const absl::Status&)>& fail) {
     ++calls;
     answers.push_back([this, answer, fail] {
       is_down ? fail(Error(absl::StatusCode::kUnavailable)) : answer();
