Bound what waits to be sent of crashed parts

Cause: the list of changed parts had no bound of its own; parts that the evidence had evicted stayed in it. Change: at most as many as the evidence holds; the summaries repair what is left out.

--- a/include/admission/prompt_quarantine.h
+++ b/include/admission/prompt_quarantine.h
@@ -102,11 +102,6 @@
     int count = 0;
     bool is_over = false;
   };
-  // What has to be sent of one part.
-  struct Unsent {
-    std::vector<CrashId> crashes;
-  };
-
   static Duration DurationOf(int count);
   // When the quarantine ends on this router.
   TimePoint EndOf(PromptPartId part, const Quarantine& quarantine) const;
@@ -127,6 +122,9 @@
                     TimePoint now) const;
   // Returns all that matters of what this router knows.
   CrashNews MakeSummary(TimePoint now) const;
+  // Has `part` sent to the neighbours. Returns the list of its crashes to send,
+  // or null if too much is unsent.
+  std::vector<CrashId>* MarkUnsent(PromptPartId part);
   void SendUnsent(TimePoint now);
   void SendSummary(TimePoint now);
 
@@ -138,7 +136,9 @@
   std::map<PromptPartId, Quarantine> quarantines_;
   uint64_t begun_ = 0;
   std::vector<RouterId> neighbours_;
-  std::map<PromptPartId, Unsent> unsent_;
+  // The crashes to send of each part that has changed. May be empty for a part
+  // that was quarantined or survived.
+  std::map<PromptPartId, std::vector<CrashId>> unsent_;
   TimePoint next_send_;
   TimePoint next_repair_;
   size_t next_neighbour_ = 0;
--- a/src/admission/prompt_quarantine.cc
+++ b/src/admission/prompt_quarantine.cc
@@ -92,7 +92,7 @@
   if (!evidence_->Prove(part, when)) {
     return;
   }
-  unsent_.try_emplace(part);
+  MarkUnsent(part);
   const auto found = quarantines_.find(part);
   if (found != quarantines_.end() && !evidence_->Find(part)->is_known_culprit) {
     hooks_.event({EventId::kQuarantineEnded,
@@ -113,7 +113,9 @@
   if (!evidence_->AddCrash(part, crash, when, is_innermost, now)) {
     return;
   }
-  unsent_[part].crashes.push_back(crash);
+  if (std::vector<CrashId>* unsent = MarkUnsent(part)) {
+    unsent->push_back(crash);
+  }
   const std::optional<TimePoint> proven = proven_->Find(part);
   if (is_new && proven.has_value()) {
     evidence_->Prove(part, *proven);
@@ -181,7 +183,7 @@
   quarantines_[part] = {.since = since, .count = count, .is_over = false};
   ++begun_;
   evidence_->MarkCulprit(part, since, now);
-  unsent_.try_emplace(part);
+  MarkUnsent(part);
   hooks_.begun(part);
 }
 
@@ -294,11 +296,20 @@
   return news;
 }
 
+std::vector<CrashId>* PromptQuarantine::MarkUnsent(PromptPartId part) {
+  const auto found = unsent_.find(part);
+  if (found != unsent_.end()) {
+    return &found->second;
+  }
+  // What is left out is repaired by the summaries if it matters.
+  return unsent_.size() < CrashEvidence::kMaxParts ? &unsent_[part] : nullptr;
+}
+
 void PromptQuarantine::SendUnsent(TimePoint now) {
   CrashNews news;
   while (!unsent_.empty() && news.parts.size() < kMaxPartsPerMessage) {
     const auto first = unsent_.begin();
-    std::vector<CrashId>& waiting = first->second.crashes;
+    std::vector<CrashId>& waiting = first->second;
     const size_t count = std::min(waiting.size(), kMaxCrashesPerEntry);
     const auto end = waiting.begin() + static_cast<ptrdiff_t>(count);
     news.parts.push_back(MakeNews(first->first, {waiting.begin(), end}, now));
