Load no upstream of a new version before there are any

Cause: until an upstream of the new version registers there is no canary plan, and the default one begins with full load on one upstream. Change: the default plan has no loaded stage. 'VersionMoves: full load began before the new version had upstreams' failed before and passes.

--- a/include/gateway/canary_plan.h
+++ b/include/gateway/canary_plan.h
@@ -27,8 +27,10 @@
 // requests over the whole duration, so the shares of the first two stages
 // together stay below that.
 struct CanaryPlan {
-  // When kLoaded starts, as a fraction of the order's duration.
-  double loaded_start = 0.0;
+  // When kLoaded starts, as a fraction of the order's duration. By default not
+  // before kFull: as long as the new version has no upstreams, none can be
+  // loaded.
+  double loaded_start = 1.0;
   int loaded_upstreams = 1;
   Permille loaded_share;
 
--- a/tests/version_moves_test.cc
+++ b/tests/version_moves_test.cc
@@ -234,5 +234,53 @@
   }
 }
 
+TEST_CASE("VersionMoves: full load began before the new version had upstreams",
+          "[gateway]") {
+  std::vector<std::string> stages;
+  VersionMoves::Hooks hooks;
+  hooks.write_state = [](const MoveOrder&, MoveState) {};
+  hooks.send = [](const RouterId&, const StatsReport&) {};
+  hooks.changed = [] {};
+  hooks.event = [&stages](const Event& event) {
+    if (event.id == EventId::kMoveStaged) {
+      stages.push_back(event.fields[2].second);
+    }
+  };
+  VersionMoves moves(RouterId("r1"), Incarnation(1), hooks);
+  FleetConfig config;
+  const auto add = [&config](int count, const char* version) {
+    for (int i = 0; i < count; ++i) {
+      UpstreamSpec upstream;
+      upstream.id = UpstreamId(version + std::to_string(i));
+      upstream.pool = kService;
+      upstream.version = VersionId(version);
+      config.upstreams.push_back(upstream);
+    }
+  };
+  add(9, "v1");
+  MoveOrder order;
+  order.service = kService;
+  order.target = VersionId("v2");
+  order.duration = kTime;
+  TimePoint now{seconds(1000)};
+  moves.OnOrder(order, now);
+  moves.Apply(config);
+  const auto run = [&](Duration time) {
+    const TimePoint end = now + time;
+    for (; now < end; now += kStep) {
+      moves.OnTick(now);
+    }
+  };
+  run(seconds(2));
+  // The upstreams of the new version start after the order. The first requests
+  // are spread over all of them.
+  add(4, "v2");
+  moves.Apply(config);
+  run(seconds(1));
+  CHECK(stages.empty());
+  run(kTime / 2);
+  CHECK(stages == std::vector<std::string>{"loaded"});
+}
+
 }  // namespace
 }  // namespace papaya
