--- a/review/standins/quota.hpp
+++ b/review/standins/quota.hpp
@@ -1,4 +1,4 @@
-// What the two cases on usage caps share: the manifest with one capped tenant,
+// What a case on usage caps needs: the manifest with one capped tenant,
 // engines that stream short answers, callers, and the rule.
 #ifndef REVIEW_STANDINS_QUOTA_HPP_
 #define REVIEW_STANDINS_QUOTA_HPP_
