Measure how late a router's event loop handles what has arrived

The logs of the incident could not tell a router that is busy with changes of registrations from one that is busy with requests, and did not show the time that a request waits in the system before it is read.

LoopMonitor measures how late a regular timer is handled and how the time was spent: event 8031 loop_delayed at 200 ms or more, at most once a second, and the metric papaya_loop_delay_seconds. The lines of ended requests have unread_ms, the time from the arrival at the VM until it was read (TCP_INFO; where the system does not tell, the loop's delay is the estimate). No decision uses them yet.

--- a/include/telemetry/event_catalog.h
+++ b/include/telemetry/event_catalog.h
@@ -77,6 +77,7 @@
   kPartQuarantined = 8021,
   kQuarantineEnded = 8022,
   kArchiveFailed = 8023,
+  kLoopDelayed = 8031,
 };
 
 enum class Severity : uint8_t { kDebug, kInfo, kWarning, kError };
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -83,6 +83,9 @@
   if (state_ == State::kClosing || state_ == State::kClosed) {
     return;
   }
+  if (input_.empty() && state_ != State::kReading) {
+    input_received_ = ReceiveTime();
+  }
   input_.append(bytes);
   if (state_ == State::kResponding) {
     if (input_.size() > kMaxPipelinedBytes) {
@@ -93,6 +96,14 @@
   ReadRequests();
 }
 
+TimePoint CallerConnection::ReceiveTime() {
+  const std::optional<Duration> age = channel_->TimeSinceReceived();
+  if (age.has_value()) {
+    return SteadyNow() - *age;
+  }
+  return SteadyNow() - (shared_->read_delay ? shared_->read_delay() : Duration());
+}
+
 void CallerConnection::ReadRequests() {
   // A request may be answered while it is delivered. The loop then reads the
   // next one, so that the stack does not grow with the pipelined requests.
@@ -112,6 +123,7 @@
     reader_ = std::make_unique<RequestReader>(shared_->limits);
     state_ = State::kReading;
     state_start_ = SteadyNow();
+    request_received_ = input_received_;
     has_sent_continue_ = false;
   }
   switch (reader_->Feed(&input_)) {
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -35,6 +35,9 @@
   // Returns the response to a request that could not be read completely.
   std::function<HttpResponse(const HttpFault&)> read_error;
   std::function<void(CallerConnection*)> ended;
+  // Estimates how long bytes that are read now have waited to be read. Used if
+  // the system does not tell; may be empty.
+  std::function<Duration()> read_delay;
 };
 
 // A connection of a caller. Reads one request at a time and writes its
@@ -77,6 +80,11 @@
   // Enforces the timeouts.
   void OnTick(TimePoint now);
 
+  // When the first bytes of the current request were received by the system,
+  // which is before they were read if the event loop was busy. Valid from the
+  // delivery of a request to the end of its response.
+  TimePoint request_received() const { return request_received_; }
+
   // Bytes of the response that are not sent yet.
   size_t pending_bytes() const;
   bool IsIdle() const { return state_ == State::kIdle; }
@@ -98,6 +106,8 @@
   void ReadRequest();
   void DeliverRequest();
   void RejectRequest(const HttpFault& read_error);
+  // Returns when the system received the bytes that are read now.
+  TimePoint ReceiveTime();
   // Returns the header of a response, including the empty line.
   std::string FormatHead(const HttpResponse& response,
                          std::optional<uint64_t> length);
@@ -122,6 +132,9 @@
   bool has_ended_ = false;
   // When the state was entered, or bytes of the body were last received.
   TimePoint state_start_;
+  TimePoint request_received_;
+  // When the first bytes of `input_` were received.
+  TimePoint input_received_;
   Duration idle_limit_{};
 };
 
--- a/src/gateway/caller_listener.h
+++ b/src/gateway/caller_listener.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/status/status.h"
@@ -34,6 +35,11 @@
   // Returns the port listened on; 0 before Start.
   uint16_t port() const { return port_; }
 
+  // See CallerShared::read_delay.
+  void SetReadDelayHook(std::function<Duration()> read_delay) {
+    shared_->read_delay = std::move(read_delay);
+  }
+
   void SetLimits(const CallerLimits& limits) { shared_->limits = limits; }
 
   // From now on, responses carry `Connection: close`.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -16,6 +16,7 @@
 #include "include/gateway/version_moves.h"
 #include "include/telemetry/event_budget.h"
 #include "include/telemetry/logger.h"
+#include "include/telemetry/loop_monitor.h"
 #include "include/wire/steady_time.h"
 #include "src/gateway/caller_listener.h"
 #include "src/gateway/gateway_metrics.h"
@@ -122,6 +123,7 @@
   const PlatformBinding binding_;
   Logger* const logger_;
   const Incarnation incarnation_ = NewIncarnation();
+  LoopMonitor monitor_{&SteadyNow};
   boost::asio::steady_timer timer_;
   std::unique_ptr<PlatformStore> store_;
   RequestDispatcher dispatcher_;
@@ -199,6 +201,7 @@
                    settings.max_descriptors - kReservedDescriptors),
           [this](const std::shared_ptr<CallerConnection>& caller,
                  HttpRequest request) {
+            const LoopMonitor::Scope work(&monitor_, LoopWork::kRequests);
             dispatcher_.OnRequest(caller, std::move(request));
           }),
       probe_listener_(
@@ -211,7 +214,9 @@
                         [this](const std::shared_ptr<CallerConnection>& caller,
                                const HttpRequest& request) {
                           OnMetricsRequest(caller, request);
-                        }) {}
+                        }) {
+  caller_listener_.SetReadDelayHook([this] { return monitor_.Delay(); });
+}
 
 void Gateway::Impl::Log(EventId id, Fields fields) {
   Event event{.id = id};
@@ -268,6 +273,7 @@
   RouterMesh::Hooks hooks;
   hooks.changed = [this] { have_routers_changed_ = true; };
   hooks.receive = [this](const RouterId& from, const PeerMessage& message) {
+    const LoopMonitor::Scope work(&monitor_, LoopWork::kPeers);
     const DemandNotice* notice = std::get_if<DemandNotice>(&message);
     if (notice != nullptr && notice->incarnation != Incarnation()) {
       dispatcher_.OnDemand(from, *notice);
@@ -442,6 +448,7 @@
 }
 
 void Gateway::Impl::PublishUpstreams() {
+  const LoopMonitor::Scope work(&monitor_, LoopWork::kSnapshots);
   const std::vector<RouterLocation> places = mesh_.Routers();
   std::vector<RouterId> routers;
   routers.reserve(places.size());
@@ -472,6 +479,7 @@
       {"status", absl::StrCat(report.status)},
       {"reason", report.reason},
       {"error", report.error},
+      {"unread_ms", absl::StrCat(report.unread / std::chrono::milliseconds(1))},
       {"waited_ms", absl::StrCat(report.waited / std::chrono::milliseconds(1))},
       {"took_ms", absl::StrCat(report.took / std::chrono::milliseconds(1))},
       {"events", absl::StrCat(report.events)},
@@ -548,9 +556,12 @@
 }
 
 void Gateway::Impl::ScheduleTick() {
+  const TimePoint due = SteadyNow() + kTick;
+  monitor_.SetNextTimer(due);
   timer_.expires_after(kTick);
-  timer_.async_wait([this](const boost::system::error_code& error) {
+  timer_.async_wait([this, due](const boost::system::error_code& error) {
     if (!error && !has_stopped_) {
+      monitor_.OnTimer(due);
       Tick();
     }
   });
@@ -559,6 +570,8 @@
 void Gateway::Impl::Tick() {
   // First, so that an exception in the work below does not end the ticks.
   ScheduleTick();
+  const LoopMonitor::Scope work(&monitor_, LoopWork::kTicks);
+  metrics_.RecordLoopDelay(monitor_.Delay());
   const TimePoint now = SteadyNow();
   config_watcher_.OnTick(now);
   upstream_watcher_.OnTick(now);
@@ -575,6 +588,9 @@
   if (const std::optional<Event> loss = budget_.TakeLoss(now)) {
     logger_->Log(*loss);
   }
+  if (const std::optional<Event> delay = monitor_.TakeReport()) {
+    logger_->Log(*delay);
+  }
   mesh_.OnTick(now);
   if (have_routers_changed_ && now >= next_router_update_) {
     have_routers_changed_ = false;
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -11,6 +11,9 @@
       took_(registry_.GetHistogram(
           "papaya_request_seconds",
           "Time from a request's arrival to the end of its answer.")),
+      loop_delay_(registry_.GetHistogram(
+          "papaya_loop_delay_seconds",
+          "How late timers of the event loop were handled.")),
       attempts_(registry_.GetCounter("papaya_attempts_total",
                                      "Requests sent to upstreams.")),
       in_flight_(registry_.GetGauge("papaya_requests_in_flight",
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -26,6 +26,9 @@
   // are ignored.
   void CountEvent(EventId id);
 
+  // Records how late a timer of the event loop was handled.
+  void RecordLoopDelay(Duration delay) { loop_delay_.Record(delay); }
+
   // Sets the gauges to the current state of the router.
   void SetState(size_t in_flight,
                 size_t callers,
@@ -42,6 +45,7 @@
   absl::flat_hash_map<std::string, Counter*> requests_;
   LatencyHistogram& waited_;
   LatencyHistogram& took_;
+  LatencyHistogram& loop_delay_;
   Counter& attempts_;
   Gauge& in_flight_;
   Gauge& callers_;
--- a/src/gateway/relayed_request.cc
+++ b/src/gateway/relayed_request.cc
@@ -599,6 +599,7 @@
   report.status = status;
   report.reason = reason;
   report.error = error_;
+  report.unread = input_.arrival - input_.received;
   report.waited = (attempts_ > 0 ? first_dispatched_ : now) - input_.arrival;
   report.took = now - input_.arrival;
   report.events = events_.events();
--- a/src/gateway/relayed_request.h
+++ b/src/gateway/relayed_request.h
@@ -53,6 +53,8 @@
   std::string reason;
   // The error of the last failed attempt; empty if there was none.
   std::string error;
+  // Time from when the system received the request until it was read.
+  Duration unread{};
   Duration waited{};
   Duration took{};
   int64_t events = 0;
@@ -120,6 +122,9 @@
     Tokens tokens_per_event{1};
     // The amount that was charged to the account's quota.
     double quota_cost = 0.0;
+    // When the system received the first bytes of the request.
+    TimePoint received;
+    // When the request was read completely.
     TimePoint arrival;
     // The response must be complete by this time.
     TimePoint response_deadline;
--- a/src/gateway/request_dispatcher.cc
+++ b/src/gateway/request_dispatcher.cc
@@ -422,6 +422,7 @@
   if (service != nullptr) {
     input.tokens_per_event = service->tokens_per_event;
   }
+  input.received = caller->request_received();
   input.arrival = SteadyNow();
   Duration time = input.route->timeout;
   if (metadata.time_limit.has_value()) {
--- a/src/gateway/tcp_channel.cc
+++ b/src/gateway/tcp_channel.cc
@@ -2,9 +2,11 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <array>
+#include <cerrno>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
 #include <boost/asio/post.hpp>
@@ -190,6 +192,37 @@
   AwaitInput();
 }
 
+bool TcpChannel::HasPeerEnded() {
+  if (!is_open()) {
+    return true;
+  }
+  pollfd state = {.fd = socket_.native_handle(),
+                  .events = POLLIN | POLLRDHUP,
+                  .revents = 0};
+  if (poll(&state, 1, 0) <= 0) {
+    return false;
+  }
+  if ((state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0) {
+    return true;
+  }
+  // Systems without POLLRDHUP report an end as readable.
+  char byte = 0;
+  const ssize_t count = recv(state.fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return count == 0 ||
+         (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK &&
+          errno != EINTR);
+}
+
+std::optional<Duration> TcpChannel::TimeSinceReceived() {
+  tcp_info info = {};
+  socklen_t size = sizeof(info);
+  if (!is_open() || getsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_INFO,
+                               &info, &size) != 0) {
+    return std::nullopt;
+  }
+  return std::chrono::milliseconds(info.tcpi_last_data_recv);
+}
+
 void TcpChannel::EndWriting() {
   ends_writing_ = true;
   if (is_open() && pending_bytes() == 0) {
--- a/src/gateway/tcp_channel.h
+++ b/src/gateway/tcp_channel.h
@@ -4,6 +4,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -54,6 +55,15 @@
   // instead of an orderly end.
   void Reset();
 
+  // True if the other end has closed its side or the connection broke, also if
+  // the event loop has not reported it yet or received bytes are still unread.
+  // Costs one or two system calls.
+  bool HasPeerEnded();
+
+  // Returns how long ago the system received the last bytes from the other end;
+  // empty if it does not tell. Costs one system call.
+  std::optional<Duration> TimeSinceReceived();
+
   bool is_open() const { return socket_.is_open(); }
   size_t pending_bytes() const { return pending_.size() - written_; }
   // The last time when bytes were sent or the queue was empty at a write.
--- a/src/telemetry/event_catalog.cc
+++ b/src/telemetry/event_catalog.cc
@@ -175,6 +175,10 @@
       {EventId::kArchiveFailed, Severity::kWarning, "quarantine_archive_failed",
        "The quarantines in the platform's store could not be read or written; "
        "it is tried again. Routers tell each other of them meanwhile."},
+      {EventId::kLoopDelayed, Severity::kWarning, "loop_delayed",
+       "Events of this router waited for up to `delay_ms` before they were "
+       "handled, because its VM was too slow for its work; the other fields "
+       "are the time that kinds of work took in the interval."},
   };
   return catalog;
 }
--- a/tests/fakes/gateway_fixture.h
+++ b/tests/fakes/gateway_fixture.h
@@ -156,7 +156,10 @@
     hooks.report = [this](const RelayReport& report) {
       reports.push_back(report);
     };
-    hooks.apply_moves = [](FleetConfig config) { return config; };
+    hooks.apply_moves = [this](FleetConfig config) {
+      ++snapshots;
+      return config;
+    };
     hooks.measured = [this](const UpstreamRecord&, const RouteId&, bool failed,
                             Duration) { measured.push_back(failed); };
     hooks.upstream_leaving = [this](const UpstreamRecord& upstream) {
@@ -244,6 +247,8 @@
   // Upstreams that were reported as leaving.
   std::vector<UpstreamId> leaving;
   std::vector<EventId> events;
+  // Number of routing snapshots that the dispatcher has built.
+  int snapshots = 0;
   ServiceRoute route;
   std::vector<UpstreamRecord> records;
 
