--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -112,7 +112,10 @@
   // Serves /metrics.
   void OnMetricsRequest(const std::shared_ptr<CallerConnection>& caller,
                         const HttpRequest& request);
+  // Passes the registered upstreams and the live routers to the dispatcher.
   void PublishUpstreams();
+  // Passes the live routers to all parts that depend on them.
+  void PublishRouters();
   bool IsReady() const;
   void ScheduleTick();
   void Tick();
@@ -147,7 +150,9 @@
                        {EventId::kResponseCut, kFailedLinesPerSecond},
                        {EventId::kAttemptBroken, kFailedLinesPerSecond}}};
   TimePoint next_slow_tick_;
-  // The live routers have changed since they were last published.
+  // The registered upstreams, or the live routers, have changed since they were
+  // last published.
+  bool have_upstreams_changed_ = false;
   bool have_routers_changed_ = false;
   TimePoint next_router_update_;
   bool was_ready_ = false;
@@ -176,7 +181,7 @@
                MakeArchiveHooks()),
       mesh_(context, settings_, incarnation_, MakeMeshHooks()),
       directory_({.decode = binding_.decode_upstream,
-                  .changed = [this] { PublishUpstreams(); },
+                  .changed = [this] { have_upstreams_changed_ = true; },
                   .event = [this](const Event& event) { LogBounded(event); }}),
       config_watcher_(
           store_.get(),
@@ -449,6 +454,12 @@
 
 void Gateway::Impl::PublishUpstreams() {
   const LoopMonitor::Scope work(&monitor_, LoopWork::kSnapshots);
+  have_upstreams_changed_ = false;
+  dispatcher_.SetUpstreams(directory_.Records(), mesh_.Routers());
+}
+
+void Gateway::Impl::PublishRouters() {
+  have_routers_changed_ = false;
   const std::vector<RouterLocation> places = mesh_.Routers();
   std::vector<RouterId> routers;
   routers.reserve(places.size());
@@ -458,7 +469,7 @@
   moves_.SetRouters(routers);
   feed_.SetRouters(places);
   dispatcher_.SetNeighbours(mesh_.Neighbours());
-  dispatcher_.SetUpstreams(directory_.Records(), places);
+  have_upstreams_changed_ = true;
 }
 
 void Gateway::Impl::OnReport(const RelayReport& report) {
@@ -577,6 +588,9 @@
   upstream_watcher_.OnTick(now);
   move_watcher_.OnTick(now);
   directory_.OnTick(now);
+  if (have_upstreams_changed_ && dispatcher_.MayBuildSnapshot(now)) {
+    PublishUpstreams();
+  }
   dispatcher_.OnTick(now);
   if (now >= next_slow_tick_) {
     next_slow_tick_ = now + kSlowTick;
@@ -593,9 +607,8 @@
   }
   mesh_.OnTick(now);
   if (have_routers_changed_ && now >= next_router_update_) {
-    have_routers_changed_ = false;
     next_router_update_ = now + kRouterUpdateInterval;
-    PublishUpstreams();
+    PublishRouters();
   }
   feed_.OnTick(now);
   archive_.OnTick(now);
--- a/src/gateway/request_dispatcher.cc
+++ b/src/gateway/request_dispatcher.cc
@@ -298,6 +298,11 @@
   PublishSnapshot();
 }
 
+void RequestDispatcher::OnMovesChanged() {
+  pacer_.OnChange();
+  PublishIfDue(SteadyNow());
+}
+
 void RequestDispatcher::SetUpstreams(
     const std::vector<UpstreamRecord>& records,
     const std::vector<RouterLocation>& routers) {
@@ -310,13 +315,26 @@
   }
   quotas_.SetRouters(names, SteadyNow());
   scheduler_.SetRetryBudget(MakeRetryBudget(settings_.bounds, routers.size()));
-  PublishSnapshot();
+  pacer_.OnChange();
+  PublishIfDue(SteadyNow());
+}
+
+bool RequestDispatcher::MayBuildSnapshot(TimePoint now) const {
+  // Without upstreams, all requests are rejected until the next snapshot.
+  return pacer_.IsReady(now) || upstreams_.empty();
+}
+
+void RequestDispatcher::PublishIfDue(TimePoint now) {
+  if (pacer_.has_change() && MayBuildSnapshot(now)) {
+    PublishSnapshot();
+  }
 }
 
 void RequestDispatcher::PublishSnapshot() {
   if (table_ == nullptr) {
     return;
   }
+  const TimePoint start = SteadyNow();
   FleetConfig config;
   RoutingInput input;
   upstreams_.clear();
@@ -349,6 +367,7 @@
       RoutingSnapshot::Build(input);
   demand_names_ = DemandNameResolver(*snapshot);
   scheduler_.OnSnapshot(snapshot, SteadyNow());
+  pacer_.OnBuilt(start, SteadyNow());
   RunDecisions();
 }
 
@@ -559,6 +578,7 @@
 void RequestDispatcher::OnTick(TimePoint now) {
   quarantine_.OnTick(now);
   RejectQuarantined();
+  PublishIfDue(now);
   std::vector<std::shared_ptr<RelayedRequest>> relays;
   relays.reserve(relays_.size());
   for (const auto& [id, relay] : relays_) {
--- a/src/gateway/request_dispatcher.h
+++ b/src/gateway/request_dispatcher.h
@@ -22,6 +22,7 @@
 #include "include/telemetry/event.h"
 #include "include/wire/http_message.h"
 #include "src/gateway/relayed_request.h"
+#include "src/gateway/snapshot_pacer.h"
 #include "src/gateway/upstream_pool.h"
 
 namespace papaya {
@@ -79,9 +80,10 @@
   void SetTable(std::shared_ptr<const RouteTable> table);
 
   // Call when the result of the hook apply_moves has changed.
-  void OnMovesChanged() { PublishSnapshot(); }
+  void OnMovesChanged();
 
-  // Sets the registered upstreams and the routers that share them.
+  // Sets the registered upstreams and the routers that share them. They are in
+  // force with the next routing snapshot, half a second later at most.
   void SetUpstreams(const std::vector<UpstreamRecord>& records,
                     const std::vector<RouterLocation>& routers);
 
@@ -96,6 +98,9 @@
   void OnUsage(const RouterId& from, const UsageTotals& totals);
   void OnCrashNews(const CrashNews& news);
 
+  // True if a change of the upstreams or routers would be in force at once.
+  bool MayBuildSnapshot(TimePoint now) const;
+
   // Call every 25 ms.
   void OnTick(TimePoint now);
 
@@ -160,6 +165,7 @@
   void RunDecisions();
   void Run(const Decision& decision);
   Duration RetryAfter(const RelayedRequest& relay, const Rejection& rejection);
+  void PublishIfDue(TimePoint now);
   void PublishSnapshot();
 
   GatewaySettings settings_;
@@ -178,6 +184,7 @@
   DemandNameResolver demand_names_;
   std::vector<UpstreamRecord> records_;
   std::vector<RouterLocation> routers_;
+  SnapshotPacer pacer_;
   absl::flat_hash_map<UpstreamId, UpstreamRecord> upstreams_;
   absl::flat_hash_map<RequestId, std::shared_ptr<RelayedRequest>> relays_;
   std::deque<ParkedRequest> parked_;
--- a/tests/fakes/gateway_fixture.h
+++ b/tests/fakes/gateway_fixture.h
@@ -136,10 +136,17 @@
     dispatcher.SetTable(std::make_shared<const RouteTable>(config));
   }
 
-  void PublishUpstreams() {
+  void SetUpstreams() {
     dispatcher.SetUpstreams(records, {{.id = RouterId("self")}});
   }
 
+  // Sets `records` as the upstreams and waits until they are in force.
+  void PublishUpstreams() {
+    const int before = snapshots;
+    SetUpstreams();
+    RunUntil([this, before] { return snapshots > before; });
+  }
+
   static GatewaySettings Settings() {
     GatewaySettings settings;
     settings.router = RouterId("self");
--- a/tests/registration_burst_test.cc
+++ b/tests/registration_burst_test.cc
@@ -18,7 +18,7 @@
   const TimePoint start = SteadyNow();
   for (int i = 0; i < kChanges; ++i) {
     f.records[1].slots = 5 + i;
-    f.PublishUpstreams();
+    f.SetUpstreams();
   }
   f.RunUntil([&] { return SteadyNow() - start > kLatest; });
   CHECK(f.snapshots > before);
@@ -35,7 +35,7 @@
     if (i % 2 == 0) {
       f.records.erase(f.records.begin());
     }
-    f.PublishUpstreams();
+    f.SetUpstreams();
   }
   f.RunUntil([&] { return SteadyNow() - start > kLatest; });
   std::vector<std::unique_ptr<RawPeer>> callers;
