Ask the system whether a caller has left before its request is sent

Cause: the close of a caller's connection is an event like any other. A busy event loop reads the request first and the close later, up to a whole pass of its queue, and a request whose upstream connection was still being opened was sent whatever had happened since.

Change: before an attempt, and once more when a new connection to the upstream is established, the router asks the system for the state of the caller's connection and compares the time limit. Nothing is sent for a caller that has left.

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -264,6 +264,13 @@
   }
 }
 
+bool CallerConnection::CloseIfCallerLeft() {
+  if (state_ != State::kClosed && channel_->HasPeerEnded()) {
+    OnEnded();
+  }
+  return state_ == State::kClosed;
+}
+
 void CallerConnection::Abort() {
   if (state_ == State::kClosed) {
     return;
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -74,6 +74,11 @@
   // incomplete.
   void Abort();
 
+  // Closes the connection if the caller has left, also if the event loop has
+  // not reported that yet. Returns true if the connection is closed. Calls the
+  // hook for that before it returns. Costs one or two system calls.
+  bool CloseIfCallerLeft();
+
   // Closes the connection if it has no request in progress.
   void CloseIfIdle();
 
--- a/src/gateway/relayed_request.cc
+++ b/src/gateway/relayed_request.cc
@@ -148,8 +148,29 @@
   return bytes;
 }
 
+bool RelayedRequest::EndIfUnwanted() {
+  if (!has_ended_ && context_->now() >= input_.response_deadline) {
+    TimeOut();
+  }
+  if (!has_ended_) {
+    // Calls OnCallerDisconnected if the caller has left.
+    input_.caller->CloseIfCallerLeft();
+  }
+  return has_ended_;
+}
+
+std::optional<std::string> RelayedRequest::TakeRequestBytes(
+    const UpstreamRecord& upstream) {
+  // Dispatch has just checked.
+  if (!is_dispatching_ && EndIfUnwanted()) {
+    return std::nullopt;
+  }
+  return FormatRequest(upstream);
+}
+
 void RelayedRequest::Dispatch(const UpstreamRecord* upstream) {
-  if (has_ended_) {
+  const std::shared_ptr<RelayedRequest> self = shared_from_this();
+  if (EndIfUnwanted()) {
     return;
   }
   if (upstream == nullptr) {
@@ -171,7 +192,11 @@
   events_.Restart();
   earlier_events_ = events_.events();
   UpstreamConnection::Call call;
-  call.bytes = FormatRequest(*upstream);
+  call.make_bytes = [weak = weak_from_this(),
+                     upstream = *upstream]() -> std::optional<std::string> {
+    const auto self = weak.lock();
+    return self == nullptr ? std::nullopt : self->TakeRequestBytes(upstream);
+  };
   call.attempt_id = input_.metadata.attempt_id;
   call.is_head_request = input_.request.method == "HEAD";
   std::weak_ptr<RelayedRequest> weak = weak_from_this();
@@ -205,7 +230,9 @@
   connection_ =
       context_->pool->Acquire(upstream_, call.attempt_id, dispatched_);
   const std::shared_ptr<UpstreamConnection> connection = connection_;
+  is_dispatching_ = true;
   connection->Send(upstream->address, std::move(call));
+  is_dispatching_ = false;
 }
 
 bool RelayedRequest::ResumesResponse(const ResponseReader& reader) const {
--- a/src/gateway/relayed_request.h
+++ b/src/gateway/relayed_request.h
@@ -174,6 +174,12 @@
     kStream,    // forwarded event by event
   };
 
+  // Ends the request if its caller has left or its time is over. Returns true
+  // if it has ended. What was received from the caller, or of its close, since
+  // the event loop last looked is known only to the system, so this asks it.
+  bool EndIfUnwanted();
+  // Returns the bytes to send to `upstream`; nothing if the request has ended.
+  std::optional<std::string> TakeRequestBytes(const UpstreamRecord& upstream);
   std::string FormatRequest(const UpstreamRecord& upstream) const;
   void OnHead(const ResponseReader& reader, const ResponseMetadata& metadata);
   void OnBody(const std::string& bytes);
@@ -245,6 +251,8 @@
   // The response header was sent to the caller.
   bool has_started_ = false;
   bool is_reading_ = true;
+  // True inside Dispatch.
+  bool is_dispatching_ = false;
   bool has_ended_ = false;
   EventSplitter events_;
   // Events of the attempts before the current one.
--- a/src/gateway/upstream_connection.cc
+++ b/src/gateway/upstream_connection.cc
@@ -101,9 +101,14 @@
 }
 
 void UpstreamConnection::SendBytes() {
+  const std::shared_ptr<const Call> call = call_;
+  const std::optional<std::string> bytes = call->make_bytes();
+  if (!bytes.has_value()) {
+    Close();
+    return;
+  }
   was_sent_ = true;
-  const std::string bytes = std::exchange(call_->bytes, std::string());
-  channel_->Write(bytes);
+  channel_->Write(*bytes);
 }
 
 void UpstreamConnection::SetReading(bool is_reading) {
--- a/src/gateway/upstream_connection.h
+++ b/src/gateway/upstream_connection.h
@@ -33,8 +33,10 @@
  public:
   // One request and the hooks for its response.
   struct Call {
-    // The header and body to send.
-    std::string bytes;
+    // Returns the header and body to send. Called when they can be sent, which
+    // may be long after Send. Returns nothing if the request is no longer
+    // wanted; the connection is then closed without calling another hook.
+    std::function<std::optional<std::string>()> make_bytes;
     std::string attempt_id;
     // The response has no body.
     bool is_head_request = false;
