Count a caller's time limit from when its request was received

Cause: the time limit began when a request had been read completely.

Change: the limit, and whether an answer can still be on time, count from the arrival of the first byte at the VM. The share of the time that a request may wait for a slot is of what is left when it was read, so that a late one still has a chance.

--- a/src/gateway/relayed_request.h
+++ b/src/gateway/relayed_request.h
@@ -126,7 +126,8 @@
     TimePoint received;
     // When the request was read completely.
     TimePoint arrival;
-    // The response must be complete by this time.
+    // The response must be complete by this time. The caller's time limit
+    // began when it sent the request.
     TimePoint response_deadline;
   };
 
--- a/src/gateway/request_dispatcher.cc
+++ b/src/gateway/request_dispatcher.cc
@@ -447,7 +447,7 @@
   if (metadata.time_limit.has_value()) {
     time = std::min(time, *metadata.time_limit);
   }
-  input.response_deadline = input.arrival + time;
+  input.response_deadline = input.received + time;
   if (account != nullptr) {
     input.quota_cost = QuotaCost(*account, metadata);
     if (quotas_.AskOwner(account->id, input.quota_cost, input.arrival)) {
@@ -532,6 +532,8 @@
   spec.expected_output = input.metadata.expected_output;
   spec.share_hash = input.share_hash;
   spec.arrival = input.arrival;
+  // Of the time that is left, so that a request that was read late can still be
+  // served.
   Duration wait =
       FractionOf(kMaxQueueFraction, input.response_deadline - input.arrival);
   if (input.route->caller_silence_timeout > Duration()) {
@@ -539,8 +541,8 @@
                                      input.route->caller_silence_timeout));
   }
   spec.deadline = input.arrival + wait;
-  spec.late_after = input.arrival + FractionOf(kOnTimeStartFraction,
-                                               input.route->latency_objective);
+  spec.late_after = input.received + FractionOf(kOnTimeStartFraction,
+                                                input.route->latency_objective);
   spec.idempotent = input.route->MayRepeat();
   spec.max_runs = input.route->max_attempts;
   return spec;
