--- a/src/admission/account_quota.cc
+++ b/src/admission/account_quota.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <utility>
 
+#include "absl/container/flat_hash_set.h"
 #include "include/base/stable_hash.h"
 
 namespace papaya {
@@ -103,19 +104,23 @@
 
 void AccountQuotas::SetRouters(const std::vector<RouterId>& routers,
                                TimePoint now) {
+  std::vector<RouterId> live = routers;
+  if (std::find(live.begin(), live.end(), options_.self) == live.end()) {
+    live.push_back(options_.self);
+  }
+  if (live == routers_) {
+    return;
+  }
+  const absl::flat_hash_set<RouterId> listed(routers.begin(), routers.end());
   for (const RouterId& router : routers_) {
-    if (std::find(routers.begin(), routers.end(), router) == routers.end()) {
+    if (!listed.contains(router)) {
       unresponsive_.emplace(router, now);
     }
   }
   for (const RouterId& router : routers) {
     unresponsive_.erase(router);
   }
-  routers_ = routers;
-  if (std::find(routers_.begin(), routers_.end(), options_.self) ==
-      routers_.end()) {
-    routers_.push_back(options_.self);
-  }
+  routers_ = std::move(live);
   for (auto& [hash, account] : accounts_) {
     account.owner = FindOwner(account.limit.account);
   }
@@ -123,11 +128,16 @@
 
 const RouterId& AccountQuotas::FindOwner(const AccountId& account) const {
   const uint64_t seed = StableHash(account.value());
-  return *std::max_element(routers_.begin(), routers_.end(),
-                           [seed](const RouterId& a, const RouterId& b) {
-                             return StableHash(a.value(), seed) <
-                                    StableHash(b.value(), seed);
-                           });
+  const RouterId* owner = &routers_.front();
+  uint64_t greatest = StableHash(owner->value(), seed);
+  for (const RouterId& router : routers_) {
+    const uint64_t weight = StableHash(router.value(), seed);
+    if (weight > greatest) {
+      greatest = weight;
+      owner = &router;
+    }
+  }
+  return *owner;
 }
 
 bool AccountQuotas::MayMissRouters(TimePoint now) const {
--- a/src/routing/router_subset.cc
+++ b/src/routing/router_subset.cc
@@ -22,19 +22,64 @@
 
 RouterSubset::RouterSubset(const std::vector<RouterLocation>& routers,
                            const RouterLocation& self)
-    : self_(self) {
+    : self_(self), self_hash_(StableHash(self.id.value())) {
   bool has_self = false;
   for (const RouterLocation& location : routers) {
     has_self = has_self || location.id == self.id;
     routers_.push_back({location, StableHash(location.id.value())});
   }
   if (!has_self) {
-    routers_.push_back({self, StableHash(self.id.value())});
+    routers_.push_back({self, self_hash_});
   }
   std::sort(routers_.begin(), routers_.end(),
             [](const Candidate& a, const Candidate& b) {
               return a.location.id < b.location.id;
             });
+  for (size_t i = 0; i < routers_.size(); ++i) {
+    by_zone_[routers_[i].location.zone].push_back(i);
+    if (routers_[i].location.id == self.id) {
+      self_position_ = i;
+    }
+  }
+}
+
+bool RouterSubset::IsSelfAmong(const UpstreamSpec& upstream,
+                               size_t count) const {
+  const uint64_t hash = StableHash(upstream.id.value());
+  const bool is_near = routers_[self_position_].location.zone == upstream.zone;
+  // RoutersOf prefers greater weights, and later positions if they are equal.
+  const std::pair<uint64_t, size_t> own(
+      PairWeight(self_hash_, hash, is_near), self_position_);
+  size_t preferred = 0;
+  const auto near = by_zone_.find(upstream.zone);
+  if (near != by_zone_.end()) {
+    // All routers of the upstream's zone are preferred to those of others.
+    preferred = is_near ? CountPreferred(near->second, hash, true, own)
+                        : near->second.size();
+  }
+  if (is_near || preferred >= count) {
+    return preferred < count;
+  }
+  for (const auto& [zone, positions] : by_zone_) {
+    if (zone != upstream.zone) {
+      preferred += CountPreferred(positions, hash, false, own);
+    }
+  }
+  return preferred < count;
+}
+
+size_t RouterSubset::CountPreferred(
+    const std::vector<size_t>& positions,
+    uint64_t upstream_hash,
+    bool same_zone,
+    const std::pair<uint64_t, size_t>& own) const {
+  size_t preferred = 0;
+  for (size_t i : positions) {
+    const uint64_t weight =
+        PairWeight(routers_[i].hash, upstream_hash, same_zone);
+    preferred += std::pair(weight, i) > own ? 1 : 0;
+  }
+  return preferred;
 }
 
 std::vector<RouterId> RouterSubset::RoutersOf(const UpstreamSpec& upstream,
@@ -62,8 +107,7 @@
 }
 
 uint64_t RouterSubset::OwnWeight(const UpstreamSpec& upstream) const {
-  return PairWeight(StableHash(self_.id.value()),
-                    StableHash(upstream.id.value()),
+  return PairWeight(self_hash_, StableHash(upstream.id.value()),
                     self_.zone == upstream.zone);
 }
 
--- a/src/routing/router_subset.h
+++ b/src/routing/router_subset.h
@@ -3,8 +3,10 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <utility>
 #include <vector>
 
+#include "absl/container/flat_hash_map.h"
 #include "include/base/ids.h"
 #include "include/routing/routing_snapshot.h"
 
@@ -24,6 +26,10 @@
   std::vector<RouterId> RoutersOf(const UpstreamSpec& upstream,
                                   size_t count) const;
 
+  // True if this router is one of RoutersOf(upstream, count). Much cheaper than
+  // that, because most upstreams of a large fleet are not used by this router.
+  bool IsSelfAmong(const UpstreamSpec& upstream, size_t count) const;
+
   // Returns the weight of the pair of this router and `upstream`. Upstreams in
   // the router's own availability zone have greater weights than all others.
   uint64_t OwnWeight(const UpstreamSpec& upstream) const;
@@ -34,8 +40,21 @@
     uint64_t hash = 0;
   };
 
+  // Returns how many of the routers at `positions` have a greater weight with an
+  // upstream than `own`, this router's weight and position.
+  size_t CountPreferred(const std::vector<size_t>& positions,
+                        uint64_t upstream_hash,
+                        bool same_zone,
+                        const std::pair<uint64_t, size_t>& own) const;
+
+  // Sorted by id.
   std::vector<Candidate> routers_;
+  // Positions in `routers_`, in increasing order.
+  absl::flat_hash_map<AvailabilityZoneId, std::vector<size_t>> by_zone_;
   RouterLocation self_;
+  uint64_t self_hash_ = 0;
+  // Position of this router in `routers_`.
+  size_t self_position_ = 0;
 };
 
 }  // namespace papaya
--- a/src/routing/routing_snapshot.cc
+++ b/src/routing/routing_snapshot.cc
@@ -90,10 +90,11 @@
   }
 
   void AddUpstreamsOfGroup(size_t position) {
-    std::vector<const UpstreamSpec*> live;
+    // With the weights for this router.
+    std::vector<std::pair<uint64_t, const UpstreamSpec*>> live;
     for (const UpstreamSpec* spec : members_[position]) {
       if (!leaving_.contains(spec->id)) {
-        live.push_back(spec);
+        live.emplace_back(subset_.OwnWeight(*spec), spec);
       }
     }
     VersionGroup& group = snapshot_.groups_[position];
@@ -103,27 +104,27 @@
     group.usable = !is_stopped && group.share > 0.0 && !live.empty();
     // The upstreams with the greatest weights for this router come first and
     // fill the required minimum.
-    std::sort(live.begin(), live.end(),
-              [this](const UpstreamSpec* a, const UpstreamSpec* b) {
-                return subset_.OwnWeight(*a) > subset_.OwnWeight(*b);
-              });
+    std::sort(live.begin(), live.end(), [](const auto& a, const auto& b) {
+      return a.first > b.first;
+    });
     for (size_t rank = 0; rank < live.size(); ++rank) {
-      AddIfUsed(position, *live[rank],
+      AddIfUsed(position, *live[rank].second,
                 rank < RoutingSnapshot::kMinUpstreamsPerGroup);
     }
   }
 
   void AddIfUsed(size_t group, const UpstreamSpec& spec, bool is_required) {
-    std::vector<RouterId> routers =
-        subset_.RoutersOf(spec, RoutingSnapshot::kRoutersPerUpstream);
-    auto self =
-        std::lower_bound(routers.begin(), routers.end(), input_.self.id);
-    const bool is_chosen = self != routers.end() && *self == input_.self.id;
+    const bool is_chosen =
+        subset_.IsSelfAmong(spec, RoutingSnapshot::kRoutersPerUpstream);
     if (!is_chosen && !is_required) {
       return;
     }
+    std::vector<RouterId> routers =
+        subset_.RoutersOf(spec, RoutingSnapshot::kRoutersPerUpstream);
     if (!is_chosen) {
-      routers.insert(self, input_.self.id);
+      routers.insert(
+          std::lower_bound(routers.begin(), routers.end(), input_.self.id),
+          input_.self.id);
     }
     const UpstreamIndex index(
         static_cast<int32_t>(snapshot_.upstreams_.size()));
