--- a/src/gateway/upstream_connection.cc
+++ b/src/gateway/upstream_connection.cc
@@ -118,9 +118,16 @@
 }
 
 void UpstreamConnection::Close() {
+  const bool abandons_call = call_ != nullptr && was_sent_;
   is_closed_ = true;
   call_.reset();
-  if (channel_ != nullptr) {
+  if (channel_ == nullptr) {
+    return;
+  }
+  if (abandons_call) {
+    // Bytes of the request that the system still holds must not arrive later.
+    channel_->Reset();
+  } else {
     channel_->Close();
   }
 }
--- a/src/gateway/upstream_connection.h
+++ b/src/gateway/upstream_connection.h
@@ -62,6 +62,7 @@
   void SetReading(bool is_reading);
 
   // Closes the connection and drops the current call without calling its hooks.
+  // A call in progress is reset, so that what is unsent of it is discarded.
   void Close();
 
   // True if another call may be sent at `now`.
