Accept all callers of the backlog at once

When descriptors ran out, the loop accepted and failed without a pause.

Change: up to 64 connections an event; after a failure the next tick goes on.

--- a/src/gateway/caller_listener.cc
+++ b/src/gateway/caller_listener.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "absl/strings/str_cat.h"
+#include "include/base/error.h"
 #include "src/wire/address.h"
 
 namespace papaya {
@@ -14,6 +15,10 @@
 using boost::asio::ip::tcp;
 using boost::system::error_code;
 
+// Connections accepted for one event. If each were an event of its own, a busy
+// event loop would accept one connection in each pass of its queue.
+constexpr int kMaxAcceptsPerEvent = 64;
+
 HttpResponse MakeErrorResponse(const HttpFault& read_error) {
   return MakeJsonResponse(
       read_error.status, absl::StrCat("{\"error\":\"", read_error.code, "\"}"));
@@ -53,21 +58,50 @@
     return port.status();
   }
   port_ = *port;
+  error_code error;
+  acceptor_.non_blocking(true, error);
+  if (error) {
+    return MakeError(absl::StatusCode::kInternal,
+                     {.step = "callers.listen", .peer = address},
+                     error.message());
+  }
   Accept();
   return absl::OkStatus();
 }
 
 void CallerListener::Accept() {
-  acceptor_.async_accept([this](const error_code& error, tcp::socket socket) {
-    if (error == boost::asio::error::operation_aborted ||
-        !acceptor_.is_open()) {
-      return;
+  acceptor_.async_wait(tcp::acceptor::wait_read,
+                       [this](const error_code& error) {
+                         if (error == boost::asio::error::operation_aborted ||
+                             !acceptor_.is_open()) {
+                           return;
+                         }
+                         if (AcceptBacklog() == Backlog::kFailed) {
+                           // Out of descriptors, say. The backlog stays
+                           // readable, so another wait would end at once; the
+                           // next tick tries again.
+                           is_paused_ = true;
+                           return;
+                         }
+                         Accept();
+                       });
+}
+
+CallerListener::Backlog CallerListener::AcceptBacklog() {
+  for (int i = 0; i < kMaxAcceptsPerEvent; ++i) {
+    tcp::socket socket(context_);
+    error_code error;
+    acceptor_.accept(socket, error);
+    if (error == boost::asio::error::connection_aborted) {
+      continue;
     }
-    if (!error) {
-      Add(std::move(socket));
+    if (error) {
+      return error == boost::asio::error::would_block ? Backlog::kEmpty
+                                                      : Backlog::kFailed;
     }
-    Accept();
-  });
+    Add(std::move(socket));
+  }
+  return Backlog::kMore;
 }
 
 void CallerListener::Add(tcp::socket socket) {
@@ -85,14 +119,7 @@
     return false;
   }
   // Closing the socket resets the connections in its backlog.
-  error_code error;
-  acceptor_.non_blocking(true, error);
-  while (!error) {
-    tcp::socket socket(context_);
-    acceptor_.accept(socket, error);
-    if (!error) {
-      Add(std::move(socket));
-    }
+  while (AcceptBacklog() == Backlog::kMore) {
   }
   error_code ignored;
   acceptor_.close(ignored);
@@ -107,6 +134,10 @@
 }
 
 void CallerListener::OnTick(TimePoint now) {
+  if (is_paused_ && acceptor_.is_open()) {
+    is_paused_ = false;
+    Accept();
+  }
   std::vector<std::shared_ptr<CallerConnection>> all;
   all.reserve(connections_.size());
   for (const auto& [key, connection] : connections_) {
--- a/src/gateway/caller_listener.h
+++ b/src/gateway/caller_listener.h
@@ -57,13 +57,20 @@
   size_t connections() const { return connections_.size(); }
 
  private:
+  // What AcceptBacklog has left in the backlog.
+  enum class Backlog : uint8_t { kEmpty, kMore, kFailed };
+
   void Accept();
+  // Accepts connections of the backlog, as many as one event may.
+  Backlog AcceptBacklog();
   void Add(boost::asio::ip::tcp::socket socket);
 
   boost::asio::io_context& context_;
   boost::asio::ip::tcp::acceptor acceptor_;
   const int max_connections_;
   uint16_t port_ = 0;
+  // Accepting failed; the next tick goes on.
+  bool is_paused_ = false;
   std::shared_ptr<CallerShared> shared_;
   absl::flat_hash_map<CallerConnection*, std::shared_ptr<CallerConnection>>
       connections_;
