Don't take responses that are still unread for silence of upstreams

Cause: the timeouts of connects, first responses and events compared the present with what had been read.

Change: an upstream's silence counts up to the delay of the event loop ago.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -267,6 +267,7 @@
   hooks.upstream_leaving = [this](const UpstreamRecord& upstream) {
     directory_.OnLeaving(upstream);
   };
+  hooks.read_delay = [this] { return monitor_.Delay(); };
   hooks.rejected = [this](const std::string& reason) {
     metrics_.CountRejected(reason);
   };
--- a/src/gateway/relayed_request.cc
+++ b/src/gateway/relayed_request.cc
@@ -556,14 +556,17 @@
   if (connection_ == nullptr) {
     return;
   }
-  const Duration age = now - dispatched_;
+  // What the upstream sent since then may still be unread, so its silence counts
+  // only up to here.
+  const TimePoint read_until = now - context_->read_delay();
+  const Duration age = read_until - dispatched_;
   if (!connection_->was_sent() && age > kConnectTimeout) {
     DropConnection();
     error_ = "connect: no connection within the connect timeout";
     FinishAttempt(AttemptEnd::kUnreachable);
     return;
   }
-  if (IsStalled(now)) {
+  if (IsStalled(read_until)) {
     CutResponse("no event within the time that callers wait for one");
     return;
   }
@@ -576,11 +579,11 @@
   }
 }
 
-bool RelayedRequest::IsStalled(TimePoint now) const {
+bool RelayedRequest::IsStalled(TimePoint read_until) const {
   const Duration timeout = input_.route->caller_silence_timeout;
   // While reading is paused for a slow caller, the upstream can't be blamed.
   return response_kind_ == ResponseKind::kStream && timeout > Duration() &&
-         is_reading_ && now - last_event_ > timeout;
+         is_reading_ && read_until - last_event_ > timeout;
 }
 
 void RelayedRequest::TimeOut() {
--- a/src/gateway/relayed_request.h
+++ b/src/gateway/relayed_request.h
@@ -72,6 +72,8 @@
     const HeaderCodec* header_codec = nullptr;
     UpstreamPool* pool = nullptr;
     std::function<TimePoint()> now;
+    // Returns how long received bytes may have waited to be read.
+    std::function<Duration()> read_delay;
     // An upstream has stated that it is leaving, or that it wants no request
     // for a time. The response may belong to another request.
     std::function<void(const UpstreamId&, const ResponseMetadata&)> observed;
@@ -209,8 +211,9 @@
   // Ends the current attempt because its response exceeds a limit.
   void CutResponse(const std::string& error);
   // True if a stream has sent no complete event for so long that its caller
-  // gives up, even if it sends other bytes.
-  bool IsStalled(TimePoint now) const;
+  // gives up, even if it sends other bytes. `read_until` is the time up to which
+  // everything received has been read.
+  bool IsStalled(TimePoint read_until) const;
   // Time within which the response header must arrive before another attempt
   // is made. Empty if there may be no other attempt.
   std::optional<Duration> AttemptTimeout() const;
--- a/src/gateway/request_dispatcher.cc
+++ b/src/gateway/request_dispatcher.cc
@@ -170,6 +170,7 @@
   context.header_codec = header_codec_;
   context.pool = &pool_;
   context.now = &SteadyNow;
+  context.read_delay = hooks_.read_delay;
   context.observed = [this](const UpstreamId& id,
                             const ResponseMetadata& metadata) {
     OnObserved(id, metadata);
--- a/src/gateway/request_dispatcher.h
+++ b/src/gateway/request_dispatcher.h
@@ -63,6 +63,8 @@
     std::function<void(const UpstreamRecord&)> upstream_leaving;
     // A request was rejected before it was admitted.
     std::function<void(const std::string& reason)> rejected;
+    // Returns how long received bytes may have waited to be read.
+    std::function<Duration()> read_delay;
     EventHook event;
   };
 
--- a/tests/fakes/gateway_fixture.h
+++ b/tests/fakes/gateway_fixture.h
@@ -173,6 +173,7 @@
       leaving.push_back(upstream.id);
     };
     hooks.rejected = [](const std::string&) {};
+    hooks.read_delay = [this] { return read_delay; };
     hooks.event = [this](const Event& event) { events.push_back(event.id); };
     return hooks;
   }
@@ -256,6 +257,8 @@
   std::vector<EventId> events;
   // Number of routing snapshots that the dispatcher has built.
   int snapshots = 0;
+  // How long bytes are said to have waited to be read.
+  Duration read_delay{};
   ServiceRoute route;
   std::vector<UpstreamRecord> records;
 
