--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -101,7 +101,8 @@
   if (age.has_value()) {
     return SteadyNow() - *age;
   }
-  return SteadyNow() - (shared_->read_delay ? shared_->read_delay() : Duration());
+  return SteadyNow() -
+         (shared_->read_delay ? shared_->read_delay() : Duration());
 }
 
 void CallerConnection::ReadRequests() {
--- a/src/gateway/snapshot_pacer.cc
+++ b/src/gateway/snapshot_pacer.cc
@@ -17,8 +17,8 @@
 
 void SnapshotPacer::OnBuilt(TimePoint start, TimePoint end) {
   has_change_ = false;
-  next_ = end + std::clamp((end - start) * kCostFactor, kMinInterval,
-                           kMaxInterval);
+  next_ =
+      end + std::clamp((end - start) * kCostFactor, kMinInterval, kMaxInterval);
 }
 
 }  // namespace papaya
--- a/src/gateway/tcp_channel.cc
+++ b/src/gateway/tcp_channel.cc
@@ -6,10 +6,10 @@
 #include <sys/socket.h>
 
 #include <array>
-#include <cerrno>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
 #include <boost/asio/post.hpp>
+#include <cerrno>
 #include <utility>
 
 #include "include/wire/steady_time.h"
@@ -208,9 +208,8 @@
   // Systems without POLLRDHUP report an end as readable.
   char byte = 0;
   const ssize_t count = recv(state.fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return count == 0 ||
-         (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK &&
-          errno != EINTR);
+  return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK &&
+                        errno != EINTR);
 }
 
 std::optional<Duration> TcpChannel::TimeSinceReceived() {
--- a/src/routing/router_subset.cc
+++ b/src/routing/router_subset.cc
@@ -48,8 +48,8 @@
   const uint64_t hash = StableHash(upstream.id.value());
   const bool is_near = routers_[self_position_].location.zone == upstream.zone;
   // RoutersOf prefers greater weights, and later positions if they are equal.
-  const std::pair<uint64_t, size_t> own(
-      PairWeight(self_hash_, hash, is_near), self_position_);
+  const std::pair<uint64_t, size_t> own(PairWeight(self_hash_, hash, is_near),
+                                        self_position_);
   size_t preferred = 0;
   const auto near = by_zone_.find(upstream.zone);
   if (near != by_zone_.end()) {
--- a/src/routing/router_subset.h
+++ b/src/routing/router_subset.h
@@ -40,8 +40,8 @@
     uint64_t hash = 0;
   };
 
-  // Returns how many of the routers at `positions` have a greater weight with an
-  // upstream than `own`, this router's weight and position.
+  // Returns how many of the routers at `positions` have a greater weight with
+  // an upstream than `own`, this router's weight and position.
   size_t CountPreferred(const std::vector<size_t>& positions,
                         uint64_t upstream_hash,
                         bool same_zone,
--- a/src/routing/routing_snapshot.cc
+++ b/src/routing/routing_snapshot.cc
@@ -104,9 +104,8 @@
     group.usable = !is_stopped && group.share > 0.0 && !live.empty();
     // The upstreams with the greatest weights for this router come first and
     // fill the required minimum.
-    std::sort(live.begin(), live.end(), [](const auto& a, const auto& b) {
-      return a.first > b.first;
-    });
+    std::sort(live.begin(), live.end(),
+              [](const auto& a, const auto& b) { return a.first > b.first; });
     for (size_t rank = 0; rank < live.size(); ++rank) {
       AddIfUsed(position, *live[rank].second,
                 rank < RoutingSnapshot::kMinUpstreamsPerGroup);
