Answer all requests before a stopping router ends

At the end of the grace period the process ended with requests in flight, whose callers saw a closed connection and no answer; and a request that arrived late in the grace, on a connection that was still sending it, was passed on whatever its time limit.

Change: once no new connections are accepted, requests whose time limit lies beyond the end are rejected with 503 and Retry-After. 700 ms before the platform ends the process, each request in flight is answered: 503 if it has not run, 502 if its outcome is unknown, and a begun stream is reset.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -45,6 +45,9 @@
 // Requests still in flight are abandoned this long before the platform kills
 // the process.
 constexpr Duration kGraceMargin = std::chrono::milliseconds(400);
+// They are answered this long before the platform kills the process, so that
+// the answers are sent before the process ends.
+constexpr Duration kAnswerMargin = std::chrono::milliseconds(700);
 
 // A router that starts discovers the others within about this time.
 constexpr Duration kFirstWatchDelay = std::chrono::milliseconds(1200);
@@ -644,9 +647,15 @@
   // that are idle are closed.
   const bool has_stopped_accepting =
       age >= kBalancerDetectionTime && !caller_listener_.StopAccepting();
+  const TimePoint answer_at =
+      *drain_start_ + settings_.bounds.grace - kAnswerMargin;
   if (has_stopped_accepting) {
+    dispatcher_.SetShutdown(answer_at);
     caller_listener_.CloseIdle();
   }
+  if (now >= answer_at) {
+    dispatcher_.EndAll();
+  }
   const bool is_done = has_stopped_accepting && age >= kBalancerDetectionTime &&
                        dispatcher_.in_flight() == 0 &&
                        caller_listener_.connections() == 0;
--- a/src/gateway/relayed_request.cc
+++ b/src/gateway/relayed_request.cc
@@ -36,6 +36,7 @@
 // An engine that has sent so many events of a response has survived its prompt.
 // The first event alone may be sent just before a crash.
 constexpr int64_t kSurvivedEvents = 2;
+constexpr char kCallerGoneReason[] = "caller_gone";
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
@@ -492,6 +493,17 @@
        may_have_run_ ? std::nullopt : std::optional<Duration>(time_left));
 }
 
+void RelayedRequest::OnShutdown(Duration retry_after) {
+  if (has_ended_) {
+    return;
+  }
+  const std::shared_ptr<RelayedRequest> self = shared_from_this();
+  DropConnection();
+  context_->cancel(input_.id);
+  Fail(may_have_run_ ? kBadGateway : kUnavailable, kShutdownReason,
+       may_have_run_ ? std::nullopt : std::optional<Duration>(retry_after));
+}
+
 void RelayedRequest::OnRejected(const Rejection& rejection) {
   if (has_ended_) {
     return;
@@ -556,8 +568,8 @@
   if (connection_ == nullptr) {
     return;
   }
-  // What the upstream sent since then may still be unread, so its silence counts
-  // only up to here.
+  // What the upstream sent since then may still be unread, so its silence
+  // counts only up to here.
   const TimePoint read_until = now - context_->read_delay();
   const Duration age = read_until - dispatched_;
   if (!connection_->was_sent() && age > kConnectTimeout) {
@@ -603,7 +615,7 @@
   DropConnection();
   const std::shared_ptr<RelayedRequest> self = shared_from_this();
   context_->cancel(input_.id);
-  Report(0, "caller_gone");
+  Report(0, kCallerGoneReason);
 }
 
 Duration RelayedRequest::Latency() const {
--- a/src/gateway/relayed_request.h
+++ b/src/gateway/relayed_request.h
@@ -32,6 +32,9 @@
 // The reason given for requests with a quarantined part in their prompts.
 inline constexpr char kQuarantinedReason[] = "part_quarantined";
 
+// The reason given for requests that end because the router stops.
+inline constexpr char kShutdownReason[] = "shutting_down";
+
 // The outcome of a request, for logs and metrics.
 struct RelayReport {
   RequestId id;
@@ -151,6 +154,10 @@
   // prompt is quarantined for `time_left`.
   void OnQuarantined(Duration time_left);
 
+  // Ends the request because the router stops. `retry_after` is for a caller
+  // whose request has not run.
+  void OnShutdown(Duration retry_after);
+
   // Enforces the timeouts of the request and of its attempt.
   void OnTick(TimePoint now);
 
@@ -211,8 +218,8 @@
   // Ends the current attempt because its response exceeds a limit.
   void CutResponse(const std::string& error);
   // True if a stream has sent no complete event for so long that its caller
-  // gives up, even if it sends other bytes. `read_until` is the time up to which
-  // everything received has been read.
+  // gives up, even if it sends other bytes. `read_until` is the time up to
+  // which everything received has been read.
   bool IsStalled(TimePoint read_until) const;
   // Time within which the response header must arrive before another attempt
   // is made. Empty if there may be no other attempt.
--- a/src/gateway/request_dispatcher.cc
+++ b/src/gateway/request_dispatcher.cc
@@ -43,6 +43,8 @@
 constexpr double kCrowdingSlots = 1.5;
 // The retry time for callers while the router has no manifest yet.
 constexpr Duration kStartupRetryAfter = std::chrono::milliseconds(300);
+// The same for callers that should go to another router.
+constexpr Duration kShutdownRetryAfter = std::chrono::milliseconds(50);
 // The fraction of the fleet's retry budget that the routers use. The rest
 // covers retries that reach an upstream later than they were counted.
 constexpr double kRetryBudgetFraction = 0.7;
@@ -449,6 +451,11 @@
     time = std::min(time, *metadata.time_limit);
   }
   input.response_deadline = input.received + time;
+  if (shutdown_.has_value() && input.response_deadline > *shutdown_) {
+    Reject(caller.get(), kServiceUnavailable, kShutdownReason, metadata,
+           input.account, kShutdownRetryAfter);
+    return;
+  }
   if (account != nullptr) {
     input.quota_cost = QuotaCost(*account, metadata);
     if (quotas_.AskOwner(account->id, input.quota_cost, input.arrival)) {
@@ -597,6 +604,25 @@
   pool_.OnTick(now);
 }
 
+void RequestDispatcher::EndAll() {
+  for (ParkedRequest& parked : std::exchange(parked_, {})) {
+    Reject(parked.input.caller.get(), kServiceUnavailable, kShutdownReason,
+           parked.input.metadata, parked.input.account, kShutdownRetryAfter);
+  }
+  std::vector<std::shared_ptr<RelayedRequest>> relays;
+  for (const auto& [id, relay] : relays_) {
+    relays.push_back(relay);
+  }
+  // Those that wait go first, because a slot that becomes free must not start
+  // them.
+  std::stable_partition(relays.begin(), relays.end(), [](const auto& relay) {
+    return !relay->IsAtUpstream();
+  });
+  for (const std::shared_ptr<RelayedRequest>& relay : relays) {
+    relay->OnShutdown(kShutdownRetryAfter);
+  }
+}
+
 void RequestDispatcher::RejectQuarantined() {
   if (quarantine_.begun() == known_quarantines_) {
     return;
--- a/src/gateway/request_dispatcher.h
+++ b/src/gateway/request_dispatcher.h
@@ -95,6 +95,14 @@
   void OnRequest(const std::shared_ptr<CallerConnection>& caller,
                  HttpRequest request);
 
+  // The router stops at `end`. From now on, requests that may take longer are
+  // rejected, so that their callers can try another router.
+  void SetShutdown(TimePoint end) { shutdown_ = end; }
+
+  // Answers all requests, because the router stops: those that have not run can
+  // be tried elsewhere, the others have an unknown outcome.
+  void EndAll();
+
   void OnDemand(const RouterId& from, const DemandNotice& notice);
   void OnUsage(const RouterId& from, const UsageReport& report);
   void OnUsage(const RouterId& from, const UsageTotals& totals);
@@ -193,6 +201,7 @@
   std::deque<Decision> decisions_;
   bool is_running_decisions_ = false;
   uint64_t last_id_ = 0;
+  std::optional<TimePoint> shutdown_;
 };
 
 }  // namespace papaya
