--- a/src/gateway/relayed_request.cc
+++ b/src/gateway/relayed_request.cc
@@ -636,8 +636,8 @@
   report.manifest = input_.table->config().version;
   report.upstream = upstream_;
   report.attempts = attempts_;
-  report.unused_quota =
-      status == kUnavailable && !may_have_run_ ? input_.quota_cost : 0.0;
+  const bool is_unused = status == kUnavailable || reason == kCallerGoneReason;
+  report.unused_quota = is_unused && !may_have_run_ ? input_.quota_cost : 0.0;
   report.status = status;
   report.reason = reason;
   report.error = error_;
--- a/tests/abandoned_request_test.cc
+++ b/tests/abandoned_request_test.cc
@@ -72,6 +72,8 @@
   });
   CHECK(f.RequestsAt(0) + f.RequestsAt(1) == served);
   CHECK(f.reports.back().reason == "caller_gone");
+  // Nothing was run for the account.
+  CHECK(f.reports.back().unused_quota == 1.0);
   CHECK(f.dispatcher.in_flight() == 0);
 }
 
