--- a/tests/hostile_upstream_test.cc
+++ b/tests/hostile_upstream_test.cc
@@ -240,5 +240,30 @@
   CHECK(reused.caller->received.starts_with("HTTP/1.1 502"));
 }
 
+TEST_CASE("Gateway: a response whose head ended early looked complete",
+          "[gateway]") {
+  const std::string response(kOkResponse);
+  // Within the status line, within a header, before the empty line, within the
+  // body, and before the first byte.
+  const size_t sent = GENERATE_COPY(0, 9, 14, 30, response.size() - 5,
+                                    response.size() - 3, response.size() - 1);
+  const bool resets = GENERATE(false, true);
+  GatewayFixture f(GENERATE(RequestKind::kNonIdempotent, RequestKind::kStream));
+  const std::unique_ptr<RawPeer> caller = f.Call(kPostRequest);
+  RawPeer* upstream = f.AwaitRequest();
+  upstream->Send(response.substr(0, sent));
+  const TimePoint read = SteadyNow() + milliseconds(10);
+  f.RunUntil([&] { return SteadyNow() >= read; });
+  if (resets) {
+    upstream->Reset();
+  } else {
+    upstream->Close();
+  }
+  f.RunUntil([&] { return !f.reports.empty(); });
+  f.RunUntil([&] { return !caller->received.empty(); });
+  CHECK(caller->received.starts_with("HTTP/1.1 502"));
+  CHECK_FALSE(Has(caller->received, "HTTP/1.1 200"));
+}
+
 }  // namespace
 }  // namespace papaya
