Keep the receive times of pipelined requests apart

A caller that always has a request waiting behind the one in progress would run out of time, since the arrival of its requests counted from when the buffer was last empty. The times of up to 64 reads of a connection are kept.

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -25,6 +25,9 @@
 constexpr size_t kMaxPipelinedBytes = size_t{64} * 1024;
 // Time for the caller to receive the last response and close its side.
 constexpr Duration kCloseTimeout = std::chrono::seconds(1);
+// Reads of one connection whose times are kept. Those of later reads count as
+// that of the last one kept.
+constexpr size_t kMaxReads = 64;
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
 
@@ -83,10 +86,7 @@
   if (state_ == State::kClosing || state_ == State::kClosed) {
     return;
   }
-  if (input_.empty() && state_ != State::kReading) {
-    input_received_ = ReceiveTime();
-  }
-  input_.append(bytes);
+  AddInput(bytes);
   if (state_ == State::kResponding) {
     if (input_.size() > kMaxPipelinedBytes) {
       channel_->SetReading(false);
@@ -105,6 +105,30 @@
          (shared_->read_delay ? shared_->read_delay() : Duration());
 }
 
+void CallerConnection::AddInput(std::string_view bytes) {
+  received_bytes_ += bytes.size();
+  if (input_.empty()) {
+    reads_.clear();
+  }
+  if (reads_.size() < kMaxReads) {
+    // The rest of a body needs no exact time.
+    reads_.emplace_back(received_bytes_, state_ == State::kReading
+                                             ? SteadyNow()
+                                             : ReceiveTime());
+  } else {
+    reads_.back().first = received_bytes_;
+  }
+  input_.append(bytes);
+}
+
+TimePoint CallerConnection::InputReceiveTime() {
+  const uint64_t used = received_bytes_ - input_.size();
+  while (reads_.size() > 1 && reads_.front().first <= used) {
+    reads_.pop_front();
+  }
+  return reads_.front().second;
+}
+
 void CallerConnection::ReadRequests() {
   // A request may be answered while it is delivered. The loop then reads the
   // next one, so that the stack does not grow with the pipelined requests.
@@ -124,7 +148,7 @@
     reader_ = std::make_unique<RequestReader>(shared_->limits);
     state_ = State::kReading;
     state_start_ = SteadyNow();
-    request_received_ = input_received_;
+    request_received_ = InputReceiveTime();
     has_sent_continue_ = false;
   }
   switch (reader_->Feed(&input_)) {
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -3,11 +3,13 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "include/base/units.h"
 #include "include/gateway/gateway_config.h"
@@ -113,6 +115,11 @@
   void RejectRequest(const HttpFault& read_error);
   // Returns when the system received the bytes that are read now.
   TimePoint ReceiveTime();
+  // Appends received bytes to `input_`.
+  void AddInput(std::string_view bytes);
+  // Returns when the first byte of `input_`, which must not be empty, was
+  // received.
+  TimePoint InputReceiveTime();
   // Returns the header of a response, including the empty line.
   std::string FormatHead(const HttpResponse& response,
                          std::optional<uint64_t> length);
@@ -138,8 +145,10 @@
   // When the state was entered, or bytes of the body were last received.
   TimePoint state_start_;
   TimePoint request_received_;
-  // When the first bytes of `input_` were received.
-  TimePoint input_received_;
+  // The reads that `input_` came from, oldest first: the total of received
+  // bytes after each, and when the system received them.
+  std::deque<std::pair<uint64_t, TimePoint>> reads_;
+  uint64_t received_bytes_ = 0;
   Duration idle_limit_{};
 };
 
--- a/tests/abandoned_request_test.cc
+++ b/tests/abandoned_request_test.cc
@@ -160,6 +160,36 @@
   CHECK(given <= milliseconds(kTimeLimitMs) - stall + milliseconds(20));
 }
 
+TEST_CASE("Gateway: a caller that always sends ahead ran out of time",
+          "[gateway]") {
+  constexpr int kRequests = 8;
+  GatewayFixture f(RequestKind::kNonIdempotent);
+  const std::string request =
+      absl::StrReplaceAll(kPostRequest, {{absl::StrCat(kTimeLimitMs), "400"}});
+  const std::unique_ptr<RawPeer> caller = f.Call(request);
+  for (size_t i = 1; i <= kRequests; ++i) {
+    // The next request always waits behind the one in progress.
+    caller->Send(request);
+    f.RunUntil([&] { return f.RequestsAt(0) + f.RequestsAt(1) == i; });
+    const TimePoint answer_at = SteadyNow() + milliseconds(100);
+    f.RunUntil([&] { return SteadyNow() >= answer_at; });
+    RawPeer* upstream = nullptr;
+    for (const std::unique_ptr<RawUpstream>& candidate : f.upstreams) {
+      for (const std::unique_ptr<RawPeer>& peer : candidate->peers) {
+        const size_t end = peer->received.rfind("hello");
+        if (end != std::string::npos && end + 5 == peer->received.size()) {
+          upstream = peer.get();
+        }
+      }
+    }
+    REQUIRE(upstream != nullptr);
+    upstream->received.append("\n");
+    upstream->Send(kOkResponse);
+    f.RunUntil([&] { return f.reports.size() == i; });
+    CHECK(f.reports.back().status == 200);
+  }
+}
+
 TEST_CASE(
     "Gateway: bytes of an abandoned request could still reach an upstream",
     "[gateway]") {
