--- a/src/telemetry/loop_monitor.cc
+++ b/src/telemetry/loop_monitor.cc
@@ -8,8 +8,8 @@
 namespace {
 
 // The fields of kLoopDelayed, by LoopWork.
-constexpr std::array<const char*, 4> kWorkFields = {
-    "requests_ms", "peers_ms", "snapshots_ms", "ticks_ms"};
+constexpr std::array<const char*, 4> kWorkFields = {"requests_ms", "peers_ms",
+                                                    "snapshots_ms", "ticks_ms"};
 
 std::string FormatMilliseconds(Duration duration) {
   return std::to_string(duration / std::chrono::milliseconds(1));
