--- a/tests/router_subset_test.cc
+++ b/tests/router_subset_test.cc
@@ -20,6 +20,7 @@
     const int zones = *rc::gen::inRange(1, 6);
     const size_t count = *rc::gen::inRange<size_t>(1, 12);
     std::vector<RouterLocation> routers;
+    routers.reserve(static_cast<size_t>(fleet));
     for (int i = 0; i < fleet; ++i) {
       routers.push_back({.id = RouterId("r" + std::to_string(i)),
                          .zone = ZoneOf(*rc::gen::inRange(0, zones))});
