Don't close idle links between routers when an old timeout passes

Change: each operation of PeerSocket ends its own timeout. Measured: the new test of PeerSocket fails on the former code (the third write) and passes now; [wire] passes, 37 cases.

--- a/src/wire/peer_socket.cc
+++ b/src/wire/peer_socket.cc
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <utility>
 
+#include "absl/cleanup/cleanup.h"
 #include "absl/strings/str_cat.h"
 #include "include/base/error.h"
 
@@ -39,6 +40,7 @@
     Duration timeout) {
   peer_ = NameOf(endpoint);
   Arm(timeout);
+  const absl::Cleanup disarm = [this] { Disarm(); };
   error_code error;
   co_await socket_.async_connect(
       endpoint, asio::redirect_error(asio::use_awaitable, error));
@@ -75,6 +77,7 @@
 asio::awaitable<absl::StatusOr<std::string>> PeerSocket::ReadFrame(
     Duration timeout) {
   Arm(timeout);
+  const absl::Cleanup disarm = [this] { Disarm(); };
   std::string bytes;
   while (true) {
     absl::StatusOr<std::optional<std::string>> frame = reader_.Next();
@@ -99,6 +102,7 @@
 asio::awaitable<absl::Status> PeerSocket::Write(std::string bytes,
                                                 Duration timeout) {
   Arm(timeout);
+  const absl::Cleanup disarm = [this] { Disarm(); };
   error_code error;
   co_await asio::async_write(socket_, asio::buffer(bytes),
                              asio::redirect_error(asio::use_awaitable, error));
@@ -125,6 +129,11 @@
   });
 }
 
+void PeerSocket::Disarm() {
+  // Unlike cancel(), this also stops a handler that is already queued.
+  timer_.expires_at(asio::steady_timer::time_point::max());
+}
+
 absl::Status PeerSocket::ToStatus(const error_code& error,
                                   const char* step) const {
   if (!error) {
--- a/src/wire/peer_socket.h
+++ b/src/wire/peer_socket.h
@@ -43,7 +43,11 @@
   void Close();
 
  private:
+  // Closes the socket after `timeout`, unless Disarm is called before.
   void Arm(Duration timeout);
+  // Each operation ends its own timeout. Otherwise the socket would be closed
+  // while it is idle, and the next message written to it would be lost.
+  void Disarm();
   absl::Status ToStatus(const boost::system::error_code& error,
                         const char* step) const;
 
--- a/tests/peer_network_test.cc
+++ b/tests/peer_network_test.cc
@@ -5,12 +5,14 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
 #include "src/wire/peer_frame.h"
 #include "src/wire/peer_handshake.h"
+#include "src/wire/peer_socket.h"
 #include "tests/loopback.h"
 
 namespace papaya {
@@ -106,6 +108,39 @@
   CHECK(a.from_.front() == RouterId("b"));
 }
 
+// Guards against timeouts that outlast their operation. They closed links that
+// had been idle for 5 s, so that the next message on them was lost.
+TEST_CASE("PeerSocket: stays open after an operation's timeout has passed",
+          "[wire]") {
+  constexpr std::chrono::milliseconds kTimeout{40};
+  asio::io_context context;
+  asio::ip::tcp::acceptor acceptor(
+      context, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+  asio::ip::tcp::socket other(context);
+  const auto socket =
+      std::make_shared<PeerSocket>(asio::ip::tcp::socket(context));
+  RunOn(context, [&]() -> asio::awaitable<void> {
+    const absl::Status connected =
+        co_await socket->Connect(acceptor.local_endpoint(), kTimeout);
+    CHECK(connected.ok());
+    acceptor.accept(other);
+    asio::write(other, asio::buffer(MakePeerFrame("first")));
+    const absl::StatusOr<std::string> frame =
+        co_await socket->ReadFrame(kTimeout);
+    CHECK(frame.ok());
+    std::string bytes = MakePeerFrame("second");
+    const absl::Status written =
+        co_await socket->Write(std::move(bytes), kTimeout);
+    CHECK(written.ok());
+    asio::steady_timer pause(context, 3 * kTimeout);
+    co_await pause.async_wait(asio::use_awaitable);
+    bytes = MakePeerFrame("third");
+    const absl::Status later =
+        co_await socket->Write(std::move(bytes), kTimeout);
+    CHECK(later.ok());
+  });
+}
+
 TEST_CASE("PeerNetwork: refuses another fleet and another secret", "[wire]") {
   asio::io_context context;
   Peer router(context, "a");
