Don't divide slots of engines that more routers share than there are slots

All users of an engine were of its own zone. Change: SchedulerOptions::divides_scarce_slots, off in the gateway, and ZonePreference::kNone for such fleets; engines only. The new scheduler test fails with the former division; [admission],[routing] pass (80 cases).

--- a/include/admission/scheduler_options.h
+++ b/include/admission/scheduler_options.h
@@ -27,6 +27,12 @@
   Bytes report_budget{6 * 1024};
   // Reports of other routers older than this are ignored.
   Duration report_lifetime = std::chrono::seconds(3);
+  // If false, slots are not divided in groups whose engines are used by more
+  // routers than they have slots. There a router's share is less than one slot,
+  // and a slot that is granted by a report of another router stays free if that
+  // router has no request by then. Each router then takes any slot that appears
+  // free.
+  bool divides_scarce_slots = true;
   // Retry budget of each pool.
   RetryBudgetOptions retries;
   PlacementWeights placement;
--- a/include/routing/routing_snapshot.h
+++ b/include/routing/routing_snapshot.h
@@ -32,6 +32,14 @@
   auto operator<=>(const PoolVersion&) const = default;
 };
 
+// Which upstreams are assigned to a router first in a large fleet.
+enum class ZonePreference : uint8_t {
+  kOwnZone,  // those of its own availability zone
+  // Upstreams of all zones alike, so that routers of a zone with more demand
+  // than the others also use the upstreams of the others.
+  kNone,
+};
+
 // The input of RoutingSnapshot::Build().
 struct RoutingInput {
   // Must not be null.
@@ -44,6 +52,7 @@
   RouterLocation self;
   // The live routers; `self` may be among them.
   std::vector<RouterLocation> routers;
+  ZonePreference zone_preference = ZonePreference::kOwnZone;
 };
 
 // An upstream that this router uses.
@@ -75,9 +84,10 @@
 //
 // In a large fleet a router uses a stable subset of the upstreams. Each
 // upstream is assigned to kRoutersPerUpstream routers, those of its own
-// availability zone first. In addition, each router uses at least
-// kMinUpstreamsPerGroup upstreams of every group, or all of a smaller group.
-// Adding or removing a router or an upstream changes few of the assignments.
+// availability zone first if RoutingInput::zone_preference says so. In
+// addition, each router uses at least kMinUpstreamsPerGroup upstreams of every
+// group, or all of a smaller group. Adding or removing a router or an upstream
+// changes few of the assignments.
 class RoutingSnapshot {
  public:
   static constexpr size_t kRoutersPerUpstream = 8;
--- a/src/admission/planned_group.cc
+++ b/src/admission/planned_group.cc
@@ -15,6 +15,8 @@
     slots += snapshot.upstream(index).spec.slots;
   }
   absl::flat_hash_map<RouterId, size_t> positions;
+  size_t users = 0;
+  bool are_engines = true;
   for (UpstreamIndex index : group.upstreams) {
     const RoutedUpstream& routed = snapshot.upstream(index);
     PlannedGroup::Upstream upstream;
@@ -31,8 +33,11 @@
       upstream.users.push_back(
           {found->second, StableHash(router.value(), seed)});
     }
+    users += upstream.users.size();
+    are_engines = are_engines && routed.spec.kind == UpstreamKind::kModelEngine;
     planned.upstreams.push_back(std::move(upstream));
   }
+  planned.is_scarce = are_engines && static_cast<double>(users) > slots;
   const auto self = positions.find(snapshot.self().id);
   planned.self =
       self == positions.end() ? -1 : static_cast<int64_t>(self->second);
--- a/src/admission/planned_group.h
+++ b/src/admission/planned_group.h
@@ -37,6 +37,9 @@
   std::vector<RouterId> routers;
   // Index of this router in `routers`; -1 if it uses none of the upstreams.
   int64_t self = -1;
+  // The upstreams are engines and together have fewer slots than users, so that
+  // a router's share of one is less than a slot.
+  bool is_scarce = false;
 };
 
 // Builds the plan data of `group` in `snapshot`, whose upstreams must be in
--- a/src/admission/scheduler_preemption.cc
+++ b/src/admission/scheduler_preemption.cc
@@ -125,7 +125,10 @@
     return;
   }
   group->is_plan_stale = false;
-  if (!options_.parts.slot_division) {
+  const bool is_divided =
+      options_.parts.slot_division &&
+      (options_.divides_scarce_slots || !group->planned.is_scarce);
+  if (!is_divided) {
     group->free_slots = std::numeric_limits<double>::infinity();
     return;
   }
--- a/src/gateway/request_dispatcher.cc
+++ b/src/gateway/request_dispatcher.cc
@@ -91,9 +91,28 @@
                        .crowding_slots = kCrowdingSlots};
   options.parts.straggler_detection = false;
   options.parts.preemption = false;
+  // The engines queue what exceeds their slots, so a slot that two routers take
+  // costs less than one that stays free while requests wait.
+  options.divides_scarce_slots = false;
   return options;
 }
 
+// Where a router's share of an engine is less than one slot, a zone with more
+// demand than the others has no spare slots of its own, so its routers also use
+// the engines of other zones.
+ZonePreference ChooseZonePreference(const std::vector<UpstreamSpec>& upstreams,
+                                    size_t routers) {
+  constexpr int kUsers = RoutingSnapshot::kRoutersPerUpstream;
+  const bool is_scarce =
+      routers > kUsers &&
+      std::any_of(upstreams.begin(), upstreams.end(),
+                  [](const UpstreamSpec& upstream) {
+                    return upstream.kind == UpstreamKind::kModelEngine &&
+                           upstream.slots < kUsers;
+                  });
+  return is_scarce ? ZonePreference::kNone : ZonePreference::kOwnZone;
+}
+
 // Returns the parts that other requests may share, that is, all but the last
 // one. Parts beyond kMaxSharedParts are left out, which bounds the work for a
 // request that states many.
@@ -366,6 +385,8 @@
       hooks_.apply_moves(std::move(config)));
   input.self = {.id = settings_.router, .zone = settings_.zone};
   input.routers = routers_;
+  input.zone_preference =
+      ChooseZonePreference(input.config->upstreams, routers_.size());
   const std::shared_ptr<const RoutingSnapshot> snapshot =
       RoutingSnapshot::Build(input);
   demand_names_ = DemandNameResolver(*snapshot);
--- a/src/routing/router_subset.cc
+++ b/src/routing/router_subset.cc
@@ -21,8 +21,11 @@
 }  // namespace
 
 RouterSubset::RouterSubset(const std::vector<RouterLocation>& routers,
-                           const RouterLocation& self)
-    : self_(self), self_hash_(StableHash(self.id.value())) {
+                           const RouterLocation& self,
+                           ZonePreference preference)
+    : preference_(preference),
+      self_(self),
+      self_hash_(StableHash(self.id.value())) {
   bool has_self = false;
   for (const RouterLocation& location : routers) {
     has_self = has_self || location.id == self.id;
@@ -36,7 +39,9 @@
               return a.location.id < b.location.id;
             });
   for (size_t i = 0; i < routers_.size(); ++i) {
-    by_zone_[routers_[i].location.zone].push_back(i);
+    by_zone_[preference_ == ZonePreference::kNone ? AvailabilityZoneId()
+                                                  : routers_[i].location.zone]
+        .push_back(i);
     if (routers_[i].location.id == self.id) {
       self_position_ = i;
     }
@@ -46,12 +51,15 @@
 bool RouterSubset::IsSelfAmong(const UpstreamSpec& upstream,
                                size_t count) const {
   const uint64_t hash = StableHash(upstream.id.value());
-  const bool is_near = routers_[self_position_].location.zone == upstream.zone;
+  const bool is_near =
+      IsNear(routers_[self_position_].location.zone, upstream.zone);
   // RoutersOf prefers greater weights, and later positions if they are equal.
   const std::pair<uint64_t, size_t> own(PairWeight(self_hash_, hash, is_near),
                                         self_position_);
   size_t preferred = 0;
-  const auto near = by_zone_.find(upstream.zone);
+  const auto near =
+      by_zone_.find(preference_ == ZonePreference::kNone ? AvailabilityZoneId()
+                                                         : upstream.zone);
   if (near != by_zone_.end()) {
     // All routers of the upstream's zone are preferred to those of others.
     preferred = is_near ? CountPreferred(near->second, hash, true, own)
@@ -88,7 +96,7 @@
   std::vector<std::pair<uint64_t, size_t>> weights;
   weights.reserve(routers_.size());
   for (size_t i = 0; i < routers_.size(); ++i) {
-    const bool same_zone = routers_[i].location.zone == upstream.zone;
+    const bool same_zone = IsNear(routers_[i].location.zone, upstream.zone);
     weights.emplace_back(PairWeight(routers_[i].hash, hash, same_zone), i);
   }
   if (weights.size() > count) {
@@ -108,7 +116,7 @@
 
 uint64_t RouterSubset::OwnWeight(const UpstreamSpec& upstream) const {
   return PairWeight(self_hash_, StableHash(upstream.id.value()),
-                    self_.zone == upstream.zone);
+                    IsNear(self_.zone, upstream.zone));
 }
 
 }  // namespace papaya
--- a/src/routing/router_subset.h
+++ b/src/routing/router_subset.h
@@ -19,10 +19,12 @@
  public:
   // The live routers are `routers` and `self`; `routers` may contain `self`.
   RouterSubset(const std::vector<RouterLocation>& routers,
-               const RouterLocation& self);
+               const RouterLocation& self,
+               ZonePreference preference);
 
   // Returns the `count` routers that use `upstream`, or all if there are fewer,
-  // sorted by id. Routers in the upstream's availability zone are preferred.
+  // sorted by id. Routers in the upstream's availability zone are preferred
+  // if `preference` says so.
   std::vector<RouterId> RoutersOf(const UpstreamSpec& upstream,
                                   size_t count) const;
 
@@ -31,7 +33,8 @@
   bool IsSelfAmong(const UpstreamSpec& upstream, size_t count) const;
 
   // Returns the weight of the pair of this router and `upstream`. Upstreams in
-  // the router's own availability zone have greater weights than all others.
+  // the router's own availability zone have greater weights than all others if
+  // `preference` says so.
   uint64_t OwnWeight(const UpstreamSpec& upstream) const;
 
  private:
@@ -47,9 +50,18 @@
                         bool same_zone,
                         const std::pair<uint64_t, size_t>& own) const;
 
+  // True if a router in `router_zone` is preferred for an upstream in
+  // `upstream_zone`.
+  bool IsNear(const AvailabilityZoneId& router_zone,
+              const AvailabilityZoneId& upstream_zone) const {
+    return preference_ == ZonePreference::kNone || router_zone == upstream_zone;
+  }
+
+  const ZonePreference preference_;
   // Sorted by id.
   std::vector<Candidate> routers_;
-  // Positions in `routers_`, in increasing order.
+  // Positions in `routers_`, in increasing order. Without a preference all are
+  // under the empty zone.
   absl::flat_hash_map<AvailabilityZoneId, std::vector<size_t>> by_zone_;
   RouterLocation self_;
   uint64_t self_hash_ = 0;
--- a/src/routing/routing_snapshot.cc
+++ b/src/routing/routing_snapshot.cc
@@ -27,7 +27,7 @@
   explicit RoutingSnapshotBuilder(const RoutingInput& input)
       : input_(input),
         leaving_(input.leaving.begin(), input.leaving.end()),
-        subset_(input.routers, input.self) {
+        subset_(input.routers, input.self, input.zone_preference) {
     snapshot_.config_ = input.config;
     snapshot_.self_ = input.self;
   }
--- a/tests/router_subset_test.cc
+++ b/tests/router_subset_test.cc
@@ -30,7 +30,9 @@
         fleet > 0 && *rc::gen::arbitrary<bool>()
             ? routers[*rc::gen::inRange<size_t>(0, routers.size())]
             : RouterLocation{.id = RouterId("self"), .zone = ZoneOf(0)};
-    const RouterSubset subset(routers, self);
+    const ZonePreference preference =
+        *rc::gen::element(ZonePreference::kOwnZone, ZonePreference::kNone);
+    const RouterSubset subset(routers, self, preference);
     for (int i = 0; i < 20; ++i) {
       UpstreamSpec upstream;
       upstream.id = UpstreamId("u" + std::to_string(i));
--- a/tests/routing_snapshot_test.cc
+++ b/tests/routing_snapshot_test.cc
@@ -131,6 +131,17 @@
   }
   CHECK(own_zone == before->upstreams().size());
 
+  // Without a preference, upstreams of three zones alike.
+  RoutingInput mixed = input;
+  mixed.zone_preference = ZonePreference::kNone;
+  const auto all_zones = RoutingSnapshot::Build(mixed);
+  size_t other_zones = 0;
+  for (const RoutedUpstream& upstream : all_zones->upstreams()) {
+    other_zones += upstream.spec.zone == input.self.zone ? 0 : 1;
+  }
+  CHECK(2 * other_zones > all_zones->upstreams().size());
+  CHECK(all_zones->upstreams().size() < 2 * mean);
+
   RoutingInput fewer = input;
   fewer.routers.erase(fewer.routers.begin() + 30);
   const auto after = RoutingSnapshot::Build(fewer);
--- a/tests/scheduler_test.cc
+++ b/tests/scheduler_test.cc
@@ -15,8 +15,10 @@
 // A Scheduler whose hooks record their calls.
 class Fixture {
  public:
-  explicit Fixture(int upstreams, int slots = 1, size_t max_queued = 100) {
-    SchedulerOptions options;
+  explicit Fixture(int upstreams,
+                   int slots = 1,
+                   size_t max_queued = 100,
+                   SchedulerOptions options = {}) {
     options.router = RouterId("r0");
     options.max_queued = max_queued;
     SchedulerHooks hooks;
@@ -267,6 +269,38 @@
   }
 }
 
+// Guards against slots that stay free in a burst. 128 routers shared engines of
+// 6 slots; each engine had 8 users, whose reports were older than their
+// requests, and 110 of 540 slots were free while 243 requests waited.
+TEST_CASE("Scheduler: uses free slots that stale reports would reserve",
+          "[admission]") {
+  constexpr int kSlots = 6;
+  SchedulerOptions options;
+  options.divides_scarce_slots = false;
+  Fixture f(1, kSlots, 100, options);
+  std::vector<RouterId> routers = {RouterId("r0")};
+  for (int i = 1; i < 8; ++i) {
+    routers.emplace_back("r" + std::to_string(i));
+  }
+  f.UseRouters(routers);
+  // Each of the others reported requests that wait, and none that runs.
+  for (size_t i = 1; i < routers.size(); ++i) {
+    DemandReport report;
+    report.router = routers[i];
+    report.incarnation = Incarnation(1);
+    report.sequence = 1;
+    report.groups = {{.group = {kPool, VersionId("v1")}}};
+    report.groups[0].tiers[TierIndex(Tier::kInteractive)] = {.running = 0,
+                                                             .waiting = 3};
+    f.scheduler->OnDemandReport(report, f.now);
+  }
+  for (uint64_t id = 1; id <= kSlots + 2; ++id) {
+    f.Request(id);
+  }
+  f.Advance(std::chrono::milliseconds(100));
+  CHECK(f.dispatched.size() == kSlots);
+}
+
 TEST_CASE("a lower tier takes idle slots while another router lacks slots",
           "[admission]") {
   // The other router lacks slots for requests that have waited too long, while
