Limit the requests of all routers to a cold upstream

Cause: an upstream that has just started, or returns from an outage, crashes under full load. Routers knew nothing of that, and each sent its full load.

Change: WarmupLimiter decides for each upstream that is or may be cold whether this router may send to it now.

--- a/include/telemetry/event_catalog.h
+++ b/include/telemetry/event_catalog.h
@@ -77,6 +77,10 @@
   kPartQuarantined = 8021,
   kQuarantineEnded = 8022,
   kArchiveFailed = 8023,
+  kUpstreamCold = 8024,
+  kUpstreamWarm = 8025,
+  kWarmupHeldBack = 8026,
+  kWarmupRefused = 8027,
   kLoopDelayed = 8031,
 };
 
--- a/src/telemetry/event_catalog.cc
+++ b/src/telemetry/event_catalog.cc
@@ -175,6 +175,18 @@
       {EventId::kArchiveFailed, Severity::kWarning, "quarantine_archive_failed",
        "The quarantines in the platform's store could not be read or written; "
        "it is tried again. Routers tell each other of them meanwhile."},
+      {EventId::kUpstreamCold, Severity::kInfo, "upstream_cold",
+       "An upstream is or may be cold, by the source named: its registration, "
+       "a response, a failed attempt, an outage of its zone or a lifted "
+       "evacuation; few routers send to it, at its warm-up rate."},
+      {EventId::kUpstreamWarm, Severity::kInfo, "upstream_warm",
+       "An upstream is no longer cold and gets its full share again."},
+      {EventId::kWarmupHeldBack, Severity::kWarning, "warmup_held_back",
+       "This router knows no other router, so it sends nothing to cold "
+       "upstreams while others take work; look at its network."},
+      {EventId::kWarmupRefused, Severity::kWarning, "warmup_refused",
+       "A registration or a response states a cold time that can't be used; "
+       "the rest of it is, and whoever wrote it must mend it."},
       {EventId::kLoopDelayed, Severity::kWarning, "loop_delayed",
        "Events of this router waited for up to `delay_ms` before they were "
        "handled, because its VM was too slow for its work; the other fields "
