Respect the limits of cold upstreams when placing requests

Cause: a zone whose upstreams return cold got the requests that had waited, as UpstreamChooser knew only slots and backoff.

Change: UpstreamState has the ColdGate of the WarmupLimiter. The chooser passes over closed ones and draws requests of the lowest tier to open cold ones. SchedulerCore::Begin records what was sent, for retries too, and lost attempts make an upstream presumed cold.

--- a/include/admission/attempt_result.h
+++ b/include/admission/attempt_result.h
@@ -24,6 +24,8 @@
   Tokens output_tokens;
   // False if the request itself may be why the attempt failed.
   bool may_repeat = true;
+  // The upstream has answered, if only with an error, so it was reachable.
+  bool has_answered = false;
 };
 
 // Why a router rejects a request without an upstream's answer.
--- a/include/admission/scheduler_options.h
+++ b/include/admission/scheduler_options.h
@@ -12,6 +12,8 @@
 
 namespace papaya {
 
+class WarmupLimiter;
+
 // Configuration of a Scheduler.
 struct SchedulerOptions {
   RouterId router;
@@ -31,6 +33,9 @@
   RetryBudgetOptions retries;
   PlacementWeights placement;
   SchedulerParts parts;
+  // Limits the requests to cold upstreams. Must outlive the Scheduler; null for
+  // no limit.
+  WarmupLimiter* warmup = nullptr;
 };
 
 }  // namespace papaya
--- a/src/admission/scheduler_attempts.cc
+++ b/src/admission/scheduler_attempts.cc
@@ -5,6 +5,7 @@
 #include <optional>
 #include <utility>
 
+#include "include/admission/warmup_limiter.h"
 #include "src/admission/scheduler_core.h"
 
 namespace papaya {
@@ -139,6 +140,11 @@
   if (failed) {
     upstreams_.OnAttemptEnd(entry->upstream, /*failed=*/true, now);
   }
+  const bool is_lost = end == AttemptEnd::kUnreachable ||
+                       (end == AttemptEnd::kUnknown && !result.has_answered);
+  if (is_lost && options_.warmup != nullptr) {
+    options_.warmup->OnUnreachable(upstreams_.at(entry->upstream).id, now);
+  }
   if (end == AttemptEnd::kUnknown || end == AttemptEnd::kPreempted) {
     entry->may_have_run = true;
     ++entry->runs;
--- a/src/admission/scheduler_core.cc
+++ b/src/admission/scheduler_core.cc
@@ -4,6 +4,8 @@
 #include <utility>
 #include <vector>
 
+#include "include/admission/warmup_limiter.h"
+
 namespace papaya {
 
 namespace {
@@ -28,6 +30,10 @@
                                TimePoint now) {
   snapshot_ = std::move(snapshot);
   upstreams_.Apply(*snapshot_, now);
+  if (options_.warmup != nullptr) {
+    options_.warmup->SetUpstreams(*snapshot_, now);
+    upstreams_.SetGates(*options_.warmup);
+  }
   groups_.Apply(*snapshot_, upstreams_);
   Regroup();
   ApplyPeers(now);
@@ -294,9 +300,17 @@
   if (choice.is_probe) {
     upstream.last_probe = now;
   }
+  RecordSent(upstream, now);
   prefixes_.Add(entry->spec.prefix_hashes, choice.upstream);
   ++groups_.at(entry->group).running[TierIndex(entry->spec.tier)];
   hooks_.dispatch(entry->spec.id, upstream.id);
 }
 
+void SchedulerCore::RecordSent(const UpstreamState& upstream, TimePoint now) {
+  if (options_.warmup != nullptr && upstream.gate->IsCold(now)) {
+    options_.warmup->OnSent(upstream.id, now);
+  }
+  upstream.gate->last_sent = now;
+}
+
 }  // namespace papaya
--- a/src/admission/scheduler_core.h
+++ b/src/admission/scheduler_core.h
@@ -88,6 +88,8 @@
   void Begin(RequestEntry* entry,
              const UpstreamChooser::Choice& choice,
              TimePoint now);
+  // Tells the WarmupLimiter of requests sent to the upstream.
+  void RecordSent(const UpstreamState& upstream, TimePoint now);
   // Removes the attempt of `entry` from all counts.
   void EndAttempt(RequestEntry* entry);
   // Retries or rejects a request whose attempt ended without an answer.
--- a/src/admission/scheduler_preemption.cc
+++ b/src/admission/scheduler_preemption.cc
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "include/admission/warmup_limiter.h"
 #include "include/base/stable_hash.h"
 #include "src/admission/scheduler_core.h"
 #include "src/admission/slot_planner.h"
@@ -136,6 +137,9 @@
 void SchedulerCore::OnTick(TimePoint now) {
   peers_.RemoveExpired(now);
   upstreams_.OnTick(now);
+  if (options_.warmup != nullptr) {
+    options_.warmup->OnTick(now);
+  }
   ApplyPeers(now);
   for (size_t i = 0; i < groups_.size(); ++i) {
     const int32_t number = static_cast<int32_t>(i);
--- a/src/admission/upstream_chooser.cc
+++ b/src/admission/upstream_chooser.cc
@@ -17,6 +17,11 @@
 // it; and by one router after another router has found the upstream recovered.
 constexpr Duration kProbeInterval = std::chrono::seconds(60);
 constexpr Duration kShortProbeInterval = std::chrono::seconds(1);
+// Additional cost of a cold upstream for each tier above the lowest. It exceeds
+// the usual differences between upstreams. Half of it draws requests of the
+// lowest tier there.
+constexpr double kColdSecondsPerTier = 0.4;
+
 // Cost of taking one of the last free slots of `state`. Other routers see the
 // same slots and take them before they report it, and a request too many has to
 // wait there until another one ends.
@@ -98,9 +103,43 @@
   return seconds;
 }
 
+double UpstreamChooser::ColdSeconds(const RequestEntry& entry,
+                                    const UpstreamState& state) const {
+  const double tiers_below =
+      static_cast<double>(kTierCount - 1 - TierIndex(entry.spec.tier));
+  const double prompt = static_cast<double>(entry.spec.prompt_tokens.value());
+  return kColdSecondsPerTier * (tiers_below - 0.5) +
+         prompt * upstreams_->PrefillSeconds(state);
+}
+
+void UpstreamChooser::ConsiderClosed(int32_t number, Search* search) const {
+  const UpstreamState& state = upstreams_->at(number);
+  if (!state.IsOpen(search->now)) {
+    return;
+  }
+  // This router may send there soon.
+  if (state.gate->send_at != TimePoint::max()) {
+    search->has_other = true;
+  }
+  if (search->now >= state.gate->last_resort_at &&
+      state.HasRoom(search->is_contended) && !state.IsEjected()) {
+    const double prompt =
+        static_cast<double>(search->entry->spec.prompt_tokens.value());
+    search->last_resort = {number, prompt, false};
+  }
+}
+
 void UpstreamChooser::Consider(int32_t number, Search* search) const {
   const UpstreamState& state = upstreams_->at(number);
-  if (!state.IsOpen(search->now) || !state.HasRoom(search->is_contended)) {
+  if (state.gate->IsClosed(search->now)) {
+    ConsiderClosed(number, search);
+    return;
+  }
+  if (!state.IsOpen(search->now)) {
+    return;
+  }
+  search->has_other = true;
+  if (!state.HasRoom(search->is_contended)) {
     return;
   }
   const RequestEntry& entry = *search->entry;
@@ -114,7 +153,10 @@
     }
     return;
   }
-  const double finish = EstimateFinish(entry, state, prefill);
+  double finish = EstimateFinish(entry, state, prefill);
+  if (state.gate->IsCold(search->now)) {
+    finish += ColdSeconds(entry, state);
+  }
   if (finish < search->best) {
     search->best = finish;
     search->choice = {number, prefill, false};
@@ -140,9 +182,15 @@
   size_t with_room = 0;
   for (size_t i = 0; i < numbers.size() && with_room < kCandidates; ++i) {
     const int32_t number = numbers[(start + i) % numbers.size()];
-    with_room += upstreams_->at(number).HasRoom(search.is_contended) ? 1 : 0;
+    const UpstreamState& state = upstreams_->at(number);
+    with_room +=
+        state.HasRoom(search.is_contended) && !state.gate->IsClosed(now) ? 1
+                                                                         : 0;
     Consider(number, &search);
   }
+  if (search.choice.upstream < 0 && !search.has_other) {
+    search.choice = search.last_resort;
+  }
   if (numbers.size() <= kCandidates) {
     return search.choice;
   }
--- a/src/admission/upstream_chooser.h
+++ b/src/admission/upstream_chooser.h
@@ -64,10 +64,20 @@
     TimePoint now;
     double best = 0.0;
     Choice choice;
+    // A cold upstream that may be used if no other one accepts work.
+    Choice last_resort;
+    bool has_other = false;
   };
 
   Cached FindCached(const RequestEntry& entry) const;
   void Consider(int32_t number, Search* search) const;
+  // Considers an upstream that is cold and gets no request now.
+  void ConsiderClosed(int32_t number, Search* search) const;
+
+  // Additional cost in seconds of a cold upstream. It is negative for requests
+  // that should go there first.
+  double ColdSeconds(const RequestEntry& entry,
+                     const UpstreamState& state) const;
 
   // Estimated cost in seconds of running `entry` there.
   double EstimateFinish(const RequestEntry& entry,
--- a/src/admission/upstream_state.h
+++ b/src/admission/upstream_state.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <vector>
 
+#include "include/admission/warmup_limiter.h"
 #include "include/base/ids.h"
 #include "include/base/units.h"
 #include "include/routing/straggler_detector.h"
@@ -71,6 +72,8 @@
   int failures = 0;
   // It gets no work before this time, because it asked this router to wait.
   TimePoint closed_until;
+  // Limits the requests while it is cold. Never null.
+  std::shared_ptr<ColdGate> gate = std::make_shared<ColdGate>();
 
   // Time of the first snapshot without it; the epoch while it is routed.
   TimePoint unrouted_since;
--- a/src/admission/upstream_table.cc
+++ b/src/admission/upstream_table.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 #include "include/base/stable_hash.h"
 
@@ -122,6 +123,16 @@
   OnTick(now);
 }
 
+void UpstreamTable::SetGates(const WarmupLimiter& warmup) {
+  for (const std::unique_ptr<UpstreamState>& state : states_) {
+    if (state->is_routed) {
+      std::shared_ptr<ColdGate> gate = warmup.GateOf(state->id);
+      state->gate =
+          gate != nullptr ? std::move(gate) : std::make_shared<ColdGate>();
+    }
+  }
+}
+
 bool UpstreamTable::IsUnused(const UpstreamState& state, TimePoint now) {
   const bool is_leaving =
       state.is_leaving && now - state.unrouted_since < kRemovedLeavingTime;
--- a/src/admission/upstream_table.h
+++ b/src/admission/upstream_table.h
@@ -9,6 +9,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "include/admission/scheduler_parts.h"
+#include "include/admission/warmup_limiter.h"
 #include "include/base/ids.h"
 #include "include/base/units.h"
 #include "include/routing/routing_snapshot.h"
@@ -28,6 +29,9 @@
   // Adds and updates the upstreams of `snapshot`.
   void Apply(const RoutingSnapshot& snapshot, TimePoint now);
 
+  // Sets the limits on requests to the upstreams while they are cold.
+  void SetGates(const WarmupLimiter& warmup);
+
   UpstreamState& at(int32_t number) {
     return *states_[static_cast<size_t>(number)];
   }
