Read warm-up times, rates and bounds of the platform

Change: the manifest's `warmup_s` and `warmup_per_s`, the registration's `warmup_left_ms`, the header `Papayaarch-Warmup-Ms` and the settings' `cold_over` and `cold_slack` are decoded in platform/. A time left that can't be used is logged and leaves the rest of the registration in force.

--- a/include/gateway/gateway_config.h
+++ b/include/gateway/gateway_config.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "include/admission/warmup_limiter.h"
 #include "include/base/ids.h"
 #include "include/base/units.h"
 #include "include/gateway/service_route.h"
@@ -35,6 +36,8 @@
   bool is_engine = false;
   // Output tokens per event of a stream.
   Tokens tokens_per_event{1};
+  // How its upstreams warm up after a start.
+  WarmupRate warmup;
 
   bool operator==(const ServiceInfo&) const = default;
 };
--- a/include/gateway/gateway_settings.h
+++ b/include/gateway/gateway_settings.h
@@ -1,6 +1,7 @@
 #ifndef INCLUDE_GATEWAY_GATEWAY_SETTINGS_H_
 #define INCLUDE_GATEWAY_GATEWAY_SETTINGS_H_
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,11 @@
   double retry_slack = 50.0;
   // How far client accounts may exceed their quotas.
   QuotaAllowance quotas;
+  // In any second, a cold upstream may get `cold_over` times its warm-up rate,
+  // plus `cold_slack` requests, from all routers together. Not limited if
+  // `cold_over` is empty.
+  std::optional<double> cold_over;
+  double cold_slack = 0.0;
 
   bool operator==(const GatewayBounds&) const = default;
 };
--- a/include/gateway/header_codec.h
+++ b/include/gateway/header_codec.h
@@ -66,6 +66,14 @@
   // The upstream rejected the request and wants no further ones from this
   // router for this time; empty if not stated.
   std::optional<Duration> retry_after;
+  // How much longer the upstream stays cold; empty if not stated.
+  std::optional<Duration> warmup_left;
+  // Why the time that it stated can't be used; empty if it can.
+  std::string warmup_error;
+
+  bool HasWarmup() const {
+    return warmup_left.has_value() || !warmup_error.empty();
+  }
 };
 
 // Reads and writes the platform's headers between callers, routers and
--- a/include/gateway/upstream_directory.h
+++ b/include/gateway/upstream_directory.h
@@ -33,6 +33,9 @@
     // The result of Records has changed.
     std::function<void()> changed;
     EventHook event;
+    // A new registration says how much longer the upstream stays cold.
+    std::function<void(const UpstreamId&, Duration left)> cold =
+        [](const UpstreamId&, Duration) {};
   };
 
   explicit UpstreamDirectory(Hooks hooks) : hooks_(std::move(hooks)) {}
@@ -55,9 +58,14 @@
     // Set if the entry is missing from the store: it is removed at this time
     // unless the upstream registers again.
     std::optional<TimePoint> drop_at;
+    // The last version whose cold time was passed on. A list that is seconds
+    // old must not extend it.
+    ObjectVersion version;
   };
   using Entries = std::map<std::string, Entry>;
 
+  // Passes the cold time of a registration on, and takes it out of `record`.
+  void ReportWarmup(bool is_new_version, UpstreamRecord* record);
   // Both return true if the records have changed.
   bool Upsert(const PlatformObject& object, TimePoint now);
   bool Remove(const std::string& name, TimePoint now);
--- a/include/gateway/upstream_record.h
+++ b/include/gateway/upstream_record.h
@@ -2,9 +2,11 @@
 #define INCLUDE_GATEWAY_UPSTREAM_RECORD_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "include/base/ids.h"
+#include "include/base/units.h"
 
 namespace papaya {
 
@@ -25,6 +27,13 @@
   // The upstream is leaving and gets no new requests.
   bool is_draining = false;
 
+  // Set by the decoder only: UpstreamDirectory takes them out before it
+  // compares and keeps a record, because the time left changes with each
+  // heartbeat. How much longer the upstream stays cold, if it says so.
+  std::optional<Duration> warmup_left;
+  // Why the time left can't be used; empty if it can.
+  std::string warmup_error;
+
   bool operator==(const UpstreamRecord&) const = default;
 };
 
--- a/src/gateway/upstream_directory.cc
+++ b/src/gateway/upstream_directory.cc
@@ -1,5 +1,6 @@
 #include "include/gateway/upstream_directory.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -88,8 +89,12 @@
     return true;
   }
   leaving_.OnRegistered(record->id, record->instance);
+  const bool is_new_version =
+      found == entries_.end() || object.version > found->second.version;
+  ReportWarmup(is_new_version, &*record);
   if (found != entries_.end() && found->second.record == *record) {
     found->second.drop_at.reset();
+    found->second.version = std::max(found->second.version, object.version);
     return false;
   }
   if (found == entries_.end() || found->second.record.id != record->id) {
@@ -102,10 +107,28 @@
         {EventId::kUpstreamDraining,
          {{"upstream", record->id.value()}, {"source", "registration"}}});
   }
-  entries_[object.name] = {.record = *std::move(record), .drop_at = {}};
+  entries_[object.name] = {
+      .record = *std::move(record), .drop_at = {}, .version = object.version};
   return true;
 }
 
+void UpstreamDirectory::ReportWarmup(bool is_new_version,
+                                     UpstreamRecord* record) {
+  const std::optional<Duration> left =
+      std::exchange(record->warmup_left, std::nullopt);
+  const std::string error = std::exchange(record->warmup_error, std::string());
+  if (!is_new_version) {
+    return;
+  }
+  if (!error.empty()) {
+    hooks_.event({EventId::kWarmupRefused,
+                  {{"upstream", record->id.value()}, {"error", error}}});
+  }
+  if (left.has_value()) {
+    hooks_.cold(record->id, *left);
+  }
+}
+
 bool UpstreamDirectory::Remove(const std::string& name, TimePoint now) {
   const auto found = entries_.find(name);
   if (found == entries_.end()) {
