Apply the warm-up limit in the gateway

Change: RequestDispatcher owns the WarmupLimiter and passes it the manifest's rates, the bounds, the live routers, and what registrations, responses and lost connections say. Metrics and log events show cold upstreams. Without `cold_over` or without rates nothing is limited.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -152,7 +152,10 @@
                        {EventId::kRequestRejected, kFailedLinesPerSecond},
                        {EventId::kUpstreamClosed, kFailedLinesPerSecond},
                        {EventId::kResponseCut, kFailedLinesPerSecond},
-                       {EventId::kAttemptBroken, kFailedLinesPerSecond}}};
+                       {EventId::kAttemptBroken, kFailedLinesPerSecond},
+                       {EventId::kUpstreamCold, kFailedLinesPerSecond},
+                       {EventId::kWarmupRefused, kFailedLinesPerSecond},
+                       {EventId::kUpstreamWarm, kFailedLinesPerSecond}}};
   TimePoint next_slow_tick_;
   // The registered upstreams, or the live routers, have changed since they were
   // last published.
@@ -184,9 +187,12 @@
                binding_.quarantine_kind,
                MakeArchiveHooks()),
       mesh_(context, settings_, incarnation_, MakeMeshHooks()),
-      directory_({.decode = binding_.decode_upstream,
-                  .changed = [this] { have_upstreams_changed_ = true; },
-                  .event = [this](const Event& event) { LogBounded(event); }}),
+      directory_(
+          {.decode = binding_.decode_upstream,
+           .changed = [this] { have_upstreams_changed_ = true; },
+           .event = [this](const Event& event) { LogBounded(event); },
+           .cold = [this](const UpstreamId& id,
+                          Duration left) { dispatcher_.OnWarmup(id, left); }}),
       config_watcher_(
           store_.get(),
           {.kind = binding_.config_kind, .first_watch_delay = kFirstWatchDelay},
@@ -547,6 +553,8 @@
     metrics_.SetState(dispatcher_.in_flight(), caller_listener_.connections(),
                       dispatcher_.upstream_connections(),
                       dispatcher_.quarantined_parts());
+    metrics_.SetWarmup(dispatcher_.warmup().cold_upstreams(),
+                       dispatcher_.warmup().cold_requests());
     response.headers.Set("Content-Type", "text/plain; version=0.0.4");
     response.body = metrics_.Export();
   }
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -25,7 +25,13 @@
                              "Connections to upstreams since the start.")),
       quarantined_parts_(
           registry_.GetGauge("papaya_quarantined_parts",
-                             "Prompt parts whose requests are rejected.")) {}
+                             "Prompt parts whose requests are rejected.")),
+      cold_upstreams_(registry_.GetGauge(
+          "papaya_cold_upstreams",
+          "Upstreams that are or may be cold and get few requests.")),
+      cold_requests_(registry_.GetGauge(
+          "papaya_cold_requests",
+          "Requests sent to cold upstreams since the start.")) {}
 
 Counter& GatewayMetrics::CounterOf(const std::string& reason) {
   Counter*& counter = requests_[reason];
@@ -55,6 +61,9 @@
     case EventId::kResponseCut:
     case EventId::kAttemptBroken:
     case EventId::kEntryRefused:
+    case EventId::kUpstreamCold:
+    case EventId::kWarmupHeldBack:
+    case EventId::kWarmupRefused:
       registry_
           .GetCounter("papaya_upstream_events_total",
                       "What upstreams and their registrations did.",
@@ -76,4 +85,9 @@
   quarantined_parts_.Set(static_cast<int64_t>(quarantined_parts));
 }
 
+void GatewayMetrics::SetWarmup(size_t cold_upstreams, uint64_t cold_requests) {
+  cold_upstreams_.Set(static_cast<int64_t>(cold_upstreams));
+  cold_requests_.Set(static_cast<int64_t>(cold_requests));
+}
+
 }  // namespace papaya
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -35,6 +35,10 @@
                 int64_t upstream_connections,
                 size_t quarantined_parts);
 
+  // Sets the number of upstreams that are or may be cold, and the number of
+  // requests sent to such ones since the start.
+  void SetWarmup(size_t cold_upstreams, uint64_t cold_requests);
+
   // Returns all metrics in Prometheus' text format.
   std::string Export() const { return registry_.Export(); }
 
@@ -51,6 +55,8 @@
   Gauge& callers_;
   Gauge& upstream_connections_;
   Gauge& quarantined_parts_;
+  Gauge& cold_upstreams_;
+  Gauge& cold_requests_;
 };
 
 }  // namespace papaya
--- a/src/gateway/relayed_request.cc
+++ b/src/gateway/relayed_request.cc
@@ -203,7 +203,8 @@
   std::weak_ptr<RelayedRequest> weak = weak_from_this();
   call.observed = [context = context_,
                    id = upstream_](const ResponseMetadata& metadata) {
-    if (metadata.is_leaving || metadata.retry_after.has_value()) {
+    if (metadata.is_leaving || metadata.retry_after.has_value() ||
+        metadata.HasWarmup()) {
       context->observed(id, metadata);
     }
   };
@@ -477,11 +478,12 @@
     Report(0, "answer_cut");
     return;
   }
-  context_->finish_attempt(input_.id,
-                           {.end = end,
-                            .output_tokens = {},
-                            .may_repeat = end != AttemptEnd::kUnknown ||
-                                          context_->may_repeat(*this)});
+  context_->finish_attempt(
+      input_.id,
+      {.end = end,
+       .output_tokens = {},
+       .may_repeat = end != AttemptEnd::kUnknown || context_->may_repeat(*this),
+       .has_answered = response_kind_ == ResponseKind::kFailure});
 }
 
 void RelayedRequest::OnQuarantined(Duration time_left) {
--- a/src/gateway/request_dispatcher.cc
+++ b/src/gateway/request_dispatcher.cc
@@ -8,6 +8,7 @@
 #include "include/base/stable_hash.h"
 #include "include/wire/steady_time.h"
 #include "src/gateway/caller_connection.h"
+#include "src/gateway/warmup_rates.h"
 
 namespace papaya {
 
@@ -76,8 +77,10 @@
 }
 
 SchedulerOptions MakeOptions(const GatewaySettings& settings,
-                             Incarnation incarnation) {
+                             Incarnation incarnation,
+                             WarmupLimiter* warmup) {
   SchedulerOptions options;
+  options.warmup = warmup;
   options.router = settings.router;
   options.incarnation = incarnation;
   options.retries = MakeRetryBudget(settings.bounds, 1);
@@ -134,7 +137,9 @@
       hooks_(std::move(hooks)),
       header_codec_(header_codec),
       pool_(context, header_codec),
-      scheduler_(MakeOptions(settings, incarnation), MakeHooks()),
+      warmup_(MakeWarmupOptions(settings),
+              [this](const Event& event) { hooks_.event(event); }),
+      scheduler_(MakeOptions(settings, incarnation, &warmup_), MakeHooks()),
       quotas_({.self = settings.router,
                .incarnation = incarnation,
                .is_first_start = settings.is_first_start},
@@ -228,12 +233,15 @@
                    {"events", absl::StrCat(relay.attempt_events())},
                    {"parts", FormatSharedParts(input.metadata.prompt_parts)},
                    {"error", error}}});
+    warmup_.OnUnreachable(relay.upstream(), SteadyNow());
     if (!relay.has_survived()) {
       quarantine_.OnBroken(relay.upstream(), input.shared_parts, SteadyNow());
     }
   };
   context->alive = [this](const UpstreamId& id) {
-    quarantine_.OnAlive(id, SteadyNow());
+    const TimePoint now = SteadyNow();
+    quarantine_.OnAlive(id, now);
+    warmup_.OnAnswer(id, now);
   };
   context->survived = [this](const RelayedRequest& relay) {
     quarantine_.OnSurvived(relay.input().shared_parts, SteadyNow());
@@ -255,6 +263,15 @@
                    {"delay_ms", absl::StrCat(*metadata.retry_after /
                                              std::chrono::milliseconds(1))}}});
   }
+  if (metadata.warmup_left.has_value() && !metadata.is_other_instance) {
+    warmup_.OnReport(id, *metadata.warmup_left,
+                     WarmupLimiter::Source::kResponse, now);
+  }
+  if (!metadata.warmup_error.empty()) {
+    hooks_.event(
+        {EventId::kWarmupRefused,
+         {{"upstream", id.value()}, {"error", metadata.warmup_error}}});
+  }
   if (!metadata.is_leaving) {
     return;
   }
@@ -298,6 +315,8 @@
         limit.rate > 0.0 ? MakeBucket(limit, settings_.bounds.quotas) : limit);
   }
   quotas_.SetLimits(limits, SteadyNow());
+  warmup_.SetLimits(MakeWarmupBounds(settings_.bounds),
+                    MakeWarmupRates(table_->config()), SteadyNow());
   PublishSnapshot();
 }
 
@@ -317,11 +336,16 @@
     names.push_back(router.id);
   }
   quotas_.SetRouters(names, SteadyNow());
+  warmup_.SetRouters(routers, SteadyNow());
   scheduler_.SetRetryBudget(MakeRetryBudget(settings_.bounds, routers.size()));
   pacer_.OnChange();
   PublishIfDue(SteadyNow());
 }
 
+void RequestDispatcher::OnWarmup(const UpstreamId& id, Duration left) {
+  warmup_.OnReport(id, left, WarmupLimiter::Source::kRegistration, SteadyNow());
+}
+
 bool RequestDispatcher::MayBuildSnapshot(TimePoint now) const {
   // Without upstreams, all requests are rejected until the next snapshot.
   return pacer_.IsReady(now) || upstreams_.empty();
--- a/src/gateway/request_dispatcher.h
+++ b/src/gateway/request_dispatcher.h
@@ -14,6 +14,7 @@
 #include "include/admission/demand_name_resolver.h"
 #include "include/admission/prompt_quarantine.h"
 #include "include/admission/scheduler.h"
+#include "include/admission/warmup_limiter.h"
 #include "include/base/random.h"
 #include "include/gateway/gateway_settings.h"
 #include "include/gateway/header_codec.h"
@@ -89,6 +90,12 @@
   void SetUpstreams(const std::vector<UpstreamRecord>& records,
                     const std::vector<RouterLocation>& routers);
 
+  // The registration of an upstream says how much longer it stays cold.
+  void OnWarmup(const UpstreamId& id, Duration left);
+
+  // For the other sources from which an upstream may be known to be cold.
+  WarmupLimiter& warmup() { return warmup_; }
+
   // Sets the routers with which this one exchanges news of crashes.
   void SetNeighbours(const std::vector<RouterId>& neighbours);
 
@@ -182,6 +189,7 @@
   const Hooks hooks_;
   const HeaderCodec* const header_codec_;
   UpstreamPool pool_;
+  WarmupLimiter warmup_;
   Scheduler scheduler_;
   AccountQuotas quotas_;
   PromptQuarantine quarantine_;
