Don't take a slow upstream for a cold one

Cause: an attempt that timed out made its upstream presumed cold, although the upstream answered other requests. Under overload, upstreams that are only slow would get the warm-up rate.

Change: a timeout counts only if nothing came from the upstream within the last second. Refused and broken connections count as before.

--- a/include/admission/warmup_limiter.h
+++ b/include/admission/warmup_limiter.h
@@ -105,9 +105,11 @@
                 Duration left,
                 Source source,
                 TimePoint now);
-  // An attempt found the upstream unreachable or silent, or lost its
-  // connection.
+  // An attempt found the upstream unreachable or lost its connection.
   void OnUnreachable(const UpstreamId& id, TimePoint now);
+  // An attempt ended without a response. The upstream may be unreachable,
+  // unless it has answered others meanwhile.
+  void OnSilent(const UpstreamId& id, TimePoint now);
   // The upstream has sent something.
   void OnAnswer(const UpstreamId& id, TimePoint now);
   // The upstream may have become cold unnoticed.
--- a/src/admission/scheduler_attempts.cc
+++ b/src/admission/scheduler_attempts.cc
@@ -140,10 +140,8 @@
   if (failed) {
     upstreams_.OnAttemptEnd(entry->upstream, /*failed=*/true, now);
   }
-  const bool is_lost = end == AttemptEnd::kUnreachable ||
-                       (end == AttemptEnd::kUnknown && !result.has_answered);
-  if (is_lost && options_.warmup != nullptr) {
-    options_.warmup->OnUnreachable(upstreams_.at(entry->upstream).id, now);
+  if (failed && options_.warmup != nullptr) {
+    ReportLost(upstreams_.at(entry->upstream).id, result, now);
   }
   if (end == AttemptEnd::kUnknown || end == AttemptEnd::kPreempted) {
     entry->may_have_run = true;
@@ -178,6 +176,16 @@
   }
 }
 
+void SchedulerCore::ReportLost(const UpstreamId& upstream,
+                               const AttemptResult& result,
+                               TimePoint now) {
+  if (result.end == AttemptEnd::kUnreachable) {
+    options_.warmup->OnUnreachable(upstream, now);
+  } else if (result.end == AttemptEnd::kUnknown && !result.has_answered) {
+    options_.warmup->OnSilent(upstream, now);
+  }
+}
+
 void SchedulerCore::OnCancelled(RequestId id, TimePoint now) {
   auto found = entries_.find(id);
   if (found == entries_.end()) {
--- a/src/admission/scheduler_core.h
+++ b/src/admission/scheduler_core.h
@@ -90,6 +90,11 @@
              TimePoint now);
   // Tells the WarmupLimiter of requests sent to the upstream.
   void RecordSent(const UpstreamState& upstream, TimePoint now);
+  // Tells the WarmupLimiter if the upstream of a failed attempt may be
+  // unreachable.
+  void ReportLost(const UpstreamId& upstream,
+                  const AttemptResult& result,
+                  TimePoint now);
   // Removes the attempt of `entry` from all counts.
   void EndAttempt(RequestEntry* entry);
   // Retries or rejects a request whose attempt ended without an answer.
--- a/src/admission/warmup_signals.cc
+++ b/src/admission/warmup_signals.cc
@@ -20,6 +20,9 @@
 // A registration that arrives this shortly after a failure may have been
 // written before the outage.
 constexpr Duration kReportDelay = std::chrono::milliseconds(2500);
+// An upstream that has answered within this time is slow, not unreachable.
+// Outages last for longer.
+constexpr Duration kRecentAnswer = std::chrono::seconds(1);
 
 }  // namespace
 
@@ -89,6 +92,13 @@
   }
 }
 
+void WarmupLimiter::OnSilent(const UpstreamId& id, TimePoint now) {
+  const Entry* entry = Find(id);
+  if (entry != nullptr && now - entry->last_answer > kRecentAnswer) {
+    OnUnreachable(id, now);
+  }
+}
+
 void WarmupLimiter::OnAnswer(const UpstreamId& id, TimePoint now) {
   Entry* entry = Find(id);
   if (entry == nullptr) {
--- a/tests/warmup_limiter_test.cc
+++ b/tests/warmup_limiter_test.cc
@@ -115,7 +115,12 @@
   const std::shared_ptr<ColdGate> gate = limiter.GateOf(spec.id);
   REQUIRE(gate != nullptr);
   CHECK_FALSE(gate->IsCold(now));
-  limiter.OnUnreachable(spec.id, now);
+  // Slow at one request, while others are answered.
+  limiter.OnAnswer(spec.id, now);
+  limiter.OnSilent(spec.id, now + milliseconds(900));
+  CHECK_FALSE(gate->IsCold(now + milliseconds(900)));
+  now += seconds(2);
+  limiter.OnSilent(spec.id, now);
   now += seconds(30);
   CHECK(gate->IsCold(now));
   SECTION("once its warm-up time has passed since an answer") {
