--- a/src/admission/scheduler_attempts.cc
+++ b/src/admission/scheduler_attempts.cc
@@ -5,6 +5,7 @@
 #include <optional>
 #include <utility>
 
+#include "include/admission/warmup_limiter.h"
 #include "src/admission/scheduler_core.h"
 
 namespace papaya {
@@ -139,6 +140,9 @@
   if (failed) {
     upstreams_.OnAttemptEnd(entry->upstream, /*failed=*/true, now);
   }
+  if (failed && options_.warmup != nullptr) {
+    ReportLost(upstreams_.at(entry->upstream).id, result, now);
+  }
   if (end == AttemptEnd::kUnknown || end == AttemptEnd::kPreempted) {
     entry->may_have_run = true;
     ++entry->runs;
@@ -172,6 +176,16 @@
   }
 }
 
+void SchedulerCore::ReportLost(const UpstreamId& upstream,
+                               const AttemptResult& result,
+                               TimePoint now) {
+  if (result.end == AttemptEnd::kUnreachable) {
+    options_.warmup->OnUnreachable(upstream, now);
+  } else if (result.end == AttemptEnd::kUnknown && !result.has_answered) {
+    options_.warmup->OnSilent(upstream, now);
+  }
+}
+
 void SchedulerCore::OnCancelled(RequestId id, TimePoint now) {
   auto found = entries_.find(id);
   if (found == entries_.end()) {
