--- a/include/routing/routing_snapshot.h
+++ b/include/routing/routing_snapshot.h
@@ -98,6 +98,7 @@
 
   const std::shared_ptr<const FleetConfig>& config() const { return config_; }
   const RouterLocation& self() const { return self_; }
+  ZonePreference zone_preference() const { return zone_preference_; }
 
   // The upstreams that this router uses, without leaving ones.
   const std::vector<RoutedUpstream>& upstreams() const { return upstreams_; }
@@ -136,6 +137,7 @@
 
   std::shared_ptr<const FleetConfig> config_;
   RouterLocation self_;
+  ZonePreference zone_preference_ = ZonePreference::kOwnZone;
   std::vector<RoutedUpstream> upstreams_;
   std::vector<VersionGroup> groups_;
   // The groups of each pool, in the order of their versions.
--- a/src/admission/known_routers.cc
+++ b/src/admission/known_routers.cc
@@ -17,6 +17,13 @@
   Rebuild();
 }
 
+void KnownRouters::SetPreference(ZonePreference preference) {
+  if (preference != preference_) {
+    preference_ = preference;
+    Rebuild();
+  }
+}
+
 void KnownRouters::Set(const std::vector<RouterLocation>& live, TimePoint now) {
   bool has_changed = false;
   for (auto& [id, known] : routers_) {
@@ -53,7 +60,7 @@
   for (const auto& [id, known] : routers_) {
     locations.push_back({id, known.zone});
   }
-  subset_ = std::make_unique<RouterSubset>(locations, self_);
+  subset_ = std::make_unique<RouterSubset>(locations, self_, preference_);
 }
 
 }  // namespace papaya
--- a/src/admission/known_routers.h
+++ b/src/admission/known_routers.h
@@ -20,6 +20,8 @@
  public:
   explicit KnownRouters(RouterLocation self);
 
+  // Sets which routers are preferred for an upstream.
+  void SetPreference(ZonePreference preference);
   // Sets the live routers.
   void Set(const std::vector<RouterLocation>& live, TimePoint now);
   // Forgets routers that have been gone for long.
@@ -49,6 +51,7 @@
   void Rebuild();
 
   const RouterLocation self_;
+  ZonePreference preference_ = ZonePreference::kOwnZone;
   std::map<RouterId, Known> routers_;
   std::unique_ptr<RouterSubset> subset_;
   uint64_t version_ = 0;
--- a/src/admission/warmup_limiter.cc
+++ b/src/admission/warmup_limiter.cc
@@ -108,6 +108,7 @@
 
 void WarmupLimiter::SetUpstreams(const RoutingSnapshot& snapshot,
                                  TimePoint now) {
+  routers_->SetPreference(snapshot.zone_preference());
   std::vector<Entry*> used;
   for (const auto& [id, entry] : entries_) {
     if (!entry->unregistered_since.has_value()) {
--- a/src/routing/routing_snapshot.cc
+++ b/src/routing/routing_snapshot.cc
@@ -30,6 +30,7 @@
         subset_(input.routers, input.self, input.zone_preference) {
     snapshot_.config_ = input.config;
     snapshot_.self_ = input.self;
+    snapshot_.zone_preference_ = input.zone_preference;
   }
 
   RoutingSnapshot Build() {
