Scheduler: limit requests to regions, keep returning upstreams

Cause: routes and accounts are to be limited to regions, and zones are to be evacuated for a time.

Change: UpstreamSpec has a region and RequestSpec the allowed ones (null: all). UpstreamChooser skips other regions, for retries too. A request whose version group has no allowed upstream goes to the largest group that has one; without one it is rejected at once as no_allowed_region, or as zones_evacuated if a returning upstream could have served it. Requests whose regions are full are set aside while their queue is passed, so that others do not wait behind them. RoutingInput::returning names leaving upstreams that come back; the UpstreamTable keeps their state.

--- a/include/admission/attempt_result.h
+++ b/include/admission/attempt_result.h
@@ -34,6 +34,8 @@
   kDeadline,        // could not begin before its deadline
   kAttemptsFailed,  // attempts failed and no further attempt is allowed
   kUpstreamsClosed,  // all upstreams asked for a delay beyond its deadline
+  kZonesEvacuated,   // all upstreams that could serve it are evacuated
+  kNoAllowedRegion,  // no upstream is in a region that it may reach
 };
 
 // Returns the name used in answers and logs, such as `queue_full`.
--- a/include/base/request_spec.h
+++ b/include/base/request_spec.h
@@ -2,6 +2,7 @@
 #define INCLUDE_BASE_REQUEST_SPEC_H_
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <vector>
 
@@ -38,6 +39,9 @@
   // Work not begun by then comes too late for its latency objective: it goes
   // after all that may still meet its own.
   TimePoint late_after = TimePoint::max();
+  // The regions whose upstreams may get it; null if all may. An empty list
+  // allows none.
+  std::shared_ptr<const std::vector<RegionId>> allowed_regions;
   // False if it must not run twice.
   bool idempotent = true;
   // Upstreams at which it may run, one after the other.
--- a/include/config/fleet_config.h
+++ b/include/config/fleet_config.h
@@ -24,6 +24,8 @@
   // IP number and port, as `10.0.3.7:8000`.
   std::string address;
   AvailabilityZoneId zone;
+  // Empty if it is unknown.
+  RegionId region;
   UpstreamKind kind = UpstreamKind::kModelEngine;
   PoolId pool;
   VersionId version;
--- a/include/routing/routing_snapshot.h
+++ b/include/routing/routing_snapshot.h
@@ -38,6 +38,11 @@
   std::shared_ptr<const FleetConfig> config;
   // Upstreams that must get no new work.
   std::vector<UpstreamId> leaving;
+  // Those of `leaving` that are expected to get work again later.
+  std::vector<UpstreamId> returning;
+  // Some requests may reach only certain regions, so this router has to use
+  // upstreams of every region.
+  bool has_region_limits = false;
   // Versions that were judged bad; they get no new work.
   std::vector<PoolVersion> stopped;
   // The router that the snapshot is for.
@@ -76,7 +81,8 @@
 // In a large fleet a router uses a stable subset of the upstreams. Each
 // upstream is assigned to kRoutersPerUpstream routers, those of its own
 // availability zone first. In addition, each router uses at least
-// kMinUpstreamsPerGroup upstreams of every group, or all of a smaller group.
+// kMinUpstreamsPerGroup upstreams of every group, or all of a smaller group,
+// and the same of every region in a group if requests are limited to regions.
 // Adding or removing a router or an upstream changes few of the assignments.
 class RoutingSnapshot {
  public:
@@ -93,6 +99,12 @@
   const std::vector<RoutedUpstream>& upstreams() const { return upstreams_; }
   const std::vector<VersionGroup>& groups() const { return groups_; }
 
+  // The upstreams that get no work now but are expected to get some later.
+  // Valid as long as the snapshot.
+  const std::vector<const UpstreamSpec*>& returning() const {
+    return returning_;
+  }
+
   const RoutedUpstream& upstream(UpstreamIndex index) const {
     return upstreams_[static_cast<size_t>(index.value())];
   }
@@ -128,6 +140,8 @@
   RouterLocation self_;
   std::vector<RoutedUpstream> upstreams_;
   std::vector<VersionGroup> groups_;
+  // In `config_`.
+  std::vector<const UpstreamSpec*> returning_;
   // The groups of each pool, in the order of their versions.
   std::vector<std::vector<GroupIndex>> pool_groups_;
   absl::flat_hash_map<PoolId, PoolIndex> pools_;
--- a/src/admission/attempt_result.cc
+++ b/src/admission/attempt_result.cc
@@ -16,6 +16,10 @@
       return "attempts_failed";
     case RejectionReason::kUpstreamsClosed:
       return "upstreams_closed";
+    case RejectionReason::kZonesEvacuated:
+      return "zones_evacuated";
+    case RejectionReason::kNoAllowedRegion:
+      return "no_allowed_region";
   }
   return "no_upstream";
 }
--- a/src/admission/scheduler_attempts.cc
+++ b/src/admission/scheduler_attempts.cc
@@ -5,6 +5,7 @@
 #include <optional>
 #include <utility>
 
+#include "src/admission/region_limits.h"
 #include "src/admission/scheduler_core.h"
 
 namespace papaya {
@@ -163,7 +164,7 @@
   }
   entry->group = ChooseGroup(entry->spec);
   if (entry->group < 0) {
-    Reject(entry, RejectionReason::kNoUpstream);
+    Reject(entry, NoUpstreamReason(snapshot_.get(), entry->spec));
     return;
   }
   Enqueue(entry, /*at_front=*/true);
--- a/src/admission/scheduler_core.cc
+++ b/src/admission/scheduler_core.cc
@@ -4,6 +4,8 @@
 #include <utility>
 #include <vector>
 
+#include "src/admission/region_limits.h"
+
 namespace papaya {
 
 namespace {
@@ -54,7 +56,7 @@
       continue;
     }
     if (group < 0) {
-      RejectWaiting(entry, RejectionReason::kNoUpstream);
+      RejectWaiting(entry, NoUpstreamReason(snapshot_.get(), entry->spec));
       continue;
     }
     Unqueue(entry);
@@ -67,12 +69,7 @@
   if (snapshot_ == nullptr) {
     return -1;
   }
-  const std::optional<PoolIndex> pool = snapshot_->FindPool(spec.pool);
-  if (!pool.has_value()) {
-    return -1;
-  }
-  const std::optional<GroupIndex> group =
-      snapshot_->ChooseGroup(*pool, spec.share_hash);
+  const std::optional<GroupIndex> group = ChooseAllowedGroup(*snapshot_, spec);
   return group.has_value() ? groups_.Find(snapshot_->group(*group).name) : -1;
 }
 
@@ -101,7 +98,7 @@
   entries_[request.id] = std::move(owned);
   entry->group = ChooseGroup(request);
   if (entry->group < 0) {
-    Reject(entry, RejectionReason::kNoUpstream);
+    Reject(entry, NoUpstreamReason(snapshot_.get(), request));
     return;
   }
   if (IsPastDeadline(*entry, now)) {
@@ -236,8 +233,7 @@
   for (auto* queues : {&group->queues, &group->late_queues}) {
     for (Tier tier : kAllTiers) {
       FairQueue& queue = (*queues)[TierIndex(tier)];
-      DispatchQueue(group, tier, &queue, now);
-      if (queue.size() > 0) {
+      if (DispatchQueue(group, tier, &queue, now)) {
         return;
       }
     }
@@ -260,20 +256,32 @@
   return !group.IsContended() || group.running[index] < group.allotment[index];
 }
 
-void SchedulerCore::DispatchQueue(GroupState* group,
+bool SchedulerCore::DispatchQueue(GroupState* group,
                                   Tier tier,
                                   FairQueue* queue,
                                   TimePoint now) {
-  while (queue->size() > 0 && MayDispatch(*group, tier)) {
+  SetAsideRequests set_aside;
+  bool is_blocked = false;
+  while (queue->size() > 0 && !is_blocked) {
     RequestEntry* entry = queue->Front();
-    const UpstreamChooser::Choice choice = chooser_.Choose(*entry, *group, now);
+    UpstreamChooser::Choice choice;
+    if (!MayDispatch(*group, tier)) {
+      is_blocked = true;
+      break;
+    }
+    if (!set_aside.IsFull(*entry)) {
+      choice = chooser_.Choose(*entry, *group, now);
+    }
     if (choice.upstream < 0) {
-      return;
+      is_blocked = !set_aside.Take(entry, group);
+      continue;
     }
     group->Pop(queue);
     --queued_;
     Begin(entry, choice, now);
   }
+  set_aside.PutBack(group);
+  return is_blocked;
 }
 
 void SchedulerCore::Begin(RequestEntry* entry,
--- a/src/admission/scheduler_core.h
+++ b/src/admission/scheduler_core.h
@@ -80,7 +80,8 @@
   // Dispatches the requests of a group that may start now.
   void Dispatch(int32_t group, TimePoint now);
   void DispatchTiers(GroupState* group, TimePoint now);
-  void DispatchQueue(GroupState* group,
+  // Returns true if lower tiers have to wait for requests of `queue`.
+  bool DispatchQueue(GroupState* group,
                      Tier tier,
                      FairQueue* queue,
                      TimePoint now);
--- a/src/admission/upstream_chooser.cc
+++ b/src/admission/upstream_chooser.cc
@@ -5,6 +5,7 @@
 #include <limits>
 
 #include "include/base/stable_hash.h"
+#include "src/admission/region_limits.h"
 
 namespace papaya {
 
@@ -100,10 +101,11 @@
 
 void UpstreamChooser::Consider(int32_t number, Search* search) const {
   const UpstreamState& state = upstreams_->at(number);
-  if (!state.IsOpen(search->now) || !state.HasRoom(search->is_contended)) {
+  const RequestEntry& entry = *search->entry;
+  if (!state.IsOpen(search->now) || !state.HasRoom(search->is_contended) ||
+      !MayReachRegion(entry.spec, state.region)) {
     return;
   }
-  const RequestEntry& entry = *search->entry;
   const double prompt = static_cast<double>(entry.spec.prompt_tokens.value());
   const double prefill =
       std::max(0.0, prompt - search->cached.TokensAt(number));
@@ -140,7 +142,11 @@
   size_t with_room = 0;
   for (size_t i = 0; i < numbers.size() && with_room < kCandidates; ++i) {
     const int32_t number = numbers[(start + i) % numbers.size()];
-    with_room += upstreams_->at(number).HasRoom(search.is_contended) ? 1 : 0;
+    const UpstreamState& state = upstreams_->at(number);
+    with_room += state.HasRoom(search.is_contended) &&
+                         MayReachRegion(entry.spec, state.region)
+                     ? 1
+                     : 0;
     Consider(number, &search);
   }
   if (numbers.size() <= kCandidates) {
--- a/src/admission/upstream_state.h
+++ b/src/admission/upstream_state.h
@@ -25,6 +25,10 @@
   UpstreamId id;
   // True if the current snapshot has it.
   bool is_routed = false;
+  // The current snapshot expects it to get work again later, so its state is
+  // kept.
+  bool is_returning = false;
+  RegionId region;
   bool is_plain = false;
   int slots = 1;
   std::shared_ptr<UpstreamKindSpeed> kind;
--- a/src/admission/upstream_table.cc
+++ b/src/admission/upstream_table.cc
@@ -98,6 +98,7 @@
       state->unrouted_since = now;
     }
     state->is_routed = false;
+    state->is_returning = false;
     state->other_routers.clear();
   }
   for (const RoutedUpstream& upstream : snapshot.upstreams()) {
@@ -114,10 +115,17 @@
       state.kind = kind;
     }
     state.is_routed = true;
+    state.region = spec.region;
     state.is_plain = spec.kind == UpstreamKind::kPlainService;
     state.slots = std::max(spec.slots, 1);
     SetProbeTurn(upstream.routers, snapshot.self().id, &state);
   }
+  for (const UpstreamSpec* spec : snapshot.returning()) {
+    const int32_t number = Find(spec->id);
+    if (number >= 0) {
+      at(number).is_returning = true;
+    }
+  }
   ListRouters(snapshot);
   OnTick(now);
 }
@@ -125,8 +133,8 @@
 bool UpstreamTable::IsUnused(const UpstreamState& state, TimePoint now) {
   const bool is_leaving =
       state.is_leaving && now - state.unrouted_since < kRemovedLeavingTime;
-  return !state.is_routed && state.running == 0 && !is_leaving &&
-         now >= state.closed_until;
+  return !state.is_routed && !state.is_returning && state.running == 0 &&
+         !is_leaving && now >= state.closed_until;
 }
 
 void UpstreamTable::OnTick(TimePoint now) {
--- a/src/daemon/router_error.cc
+++ b/src/daemon/router_error.cc
@@ -18,7 +18,7 @@
   const char* message;
 };
 
-constexpr std::array<RejectionRow, 6> kRejectionRows = {{
+constexpr std::array<RejectionRow, 8> kRejectionRows = {{
     {RejectionReason::kNoUpstream, 503, "no upstream can serve the request"},
     {RejectionReason::kQueueFull, 429, "the request queue is full"},
     {RejectionReason::kShed, 429, "shed for requests of a higher tier"},
@@ -26,6 +26,10 @@
      "no attempt could start before the deadline"},
     {RejectionReason::kAttemptsFailed, 502,
      "an attempt failed and no further attempt is allowed"},
+    {RejectionReason::kZonesEvacuated, 503,
+     "all upstreams that could serve the request are in evacuated zones"},
+    {RejectionReason::kNoAllowedRegion, 503,
+     "no upstream is in a region that the request may reach"},
     {RejectionReason::kUpstreamsClosed, 503,
      "all upstreams have asked for a delay beyond the deadline"},
 }};
--- a/src/routing/routing_snapshot.cc
+++ b/src/routing/routing_snapshot.cc
@@ -27,6 +27,7 @@
   explicit RoutingSnapshotBuilder(const RoutingInput& input)
       : input_(input),
         leaving_(input.leaving.begin(), input.leaving.end()),
+        returning_(input.returning.begin(), input.returning.end()),
         subset_(input.routers, input.self) {
     snapshot_.config_ = input.config;
     snapshot_.self_ = input.self;
@@ -95,6 +96,8 @@
     for (const UpstreamSpec* spec : members_[position]) {
       if (!leaving_.contains(spec->id)) {
         live.emplace_back(subset_.OwnWeight(*spec), spec);
+      } else if (returning_.contains(spec->id)) {
+        snapshot_.returning_.push_back(spec);
       }
     }
     VersionGroup& group = snapshot_.groups_[position];
@@ -106,9 +109,17 @@
     // fill the required minimum.
     std::sort(live.begin(), live.end(),
               [](const auto& a, const auto& b) { return a.first > b.first; });
+    std::map<RegionId, size_t> used_by_region;
     for (size_t rank = 0; rank < live.size(); ++rank) {
-      AddIfUsed(position, *live[rank].second,
-                rank < RoutingSnapshot::kMinUpstreamsPerGroup);
+      const UpstreamSpec& spec = *live[rank].second;
+      const bool is_required = rank < RoutingSnapshot::kMinUpstreamsPerGroup ||
+                               (input_.has_region_limits &&
+                                used_by_region[spec.region] <
+                                    RoutingSnapshot::kMinUpstreamsPerGroup);
+      if (input_.has_region_limits) {
+        ++used_by_region[spec.region];
+      }
+      AddIfUsed(position, spec, is_required);
     }
   }
 
@@ -135,6 +146,7 @@
 
   const RoutingInput& input_;
   absl::flat_hash_set<UpstreamId> leaving_;
+  absl::flat_hash_set<UpstreamId> returning_;
   RouterSubset subset_;
   // The configured upstreams of each group, including leaving ones.
   std::vector<std::vector<const UpstreamSpec*>> members_;
