Add the core of zone evacuations and decode its objects and settings

Cause: operators need to evacuate availability zones by objects of kind `evacuations`, and to limit routes and accounts to regions.

Invalid optional settings are left out and named, so that the others take effect. A list of regions that can't be read refuses the manifest, as it must not be taken for no limit. Log events 3026 and 8052 to 8056.

--- a/include/gateway/gateway_config.h
+++ b/include/gateway/gateway_config.h
@@ -25,6 +25,8 @@
   bool counts_tokens = false;
   // The cost of a request without token counts, for quotas in tokens.
   Tokens plain_tokens{1};
+  // The regions whose upstreams may get its requests; empty if all may.
+  std::vector<RegionId> allowed_regions;
 
   bool operator==(const ClientAccount&) const = default;
 };
--- a/include/gateway/gateway_settings.h
+++ b/include/gateway/gateway_settings.h
@@ -1,6 +1,8 @@
 #ifndef INCLUDE_GATEWAY_GATEWAY_SETTINGS_H_
 #define INCLUDE_GATEWAY_GATEWAY_SETTINGS_H_
 
+#include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,6 +24,9 @@
   double retry_slack = 50.0;
   // How far client accounts may exceed their quotas.
   QuotaAllowance quotas;
+  // Time from the store's acknowledgement of an evacuation until it is in force
+  // at all routers. Evacuations are watched for only if it is set.
+  std::optional<Duration> evacuate_after;
 
   bool operator==(const GatewayBounds&) const = default;
 };
@@ -45,6 +50,11 @@
   // Maximum number of open files and sockets of this process.
   int max_descriptors = 1024;
   GatewayBounds bounds;
+  // The region of each availability zone, as far as it is known.
+  std::map<AvailabilityZoneId, RegionId> zone_regions;
+  // Optional entries with invalid values, which are left out. Each text names
+  // the entry, its value and what is valid.
+  std::vector<std::string> ignored;
 };
 
 }  // namespace papaya
--- a/include/gateway/platform_binding.h
+++ b/include/gateway/platform_binding.h
@@ -38,6 +38,10 @@
   std::function<absl::StatusOr<MoveOrder>(const PlatformObject&)> decode_move;
   // Returns the object status that records a state of an order.
   std::function<boost::json::value(const MoveOrder&, MoveState)> encode_move;
+  // The object kind of evacuations. An object names the zone that it evacuates.
+  std::string evacuation_kind;
+  std::function<absl::StatusOr<AvailabilityZoneId>(const PlatformObject&)>
+      decode_evacuation;
   // The object kind for the routers' own record of quarantines.
   std::string quarantine_kind;
   // The path of readiness probes.
--- a/include/gateway/service_route.h
+++ b/include/gateway/service_route.h
@@ -51,6 +51,8 @@
   int max_attempts = 1;
   // 0 is the highest.
   int priority = 0;
+  // The regions whose upstreams may get its requests; empty if all may.
+  std::vector<RegionId> allowed_regions;
   // Requests need no API key.
   bool is_anonymous = false;
 
--- a/include/telemetry/event_catalog.h
+++ b/include/telemetry/event_catalog.h
@@ -31,6 +31,7 @@
   kStoreRegained = 3003,
   kEntryRefused = 3004,
   kSettingsReloaded = 3005,
+  kSettingIgnored = 3026,
 
   // Membership and configuration.
   kRevisionInForce = 4001,
@@ -78,6 +79,11 @@
   kQuarantineEnded = 8022,
   kArchiveFailed = 8023,
   kLoopDelayed = 8031,
+  kZoneEvacuated = 8052,
+  kEvacuationLifted = 8053,
+  kEvacuationRefused = 8054,
+  kEvacuatedZoneUnknown = 8055,
+  kNoUpstreamAllowed = 8056,
 };
 
 enum class Severity : uint8_t { kDebug, kInfo, kWarning, kError };
--- a/src/telemetry/event_catalog.cc
+++ b/src/telemetry/event_catalog.cc
@@ -66,6 +66,9 @@
        "used; whoever wrote it must mend it."},
       {EventId::kSettingsReloaded, Severity::kInfo, "settings_reloaded",
        "The settings file changed and its bounds are in force."},
+      {EventId::kSettingIgnored, Severity::kError, "setting_ignored",
+       "An optional entry of the settings has an invalid value and is left "
+       "out; the others are in force. Correct the entry that `error` names."},
 
       // Membership and configuration.
       {EventId::kRevisionInForce, Severity::kInfo, "revision_in_force",
@@ -179,6 +182,25 @@
        "Events of this router waited for up to `delay_ms` before they were "
        "handled, because its VM was too slow for its work; the other fields "
        "are the time that kinds of work took in the interval."},
+      {EventId::kZoneEvacuated, Severity::kWarning, "zone_evacuated",
+       "Operators have evacuated an availability zone: its upstreams get no "
+       "new requests from this router; requests that run there go on."},
+      {EventId::kEvacuationLifted, Severity::kInfo, "evacuation_lifted",
+       "The evacuation of an availability zone has ended after so long, "
+       "because its entry was removed or became invalid; its upstreams get "
+       "requests again."},
+      {EventId::kEvacuationRefused, Severity::kError, "evacuation_refused",
+       "An evacuation in the platform's store is invalid and has no effect; "
+       "whoever wrote it must correct it."},
+      {EventId::kEvacuatedZoneUnknown, Severity::kWarning,
+       "evacuated_zone_unknown",
+       "An evacuation names an availability zone that neither the settings "
+       "nor a registration have; check its name. It holds for upstreams that "
+       "register there later."},
+      {EventId::kNoUpstreamAllowed, Severity::kWarning, "no_upstream_allowed",
+       "Requests to a service are rejected because evacuations, or the regions "
+       "that they are limited to, leave no upstream, as `reason` says; logged "
+       "at most every ten seconds for each service and reason."},
   };
   return catalog;
 }
--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -1,6 +1,7 @@
 #include <boost/json/parse.hpp>
 #include <catch2/catch.hpp>
 #include <string>
+#include <vector>
 
 #include "platform/header_codec.h"
 #include "platform/object_codec.h"
@@ -127,5 +128,70 @@
             .is_not_run);
 }
 
+TEST_CASE("Platform: reads allowed regions", "[platform][regions]") {
+  const std::string form = R"({"version":7,"routes":[{"name":"r","host":"h",
+      "path_prefix":"/","kind":"idempotent","service":"s",
+      "allowed_regions":ROUTE}],
+      "tenants":[{"name":"t","allowed_regions":["south"]},{"name":"u"}]})";
+  const auto decode = [&form](const std::string& regions) {
+    std::string text = form;
+    text.replace(text.find("ROUTE"), 5, regions);
+    return DecodeManifest(MakeObject("main", text));
+  };
+  const absl::StatusOr<GatewayConfig> config = decode(R"(["north","south"])");
+  REQUIRE(config.ok());
+  CHECK(config->routes[0].allowed_regions ==
+        std::vector<RegionId>{RegionId("north"), RegionId("south")});
+  CHECK(config->accounts[0].allowed_regions ==
+        std::vector<RegionId>{RegionId("south")});
+  CHECK(config->accounts[1].allowed_regions.empty());
+  CHECK(decode("[]")->routes[0].allowed_regions.empty());
+  CHECK(decode("null")->routes[0].allowed_regions.empty());
+  // A list that can't be read must not be taken for no limit.
+  for (const char* invalid : {"\"north\"", "[1]", "[\"\"]", "{}", "7"}) {
+    INFO(invalid);
+    const absl::StatusOr<GatewayConfig> refused = decode(invalid);
+    REQUIRE_FALSE(refused.ok());
+    CHECK(Mentions(refused.status(), "main.routes.0.allowed_regions"));
+  }
+}
+
+TEST_CASE("Platform: reads the settings of zones", "[platform][evacuation]") {
+  const auto parse = [](const std::string& bounds, const std::string& zones) {
+    return ParseSettings(R"({"node_name":"e","region":"r","zone":"z",
+        "ip":"10.0.0.1","listen":{"frontend":"a:1","ready":"b:1"},
+        "platform":{"address":"c:1"},"limits":{},"bounds":{)" +
+                             bounds + "}" + zones + "}",
+                         "settings.json");
+  };
+  const absl::StatusOr<GatewaySettings> settings = parse(
+      R"("evacuate_ms":5000)", R"(,"zones":{"z":{"region":"r"},"y":"q"})");
+  REQUIRE(settings.ok());
+  CHECK(settings->bounds.evacuate_after == std::chrono::milliseconds(5000));
+  CHECK(settings->zone_regions.at(AvailabilityZoneId("z")) == RegionId("r"));
+  CHECK(settings->zone_regions.at(AvailabilityZoneId("y")) == RegionId("q"));
+  CHECK(settings->ignored.empty());
+  const absl::StatusOr<GatewaySettings> without = parse("", "");
+  REQUIRE(without.ok());
+  CHECK_FALSE(without->bounds.evacuate_after.has_value());
+  CHECK(without->zone_regions.empty());
+  // Invalid entries are named and affect nothing else.
+  for (const char* invalid : {"-1", "0", "1e12", "\"5000\"", "{}", "true"}) {
+    INFO(invalid);
+    const absl::StatusOr<GatewaySettings> partial =
+        parse(std::string(R"("grace_s":3,"evacuate_ms":)") + invalid,
+              R"(,"zones":{"z":{"region":7},"y":{"region":"q"},"x":[]})");
+    REQUIRE(partial.ok());
+    CHECK_FALSE(partial->bounds.evacuate_after.has_value());
+    CHECK(partial->bounds.grace == std::chrono::seconds(3));
+    CHECK(partial->zone_regions.size() == 1);
+    REQUIRE(partial->ignored.size() == 3);
+    CHECK(partial->ignored[0].find("bounds.evacuate_ms: expected a number "
+                                   "from 500 to 600000, found ") == 0);
+    CHECK(partial->ignored[1].find("zones.z") == 0);
+    CHECK(partial->ignored[2].find("zones.x") == 0);
+  }
+}
+
 }  // namespace
 }  // namespace papaya::platform
