Gateway: evacuate zones, and limit requests to allowed regions

Change: ZoneControl watches evacuations where the settings have `evacuate_ms`, as one more kind of StoreFeed, and marks the upstreams with their regions and evacuations before they are published. A router is not ready and publishes no upstreams before it has listed the evacuations. It logs rejections for lack of an allowed upstream and exports the evacuated zones.

--- a/include/gateway/upstream_record.h
+++ b/include/gateway/upstream_record.h
@@ -24,6 +24,12 @@
   int slots = 1;
   // The upstream is leaving and gets no new requests.
   bool is_draining = false;
+  // The region of `zone`; empty if it is unknown.
+  RegionId region;
+  // The zone is evacuated: the upstream gets no new requests for now.
+  bool is_evacuated = false;
+
+  bool MayGetWork() const { return !is_draining && !is_evacuated; }
 
   bool operator==(const UpstreamRecord&) const = default;
 };
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -1,6 +1,5 @@
 #include "include/gateway/gateway.h"
 
-#include <array>
 #include <boost/asio/steady_timer.hpp>
 #include <optional>
 #include <string>
@@ -20,8 +19,10 @@
 #include "include/wire/steady_time.h"
 #include "src/gateway/caller_listener.h"
 #include "src/gateway/gateway_metrics.h"
+#include "src/gateway/report_events.h"
 #include "src/gateway/request_dispatcher.h"
 #include "src/gateway/router_mesh.h"
+#include "src/gateway/zone_control.h"
 
 namespace papaya {
 
@@ -59,16 +60,20 @@
 constexpr Duration kMoveFeedingWait = std::chrono::seconds(2);
 constexpr Duration kMaxMoveFeedAge = std::chrono::milliseconds(2700);
 
-// Limits on the log lines per second for served and for other requests, so that
-// logging does not add to the load of a burst.
-constexpr int kServedLinesPerSecond = 20;
-constexpr int kFailedLinesPerSecond = 60;
-
 Incarnation NewIncarnation() {
   return Incarnation(
       static_cast<uint64_t>(WallNow().time_since_epoch().count()));
 }
 
+std::vector<RouterId> IdsOf(const std::vector<RouterLocation>& routers) {
+  std::vector<RouterId> ids;
+  ids.reserve(routers.size());
+  for (const RouterLocation& router : routers) {
+    ids.push_back(router.id);
+  }
+  return ids;
+}
+
 }  // namespace
 
 class Gateway::Impl {
@@ -83,6 +88,7 @@
   void SetBounds(const GatewayBounds& bounds) {
     settings_.bounds = bounds;
     dispatcher_.SetBounds(bounds);
+    zones_.SetBounds(bounds);
     Log(EventId::kSettingsReloaded, {});
   }
 
@@ -100,9 +106,15 @@
   VersionMoves::Hooks MakeMoveHooks();
   QuarantineArchive::Hooks MakeArchiveHooks();
   StoreFeed::Hooks MakeFeedHooks();
+  ZoneControl::Hooks MakeZoneHooks();
   // The watchers of all kinds.
-  std::array<ObjectWatcher*, 3> Watchers() {
-    return {&config_watcher_, &upstream_watcher_, &move_watcher_};
+  std::vector<ObjectWatcher*> Watchers() {
+    std::vector<ObjectWatcher*> watchers = {&config_watcher_,
+                                            &upstream_watcher_, &move_watcher_};
+    if (zones_.watcher() != nullptr) {
+      watchers.push_back(zones_.watcher());
+    }
+    return watchers;
   }
   void OnFeedUpdate(const RouterId& from, const FeedUpdate& update);
   void OnUpstream(const PlatformObject& object);
@@ -141,18 +153,14 @@
   ObjectWatcher upstream_watcher_;
   VersionMoves moves_;
   ObjectWatcher move_watcher_;
+  ZoneControl zones_;
   StoreFeed feed_;
   CallerListener caller_listener_;
   CallerListener probe_listener_;
   CallerListener metrics_listener_;
   std::shared_ptr<const GatewayConfig> config_;
   GatewayMetrics metrics_;
-  EventBudget budget_{{{EventId::kRequestServed, kServedLinesPerSecond},
-                       {EventId::kRequestFailed, kFailedLinesPerSecond},
-                       {EventId::kRequestRejected, kFailedLinesPerSecond},
-                       {EventId::kUpstreamClosed, kFailedLinesPerSecond},
-                       {EventId::kResponseCut, kFailedLinesPerSecond},
-                       {EventId::kAttemptBroken, kFailedLinesPerSecond}}};
+  EventBudget budget_{RequestEventLimits()};
   TimePoint next_slow_tick_;
   // The registered upstreams, or the live routers, have changed since they were
   // last published.
@@ -203,6 +211,11 @@
                      .feeding_wait = kMoveFeedingWait,
                      .max_feed_age = kMaxMoveFeedAge},
                     MakeWatcherHooks(&Impl::OnMove)),
+      zones_(settings_,
+             binding_,
+             store_.get(),
+             kFirstWatchDelay,
+             MakeZoneHooks()),
       feed_({.id = settings_.router, .zone = settings_.zone}, MakeFeedHooks()),
       caller_listener_(
           context,
@@ -251,11 +264,7 @@
     mesh_.Send(router, news);
   };
   hooks.quarantine_begun = [this](PromptPartId part) {
-    std::vector<RouterId> routers;
-    for (const RouterLocation& place : mesh_.Routers()) {
-      routers.push_back(place.id);
-    }
-    archive_.OnBegun(part, routers);
+    archive_.OnBegun(part, IdsOf(mesh_.Routers()));
   };
   hooks.report = [this](const RelayReport& report) { OnReport(report); };
   hooks.apply_moves = [this](FleetConfig config) {
@@ -364,6 +373,19 @@
   return hooks;
 }
 
+ZoneControl::Hooks Gateway::Impl::MakeZoneHooks() {
+  ZoneControl::Hooks hooks;
+  hooks.changed = [this] { have_upstreams_changed_ = true; };
+  // The limits on cold upstreams are to be connected here; ZoneEvacuations
+  // logs the event.
+  hooks.lifted = [](const AvailabilityZoneId&) {};
+  hooks.read = [this](const KindFeed& feed) { feed_.OnRead(feed); };
+  hooks.now = &SteadyNow;
+  hooks.wall_time = &WallNow;
+  hooks.event = logger_->hook();
+  return hooks;
+}
+
 void Gateway::Impl::OnFeedUpdate(const RouterId& from,
                                  const FeedUpdate& update) {
   const TimePoint now = SteadyNow();
@@ -460,18 +482,13 @@
 void Gateway::Impl::PublishUpstreams() {
   const LoopMonitor::Scope work(&monitor_, LoopWork::kSnapshots);
   have_upstreams_changed_ = false;
-  dispatcher_.SetUpstreams(directory_.Records(), mesh_.Routers());
+  dispatcher_.SetUpstreams(zones_.Mark(directory_.Records()), mesh_.Routers());
 }
 
 void Gateway::Impl::PublishRouters() {
   have_routers_changed_ = false;
   const std::vector<RouterLocation> places = mesh_.Routers();
-  std::vector<RouterId> routers;
-  routers.reserve(places.size());
-  for (const RouterLocation& place : places) {
-    routers.push_back(place.id);
-  }
-  moves_.SetRouters(routers);
+  moves_.SetRouters(IdsOf(places));
   feed_.SetRouters(places);
   dispatcher_.SetNeighbours(mesh_.Neighbours());
   have_upstreams_changed_ = true;
@@ -479,37 +496,15 @@
 
 void Gateway::Impl::OnReport(const RelayReport& report) {
   metrics_.Count(report);
-  const bool is_good = report.reason.empty();
-  Event event{.id =
-                  is_good ? EventId::kRequestServed : EventId::kRequestFailed};
   const TimePoint now = SteadyNow();
-  if (!budget_.Take(event.id, now)) {
+  zones_.OnRejected(report.service, report.reason, now);
+  if (!budget_.Take(EventOf(report), now)) {
     return;
   }
-  event.fields = {
-      {"request", report.attempt_id},
-      {"route", report.route.value()},
-      {"account", report.account.value()},
-      {"upstream", report.upstream.value()},
-      {"attempts", absl::StrCat(report.attempts)},
-      {"status", absl::StrCat(report.status)},
-      {"reason", report.reason},
-      {"error", report.error},
-      {"unread_ms", absl::StrCat(report.unread / std::chrono::milliseconds(1))},
-      {"waited_ms", absl::StrCat(report.waited / std::chrono::milliseconds(1))},
-      {"took_ms", absl::StrCat(report.took / std::chrono::milliseconds(1))},
-      {"events", absl::StrCat(report.events)},
-      {"parts", report.parts},
-      {"manifest", absl::StrCat(report.manifest.value())}};
-  if (!is_good) {
-    const ServiceLoad load = dispatcher_.LoadOf(report.service);
-    event.fields.push_back({"service", report.service.value()});
-    event.fields.push_back({"queued", absl::StrCat(load.queued)});
-    event.fields.push_back({"upstreams", absl::StrCat(load.upstreams)});
-    event.fields.push_back(
-        {"store_age_ms",
-         absl::StrCat(upstream_watcher_.TimeSinceLastResponse(now) /
-                      std::chrono::milliseconds(1))});
+  Event event = MakeReportEvent(report);
+  if (!report.reason.empty()) {
+    AddServiceFields(report, dispatcher_.LoadOf(report.service),
+                     upstream_watcher_.TimeSinceLastResponse(now), &event);
   }
   logger_->Log(event);
 }
@@ -523,7 +518,7 @@
 
 bool Gateway::Impl::IsReady() const {
   return config_ != nullptr && upstream_watcher_.IsListed() &&
-         !drain_start_.has_value();
+         zones_.IsListed() && !drain_start_.has_value();
 }
 
 void Gateway::Impl::OnProbe(const std::shared_ptr<CallerConnection>& caller,
@@ -547,6 +542,7 @@
     metrics_.SetState(dispatcher_.in_flight(), caller_listener_.connections(),
                       dispatcher_.upstream_connections(),
                       dispatcher_.quarantined_parts());
+    zones_.Export(dispatcher_.RunningByZone(), &metrics_);
     response.headers.Set("Content-Type", "text/plain; version=0.0.4");
     response.body = metrics_.Export();
   }
@@ -592,8 +588,11 @@
   config_watcher_.OnTick(now);
   upstream_watcher_.OnTick(now);
   move_watcher_.OnTick(now);
+  zones_.OnTick(now);
   directory_.OnTick(now);
-  if (have_upstreams_changed_ && dispatcher_.MayBuildSnapshot(now)) {
+  // Without the evacuations, requests might be sent to evacuated upstreams.
+  if (have_upstreams_changed_ && zones_.IsListed() &&
+      dispatcher_.MayBuildSnapshot(now)) {
     PublishUpstreams();
   }
   dispatcher_.OnTick(now);
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -25,7 +25,11 @@
                              "Connections to upstreams since the start.")),
       quarantined_parts_(
           registry_.GetGauge("papaya_quarantined_parts",
-                             "Prompt parts whose requests are rejected.")) {}
+                             "Prompt parts whose requests are rejected.")),
+      zones_evacuated_(
+          registry_.GetGauge("papaya_zones_evacuated",
+                             "Availability zones that get no new requests "
+                             "because operators have evacuated them.")) {}
 
 Counter& GatewayMetrics::CounterOf(const std::string& reason) {
   Counter*& counter = requests_[reason];
@@ -76,4 +80,29 @@
   quarantined_parts_.Set(static_cast<int64_t>(quarantined_parts));
 }
 
+void GatewayMetrics::SetEvacuatedZones(
+    const std::vector<EvacuatedZoneState>& zones) {
+  zones_evacuated_.Set(static_cast<int64_t>(zones.size()));
+  for (auto& [zone, gauges] : zones_) {
+    gauges.since->Set(0);
+    gauges.running->Set(0);
+  }
+  for (const EvacuatedZoneState& state : zones) {
+    ZoneGauges& gauges = zones_[state.zone];
+    if (gauges.since == nullptr) {
+      const MetricLabels labels = {{"zone", state.zone.value()}};
+      gauges.since = &registry_.GetGauge(
+          "papaya_zone_evacuated_since_seconds",
+          "Unix time at which this router learned that the zone is evacuated; "
+          "0 once the evacuation has ended.",
+          labels);
+      gauges.running = &registry_.GetGauge(
+          "papaya_evacuated_zone_requests",
+          "Requests that still run at upstreams of an evacuated zone.", labels);
+    }
+    gauges.since->Set(state.since.time_since_epoch() / std::chrono::seconds(1));
+    gauges.running->Set(static_cast<int64_t>(state.running));
+  }
+}
+
 }  // namespace papaya
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -2,8 +2,11 @@
 #define SRC_GATEWAY_GATEWAY_METRICS_H_
 
 #include <string>
+#include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "include/base/ids.h"
+#include "include/base/units.h"
 #include "include/telemetry/event_catalog.h"
 #include "include/telemetry/metrics.h"
 
@@ -11,6 +14,15 @@
 
 struct RelayReport;
 
+// An evacuated zone as seen by one router.
+struct EvacuatedZoneState {
+  AvailabilityZoneId zone;
+  // When this router learned of the evacuation, in wall time.
+  WallTime since;
+  // Requests at the zone's upstreams.
+  size_t running = 0;
+};
+
 // The metrics of a gateway. The number of label values is bounded because
 // outcomes and reasons come from the code, never from callers. Single-threaded.
 class GatewayMetrics {
@@ -35,6 +47,9 @@
                 int64_t upstream_connections,
                 size_t quarantined_parts);
 
+  // Sets the gauges of evacuated zones. Those of other zones become zero.
+  void SetEvacuatedZones(const std::vector<EvacuatedZoneState>& zones);
+
   // Returns all metrics in Prometheus' text format.
   std::string Export() const { return registry_.Export(); }
 
@@ -42,7 +57,13 @@
   Counter& CounterOf(const std::string& reason);
 
   MetricsRegistry registry_;
+  struct ZoneGauges {
+    Gauge* since = nullptr;
+    Gauge* running = nullptr;
+  };
+
   absl::flat_hash_map<std::string, Counter*> requests_;
+  absl::flat_hash_map<AvailabilityZoneId, ZoneGauges> zones_;
   LatencyHistogram& waited_;
   LatencyHistogram& took_;
   LatencyHistogram& loop_delay_;
@@ -51,6 +72,7 @@
   Gauge& callers_;
   Gauge& upstream_connections_;
   Gauge& quarantined_parts_;
+  Gauge& zones_evacuated_;
 };
 
 }  // namespace papaya
--- /dev/null
+++ b/src/gateway/prompt_prefix.cc
@@ -0,0 +1,45 @@
+#include "src/gateway/prompt_prefix.h"
+
+#include <algorithm>
+
+#include "include/base/stable_hash.h"
+
+namespace papaya {
+
+namespace {
+
+// Prompts are split into blocks of this size to track which prefixes an engine
+// may have cached.
+constexpr int64_t kBlockTokens = 1024;
+// Blocks of a prompt beyond this number are not tracked, which bounds the work
+// and the memory for a request that states a huge prompt.
+constexpr size_t kMaxPrefixBlocks = 4096;
+constexpr size_t kMaxSharedParts = 64;
+
+}  // namespace
+
+std::vector<PromptPartId> SharedParts(const std::vector<PromptPart>& parts) {
+  std::vector<PromptPartId> shared;
+  for (size_t i = 0; i + 1 < parts.size() && i < kMaxSharedParts; ++i) {
+    shared.emplace_back(parts[i].hash);
+  }
+  return shared;
+}
+
+void SetPrefix(const std::vector<PromptPart>& parts, RequestSpec* spec) {
+  uint64_t chain = 0;
+  Tokens end;
+  for (const PromptPart& part : parts) {
+    int64_t left = part.tokens.value();
+    for (uint64_t block = 0;
+         left > 0 && spec->prefix_hashes.size() < kMaxPrefixBlocks; ++block) {
+      chain = CombineHashes(chain, CombineHashes(part.hash, block));
+      end += Tokens(std::min(left, kBlockTokens));
+      left -= kBlockTokens;
+      spec->prefix_hashes.push_back(chain);
+      spec->prefix_ends.push_back(end);
+    }
+  }
+}
+
+}  // namespace papaya
--- a/src/gateway/relayed_request.cc
+++ b/src/gateway/relayed_request.cc
@@ -184,6 +184,7 @@
   }
   ++attempts_;
   upstream_ = upstream->id;
+  upstream_zone_ = upstream->zone;
   response_kind_ = ResponseKind::kNone;
   first_event_ = TimePoint();
   last_event_ = dispatched_;
--- a/src/gateway/relayed_request.h
+++ b/src/gateway/relayed_request.h
@@ -119,6 +119,8 @@
     AccountId account;
     PoolId service;
     Tier tier = Tier::kStandard;
+    // See RequestSpec.
+    std::shared_ptr<const std::vector<RegionId>> allowed_regions;
     // Selects the service and version. All routers make the same choice.
     uint64_t share_hash = 0;
     // The parts of the prompt that other requests may share, outermost first.
@@ -163,6 +165,7 @@
 
   // The upstream of the last attempt; empty if there was none.
   const UpstreamId& upstream() const { return upstream_; }
+  const AvailabilityZoneId& upstream_zone() const { return upstream_zone_; }
 
   // True while an attempt is in progress.
   bool IsAtUpstream() const { return connection_ != nullptr; }
@@ -237,6 +240,7 @@
   Input input_;
   std::shared_ptr<UpstreamConnection> connection_;
   UpstreamId upstream_;
+  AvailabilityZoneId upstream_zone_;
   int attempts_ = 0;
   TimePoint dispatched_;
   TimePoint first_dispatched_;
--- a/src/gateway/request_dispatcher.cc
+++ b/src/gateway/request_dispatcher.cc
@@ -6,8 +6,10 @@
 
 #include "absl/strings/str_cat.h"
 #include "include/base/stable_hash.h"
+#include "include/gateway/allowed_regions.h"
 #include "include/wire/steady_time.h"
 #include "src/gateway/caller_connection.h"
+#include "src/gateway/prompt_prefix.h"
 
 namespace papaya {
 
@@ -21,13 +23,6 @@
 // A request that is dispatched after this fraction of its latency objective is
 // expected to miss it; the rest is for reading the prompt, or for the work.
 constexpr double kOnTimeStartFraction = 0.7;
-// Prompts are split into blocks of this size to track which prefixes an engine
-// may have cached.
-constexpr int64_t kBlockTokens = 1024;
-// Blocks of a prompt beyond this number are not tracked, which bounds the work
-// and the memory for a request that states a huge prompt.
-constexpr size_t kMaxPrefixBlocks = 4096;
-constexpr size_t kMaxSharedParts = 64;
 // Rejected callers are told to retry within this fraction of their remaining
 // time, about its first third.
 constexpr double kMaxRetryAfterFraction = 0.3;
@@ -94,35 +89,6 @@
   return options;
 }
 
-// Returns the parts that other requests may share, that is, all but the last
-// one. Parts beyond kMaxSharedParts are left out, which bounds the work for a
-// request that states many.
-std::vector<PromptPartId> SharedParts(const std::vector<PromptPart>& parts) {
-  std::vector<PromptPartId> shared;
-  for (size_t i = 0; i + 1 < parts.size() && i < kMaxSharedParts; ++i) {
-    shared.emplace_back(parts[i].hash);
-  }
-  return shared;
-}
-
-// Sets the chained hashes of the prompt's blocks. Prompts with a common prefix
-// share their first hashes.
-void SetPrefix(const std::vector<PromptPart>& parts, RequestSpec* spec) {
-  uint64_t chain = 0;
-  Tokens end;
-  for (const PromptPart& part : parts) {
-    int64_t left = part.tokens.value();
-    for (uint64_t block = 0;
-         left > 0 && spec->prefix_hashes.size() < kMaxPrefixBlocks; ++block) {
-      chain = CombineHashes(chain, CombineHashes(part.hash, block));
-      end += Tokens(std::min(left, kBlockTokens));
-      left -= kBlockTokens;
-      spec->prefix_hashes.push_back(chain);
-      spec->prefix_ends.push_back(end);
-    }
-  }
-}
-
 }  // namespace
 
 RequestDispatcher::RequestDispatcher(boost::asio::io_context& context,
@@ -275,11 +241,21 @@
   }
   for (const auto& [id, upstream] : upstreams_) {
     load.upstreams +=
-        upstream.service == service && !upstream.is_draining ? 1 : 0;
+        upstream.service == service && upstream.MayGetWork() ? 1 : 0;
   }
   return load;
 }
 
+std::map<AvailabilityZoneId, size_t> RequestDispatcher::RunningByZone() const {
+  std::map<AvailabilityZoneId, size_t> running;
+  for (const auto& [id, relay] : relays_) {
+    if (relay->IsAtUpstream()) {
+      ++running[relay->upstream_zone()];
+    }
+  }
+  return running;
+}
+
 void RequestDispatcher::SetBounds(const GatewayBounds& bounds) {
   settings_.bounds = bounds;
   if (table_ != nullptr) {
@@ -347,15 +323,19 @@
     spec.id = record.id;
     spec.address = record.address;
     spec.zone = record.zone;
+    spec.region = record.region;
     spec.kind = service != nullptr && service->is_engine
                     ? UpstreamKind::kModelEngine
                     : UpstreamKind::kPlainService;
     spec.pool = record.service;
     spec.version = record.version;
     spec.slots = record.slots;
-    if (record.is_draining) {
+    if (!record.MayGetWork()) {
       input.leaving.push_back(record.id);
     }
+    if (record.is_evacuated && !record.is_draining) {
+      input.returning.push_back(record.id);
+    }
     config.upstreams.push_back(std::move(spec));
     upstreams_[record.id] = record;
   }
@@ -366,6 +346,7 @@
       hooks_.apply_moves(std::move(config)));
   input.self = {.id = settings_.router, .zone = settings_.zone};
   input.routers = routers_;
+  input.has_region_limits = HasRegionLimits(table_->config());
   const std::shared_ptr<const RoutingSnapshot> snapshot =
       RoutingSnapshot::Build(input);
   demand_names_ = DemandNameResolver(*snapshot);
@@ -438,6 +419,7 @@
     input.account = account->id;
   }
   input.tier = table_->TierOf(*input.route, account);
+  input.allowed_regions = AllowedRegions(table_, *input.route, account);
   input.share_hash = StableHash(metadata.attempt_id);
   input.service = ChooseService(*input.route, input.share_hash);
   const ServiceInfo* service = table_->FindService(input.service);
@@ -551,6 +533,7 @@
   spec.deadline = input.arrival + wait;
   spec.late_after = input.received + FractionOf(kOnTimeStartFraction,
                                                 input.route->latency_objective);
+  spec.allowed_regions = input.allowed_regions;
   spec.idempotent = input.route->MayRepeat();
   spec.max_runs = input.route->max_attempts;
   return spec;
--- a/src/gateway/request_dispatcher.h
+++ b/src/gateway/request_dispatcher.h
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -33,7 +34,7 @@
 struct ServiceLoad {
   // Requests that wait for an upstream.
   size_t queued = 0;
-  // Upstreams that are not draining.
+  // Upstreams that get new requests.
   size_t upstreams = 0;
 };
 
@@ -116,6 +117,9 @@
 
   ServiceLoad LoadOf(const PoolId& service) const;
 
+  // Returns the number of requests at the upstreams of each zone.
+  std::map<AvailabilityZoneId, size_t> RunningByZone() const;
+
   // Returns the quarantines in force.
   std::vector<PartNews> Quarantines() const;
   // Number of prompt parts whose requests are rejected.
--- a/src/papaya_gateway_main.cc
+++ b/src/papaya_gateway_main.cc
@@ -10,6 +10,8 @@
 #include <cstdlib>
 #include <iostream>
 #include <optional>
+#include <string>
+#include <vector>
 
 #include "include/base/text_file.h"
 #include "include/gateway/gateway.h"
@@ -58,6 +60,13 @@
   return papaya::platform::ParseSettings(*text, path);
 }
 
+void LogIgnored(const std::vector<std::string>& ignored,
+                papaya::Logger* logger) {
+  for (const std::string& error : ignored) {
+    logger->Log({papaya::EventId::kSettingIgnored, {{"error", error}}});
+  }
+}
+
 // Interval at which the settings file is read. It may change without a SIGHUP.
 constexpr std::chrono::seconds kSettingsInterval{2};
 
@@ -66,12 +75,13 @@
 class SettingsWatcher {
  public:
   SettingsWatcher(boost::asio::io_context& context,
-                  papaya::GatewayBounds bounds,
+                  const papaya::GatewaySettings& settings,
                   papaya::Gateway* gateway,
                   papaya::Logger* logger)
       : timer_(context),
         reload_(context, SIGHUP),
-        bounds_(bounds),
+        bounds_(settings.bounds),
+        ignored_(settings.ignored),
         gateway_(gateway),
         logger_(logger) {
     AwaitSignal();
@@ -110,6 +120,10 @@
       return;
     }
     last_error_ = absl::OkStatus();
+    if (settings->ignored != ignored_) {
+      ignored_ = settings->ignored;
+      LogIgnored(ignored_, logger_);
+    }
     if (settings->bounds != bounds_) {
       bounds_ = settings->bounds;
       gateway_->SetBounds(bounds_);
@@ -119,6 +133,7 @@
   boost::asio::steady_timer timer_;
   boost::asio::signal_set reload_;
   papaya::GatewayBounds bounds_;
+  std::vector<std::string> ignored_;
   papaya::Gateway* const gateway_;
   papaya::Logger* const logger_;
   absl::Status last_error_;
@@ -133,7 +148,8 @@
     std::cerr << started.message() << "\n";
     return papaya::kExitFailed;
   }
-  const SettingsWatcher watch(context, settings.bounds, &gateway, logger);
+  LogIgnored(settings.ignored, logger);
+  const SettingsWatcher watch(context, settings, &gateway, logger);
   boost::asio::signal_set stop(context, SIGTERM, SIGINT);
   stop.async_wait([&](const boost::system::error_code&, int) {
     gateway.Drain([&context] { context.stop(); });
--- a/tests/fakes/fake_platform.h
+++ b/tests/fakes/fake_platform.h
@@ -2,6 +2,7 @@
 #define TESTS_FAKES_FAKE_PLATFORM_H_
 
 #include <algorithm>
+#include <boost/json/value.hpp>
 #include <map>
 #include <memory>
 #include <set>
@@ -22,7 +23,10 @@
   explicit FakePlatform(EventQueue* queue) : queue_(queue) {}
 
   // Creates or changes an object.
-  void Put(const std::string& name) { Append(name, /*is_deleted=*/false); }
+  void Put(const std::string& name, const boost::json::value& spec = {}) {
+    specs_[name] = spec;
+    Append(name, /*is_deleted=*/false);
+  }
   // A deletion carries the version of the last change before it, as far as
   // routers may rely on it.
   void Delete(const std::string& name) {
@@ -60,6 +64,7 @@
       objects_.erase(name);
     } else {
       object.version = ObjectVersion(version_);
+      object.spec = specs_[name];
       objects_[name] = version_;
     }
     changes_.push_back({version_, object});
@@ -79,6 +84,7 @@
   EventQueue* const queue_;
   uint64_t version_ = 1;
   std::map<std::string, uint64_t> objects_;
+  std::map<std::string, boost::json::value> specs_;
   std::vector<Change> changes_;
   int calls_ = 0;
 };
@@ -97,6 +103,7 @@
             PlatformObject object;
             object.name = name;
             object.version = ObjectVersion(version);
+            object.spec = platform_->specs_[name];
             batch.objects.push_back(object);
           }
           batch.store_version = ObjectVersion(platform_->version_);
