--- a/tests/request_history_test.cc
+++ b/tests/request_history_test.cc
@@ -4,6 +4,8 @@
 #include <catch2/catch.hpp>
 #include <string>
 
+#include "include/admission/attempt_result.h"
+
 namespace papaya {
 namespace {
 
@@ -80,5 +82,20 @@
   CHECK_FALSE(Contains(text, "belief_20"));
 }
 
+// Guards against a reason of the scheduler that operators can't look up.
+TEST_CASE("RequestHistory: explains every reason of a rejection", "[ctl]") {
+  constexpr int kLastReason =
+      static_cast<int>(RejectionReason::kNoAllowedRegion);
+  for (int i = 0; i <= kLastReason; ++i) {
+    const std::string reason =
+        RejectionReasonName(static_cast<RejectionReason>(i));
+    INFO(reason);
+    RequestHistory history("id1");
+    history.AddLine("r1.log",
+                    FailedRequestLine("19.500", "id1", reason, "school"));
+    CHECK_FALSE(Contains(history.ToText(), "ended: " + reason));
+  }
+}
+
 }  // namespace
 }  // namespace papaya
