Scheduler: no cost of region limits where there are none

Change: empty queues are passed over before the call, the chooser looks at the list once for each request, and the region is the last field.

--- a/src/admission/scheduler_core.cc
+++ b/src/admission/scheduler_core.cc
@@ -233,7 +233,7 @@
   for (auto* queues : {&group->queues, &group->late_queues}) {
     for (Tier tier : kAllTiers) {
       FairQueue& queue = (*queues)[TierIndex(tier)];
-      if (DispatchQueue(group, tier, &queue, now)) {
+      if (queue.size() > 0 && DispatchQueue(group, tier, &queue, now)) {
         return;
       }
     }
--- a/src/admission/upstream_chooser.cc
+++ b/src/admission/upstream_chooser.cc
@@ -103,7 +103,7 @@
   const UpstreamState& state = upstreams_->at(number);
   const RequestEntry& entry = *search->entry;
   if (!state.IsOpen(search->now) || !state.HasRoom(search->is_contended) ||
-      !MayReachRegion(entry.spec, state.region)) {
+      (search->is_limited && !MayReachRegion(entry.spec, state.region))) {
     return;
   }
   const double prompt = static_cast<double>(entry.spec.prompt_tokens.value());
@@ -134,6 +134,7 @@
   search.entry = &entry;
   search.cached = FindCached(entry);
   search.is_contended = group.IsContended();
+  search.is_limited = entry.spec.allowed_regions != nullptr;
   search.now = now;
   search.best = std::numeric_limits<double>::infinity();
   const size_t start =
@@ -143,10 +144,11 @@
   for (size_t i = 0; i < numbers.size() && with_room < kCandidates; ++i) {
     const int32_t number = numbers[(start + i) % numbers.size()];
     const UpstreamState& state = upstreams_->at(number);
-    with_room += state.HasRoom(search.is_contended) &&
-                         MayReachRegion(entry.spec, state.region)
-                     ? 1
-                     : 0;
+    with_room +=
+        state.HasRoom(search.is_contended) &&
+                (!search.is_limited || MayReachRegion(entry.spec, state.region))
+            ? 1
+            : 0;
     Consider(number, &search);
   }
   if (numbers.size() <= kCandidates) {
--- a/src/admission/upstream_chooser.h
+++ b/src/admission/upstream_chooser.h
@@ -61,6 +61,8 @@
     const RequestEntry* entry = nullptr;
     Cached cached;
     bool is_contended = false;
+    // The entry is limited to regions.
+    bool is_limited = false;
     TimePoint now;
     double best = 0.0;
     Choice choice;
--- a/src/admission/upstream_state.h
+++ b/src/admission/upstream_state.h
@@ -28,7 +28,6 @@
   // The current snapshot expects it to get work again later, so its state is
   // kept.
   bool is_returning = false;
-  RegionId region;
   bool is_plain = false;
   int slots = 1;
   std::shared_ptr<UpstreamKindSpeed> kind;
@@ -90,6 +89,9 @@
   // Time of the last probe while ejected.
   TimePoint last_probe;
 
+  // At the end, so that the fields that every decision reads stay together.
+  RegionId region;
+
   // Requests of all routers there, as far as known.
   double TotalRunning() const {
     return running + peer_running + assumed_running;
