--- a/src/admission/scheduler_attempts.cc
+++ b/src/admission/scheduler_attempts.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "include/admission/warmup_limiter.h"
+#include "src/admission/region_limits.h"
 #include "src/admission/scheduler_core.h"
 
 namespace papaya {
@@ -167,7 +168,7 @@
   }
   entry->group = ChooseGroup(entry->spec);
   if (entry->group < 0) {
-    Reject(entry, RejectionReason::kNoUpstream);
+    Reject(entry, NoUpstreamReason(snapshot_.get(), entry->spec));
     return;
   }
   Enqueue(entry, /*at_front=*/true);
--- a/src/admission/upstream_chooser.cc
+++ b/src/admission/upstream_chooser.cc
@@ -5,6 +5,7 @@
 #include <limits>
 
 #include "include/base/stable_hash.h"
+#include "src/admission/region_limits.h"
 
 namespace papaya {
 
@@ -131,6 +132,10 @@
 
 void UpstreamChooser::Consider(int32_t number, Search* search) const {
   const UpstreamState& state = upstreams_->at(number);
+  const RequestEntry& entry = *search->entry;
+  if (search->is_limited && !MayReachRegion(entry.spec, state.region)) {
+    return;
+  }
   if (state.gate->IsClosed(search->now)) {
     ConsiderClosed(number, search);
     return;
@@ -142,7 +147,6 @@
   if (!state.HasRoom(search->is_contended)) {
     return;
   }
-  const RequestEntry& entry = *search->entry;
   const double prompt = static_cast<double>(entry.spec.prompt_tokens.value());
   const double prefill =
       std::max(0.0, prompt - search->cached.TokensAt(number));
@@ -174,6 +178,7 @@
   search.entry = &entry;
   search.cached = FindCached(entry);
   search.is_contended = group.IsContended();
+  search.is_limited = entry.spec.allowed_regions != nullptr;
   search.now = now;
   search.best = std::numeric_limits<double>::infinity();
   const size_t start =
@@ -184,8 +189,10 @@
     const int32_t number = numbers[(start + i) % numbers.size()];
     const UpstreamState& state = upstreams_->at(number);
     with_room +=
-        state.HasRoom(search.is_contended) && !state.gate->IsClosed(now) ? 1
-                                                                         : 0;
+        state.HasRoom(search.is_contended) && !state.gate->IsClosed(now) &&
+                (!search.is_limited || MayReachRegion(entry.spec, state.region))
+            ? 1
+            : 0;
     Consider(number, &search);
   }
   if (search.choice.upstream < 0 && !search.has_other) {
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -31,7 +31,11 @@
           "Upstreams that are or may be cold and get few requests.")),
       cold_requests_(registry_.GetGauge(
           "papaya_cold_requests",
-          "Requests sent to cold upstreams since the start.")) {}
+          "Requests sent to cold upstreams since the start.")),
+      zones_evacuated_(
+          registry_.GetGauge("papaya_zones_evacuated",
+                             "Availability zones that get no new requests "
+                             "because operators have evacuated them.")) {}
 
 Counter& GatewayMetrics::CounterOf(const std::string& reason) {
   Counter*& counter = requests_[reason];
@@ -90,4 +94,29 @@
   cold_requests_.Set(static_cast<int64_t>(cold_requests));
 }
 
+void GatewayMetrics::SetEvacuatedZones(
+    const std::vector<EvacuatedZoneState>& zones) {
+  zones_evacuated_.Set(static_cast<int64_t>(zones.size()));
+  for (auto& [zone, gauges] : zones_) {
+    gauges.since->Set(0);
+    gauges.running->Set(0);
+  }
+  for (const EvacuatedZoneState& state : zones) {
+    ZoneGauges& gauges = zones_[state.zone];
+    if (gauges.since == nullptr) {
+      const MetricLabels labels = {{"zone", state.zone.value()}};
+      gauges.since = &registry_.GetGauge(
+          "papaya_zone_evacuated_since_seconds",
+          "Unix time at which this router learned that the zone is evacuated; "
+          "0 once the evacuation has ended.",
+          labels);
+      gauges.running = &registry_.GetGauge(
+          "papaya_evacuated_zone_requests",
+          "Requests that still run at upstreams of an evacuated zone.", labels);
+    }
+    gauges.since->Set(state.since.time_since_epoch() / std::chrono::seconds(1));
+    gauges.running->Set(static_cast<int64_t>(state.running));
+  }
+}
+
 }  // namespace papaya
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -2,8 +2,11 @@
 #define SRC_GATEWAY_GATEWAY_METRICS_H_
 
 #include <string>
+#include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "include/base/ids.h"
+#include "include/base/units.h"
 #include "include/telemetry/event_catalog.h"
 #include "include/telemetry/metrics.h"
 
@@ -11,6 +14,15 @@
 
 struct RelayReport;
 
+// An evacuated zone as seen by one router.
+struct EvacuatedZoneState {
+  AvailabilityZoneId zone;
+  // When this router learned of the evacuation, in wall time.
+  WallTime since;
+  // Requests at the zone's upstreams.
+  size_t running = 0;
+};
+
 // The metrics of a gateway. The number of label values is bounded because
 // outcomes and reasons come from the code, never from callers. Single-threaded.
 class GatewayMetrics {
@@ -38,6 +50,8 @@
   // Sets the number of upstreams that are or may be cold, and the number of
   // requests sent to such ones since the start.
   void SetWarmup(size_t cold_upstreams, uint64_t cold_requests);
+  // Sets the gauges of evacuated zones. Those of other zones become zero.
+  void SetEvacuatedZones(const std::vector<EvacuatedZoneState>& zones);
 
   // Returns all metrics in Prometheus' text format.
   std::string Export() const { return registry_.Export(); }
@@ -46,7 +60,13 @@
   Counter& CounterOf(const std::string& reason);
 
   MetricsRegistry registry_;
+  struct ZoneGauges {
+    Gauge* since = nullptr;
+    Gauge* running = nullptr;
+  };
+
   absl::flat_hash_map<std::string, Counter*> requests_;
+  absl::flat_hash_map<AvailabilityZoneId, ZoneGauges> zones_;
   LatencyHistogram& waited_;
   LatencyHistogram& took_;
   LatencyHistogram& loop_delay_;
@@ -57,6 +77,7 @@
   Gauge& quarantined_parts_;
   Gauge& cold_upstreams_;
   Gauge& cold_requests_;
+  Gauge& zones_evacuated_;
 };
 
 }  // namespace papaya
