Give a contacted router the record of the sender

Reconnect and the prober contacted routers with Probe and MemberDigest only. A router that had been restarted did not know the sender and had no address for its answer, so routers that restarted together stayed a fleet of their own.

A contact of a lost peer or seed now begins with MemberNews that holds the sender's record, and so does each repeated probe that was not answered. Both are messages that older routers understand. Seeds and dead routers are called in turn. GossipFleet delivers to addresses only, as PeerNetwork does; it had hidden the fault.

--- a/include/membership/membership.h
+++ b/include/membership/membership.h
@@ -43,7 +43,8 @@
     std::string address;
     RegionId region;
     AvailabilityZoneId zone;
-    // Addresses of routers to meet first; its own is passed over.
+    // Addresses of routers to meet first, until SetSeeds; its own is passed
+    // over.
     std::vector<std::string> seeds;
     OverlayShape overlay;
     // From one probe of a router to the next.
@@ -91,6 +92,10 @@
   // Nothing else follows from it.
   void OnVmList(const std::vector<RouterId>& running, TimePoint now);
 
+  // Replaces the seeds. One of them that no running router has the address of
+  // is contacted within a second.
+  void SetSeeds(std::vector<std::string> seeds, TimePoint now);
+
   // Tells the fleet that this router takes nothing new.
   void SetDraining(TimePoint now);
 
@@ -147,6 +152,7 @@
   const Options options_;
   const Hooks hooks_;
   Random random_;
+  std::vector<std::string> seeds_;
   TimePoint now_;
   TimePoint last_tick_;
 
@@ -165,6 +171,8 @@
   // Routers known here that some list has shown.
   std::set<RouterId> listed_once_;
   size_t next_seed_ = 0;
+  // True if the last call went to a seed or none was due.
+  bool is_seed_next_ = false;
   TimePoint next_digest_;
   TimePoint next_forget_;
   TimePoint next_reconnect_;
--- a/src/membership/member_sync.cc
+++ b/src/membership/member_sync.cc
@@ -1,6 +1,7 @@
 #include "src/membership/member_sync.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "absl/container/flat_hash_map.h"
 #include "src/membership/member_table.h"
@@ -74,26 +75,29 @@
   return news;
 }
 
-std::vector<PeerAddress> FindLostPeers(const MemberTable& table,
-                                       const std::vector<std::string>& seeds,
-                                       const std::set<RouterId>& vm_list) {
+LostPeers FindLostPeers(const MemberTable& table,
+                        const std::vector<std::string>& seeds,
+                        const std::set<RouterId>& vm_list) {
   std::vector<std::string> open_seeds = seeds;
   std::vector<PeerAddress> listed;
-  std::vector<PeerAddress> lost;
+  LostPeers lost;
   for (const auto& [id, member] : table.members()) {
     if (IsRunning(member.record)) {
       std::erase(open_seeds, member.record.address);
       continue;
     }
-    lost.push_back({id, member.record.address});
+    lost.dead.push_back({id, member.record.address});
     if (vm_list.contains(id)) {
-      listed.push_back(lost.back());
+      listed.push_back(lost.dead.back());
     }
   }
+  if (!listed.empty()) {
+    lost.dead = std::move(listed);
+  }
   for (const std::string& seed : open_seeds) {
-    lost.push_back({RouterId(), seed});
+    lost.seeds.push_back({RouterId(), seed});
   }
-  return listed.empty() ? lost : listed;
+  return lost;
 }
 
 }  // namespace papaya
--- a/src/membership/member_sync.h
+++ b/src/membership/member_sync.h
@@ -28,11 +28,17 @@
 // The records that `request` asks for, as far as known.
 MemberNews MakeRecords(const MemberTable& table, const MemberRequest& request);
 
-// Routers to call in case they can be reached again: dead ones, and seeds that
-// no running router has the address of; only those in `vm_list`, if any is.
-std::vector<PeerAddress> FindLostPeers(const MemberTable& table,
-                                       const std::vector<std::string>& seeds,
-                                       const std::set<RouterId>& vm_list);
+// Peers to call in case they can be reached again.
+struct LostPeers {
+  // Dead routers; only those in the VM list, if any is.
+  std::vector<PeerAddress> dead;
+  // Seeds that no running router has the address of.
+  std::vector<PeerAddress> seeds;
+};
+
+LostPeers FindLostPeers(const MemberTable& table,
+                        const std::vector<std::string>& seeds,
+                        const std::set<RouterId>& vm_list);
 
 }  // namespace papaya
 
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -24,6 +24,8 @@
 // A gap between ticks above this means that the process was paused.
 constexpr Duration kPauseLimit = std::chrono::milliseconds(600);
 constexpr double kPeriodSpread = 0.2;
+// Time within which a router calls one of its changed seeds.
+constexpr Duration kSeedsSpread = std::chrono::seconds(1);
 
 }  // namespace
 
@@ -34,6 +36,7 @@
     : options_(std::move(options)),
       hooks_(std::move(hooks)),
       random_(random),
+      seeds_(options_.seeds),
       now_(now),
       last_tick_(now),
       table_(std::make_unique<MemberTable>(kMaxMembers)) {
@@ -52,6 +55,10 @@
               [this](const RouterId& target, uint64_t sequence) {
                 Send(target, Probe{sequence, OwnStamp()});
               },
+          .introduce =
+              [this](const RouterId& target) {
+                Send(target, MemberNews{.records = {Own()}});
+              },
           .ask_others =
               [this](const RouterId& target, uint64_t sequence) {
                 for (const RouterId& helper : PickHelpers(target)) {
@@ -96,6 +103,18 @@
   }
 }
 
+void Membership::SetSeeds(std::vector<std::string> seeds, TimePoint now) {
+  now_ = now;
+  seeds_ = std::move(seeds);
+  next_seed_ = 0;
+  next_join_ = now;
+  // Spread, as all routers of a fleet may get new seeds at the same time.
+  next_reconnect_ = std::min(
+      next_reconnect_,
+      now + SecondsToDuration(ToSeconds(kSeedsSpread) * random_.Uniform()));
+  is_seed_next_ = false;
+}
+
 void Membership::SetDraining(TimePoint now) {
   now_ = now;
   SetOwnState(RouterState::kDraining);
@@ -238,11 +257,11 @@
 
 void Membership::JoinNextSeed() {
   const bool is_alone = view_->view().routers.size() <= 1;
-  if (!is_alone || options_.seeds.empty() || now_ < next_join_) {
+  if (!is_alone || seeds_.empty() || now_ < next_join_) {
     return;
   }
   next_join_ = now_ + random_.Jitter(kJoinPeriod, kPeriodSpread);
-  const std::string& seed = options_.seeds[next_seed_ % options_.seeds.size()];
+  const std::string& seed = seeds_[next_seed_ % seeds_.size()];
   ++next_seed_;
   if (seed != options_.address) {
     hooks_.send(PeerAddress{RouterId(), seed}, MemberJoin{Own()});
@@ -255,12 +274,19 @@
   }
   next_reconnect_ =
       now_ + random_.Jitter(options_.reconnect_period, kPeriodSpread);
-  const std::vector<PeerAddress> lost =
-      FindLostPeers(*table_, options_.seeds, vm_list_);
-  if (lost.empty()) {
+  const LostPeers lost = FindLostPeers(*table_, seeds_, vm_list_);
+  // In turn, so that a seed waits for one call only, however many are dead.
+  is_seed_next_ = !is_seed_next_;
+  const bool is_seed =
+      lost.dead.empty() || (is_seed_next_ && !lost.seeds.empty());
+  const std::vector<PeerAddress>& peers = is_seed ? lost.seeds : lost.dead;
+  if (peers.empty()) {
     return;
   }
-  const PeerAddress& peer = lost[random_.Below(lost.size())];
+  const PeerAddress& peer = peers[random_.Below(peers.size())];
+  // The peer may have been restarted or may never have met this router. The
+  // record gives it the address that its answers go to.
+  hooks_.send(peer, MemberNews{.records = {Own()}});
   hooks_.send(peer, Probe{random_.Next64(), OwnStamp()});
   hooks_.send(peer, MemberDigest{.hash = table_->Digest().hash});
 }
--- a/src/membership/prober.cc
+++ b/src/membership/prober.cc
@@ -77,6 +77,9 @@
     return;
   }
   ++round->attempts;
+  if (round->attempts <= kDirectAttempts + 1) {
+    hooks_.introduce(target);
+  }
   if (round->attempts <= kDirectAttempts) {
     round->due = now + kRetryDelay;
     hooks_.probe(target, round->sequence);
--- a/src/membership/prober.h
+++ b/src/membership/prober.h
@@ -19,6 +19,9 @@
  public:
   struct Hooks {
     std::function<void(const RouterId& target, uint64_t sequence)> probe;
+    // Tells `target` this router's record before a repeated probe: a router
+    // that has been restarted cannot answer one that it does not know.
+    std::function<void(const RouterId& target)> introduce;
     // Asks other routers to probe `target`.
     std::function<void(const RouterId& target, uint64_t sequence)> ask_others;
     std::function<void(const RouterId& target)> failed;
--- a/tests/fakes/gossip_fleet.h
+++ b/tests/fakes/gossip_fleet.h
@@ -62,6 +62,9 @@
       nodes[i].address = absl::StrFormat("10.0.%d.%d:7000", i / 256, i % 256);
       by_id_[nodes[i].id] = i;
       by_address_[nodes[i].address] = i;
+      if (i < kSeeds) {
+        seeds.push_back(nodes[i].address);
+      }
     }
   }
 
@@ -123,6 +126,9 @@
 
   size_t IndexOf(const RouterId& id) const { return by_id_.at(id); }
 
+  // Seeds of the routers that start from now on; at first the first kSeeds.
+  std::vector<std::string> seeds;
+
   // Called on what the cores say, with the index of the router.
   std::function<void(size_t, const FleetConfig&)> on_in_force;
   std::function<void(size_t, const FleetView&)> on_view;
@@ -184,9 +190,7 @@
         RegionId(absl::StrFormat("region-%d", link.place(index).region));
     options.zone = AvailabilityZoneId(
         absl::StrFormat("zone-%02d", link.place(index).zone));
-    for (size_t i = 0; i < kSeeds && i < nodes.size(); ++i) {
-      options.seeds.push_back(nodes[i].address);
-    }
+    options.seeds = seeds;
     return std::make_unique<Membership>(
         options,
         Membership::Hooks{
@@ -206,13 +210,14 @@
   }
 
   void SendMember(size_t from, const PeerAddress& to, const MemberMessage& m) {
-    const auto target =
-        to.router.empty() ? by_address_.find(to.address) : by_address_.end();
-    if (to.router.empty() && target == by_address_.end()) {
+    // Like PeerNetwork: sends to addresses only, and not to a router that has
+    // another name than the one asked for.
+    const auto target = by_address_.find(to.address);
+    if (target == by_address_.end() ||
+        (!to.router.empty() && by_id_.at(to.router) != target->second)) {
       return;
     }
-    const size_t end =
-        to.router.empty() ? target->second : by_id_.at(to.router);
+    const size_t end = target->second;
     link.Send(from, end, EncodedSize(m), [this, from, end, m] {
       WhenAwake(end, [this, from, end, m] {
         nodes[end].membership->OnMessage(nodes[from].id, m, queue.now());
