Grant a quota once on all sides of a partition

A router that took over a bucket filled it at the whole rate: UnresponsiveFraction counted only routers that had reported to it. The bucket thus had an owner on each side of a partition. A router that became the owner again added the refill of the time between, and charged spending of a partition that the other owner had charged before.

SpendingRouters counts the routers that run and those known in the last 30 minutes, and an owner fills and caps its bucket at the share of the former. A new owner begins with a twentieth of its share, or a quarter if nobody else was the owner within the window.

In fleets of 24 and more, what waits for the owner's answer is reported with what was spent, so that one answer decides on all of it. One request was decided in each round trip before, and what still waited after 250 ms got 429.

--- a/include/admission/account_quota.h
+++ b/include/admission/account_quota.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <vector>
 
+#include "include/admission/spending_routers.h"
 #include "include/admission/usage_messages.h"
 #include "include/base/ids.h"
 #include "include/base/tier.h"
@@ -48,9 +49,16 @@
 // bucket level then becomes negative, and later requests are rejected until it
 // has refilled. Does no I/O and reads no clock. Not thread-safe.
 //
+// Routers that were known lately and cannot be reached may be on the other side
+// of a partition, with another owner. An owner fills its bucket at the share of
+// the routers that it can reach, so both sides together grant the quota once.
+// An owner that takes a bucket over begins with a small part of it, as the rest
+// may have been spent since the last total that it has.
+//
 // In a large fleet, each router sees few requests of each account, and its even
 // share is smaller than one request. There a router asks the owner before it
-// decides on a request, and reports only what it has spent.
+// decides on a request, and reports what it has spent and what the requests
+// that wait for the answer will spend.
 class AccountQuotas {
  public:
   struct Options {
@@ -63,12 +71,18 @@
     // After this time without an answer a report counts as lost, and the owner
     // as possibly dead.
     Duration answer_timeout = std::chrono::milliseconds(250);
-    // A total older than this is ignored, and a router whose last report is
-    // older counts as unresponsive.
+    // A total older than this is ignored.
     Duration message_lifetime = std::chrono::milliseconds(2500);
-    // How long an unresponsive router is assumed to keep spending its share.
-    Duration unresponsive_share_time = std::chrono::seconds(30);
-    // In fleets of this size or more, routers ask before they decide.
+    // In fleets whose routers report regularly, one whose last report is older
+    // counts as unreachable. Longer than `normal_interval`.
+    Duration silence_limit = std::chrono::milliseconds(1500);
+    // How long the last report of a router is kept, and how long a router that
+    // cannot be reached is assumed to spend its share.
+    Duration unreachable_time = std::chrono::minutes(30);
+    // Time for which spending that may be unknown counts against an account.
+    Duration window = std::chrono::seconds(8);
+    // In fleets of this size or more, routers ask before they decide. Routers
+    // that cannot be reached count, as the shares stay as small without them.
     size_t min_asking_fleet = 24;
     // A total is recent enough to decide on a request without asking until it
     // is this old. It bounds what many routers together spend of one total.
@@ -80,6 +94,9 @@
   struct Hooks {
     std::function<void(const RouterId&, const UsageReport&)> report;
     std::function<void(const RouterId&, const UsageTotals&)> answer;
+    // The share of the quotas that the routers in reach may grant has changed
+    // by a tenth or more, or is whole again. May be unset.
+    std::function<void(double share)> share_changed;
   };
 
   AccountQuotas(Options options, Hooks hooks, TimePoint now);
@@ -89,10 +106,15 @@
   // Sets the running routers; this router is added if it is missing.
   void SetRouters(const std::vector<RouterId>& routers, TimePoint now);
 
-  // Returns true if the account's owner has to be asked before Spend is called
-  // for a request of `cost`, and asks it. The answer arrives by OnTotals; if it
-  // does not within `answer_timeout`, call Spend anyway.
+  // Call when a request of `cost` arrives. Returns true if the account's owner
+  // has to be asked before Spend is called for it, and asks it. The request
+  // then waits until MustWait returns false or `answer_timeout` has passed.
+  // Call EndWait at the end of the wait, also for a request that is dropped.
   bool AskOwner(const AccountId& account, double cost, TimePoint now);
+  // Returns true while a request that waits has no answer, and asks again if
+  // the answer did not cover it. Call after each OnTotals.
+  bool MustWait(const AccountId& account, double cost, TimePoint now);
+  void EndWait(const AccountId& account, double cost);
 
   // Takes `cost` from the account's quota. If too little is left, takes nothing
   // and returns the time after which there may be enough. When an account
@@ -125,15 +147,23 @@
     Incarnation incarnation;
     double spent = 0.0;
     TimePoint received;
+    // True if the router could not be reached since then.
+    bool was_unreachable = false;
   };
 
   struct Account {
     AccountLimit limit;
-    // The router that owns the account's bucket.
+    // The router that owns the account's bucket, the time when it became the
+    // owner, and whether another one did within the window before.
     RouterId owner;
-    // Tokens spent by this process since its start, and the part of them that
-    // was reported.
+    std::optional<TimePoint> owner_since;
+    bool had_recent_owners = false;
+    // Tokens spent by this process since its start, and the cost of requests
+    // that wait for the owner's answer.
     double spent = 0.0;
+    double waiting = 0.0;
+    // The amount in the last report: `spent`, and `waiting` if the bucket held
+    // enough. More than `spent` if requests are still to be decided.
     double reported = 0.0;
     // The part of `spent` that an owner has acknowledged, and the owner that
     // received this figure as the baseline. A new owner receives the baseline
@@ -158,29 +188,33 @@
     std::map<RouterId, Report> reports;
   };
 
-  // Returns the router with the largest hash of its name and the account's.
-  const RouterId& FindOwner(const AccountId& account) const;
   bool IsOwner(const Account& account) const {
     return account.owner == options_.self;
   }
-  // True shortly after a restart, while other running routers may not have been
-  // discovered.
-  bool MayMissRouters(TimePoint now) const;
-  // Number of routers that may be spending, discovered or not.
-  double CountSpendingRouters(TimePoint now) const;
-  // The fraction of the rate that unresponsive routers may be spending.
-  double UnresponsiveFraction(const Account& account, TimePoint now) const;
+  // Sets the account's owner after a change of the routers.
+  void UpdateOwner(Account* account, TimePoint now);
+  void AnnounceShare();
+  // The fraction of the account's quota that its owner may grant.
+  double ShareOf(const Account& account, TimePoint now) const;
   // Level assumed for a bucket of size `burst` whose history is unknown.
   double UnknownLevel(double burst) const;
   // Initial level of a bucket that this router becomes the owner of.
-  double InitialOwnedLevel(const Account& account) const;
+  double InitialOwnedLevel(const Account& account, TimePoint now) const;
   Bucket& OwnedBucket(Account* account, TimePoint now);
   bool HasRecentTotal(const Account& account, TimePoint now) const;
   // Tokens that this router may spend now, as far as it knows.
   double Available(Account* account, TimePoint now);
   bool IsNearQuota(const Account& account) const;
+  // The amount to report for the account.
+  double AmountOf(const Account& account) const;
+  // True if a request of `cost` may be decided on by the last total.
+  bool CanDecide(const Account& account, double cost, TimePoint now) const;
+  // Sends a report on the account unless one waits for its answer.
+  void Ask(NameHash hash, Account* account, TimePoint now);
+  // Returns the account if its owner is to be asked, else null.
+  Account* FindAsking(const AccountId& account);
   bool AsksOwners() const {
-    return routers_.size() >= options_.min_asking_fleet;
+    return routers_.known() >= options_.min_asking_fleet;
   }
   // True if the account has to be reported to its owner now.
   bool IsReportDue(const Account& account, TimePoint now) const;
@@ -198,11 +232,9 @@
 
   const Options options_;
   const Hooks hooks_;
-  const TimePoint started_;
-  std::vector<RouterId> routers_;
-  // Unresponsive routers, and the time when each was removed from the running
-  // routers.
-  std::map<RouterId, TimePoint> unresponsive_;
+  SpendingRouters routers_;
+  // The share that was last passed to `share_changed`.
+  double announced_share_ = 1.0;
   std::map<NameHash, Account> accounts_;
 };
 
--- a/include/telemetry/event_catalog.h
+++ b/include/telemetry/event_catalog.h
@@ -52,10 +52,12 @@
   kUpstreamGone = 4033,
   kManifestInForce = 4034,
   kManifestRefused = 4035,
+  kSeedsChanged = 4050,
 
   // Routing and admission.
   kStragglerSetAside = 5001,
   kStragglerRecovered = 5002,
+  kQuotaShareChanged = 5033,
 
   // At-most-once.
   kClaimDoubtful = 6001,
--- a/src/admission/account_quota.cc
+++ b/src/admission/account_quota.cc
@@ -2,9 +2,9 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <utility>
 
-#include "absl/container/flat_hash_set.h"
 #include "include/base/stable_hash.h"
 
 namespace papaya {
@@ -16,18 +16,27 @@
 // unknown. It is low because several buckets may lose their history within one
 // window, after their tokens were already spent.
 constexpr double kUnknownLevelFraction = 0.05;
+// The same for a bucket whose owner changes for the first time within a window,
+// if this router knows the last total. Only one such level is granted in a
+// window, so that an account with little traffic is not rejected.
+constexpr double kFirstTakeoverFraction = 0.25;
 // An account is near its quota if less than kNearQuotaLevel of its bucket is
 // left, or if more than kNearQuotaUnreported of the bucket was spent and not
 // reported.
 constexpr double kNearQuotaLevel = 0.6;
 constexpr double kNearQuotaUnreported = 0.04;
-// Routers that start together discover each other within kDiscoveryTime. Until
-// then there may be kAssumedRouters of them.
-constexpr Duration kDiscoveryTime = std::chrono::milliseconds(1500);
-constexpr double kAssumedRouters = 7.0;
 // A router may spend this many even shares of the remaining total before it
 // reports, because callers are spread unevenly over routers.
 constexpr double kMaxUnreportedShares = 3.0;
+// Waiting requests are reported as spent only while this fraction of the bucket
+// is left. Of an account that exceeds its quota, most of them are rejected, and
+// their cost would be missing in the bucket until the next report.
+constexpr double kReserveLevel = 0.2;
+// Size of the bucket that a router uses while it has no recent total, in even
+// shares of the account's bucket. The owner may grant from the whole one until
+// it notices that it cannot be reached.
+constexpr double kLocalBucketShares = 0.5;
+constexpr double kAnnouncedShareStep = 0.1;
 // Longest time for which a router adds refill, at the full rate, to a received
 // total.
 constexpr Duration kTotalsInterval = std::chrono::milliseconds(150);
@@ -80,8 +89,10 @@
 AccountQuotas::AccountQuotas(Options options, Hooks hooks, TimePoint now)
     : options_(std::move(options)),
       hooks_(std::move(hooks)),
-      started_(now),
-      routers_{options_.self} {}
+      routers_({.self = options_.self,
+                .is_first_start = options_.is_first_start,
+                .unreachable_time = options_.unreachable_time},
+               now) {}
 
 void AccountQuotas::SetLimits(const std::vector<AccountLimit>& limits,
                               TimePoint now) {
@@ -92,10 +103,10 @@
     Account& account = accounts[hash];
     account = std::move(accounts_[hash]);
     account.limit = limit;
-    account.owner = FindOwner(limit.account);
+    UpdateOwner(&account, now);
     if (is_new) {
       account.local_bucket = {
-          .level = UnknownLevel(limit.burst) / CountSpendingRouters(now),
+          .level = UnknownLevel(limit.burst) / routers_.Count(now),
           .filled = now};
     }
   }
@@ -104,88 +115,94 @@
 
 void AccountQuotas::SetRouters(const std::vector<RouterId>& routers,
                                TimePoint now) {
-  std::vector<RouterId> live = routers;
-  if (std::find(live.begin(), live.end(), options_.self) == live.end()) {
-    live.push_back(options_.self);
-  }
-  if (live == routers_) {
+  if (!routers_.Set(routers, now)) {
     return;
   }
-  const absl::flat_hash_set<RouterId> listed(routers.begin(), routers.end());
-  for (const RouterId& router : routers_) {
-    if (!listed.contains(router)) {
-      unresponsive_.emplace(router, now);
-    }
-  }
-  for (const RouterId& router : routers) {
-    unresponsive_.erase(router);
-  }
-  routers_ = std::move(live);
   for (auto& [hash, account] : accounts_) {
-    account.owner = FindOwner(account.limit.account);
-  }
-}
-
-const RouterId& AccountQuotas::FindOwner(const AccountId& account) const {
-  const uint64_t seed = StableHash(account.value());
-  const RouterId* owner = &routers_.front();
-  uint64_t greatest = StableHash(owner->value(), seed);
-  for (const RouterId& router : routers_) {
-    const uint64_t weight = StableHash(router.value(), seed);
-    if (weight > greatest) {
-      greatest = weight;
-      owner = &router;
+    UpdateOwner(&account, now);
+    for (auto& [router, report] : account.reports) {
+      report.was_unreachable |= routers_.IsUnreachable(router);
     }
   }
-  return *owner;
+  AnnounceShare();
 }
 
-bool AccountQuotas::MayMissRouters(TimePoint now) const {
-  return !options_.is_first_start && routers_.size() == 1 &&
-         now - started_ < kDiscoveryTime;
+void AccountQuotas::AnnounceShare() {
+  const double share = routers_.ReachableFraction();
+  const bool is_whole_again = share == 1.0 && announced_share_ != 1.0;
+  if (!is_whole_again &&
+      std::abs(share - announced_share_) < kAnnouncedShareStep) {
+    return;
+  }
+  announced_share_ = share;
+  if (hooks_.share_changed) {
+    hooks_.share_changed(share);
+  }
 }
 
-double AccountQuotas::CountSpendingRouters(TimePoint now) const {
-  const double known =
-      static_cast<double>(routers_.size() + unresponsive_.size());
-  return MayMissRouters(now) ? std::max(known, kAssumedRouters) : known;
+void AccountQuotas::UpdateOwner(Account* account, TimePoint now) {
+  const RouterId& owner = routers_.FindOwner(account->limit.account);
+  if (owner == account->owner) {
+    return;
+  }
+  account->had_recent_owners = account->owner_since.has_value() &&
+                               now - *account->owner_since < options_.window;
+  account->owner = owner;
+  account->owner_since = now;
+  if (!IsOwner(*account) || !account->owned_bucket.has_value()) {
+    return;
+  }
+  // The bucket is of an earlier time as the owner, or of reports by routers
+  // that knew this router as the owner first.
+  Bucket& bucket = *account->owned_bucket;
+  if (now - bucket.filled > options_.message_lifetime) {
+    account->owned_bucket.reset();
+    account->reports.clear();
+    return;
+  }
+  // Other owners may have granted what was refilled meanwhile.
+  bucket.level = std::min(bucket.level, InitialOwnedLevel(*account, now));
+  bucket.filled = now;
 }
 
-double AccountQuotas::UnresponsiveFraction(const Account& account,
-                                           TimePoint now) const {
-  double unresponsive = 0.0;
+double AccountQuotas::ShareOf(const Account& account, TimePoint now) const {
+  double silent = 0.0;
   for (const auto& [router, report] : account.reports) {
     // In a large fleet, a router that spends nothing sends no reports.
-    const bool is_expected = !AsksOwners() || unresponsive_.contains(router);
-    unresponsive +=
-        is_expected && now - report.received > options_.message_lifetime ? 1.0
-                                                                         : 0.0;
+    const bool is_silent = !AsksOwners() && !routers_.IsUnreachable(router) &&
+                           now - report.received > options_.silence_limit;
+    silent += is_silent ? 1.0 : 0.0;
   }
-  return std::min(1.0, unresponsive / CountSpendingRouters(now));
+  return std::max(0.0, routers_.Share(now) - silent / routers_.Count(now));
 }
 
 double AccountQuotas::UnknownLevel(double burst) const {
   return options_.is_first_start ? burst : kUnknownLevelFraction * burst;
 }
 
-double AccountQuotas::InitialOwnedLevel(const Account& account) const {
-  const double unknown = UnknownLevel(account.limit.burst);
+double AccountQuotas::InitialOwnedLevel(const Account& account,
+                                        TimePoint now) const {
+  const double burst = account.limit.burst;
+  const double share = ShareOf(account, now);
+  if (!account.remaining.has_value()) {
+    return share * UnknownLevel(burst);
+  }
+  const double fraction = account.had_recent_owners ? kUnknownLevelFraction
+                                                    : kFirstTakeoverFraction;
   // `remaining` is the total of the previous owner, less what was spent here
   // since.
-  return account.remaining.has_value() ? std::min(*account.remaining, unknown)
-                                       : unknown;
+  return std::min(*account.remaining, share * fraction * burst);
 }
 
 AccountQuotas::Bucket& AccountQuotas::OwnedBucket(Account* account,
                                                   TimePoint now) {
   const AccountLimit& limit = account->limit;
   if (!account->owned_bucket.has_value()) {
-    account->owned_bucket = {.level = InitialOwnedLevel(*account),
+    account->owned_bucket = {.level = InitialOwnedLevel(*account, now),
                              .filled = now};
   }
-  account->owned_bucket->Fill(
-      limit.rate * (1.0 - UnresponsiveFraction(*account, now)), limit.burst,
-      now);
+  const double share = ShareOf(*account, now);
+  account->owned_bucket->Fill(share * limit.rate, share * limit.burst, now);
   return *account->owned_bucket;
 }
 
@@ -199,11 +216,12 @@
 
 double AccountQuotas::Available(Account* account, TimePoint now) {
   const AccountLimit& limit = account->limit;
-  if (IsOwner(*account) && !MayMissRouters(now)) {
+  if (IsOwner(*account) && !routers_.MayBeAlone(now)) {
     return OwnedBucket(account, now).level;
   }
-  account->local_bucket.Fill(limit.rate / CountSpendingRouters(now),
-                             limit.burst / CountSpendingRouters(now), now);
+  account->local_bucket.Fill(
+      limit.rate / routers_.Count(now),
+      kLocalBucketShares * limit.burst / routers_.Count(now), now);
   if (!HasRecentTotal(*account, now)) {
     return account->local_bucket.level;
   }
@@ -211,34 +229,78 @@
   return *account->remaining + limit.rate * ToSeconds(age);
 }
 
+AccountQuotas::Account* AccountQuotas::FindAsking(const AccountId& name) {
+  const auto found = accounts_.find(HashOf(name));
+  const bool asks = found != accounts_.end() &&
+                    found->second.limit.rate > 0.0 && AsksOwners() &&
+                    !IsOwner(found->second);
+  return asks ? &found->second : nullptr;
+}
+
+bool AccountQuotas::CanDecide(const Account& account,
+                              double cost,
+                              TimePoint now) const {
+  const double unreported = account.spent - account.reported;
+  return account.remaining.has_value() &&
+         now - account.received <= options_.ask_validity &&
+         (unreported <= 0.0 || unreported + cost <= account.unreported_limit);
+}
+
+void AccountQuotas::Ask(NameHash hash, Account* account, TimePoint now) {
+  const bool is_asked = account->unanswered_since.has_value() &&
+                        now - account->last_ask < options_.ask_validity;
+  if (is_asked) {
+    return;
+  }
+  account->last_ask = now;
+  ReportsByOwner baselines;
+  ReportsByOwner reports;
+  AddReport(hash, account, now, &baselines, &reports);
+  SendReports(baselines, reports);
+}
+
 bool AccountQuotas::AskOwner(const AccountId& name,
                              double cost,
                              TimePoint now) {
-  const auto found = accounts_.find(HashOf(name));
-  if (found == accounts_.end() || found->second.limit.rate <= 0.0 ||
-      !AsksOwners() || IsOwner(found->second)) {
+  Account* account = FindAsking(name);
+  if (account == nullptr || CanDecide(*account, cost, now)) {
     return false;
   }
-  Account& account = found->second;
-  const double unreported = account.spent - account.reported;
-  const bool is_recent = account.remaining.has_value() &&
-                         now - account.received <= options_.ask_validity;
-  if (is_recent &&
-      (unreported <= 0.0 || unreported + cost <= account.unreported_limit)) {
+  account->waiting += cost;
+  Ask(HashOf(name), account, now);
+  return true;
+}
+
+bool AccountQuotas::MustWait(const AccountId& name,
+                             double cost,
+                             TimePoint now) {
+  Account* account = FindAsking(name);
+  if (account == nullptr || CanDecide(*account, cost, now)) {
     return false;
   }
-  const bool is_asked = account.unanswered_since.has_value() &&
-                        now - account.last_ask < options_.ask_validity;
-  if (!is_asked) {
-    account.last_ask = now;
-    ReportsByOwner baselines;
-    ReportsByOwner reports;
-    AddReport(found->first, &account, now, &baselines, &reports);
-    SendReports(baselines, reports);
-  }
+  Ask(HashOf(name), account, now);
   return true;
 }
 
+void AccountQuotas::EndWait(const AccountId& name, double cost) {
+  const auto found = accounts_.find(HashOf(name));
+  if (found != accounts_.end()) {
+    found->second.waiting = std::max(0.0, found->second.waiting - cost);
+  }
+}
+
+double AccountQuotas::AmountOf(const Account& account) const {
+  // An owner that has not answered yet may take the report for the baseline,
+  // and would never charge what waits.
+  const bool is_known_to_owner = account.remaining.has_value() &&
+                                 account.owner_since.has_value() &&
+                                 account.received > *account.owner_since;
+  const bool has_room =
+      is_known_to_owner &&
+      *account.remaining >= kReserveLevel * account.limit.burst;
+  return has_room ? account.spent + account.waiting : account.spent;
+}
+
 std::optional<Duration> AccountQuotas::Spend(const AccountId& name,
                                              Tier tier,
                                              double cost,
@@ -302,8 +364,13 @@
     Bucket& bucket = OwnedBucket(&account, now);
     const auto known = account.reports.find(from);
     // A first report is only a baseline: its spending was counted by the
-    // previous owner. Later reports are charged by their difference.
-    if (known != account.reports.end()) {
+    // previous owner. So is the first one after a partition, when the router
+    // had another owner. Later reports are charged by their difference.
+    const bool is_baseline =
+        known == account.reports.end() ||
+        (known->second.was_unreachable &&
+         now - known->second.received > options_.message_lifetime);
+    if (!is_baseline) {
       const bool is_same = known->second.incarnation == report.incarnation;
       bucket.level -= usage.amount - (is_same ? known->second.spent : 0.0);
     }
@@ -330,10 +397,12 @@
     account.remaining = usage.amount - (account.spent - account.reported);
     account.unreported_limit =
         *account.remaining *
-        std::min(1.0, kMaxUnreportedShares / CountSpendingRouters(now));
+        std::min(1.0, kMaxUnreportedShares / routers_.CountReachable(now));
     account.unanswered_since.reset();
     account.received = now;
-    account.acknowledged = account.reported;
+    // Not more than was spent: the cost of requests that are rejected after all
+    // must not be credited to the bucket of a later owner.
+    account.acknowledged = std::min(account.spent, account.reported);
   }
 }
 
@@ -345,14 +414,13 @@
 }
 
 void AccountQuotas::OnTick(TimePoint now) {
-  std::erase_if(unresponsive_, [this, now](const auto& item) {
-    return now - item.second > options_.unresponsive_share_time;
-  });
+  routers_.Forget(now);
+  AnnounceShare();
   ReportsByOwner baselines;
   ReportsByOwner reports;
   for (auto& [hash, account] : accounts_) {
     std::erase_if(account.reports, [this, now](const auto& item) {
-      return now - item.second.received > options_.unresponsive_share_time;
+      return now - item.second.received > options_.unreachable_time;
     });
     if (IsOwner(account)) {
       account.acknowledged = account.spent;
@@ -371,7 +439,7 @@
     return false;
   }
   if (AsksOwners()) {
-    return account.spent != account.reported &&
+    return AmountOf(account) != account.reported &&
            now >= account.last_report + options_.near_quota_interval;
   }
   const Duration interval = IsNearQuota(account) ? options_.near_quota_interval
@@ -393,13 +461,13 @@
         {.account = hash, .amount = account->acknowledged});
   }
   account->last_report = now;
-  account->reported = account->spent;
+  account->reported = AmountOf(*account);
   if (!account->unanswered_since.has_value()) {
     account->unanswered_since = now;
   }
   UsageReport& report = (*reports)[account->owner];
   report.incarnation = options_.incarnation;
-  report.accounts.push_back({.account = hash, .amount = account->spent});
+  report.accounts.push_back({.account = hash, .amount = account->reported});
 }
 
 void AccountQuotas::SendReports(const ReportsByOwner& baselines,
--- a/src/gateway/request_dispatcher.cc
+++ b/src/gateway/request_dispatcher.cc
@@ -137,8 +137,15 @@
       scheduler_(MakeOptions(settings, incarnation), MakeHooks()),
       quotas_({.self = settings.router,
                .incarnation = incarnation,
+               .window = settings.bounds.quotas.window,
                .is_first_start = settings.is_first_start},
-              {.report = hooks_.send_usage, .answer = hooks_.send_totals},
+              {.report = hooks_.send_usage,
+               .answer = hooks_.send_totals,
+               .share_changed =
+                   [this](double share) {
+                     hooks_.event({.id = EventId::kQuotaShareChanged,
+                                   .fields = {{"share", absl::StrCat(share)}}});
+                   }},
               SteadyNow()),
       quarantine_(
           settings.router,
@@ -479,15 +486,16 @@
 void RequestDispatcher::AdmitParked(TimePoint now) {
   std::deque<ParkedRequest> parked = std::exchange(parked_, {});
   for (ParkedRequest& request : parked) {
-    if (*request.is_abandoned) {
-      continue;
-    }
     const RelayedRequest::Input& input = request.input;
-    if (now < request.admit_at &&
-        quotas_.AskOwner(input.account, input.quota_cost, now)) {
+    if (!*request.is_abandoned && now < request.admit_at &&
+        quotas_.MustWait(input.account, input.quota_cost, now)) {
       parked_.push_back(std::move(request));
       continue;
     }
+    quotas_.EndWait(input.account, input.quota_cost);
+    if (*request.is_abandoned) {
+      continue;
+    }
     Admit(std::move(request.input));
   }
 }
--- a/src/telemetry/event_catalog.cc
+++ b/src/telemetry/event_catalog.cc
@@ -114,6 +114,8 @@
        "Requests that arrive from now on go by this version of the manifest."},
       {EventId::kManifestRefused, Severity::kError, "manifest_refused",
        "A manifest can't be read; the one before stays in force."},
+      {EventId::kSeedsChanged, Severity::kInfo, "seeds_changed",
+       "The settings file names other seeds; they are contacted from now on."},
 
       // Routing and admission.
       {EventId::kStragglerSetAside, Severity::kWarning, "straggler_set_aside",
@@ -121,6 +123,10 @@
        "work until it recovers; look at its VM if it stays so."},
       {EventId::kStragglerRecovered, Severity::kInfo, "straggler_recovered",
        "An upstream that was set aside keeps up with its kind again."},
+      {EventId::kQuotaShareChanged, Severity::kWarning, "quota_share_changed",
+       "Some of the routers known lately can't be reached, or can again; this "
+       "router's side grants only the share of the quotas that is named. If it "
+       "stays below 1, look for a partition or for routers that are down."},
 
       // At-most-once.
       {EventId::kClaimDoubtful, Severity::kWarning, "claim_doubtful",
