--- a/src/papaya_gateway_main.cc
+++ b/src/papaya_gateway_main.cc
@@ -71,7 +71,7 @@
 constexpr std::chrono::seconds kSettingsInterval{2};
 
 // Reads the settings file on SIGHUP and every kSettingsInterval, and applies
-// changed bounds to the gateway.
+// changed bounds and seeds to the gateway.
 class SettingsWatcher {
  public:
   SettingsWatcher(boost::asio::io_context& context,
@@ -82,6 +82,7 @@
         reload_(context, SIGHUP),
         bounds_(settings.bounds),
         ignored_(settings.ignored),
+        seeds_(settings.seeds),
         gateway_(gateway),
         logger_(logger) {
     AwaitSignal();
@@ -128,12 +129,17 @@
       bounds_ = settings->bounds;
       gateway_->SetBounds(bounds_);
     }
+    if (settings->seeds != seeds_) {
+      seeds_ = settings->seeds;
+      gateway_->SetSeeds(seeds_);
+    }
   }
 
   boost::asio::steady_timer timer_;
   boost::asio::signal_set reload_;
   papaya::GatewayBounds bounds_;
   std::vector<std::string> ignored_;
+  std::vector<std::string> seeds_;
   papaya::Gateway* const gateway_;
   papaya::Logger* const logger_;
   absl::Status last_error_;
