Charge peer links and HTTP answers to the memory budget

Cause: up to 4 MB wait for each router that takes nothing, 1.2 GB for 300; an inbound peer may hold a frame of 1 MB in part on each of 1,024 connections; the buffer of a long frame was kept until the connection ended.

Change: PeerNetwork::Options::memory. What waits, the batch being written and incomplete frames are charged as kPeers. FetchHttp reports how the body of an answer grows, so that its caller can charge it.

--- a/include/wire/http_client.h
+++ b/include/wire/http_client.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -81,13 +82,15 @@
     Bytes max_bytes = kMaxAnswerBytes);
 
 // The same on a connection of `pool`, which must outlive the call and has it
-// back after a whole answer.
+// back after a whole answer. `grown`, which may be empty, is called with the
+// memory of the answer's body whenever that has grown.
 boost::asio::awaitable<absl::StatusOr<HttpResponse>> FetchHttp(
     HttpClientPool* pool,
     std::string address,
     HttpRequest request,
     TimePoint deadline,
-    Bytes max_bytes = kMaxAnswerBytes);
+    Bytes max_bytes = kMaxAnswerBytes,
+    std::function<void(size_t bytes)> grown = nullptr);
 
 }  // namespace papaya
 
--- a/include/wire/peer_network.h
+++ b/include/wire/peer_network.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "absl/status/status.h"
+#include "include/admission/memory_budget.h"
 #include "include/base/ids.h"
 #include "include/base/units.h"
 #include "include/membership/member_messages.h"
@@ -30,6 +31,10 @@
     std::string listen_address;
     // Bytes that wait for one router at most; further messages are dropped.
     Bytes max_queued_bytes{4 * 1024 * 1024};
+    // What waits for routers, and frames that are received in part, is charged
+    // to this budget; messages beyond its part for routers are dropped. May be
+    // null.
+    std::shared_ptr<MemoryBudget> memory;
     // Connections from other routers at most.
     int max_inbound = 1024;
     Duration handshake_timeout = std::chrono::seconds(3);
--- a/src/wire/http_client.cc
+++ b/src/wire/http_client.cc
@@ -199,7 +199,8 @@
     const std::string& address,
     const HttpRequest& request,
     TimePoint deadline,
-    Bytes max_bytes) {
+    Bytes max_bytes,
+    std::function<void(size_t)> grown) {
   const absl::Status sent = co_await client->Send(request, deadline);
   if (!sent.ok()) {
     co_return sent;
@@ -215,6 +216,9 @@
       break;
     }
     response->body += *piece;
+    if (grown) {
+      grown(response->body.capacity());
+    }
     if (std::ssize(response->body) > max_bytes.value()) {
       co_return MakeError(absl::StatusCode::kResourceExhausted,
                           {.step = "http.read_body", .peer = address},
@@ -236,14 +240,16 @@
     co_return client.status();
   }
   co_return co_await Exchange(client->get(), address, request, deadline,
-                              max_bytes);
+                              max_bytes, nullptr);
 }
 
-asio::awaitable<absl::StatusOr<HttpResponse>> FetchHttp(HttpClientPool* pool,
-                                                        std::string address,
-                                                        HttpRequest request,
-                                                        TimePoint deadline,
-                                                        Bytes max_bytes) {
+asio::awaitable<absl::StatusOr<HttpResponse>> FetchHttp(
+    HttpClientPool* pool,
+    std::string address,
+    HttpRequest request,
+    TimePoint deadline,
+    Bytes max_bytes,
+    std::function<void(size_t)> grown) {
   std::unique_ptr<HttpClient> client = pool->TakeIdle(address);
   if (client == nullptr) {
     absl::StatusOr<std::unique_ptr<HttpClient>> connected =
@@ -253,8 +259,8 @@
     }
     client = *std::move(connected);
   }
-  absl::StatusOr<HttpResponse> response =
-      co_await Exchange(client.get(), address, request, deadline, max_bytes);
+  absl::StatusOr<HttpResponse> response = co_await Exchange(
+      client.get(), address, request, deadline, max_bytes, std::move(grown));
   if (response.ok()) {
     pool->Give(address, std::move(client));
   }
--- a/src/wire/peer_frame.cc
+++ b/src/wire/peer_frame.cc
@@ -10,6 +10,8 @@
 
 constexpr size_t kLengthBytes = 4;
 constexpr int kBitsPerByte = 8;
+// An empty buffer is kept up to this size.
+constexpr size_t kMaxIdleBytes = size_t{32} * 1024;
 
 uint32_t ReadLength(const std::string& bytes, size_t at) {
   uint32_t length = 0;
@@ -54,6 +56,11 @@
   }
   frame = pending_.substr(at_ + kLengthBytes, length);
   at_ += kLengthBytes + length;
+  if (at_ == pending_.size() && pending_.capacity() > kMaxIdleBytes) {
+    // The memory of a long frame is not kept until the next one.
+    pending_ = std::string();
+    at_ = 0;
+  }
   return frame;
 }
 
--- a/src/wire/peer_frame.h
+++ b/src/wire/peer_frame.h
@@ -27,6 +27,9 @@
   // Takes the next bytes.
   void Append(const std::string& bytes);
 
+  // The memory of the bytes that were taken and not returned yet.
+  size_t held_bytes() const { return pending_.capacity(); }
+
   // The content of the next frame; empty if it is not whole yet. Fails with
   // kResourceExhausted on a frame that is too long; the reader is of no use
   // then.
--- a/src/wire/peer_link.cc
+++ b/src/wire/peer_link.cc
@@ -35,16 +35,20 @@
       options_(options),
       address_(std::move(address)),
       hooks_(std::move(hooks)),
-      wake_(context) {}
+      wake_(context),
+      charge_(options.memory, MemoryKind::kPeers) {}
 
 void PeerLink::Send(const RouterId& router, std::string content) {
   const int64_t bytes = waiting_bytes_ + std::ssize(content);
   if (stopped_ || bytes > options_.max_queued_bytes.value() ||
-      content.size() > kMaxPeerFrameBytes) {
+      content.size() > kMaxPeerFrameBytes ||
+      (options_.memory != nullptr &&
+       !options_.memory->AdmitsPeers(std::ssize(content)))) {
     hooks_.dropped(content.size());
     return;
   }
   waiting_bytes_ = bytes;
+  charge_.Set(bytes);
   waiting_.push_back({.router = router, .content = std::move(content)});
   wake_.cancel();
   if (!std::exchange(is_running_, true)) {
@@ -133,6 +137,7 @@
       ++messages;
       hooks_.sent(message.content.size());
     }
+    charge_.Set(waiting_bytes_ + static_cast<int64_t>(batch.capacity()));
     if (messages > 0) {
       const absl::Status written =
           co_await socket->Write(std::move(batch), kWriteTimeout);
@@ -163,6 +168,7 @@
   }
   waiting_.clear();
   waiting_bytes_ = 0;
+  charge_.Set(0);
 }
 
 }  // namespace papaya
--- a/src/wire/peer_link.h
+++ b/src/wire/peer_link.h
@@ -63,6 +63,7 @@
   boost::asio::steady_timer wake_;
   std::deque<Waiting> waiting_;
   int64_t waiting_bytes_ = 0;
+  MemoryCharge charge_;
   std::shared_ptr<PeerSocket> socket_;
   // Proven by the other end of socket_.
   RouterId peer_;
--- a/src/wire/peer_network.cc
+++ b/src/wire/peer_network.cc
@@ -110,6 +110,7 @@
     }
     const uint64_t id = next_inbound_++;
     const auto peer = std::make_shared<PeerSocket>(std::move(socket));
+    peer->SetMemory(options_.memory);
     inbound_[id] = peer;
     asio::co_spawn(
         context_,
--- a/src/wire/peer_socket.cc
+++ b/src/wire/peer_socket.cc
@@ -18,6 +18,8 @@
 using boost::system::error_code;
 
 constexpr size_t kReadBytes = size_t{16} * 1024;
+// Longer frames are refused while the memory for routers is used up.
+constexpr int64_t kUsualFrameBytes = int64_t{64} * 1024;
 
 std::string NameOf(const asio::ip::tcp::endpoint& endpoint) {
   return absl::StrCat(endpoint.address().to_string(), ":", endpoint.port());
@@ -82,6 +84,7 @@
       co_return frame.status();
     }
     if (frame->has_value()) {
+      charge_.Set(static_cast<int64_t>(reader_.held_bytes()));
       co_return **std::move(frame);
     }
     bytes.resize(kReadBytes);
@@ -93,9 +96,22 @@
     }
     bytes.resize(size);
     reader_.Append(bytes);
+    const auto held = static_cast<int64_t>(reader_.held_bytes());
+    charge_.Set(held);
+    if (held > kUsualFrameBytes && memory_ != nullptr &&
+        !memory_->AdmitsPeers(0)) {
+      co_return MakeError(absl::StatusCode::kResourceExhausted,
+                          {.step = "peer.read", .peer = peer_},
+                          "no memory for a long frame");
+    }
   }
 }
 
+void PeerSocket::SetMemory(std::shared_ptr<MemoryBudget> memory) {
+  memory_ = std::move(memory);
+  charge_ = MemoryCharge(memory_, MemoryKind::kPeers);
+}
+
 asio::awaitable<absl::Status> PeerSocket::Write(std::string bytes,
                                                 Duration timeout) {
   Arm(timeout);
--- a/src/wire/peer_socket.h
+++ b/src/wire/peer_socket.h
@@ -9,6 +9,7 @@
 
 #include "absl/status/status.h"
 #include "absl/status/statusor.h"
+#include "include/admission/memory_budget.h"
 #include "include/base/units.h"
 #include "src/wire/peer_frame.h"
 #include "src/wire/peer_handshake.h"
@@ -35,6 +36,9 @@
   boost::asio::awaitable<absl::StatusOr<std::string>> ReadFrame(
       Duration timeout);
 
+  // Charges what is held of incomplete frames. `memory` may be null.
+  void SetMemory(std::shared_ptr<MemoryBudget> memory);
+
   // Writes whole frames.
   boost::asio::awaitable<absl::Status> Write(std::string bytes,
                                              Duration timeout);
@@ -50,6 +54,8 @@
   boost::asio::ip::tcp::socket socket_;
   boost::asio::steady_timer timer_;
   PeerFrameReader reader_;
+  std::shared_ptr<MemoryBudget> memory_;
+  MemoryCharge charge_;
   std::string peer_;
   bool timed_out_ = false;
 };
