--- a/include/gateway/gateway_settings.h
+++ b/include/gateway/gateway_settings.h
@@ -44,6 +44,11 @@
   bool is_first_start = false;
   // Maximum number of open files and sockets of this process.
   int max_descriptors = 1024;
+  // Limit of this process's memory; zero if there is none, which switches the
+  // memory budget off.
+  Bytes memory_limit{0};
+  // Why the limit in the settings is not used; empty if it is.
+  std::string memory_limit_error;
   GatewayBounds bounds;
 };
 
--- a/include/gateway/platform_binding.h
+++ b/include/gateway/platform_binding.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "absl/status/statusor.h"
+#include "include/admission/memory_budget.h"
 #include "include/gateway/gateway_config.h"
 #include "include/gateway/gateway_settings.h"
 #include "include/gateway/header_codec.h"
@@ -20,9 +21,12 @@
 // translate between formats; all decisions are made by the gateway.
 struct PlatformBinding {
   HeaderCodec header_codec;
-  // Returns a client of the platform's store at `address`.
-  std::function<std::unique_ptr<PlatformStore>(boost::asio::io_context&,
-                                               const std::string& address)>
+  // Returns a client of the platform's store at `address`, whose responses are
+  // charged to `memory`, which may be null.
+  std::function<std::unique_ptr<PlatformStore>(
+      boost::asio::io_context&,
+      const std::string& address,
+      std::shared_ptr<MemoryBudget> memory)>
       open_store;
   // The object kinds of manifests and upstreams, and the name of the manifest
   // object to use.
--- a/include/telemetry/event_catalog.h
+++ b/include/telemetry/event_catalog.h
@@ -78,6 +78,11 @@
   kQuarantineEnded = 8022,
   kArchiveFailed = 8023,
   kLoopDelayed = 8031,
+  kMemoryReadingPaused = 8055,
+  kMemoryReadingResumed = 8056,
+  kMemoryRejecting = 8057,
+  kMemoryRejectingEnded = 8058,
+  kMemoryLimitRefused = 8059,
 };
 
 enum class Severity : uint8_t { kDebug, kInfo, kWarning, kError };
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -28,6 +28,17 @@
 // Reads of one connection whose times are kept. Those of later reads count as
 // that of the last one kept.
 constexpr size_t kMaxReads = 64;
+// Bodies up to this size are read without reserved room. Larger ones must not
+// all be read at once.
+constexpr int64_t kSmallBodyBytes = int64_t{64} * 1024;
+// A body whose room others wait for must be complete within this time after the
+// room was granted.
+constexpr Duration kMaxGrantTime = std::chrono::seconds(10);
+// A caller that sends a rejected request to its end before it reads the
+// response gets this long for it.
+constexpr Duration kDiscardTimeout = std::chrono::seconds(5);
+// An input buffer that is empty is kept up to this size.
+constexpr size_t kMaxIdleInput = 1024;
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
 
@@ -45,10 +56,14 @@
                                    std::shared_ptr<CallerShared> shared)
     : shared_(std::move(shared)),
       channel_(std::make_shared<TcpChannel>(std::move(socket))),
+      input_charge_(shared_->memory.budget, MemoryKind::kReading),
+      body_charge_(shared_->memory.budget, MemoryKind::kReading),
       state_start_(SteadyNow()),
       idle_limit_(shared_->limits.idle_timeout) {}
 
-CallerConnection::~CallerConnection() = default;
+CallerConnection::~CallerConnection() {
+  CancelWait();
+}
 
 void CallerConnection::Start() {
   TcpChannel::Hooks hooks;
@@ -69,6 +84,8 @@
       self->drained_();
     }
   };
+  channel_->SetMemory(shared_->memory.budget, MemoryKind::kResponses,
+                      /*charges_unread=*/true);
   channel_->Start(std::move(hooks));
 }
 
@@ -88,12 +105,22 @@
   }
   AddInput(bytes);
   if (state_ == State::kResponding) {
+    ChargeInput();
     if (input_.size() > kMaxPipelinedBytes) {
       channel_->SetReading(false);
     }
     return;
   }
   ReadRequests();
+  ChargeInput();
+}
+
+void CallerConnection::ChargeInput() {
+  if (input_.empty() && input_.capacity() > kMaxIdleInput) {
+    input_ = std::string();
+  }
+  const size_t head = reader_ == nullptr ? 0 : reader_->head_memory();
+  input_charge_.Set(static_cast<int64_t>(input_.capacity() + head));
 }
 
 TimePoint CallerConnection::ReceiveTime() {
@@ -153,9 +180,15 @@
   }
   switch (reader_->Feed(&input_)) {
     case RequestReader::State::kHead:
+      if (HasLimit() && !shared_->memory.budget->AdmitsHeads()) {
+        RejectForMemory();
+      }
       return;
     case RequestReader::State::kBody:
       state_start_ = SteadyNow();
+      if (HasLimit() && !AdmitBody()) {
+        return;
+      }
       if (reader_->expects_continue() && !has_sent_continue_) {
         has_sent_continue_ = true;
         channel_->Write("HTTP/1.1 100 Continue\r\n\r\n");
@@ -170,11 +203,130 @@
   }
 }
 
+bool CallerConnection::AdmitBody() {
+  if (has_room_) {
+    return true;
+  }
+  MemoryBudget& budget = *shared_->memory.budget;
+  const std::optional<uint64_t> length = reader_->length();
+  const auto received = static_cast<int64_t>(reader_->body_size());
+  const int64_t size =
+      length.has_value() ? static_cast<int64_t>(*length) : received;
+  const bool is_new = body_charge_.bytes() == 0;
+  if (size <= kSmallBodyBytes) {
+    if (is_new && !budget.Admits(Tier::kBatch) &&
+        !budget.Admits(shared_->memory.classify(reader_->CopyHead()).tier)) {
+      RejectForMemory();
+      return false;
+    }
+    // At least 1, so that a body without a length is admitted once.
+    body_charge_.Set(std::max<int64_t>(size, 1));
+    return true;
+  }
+  // A body without a length may become as long as the limit allows.
+  const int64_t room =
+      length.has_value()
+          ? size
+          : std::max(shared_->limits.max_body_bytes.value(), received);
+  const CallerMemory::HeadClass head =
+      shared_->memory.classify(reader_->CopyHead());
+  if (!budget.Admits(head.tier) || !budget.CanEverGrant(head.tier, room)) {
+    RejectForMemory();
+    return false;
+  }
+  std::optional<MemoryCharge> charge = budget.TryReserve(head.tier, room);
+  if (!charge.has_value()) {
+    AwaitRoom(head, room);
+    return false;
+  }
+  body_charge_ = std::move(*charge);
+  has_room_ = true;
+  granted_ = SteadyNow();
+  reader_->ReserveBody(static_cast<size_t>(room));
+  return true;
+}
+
+void CallerConnection::AwaitRoom(const CallerMemory::HeadClass& head,
+                                 int64_t bytes) {
+  // What was received is held meanwhile.
+  body_charge_.Set(static_cast<int64_t>(reader_->body_size()));
+  channel_->SetReading(false);
+  wait_end_ = SteadyNow() + head.max_wait;
+  waiter_ = shared_->memory.budget->Await(
+      head.tier, bytes, [weak = weak_from_this()](MemoryCharge charge) {
+        if (const auto self = weak.lock()) {
+          self->OnRoomGranted(std::move(charge));
+        }
+      });
+}
+
+void CallerConnection::OnRoomGranted(MemoryCharge charge) {
+  waiter_.reset();
+  reader_->ReserveBody(static_cast<size_t>(charge.bytes()));
+  body_charge_ = std::move(charge);
+  has_room_ = true;
+  granted_ = SteadyNow();
+  state_start_ = granted_;
+  channel_->SetReading(true);
+  if (reader_->expects_continue() && !has_sent_continue_) {
+    has_sent_continue_ = true;
+    channel_->Write("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+}
+
+void CallerConnection::CancelWait() {
+  if (waiter_.has_value()) {
+    shared_->memory.budget->Cancel(*std::exchange(waiter_, std::nullopt));
+  }
+}
+
+void CallerConnection::TickWaiting(TimePoint now) {
+  if (CloseIfCallerLeft()) {
+    return;
+  }
+  if (now >= wait_end_) {
+    RejectForMemory();
+  }
+}
+
+void CallerConnection::RejectForMemory() {
+  CancelWait();
+  HttpRequest head;
+  const bool has_head = reader_->is_head_done();
+  if (has_head) {
+    head = reader_->CopyHead();
+  }
+  state_ = State::kResponding;
+  keeps_alive_ = false;
+  discards_request_ = true;
+  Respond(shared_->memory.reject(has_head ? &head : nullptr));
+  channel_->SetReading(true);
+}
+
+std::shared_ptr<const std::string> CallerConnection::HoldBody(
+    std::string body) {
+  struct Held {
+    std::string bytes;
+    MemoryCharge charge;
+  };
+  auto held = std::make_shared<Held>();
+  held->bytes = std::move(body);
+  held->charge = std::move(body_charge_);
+  body_charge_ = MemoryCharge(shared_->memory.budget, MemoryKind::kReading);
+  return {held, &held->bytes};
+}
+
 void CallerConnection::DeliverRequest() {
   keeps_alive_ = reader_->keeps_alive();
   is_http_1_0_ = reader_->is_http_1_0();
   HttpRequest request = reader_->Take();
   reader_.reset();
+  has_room_ = false;
+  if (request.body.capacity() > 2 * request.body.size()) {
+    request.body.shrink_to_fit();
+  }
+  body_charge_.SetKind(MemoryKind::kRequests);
+  body_charge_.Set(static_cast<int64_t>(request.body.capacity()));
   is_head_request_ = request.method == "HEAD";
   state_ = State::kResponding;
   const std::shared_ptr<CallerConnection> self = shared_from_this();
@@ -262,8 +414,13 @@
   disconnected_ = nullptr;
   drained_ = nullptr;
   state_start_ = SteadyNow();
+  reader_.reset();
+  body_charge_.Set(0);
+  body_charge_.SetKind(MemoryKind::kReading);
   if (!keeps_alive_ || !channel_->is_open()) {
     state_ = State::kClosing;
+    input_ = std::string();
+    ChargeInput();
     channel_->EndWriting();
     return;
   }
@@ -321,8 +478,15 @@
       }
       return;
     case State::kReading: {
+      if (waiter_.has_value()) {
+        TickWaiting(now);
+        return;
+      }
       const bool has_head = reader_->is_head_done();
-      if (age > (has_head ? kBodyTimeout : shared_->limits.header_timeout)) {
+      const bool blocks_others = has_room_ && now - granted_ > kMaxGrantTime &&
+                                 shared_->memory.budget->waiting() > 0;
+      if (blocks_others ||
+          age > (has_head ? kBodyTimeout : shared_->limits.header_timeout)) {
         RejectRequest({.status = 408,
                        .code = "request_timeout",
                        .message = "the request was not received in time"});
@@ -337,8 +501,9 @@
       return;
     case State::kClosing:
     case State::kHalfClosed:
-      if (age > kCloseTimeout + (channel_->pending_bytes() > 0 ? kWriteTimeout
-                                                               : Duration())) {
+      if (age >
+          (discards_request_ ? kDiscardTimeout : kCloseTimeout) +
+              (channel_->pending_bytes() > 0 ? kWriteTimeout : Duration())) {
         Close();
       }
       return;
@@ -355,6 +520,11 @@
   state_ = State::kClosed;
   disconnected_ = nullptr;
   drained_ = nullptr;
+  CancelWait();
+  reader_.reset();
+  input_ = std::string();
+  ChargeInput();
+  body_charge_.Set(0);
   channel_->Close();
   shared_->ended(this);
 }
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -11,6 +11,8 @@
 #include <string_view>
 #include <utility>
 
+#include "include/admission/memory_budget.h"
+#include "include/base/tier.h"
 #include "include/base/units.h"
 #include "include/gateway/gateway_config.h"
 #include "include/wire/http_message.h"
@@ -21,6 +23,22 @@
 class CallerConnection;
 class TcpChannel;
 
+// How callers' requests share memory with everything else that a router holds.
+struct CallerMemory {
+  // What is known of a request once its header was read.
+  struct HeadClass {
+    Tier tier = Tier::kStandard;
+    // How long the request may wait until its body is read.
+    Duration max_wait{};
+  };
+
+  std::shared_ptr<MemoryBudget> budget;
+  std::function<HeadClass(const HttpRequest& head)> classify;
+  // Returns the response to a request that is rejected because memory is short.
+  // `head` is null if it was not read completely.
+  std::function<HttpResponse(const HttpRequest* head)> reject;
+};
+
 // State and hooks shared by all connections of one listening address.
 struct CallerShared {
   // Limits for requests that start from now on.
@@ -40,6 +58,8 @@
   // Estimates how long bytes that are read now have waited to be read. Used if
   // the system does not tell; may be empty.
   std::function<Duration()> read_delay;
+  // Without a budget, memory is not counted.
+  CallerMemory memory;
 };
 
 // A connection of a caller. Reads one request at a time and writes its
@@ -87,6 +107,10 @@
   // Enforces the timeouts.
   void OnTick(TimePoint now);
 
+  // Returns `body`, that of the request that was just delivered, with its
+  // charge to the memory budget.
+  std::shared_ptr<const std::string> HoldBody(std::string body);
+
   // When the first bytes of the current request were received by the system,
   // which is before they were read if the event loop was busy. Valid from the
   // delivery of a request to the end of its response.
@@ -112,6 +136,22 @@
   void ReadRequests();
   void ReadRequest();
   void DeliverRequest();
+  // Decides whether the rest of the body may be read now. Otherwise pauses
+  // reading or rejects the request, and returns false.
+  bool AdmitBody();
+  // Waits for the room for `bytes`.
+  void AwaitRoom(const CallerMemory::HeadClass& head, int64_t bytes);
+  void OnRoomGranted(MemoryCharge charge);
+  // Handles a connection whose reading is paused: no timeout of a sender
+  // applies, but its end is noticed.
+  void TickWaiting(TimePoint now);
+  void CancelWait();
+  void RejectForMemory();
+  bool HasLimit() const {
+    return shared_->memory.budget != nullptr &&
+           shared_->memory.budget->is_limited();
+  }
+  void ChargeInput();
   void RejectRequest(const HttpFault& read_error);
   // Returns when the system received the bytes that are read now.
   TimePoint ReceiveTime();
@@ -142,6 +182,17 @@
   bool has_sent_continue_ = false;
   bool is_reading_requests_ = false;
   bool has_ended_ = false;
+  // The room for the current body was granted.
+  bool has_room_ = false;
+  // The rest of a rejected request is received and dropped.
+  bool discards_request_ = false;
+  // Set while the current body waits for its room.
+  std::optional<MemoryBudget::WaiterId> waiter_;
+  TimePoint wait_end_;
+  TimePoint granted_;
+  // The received bytes that are not parsed yet, with the header; and the body.
+  MemoryCharge input_charge_;
+  MemoryCharge body_charge_;
   // When the state was entered, or bytes of the body were last received.
   TimePoint state_start_;
   TimePoint request_received_;
--- a/src/gateway/caller_listener.h
+++ b/src/gateway/caller_listener.h
@@ -40,6 +40,9 @@
     shared_->read_delay = std::move(read_delay);
   }
 
+  // Charges all connections accepted from now on to a budget.
+  void SetMemory(CallerMemory memory) { shared_->memory = std::move(memory); }
+
   void SetLimits(const CallerLimits& limits) { shared_->limits = limits; }
 
   // From now on, responses carry `Connection: close`.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -20,6 +20,7 @@
 #include "include/wire/steady_time.h"
 #include "src/gateway/caller_listener.h"
 #include "src/gateway/gateway_metrics.h"
+#include "src/gateway/memory_log.h"
 #include "src/gateway/request_dispatcher.h"
 #include "src/gateway/router_mesh.h"
 
@@ -78,6 +79,9 @@
        PlatformBinding binding,
        Logger* logger);
 
+  // Connections that outlive the gateway must not call into it.
+  ~Impl() { memory_->SetHooks({}); }
+
   absl::Status Start();
   void Drain(std::function<void()> ended);
   void SetBounds(const GatewayBounds& bounds) {
@@ -132,6 +136,7 @@
   const Incarnation incarnation_ = NewIncarnation();
   LoopMonitor monitor_{&SteadyNow};
   boost::asio::steady_timer timer_;
+  const std::shared_ptr<MemoryBudget> memory_;
   std::unique_ptr<PlatformStore> store_;
   RequestDispatcher dispatcher_;
   QuarantineArchive archive_;
@@ -173,7 +178,8 @@
       binding_(std::move(binding)),
       logger_(logger),
       timer_(context),
-      store_(binding_.open_store(context, settings.store_address)),
+      memory_(MakeMemoryBudget(context, settings.memory_limit, logger)),
+      store_(binding_.open_store(context, settings.store_address, memory_)),
       dispatcher_(context,
                   settings_,
                   incarnation_,
@@ -183,7 +189,7 @@
                store_.get(),
                binding_.quarantine_kind,
                MakeArchiveHooks()),
-      mesh_(context, settings_, incarnation_, MakeMeshHooks()),
+      mesh_(context, settings_, incarnation_, memory_, MakeMeshHooks()),
       directory_({.decode = binding_.decode_upstream,
                   .changed = [this] { have_upstreams_changed_ = true; },
                   .event = [this](const Event& event) { LogBounded(event); }}),
@@ -225,6 +231,7 @@
                           OnMetricsRequest(caller, request);
                         }) {
   caller_listener_.SetReadDelayHook([this] { return monitor_.Delay(); });
+  caller_listener_.SetMemory(dispatcher_.MakeCallerMemory());
 }
 
 void Gateway::Impl::Log(EventId id, Fields fields) {
@@ -276,6 +283,7 @@
     metrics_.CountRejected(reason);
   };
   hooks.event = [this](const Event& event) { LogBounded(event); };
+  hooks.memory = memory_;
   return hooks;
 }
 
@@ -547,6 +555,7 @@
     metrics_.SetState(dispatcher_.in_flight(), caller_listener_.connections(),
                       dispatcher_.upstream_connections(),
                       dispatcher_.quarantined_parts());
+    metrics_.SetMemory(*memory_);
     response.headers.Set("Content-Type", "text/plain; version=0.0.4");
     response.body = metrics_.Export();
   }
@@ -555,6 +564,10 @@
 
 absl::Status Gateway::Impl::Start() {
   Log(EventId::kRouterStarting, {{"router", settings_.router.value()}});
+  if (!settings_.memory_limit_error.empty()) {
+    Log(EventId::kMemoryLimitRefused,
+        {{"error", settings_.memory_limit_error}});
+  }
   absl::Status status = mesh_.Start();
   if (status.ok()) {
     status = caller_listener_.Start(settings_.caller_address);
@@ -618,6 +631,7 @@
   feed_.OnTick(now);
   archive_.OnTick(now);
   moves_.OnTick(now);
+  memory_->OnTick(now);
   caller_listener_.OnTick(now);
   probe_listener_.OnTick(now);
   metrics_listener_.OnTick(now);
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -76,4 +76,39 @@
   quarantined_parts_.Set(static_cast<int64_t>(quarantined_parts));
 }
 
+void GatewayMetrics::SetMemory(const MemoryBudget& budget) {
+  for (size_t i = 0; i < kMemoryKindCount; ++i) {
+    const auto kind = static_cast<MemoryKind>(i);
+    registry_
+        .GetGauge("papaya_memory_bytes",
+                  "Bytes held for callers, upstreams, the store and routers.",
+                  {{"kind", MemoryKindName(kind)}})
+        .Set(budget.used(kind).value());
+  }
+  const std::pair<const char*, int64_t> gauges[] = {
+      {"capacity", budget.capacity().value()}, {"peak", budget.peak().value()}};
+  for (const auto& [bound, value] : gauges) {
+    registry_
+        .GetGauge("papaya_memory_budget_bytes",
+                  "The budget for held bytes, zero without a limit, and the "
+                  "highest use so far.",
+                  {{"bound", bound}})
+        .Set(value);
+  }
+  const std::pair<const char*, uint64_t> actions[] = {
+      {"paused", budget.paused()}, {"rejected", budget.rejected()}};
+  for (const auto& [action, value] : actions) {
+    registry_
+        .GetGauge("papaya_memory_actions",
+                  "Bodies and responses paused, and requests rejected, because "
+                  "memory was short, since the start.",
+                  {{"action", action}})
+        .Set(static_cast<int64_t>(value));
+  }
+  registry_
+      .GetGauge("papaya_memory_waiting_bodies",
+                "Callers' bodies that wait for memory to be read.")
+      .Set(static_cast<int64_t>(budget.waiting()));
+}
+
 }  // namespace papaya
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "absl/container/flat_hash_map.h"
+#include "include/admission/memory_budget.h"
 #include "include/telemetry/event_catalog.h"
 #include "include/telemetry/metrics.h"
 
@@ -35,6 +36,9 @@
                 int64_t upstream_connections,
                 size_t quarantined_parts);
 
+  // Sets the gauges of the memory budget.
+  void SetMemory(const MemoryBudget& budget);
+
   // Returns all metrics in Prometheus' text format.
   std::string Export() const { return registry_.Export(); }
 
--- a/src/gateway/message_reader.cc
+++ b/src/gateway/message_reader.cc
@@ -20,6 +20,9 @@
 using boost::system::error_code;
 
 constexpr uint32_t kMaxResponseHeaderBytes = 64 * 1024;
+// The memory of a parsed header line beside its text, and the shortest line.
+constexpr size_t kLineMemory = 96;
+constexpr size_t kMinLineBytes = 4;
 constexpr int kFirstSuccess = 200;
 // Responses with more interim responses than this are malformed.
 constexpr int kMaxInterimResponses = 16;
@@ -64,7 +67,8 @@
 class RequestReader::Parser : public http::request_parser<http::string_body> {};
 
 RequestReader::RequestReader(const CallerLimits& limits)
-    : parser_(std::make_unique<Parser>()) {
+    : parser_(std::make_unique<Parser>()),
+      max_header_bytes_(static_cast<size_t>(limits.max_header_bytes.value())) {
   parser_->header_limit(static_cast<uint32_t>(limits.max_header_bytes.value()));
   parser_->body_limit(static_cast<uint64_t>(limits.max_body_bytes.value()));
   parser_->eager(true);
@@ -85,7 +89,19 @@
     return state_;
   }
   error_code error;
+  const bool is_head = !parser_->is_header_done();
+  const size_t lines =
+      is_head
+          ? static_cast<size_t>(std::count(input->begin(), input->end(), '\n'))
+          : 0;
+  const size_t before = input->size();
   ParseInput(parser_.get(), input, &error);
+  if (is_head) {
+    // At most the header limit, as the rest of the input is the body.
+    head_memory_ +=
+        std::min(before - input->size(), max_header_bytes_) +
+        std::min(lines, max_header_bytes_ / kMinLineBytes) * kLineMemory;
+  }
   if (error == http::error::header_limit) {
     return Fail(431, "headers_too_large", "the request header is too long");
   }
@@ -130,13 +146,31 @@
   return state_;
 }
 
-HttpRequest RequestReader::Take() {
-  http::request<http::string_body> message = parser_->release();
+std::optional<uint64_t> RequestReader::length() const {
+  const auto length = parser_->content_length();
+  return length.has_value() ? std::optional<uint64_t>(*length) : std::nullopt;
+}
+
+HttpRequest RequestReader::CopyHead() const {
+  const auto& message = parser_->get();
   HttpRequest request;
   request.method = std::string(message.method_string());
   request.target = std::string(message.target());
   request.headers = CopyHeaders(message);
-  request.body = std::move(message.body());
+  return request;
+}
+
+size_t RequestReader::body_size() const {
+  return parser_->get().body().size();
+}
+
+void RequestReader::ReserveBody(size_t bytes) {
+  parser_->get().body().reserve(bytes);
+}
+
+HttpRequest RequestReader::Take() {
+  HttpRequest request = CopyHead();
+  request.body = std::move(parser_->get().body());
   return request;
 }
 
--- a/src/gateway/message_reader.h
+++ b/src/gateway/message_reader.h
@@ -34,6 +34,18 @@
   // True for HTTP/1.0, which has no chunked encoding.
   bool is_http_1_0() const { return is_http_1_0_; }
   bool is_head_done() const { return state_ != State::kHead; }
+  // The length of the body; empty if the header does not state it. Valid after
+  // the header.
+  std::optional<uint64_t> length() const;
+  // Returns a copy of the header. Valid after the header.
+  HttpRequest CopyHead() const;
+  // Bytes of the body received so far.
+  size_t body_size() const;
+  // Makes room for a body of `bytes`, so that it is not copied as it grows.
+  void ReserveBody(size_t bytes);
+  // About the memory that the header takes.
+  size_t head_memory() const { return head_memory_; }
+
   // True if the caller waits for `100 Continue` before it sends the body.
   bool expects_continue() const { return expects_continue_; }
 
@@ -44,11 +56,13 @@
   State CheckHead();
 
   std::unique_ptr<Parser> parser_;
+  const size_t max_header_bytes_;
   State state_ = State::kHead;
   HttpFault read_error_;
   bool keeps_alive_ = false;
   bool is_http_1_0_ = false;
   bool expects_continue_ = false;
+  size_t head_memory_ = 0;
 };
 
 // Parses one response of an upstream incrementally. Skips interim responses.
--- a/src/gateway/relayed_request.cc
+++ b/src/gateway/relayed_request.cc
@@ -8,10 +8,9 @@
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
-#include "absl/strings/str_split.h"
 #include "include/rollout/version_stats.h"
 #include "src/gateway/caller_connection.h"
-#include "src/gateway/upstream_connection.h"
+#include "src/gateway/request_format.h"
 #include "src/gateway/upstream_pool.h"
 
 namespace papaya {
@@ -33,6 +32,9 @@
 // Reading from the upstream pauses while more than this is queued for the
 // caller.
 constexpr size_t kMaxPendingBytes = size_t{256} * 1024;
+// The same, and the limit for buffered responses, while memory is short.
+constexpr size_t kShortPendingBytes = size_t{64} * 1024;
+constexpr size_t kShortBufferedBytes = size_t{16} * 1024;
 // An engine that has sent so many events of a response has survived its prompt.
 // The first event alone may be sent just before a crash.
 constexpr int64_t kSurvivedEvents = 2;
@@ -43,55 +45,6 @@
 constexpr int kFirstServerErrorStatus = 500;
 constexpr int kFirstErrorStatus = 400;
 
-// Hop-by-hop headers (RFC 9110, 7.6.1), and headers that frame a message or are
-// addressed to this router.
-constexpr std::array<const char*, 10> kHopByHopHeaders = {"connection",
-                                                          "keep-alive",
-                                                          "proxy-authenticate",
-                                                          "proxy-authorization",
-                                                          "te",
-                                                          "trailer",
-                                                          "transfer-encoding",
-                                                          "upgrade",
-                                                          "proxy-connection",
-                                                          "expect"};
-
-// Returns the names of the headers that must not be forwarded, including those
-// that the Connection header lists.
-std::vector<std::string> HopByHopNames(const HttpHeaders& headers) {
-  std::vector<std::string> names(kHopByHopHeaders.begin(),
-                                 kHopByHopHeaders.end());
-  for (const auto& [name, value] : headers.lines()) {
-    if (!absl::EqualsIgnoreCase(name, "connection")) {
-      continue;
-    }
-    for (absl::string_view token : absl::StrSplit(value, ',')) {
-      names.emplace_back(absl::StripAsciiWhitespace(token));
-    }
-  }
-  return names;
-}
-
-bool Contains(const std::vector<std::string>& names, const std::string& name) {
-  return std::any_of(names.begin(), names.end(),
-                     [&name](const std::string& other) {
-                       return absl::EqualsIgnoreCase(name, other);
-                     });
-}
-
-// Returns the headers to forward. Content-Length is one of them, so that the
-// receiver learns the length.
-HttpHeaders EndToEndHeaders(const HttpHeaders& headers) {
-  const std::vector<std::string> hop_by_hop_names = HopByHopNames(headers);
-  HttpHeaders kept;
-  for (const auto& [name, value] : headers.lines()) {
-    if (!Contains(hop_by_hop_names, name)) {
-      kept.Add(name, value);
-    }
-  }
-  return kept;
-}
-
 }  // namespace
 
 std::string FormatSeconds(Duration duration) {
@@ -117,17 +70,8 @@
   });
 }
 
-std::string RelayedRequest::FormatRequest(
+UpstreamConnection::RequestBytes RelayedRequest::FormatRequest(
     const UpstreamRecord& upstream) const {
-  const HttpRequest& request = input_.request;
-  const HttpHeaders passed = EndToEndHeaders(request.headers);
-  HttpHeaders headers;
-  for (const auto& [name, value] : passed.lines()) {
-    if (!context_->header_codec->is_reserved(name) &&
-        !absl::EqualsIgnoreCase(name, "content-length")) {
-      headers.Add(name, value);
-    }
-  }
   ForwardMetadata metadata;
   metadata.instance = upstream.instance;
   metadata.account = input_.account.value();
@@ -135,18 +79,9 @@
   metadata.last_event_id = events_.last_id().empty()
                                ? input_.metadata.last_event_id
                                : events_.last_id();
-  context_->header_codec->write_forward(metadata, &headers);
-  std::string bytes =
-      absl::StrCat(request.method, " ", request.target, " HTTP/1.1\r\n");
-  for (const auto& [name, value] : headers.lines()) {
-    absl::StrAppend(&bytes, name, ": ", value, "\r\n");
-  }
-  if (!request.body.empty() || request.method == "POST" ||
-      request.method == "PUT") {
-    absl::StrAppend(&bytes, "Content-Length: ", request.body.size(), "\r\n");
-  }
-  absl::StrAppend(&bytes, "\r\n", request.body);
-  return bytes;
+  return {.head = FormatRequestHead(input_.request, input_.body->size(),
+                                    metadata, *context_->header_codec),
+          .body = input_.body};
 }
 
 bool RelayedRequest::EndIfUnwanted() {
@@ -160,8 +95,8 @@
   return has_ended_;
 }
 
-std::optional<std::string> RelayedRequest::TakeRequestBytes(
-    const UpstreamRecord& upstream) {
+std::optional<UpstreamConnection::RequestBytes>
+RelayedRequest::TakeRequestBytes(const UpstreamRecord& upstream) {
   // Dispatch has just checked.
   if (!is_dispatching_ && EndIfUnwanted()) {
     return std::nullopt;
@@ -178,6 +113,9 @@
     FinishAttempt(AttemptEnd::kUnreachable);
     return;
   }
+  if (attempts_ == 0 && !ReserveResponse()) {
+    return;
+  }
   dispatched_ = context_->now();
   if (attempts_ == 0) {
     first_dispatched_ = dispatched_;
@@ -193,8 +131,8 @@
   events_.Restart();
   earlier_events_ = events_.events();
   UpstreamConnection::Call call;
-  call.make_bytes = [weak = weak_from_this(),
-                     upstream = *upstream]() -> std::optional<std::string> {
+  call.make_bytes = [weak = weak_from_this(), upstream = *upstream]()
+      -> std::optional<UpstreamConnection::RequestBytes> {
     const auto self = weak.lock();
     return self == nullptr ? std::nullopt : self->TakeRequestBytes(upstream);
   };
@@ -279,6 +217,7 @@
   response_.headers = EndToEndHeaders(reader.headers());
   response_.body.clear();
   response_length_ = reader.length();
+  head_bytes_ = HeadMemory(reader.headers());
 }
 
 void RelayedRequest::OnBody(const std::string& bytes) {
@@ -288,6 +227,7 @@
     case ResponseKind::kNotRun:
     case ResponseKind::kFailure:
       response_.body += bytes;
+      ChargeResponse();
       if (response_.body.size() > kMaxBufferedBytes) {
         CutResponse("an error response is too long");
       }
@@ -299,13 +239,16 @@
         return;
       }
       response_.body += bytes;
-      if (response_.body.size() > kMaxBufferedBytes) {
+      if (response_.body.size() > MaxBufferedBytes()) {
         StartResponse();
         input_.caller->WriteBody(std::exchange(response_.body, std::string()));
+        ApplyBackpressure();
       }
+      ChargeResponse();
       return;
     case ResponseKind::kStream:
       ForwardEvents(events_.Feed(bytes));
+      ChargeResponse();
       if (events_.partial_size() > kMaxEventBytes) {
         CutResponse("an event is too long");
       }
@@ -364,7 +307,11 @@
 }
 
 void RelayedRequest::ApplyBackpressure() {
-  const bool may_read = input_.caller->pending_bytes() <= kMaxPendingBytes;
+  const size_t pending = input_.caller->pending_bytes();
+  const bool may_read = pending <= MaxPendingBytes();
+  if (!may_read && is_reading_ && pending <= kMaxPendingBytes) {
+    context_->memory->CountPaused(input_.tier);
+  }
   if (may_read != is_reading_ && connection_ != nullptr) {
     is_reading_ = may_read;
     // The upstream could send no event while reading was paused.
@@ -373,6 +320,45 @@
   }
 }
 
+bool RelayedRequest::ReserveResponse() {
+  if (context_->memory->AdmitsHeads()) {
+    ChargeResponse();
+    return true;
+  }
+  context_->memory->CountRejected(input_.tier);
+  context_->cancel(input_.id);
+  Fail(kUnavailable, kMemoryReason, kMemoryRetryAfter);
+  return false;
+}
+
+size_t RelayedRequest::MaxPendingBytes() const {
+  switch (context_->memory->level()) {
+    case MemoryBudget::Level::kNormal:
+      return kMaxPendingBytes;
+    case MemoryBudget::Level::kShort:
+      return kShortPendingBytes;
+    case MemoryBudget::Level::kTight:
+      // One read at a time, so that every response can still be delivered.
+      return 0;
+  }
+  return 0;
+}
+
+size_t RelayedRequest::MaxBufferedBytes() const {
+  return context_->memory->level() == MemoryBudget::Level::kNormal
+             ? kMaxBufferedBytes
+             : kShortBufferedBytes;
+}
+
+void RelayedRequest::ChargeResponse() {
+  const size_t fallback =
+      fallback_response_.has_value() ? fallback_response_->body.capacity() : 0;
+  input_.response_charge.Set(kResponseReserve +
+                             static_cast<int64_t>(head_bytes_ + fallback +
+                                                  response_.body.capacity() +
+                                                  events_.partial_size()));
+}
+
 void RelayedRequest::OnResponseEnd() {
   const std::shared_ptr<UpstreamConnection> connection =
       std::exchange(connection_, nullptr);
@@ -388,6 +374,7 @@
       error_ = absl::StrCat("status: ", response_.status);
       if (!has_started_ && MayForwardStatus(response_.status)) {
         fallback_response_ = response_;
+        ChargeResponse();
       }
       FinishAttempt(AttemptEnd::kUnknown);
       return;
--- a/src/gateway/relayed_request.h
+++ b/src/gateway/relayed_request.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "include/admission/attempt_result.h"
+#include "include/admission/memory_budget.h"
 #include "include/base/ids.h"
 #include "include/base/tier.h"
 #include "include/base/units.h"
@@ -17,13 +18,11 @@
 #include "include/gateway/upstream_record.h"
 #include "include/wire/http_message.h"
 #include "src/gateway/event_splitter.h"
+#include "src/gateway/upstream_connection.h"
 
 namespace papaya {
 
-class ResponseReader;
 class CallerConnection;
-enum class CallFailure : uint8_t;
-class UpstreamConnection;
 class UpstreamPool;
 
 // Formats `duration` for a Retry-After header: in seconds, with two decimals.
@@ -35,6 +34,11 @@
 // The reason given for requests that end because the router stops.
 inline constexpr char kShutdownReason[] = "shutting_down";
 
+// The reason given for requests that are rejected because memory is short, and
+// when their callers should retry: most requests end within a second or two.
+inline constexpr char kMemoryReason[] = "memory_short";
+inline constexpr Duration kMemoryRetryAfter = std::chrono::seconds(1);
+
 // The outcome of a request, for logs and metrics.
 struct RelayReport {
   RequestId id;
@@ -74,6 +78,8 @@
   struct Context {
     const HeaderCodec* header_codec = nullptr;
     UpstreamPool* pool = nullptr;
+    // Decides how much of a response may be held for its caller.
+    std::shared_ptr<MemoryBudget> memory;
     std::function<TimePoint()> now;
     // Returns how long received bytes may have waited to be read.
     std::function<Duration()> read_delay;
@@ -111,7 +117,10 @@
   struct Input {
     RequestId id;
     std::shared_ptr<CallerConnection> caller;
+    // Without its body.
     HttpRequest request;
+    // Held once: shared with the connection that sends it.
+    std::shared_ptr<const std::string> body;
     CallerMetadata metadata;
     // Owns `route`.
     std::shared_ptr<const RouteTable> table;
@@ -134,6 +143,9 @@
     // The response must be complete by this time. The caller's time limit
     // began when it sent the request.
     TimePoint response_deadline;
+    // The memory of the head, and of the response.
+    MemoryCharge request_charge;
+    MemoryCharge response_charge;
   };
 
   // `context` must outlive the request.
@@ -189,8 +201,10 @@
   // the event loop last looked is known only to the system, so this asks it.
   bool EndIfUnwanted();
   // Returns the bytes to send to `upstream`; nothing if the request has ended.
-  std::optional<std::string> TakeRequestBytes(const UpstreamRecord& upstream);
-  std::string FormatRequest(const UpstreamRecord& upstream) const;
+  std::optional<UpstreamConnection::RequestBytes> TakeRequestBytes(
+      const UpstreamRecord& upstream);
+  UpstreamConnection::RequestBytes FormatRequest(
+      const UpstreamRecord& upstream) const;
   void OnHead(const ResponseReader& reader, const ResponseMetadata& metadata);
   void OnBody(const std::string& bytes);
   void OnResponseEnd();
@@ -205,6 +219,14 @@
   void ForwardEvents(const std::string& events);
   void StartResponse();
   void ApplyBackpressure();
+  // Reserves the memory for the response to the first attempt. Without it, ends
+  // the request, which has not run, and returns false.
+  bool ReserveResponse();
+  // How much may be queued for the caller, and buffered of a response.
+  size_t MaxPendingBytes() const;
+  size_t MaxBufferedBytes() const;
+  // Charges what is held of the response in this object.
+  void ChargeResponse();
   void FinishAttempt(AttemptEnd end);
   Tokens OutputTokens() const;
   void ReportSurvival();
@@ -252,6 +274,8 @@
   // The response of the current attempt, or of the last one that failed.
   HttpResponse response_;
   std::optional<uint64_t> response_length_;
+  // The memory of the response's header.
+  size_t head_bytes_ = 0;
   // The error of the last failed attempt.
   std::string error_;
   // An upstream's error response, sent to the caller if no other attempt
--- a/src/gateway/request_dispatcher.cc
+++ b/src/gateway/request_dispatcher.cc
@@ -7,7 +7,7 @@
 #include "absl/strings/str_cat.h"
 #include "include/base/stable_hash.h"
 #include "include/wire/steady_time.h"
-#include "src/gateway/caller_connection.h"
+#include "src/gateway/request_format.h"
 
 namespace papaya {
 
@@ -52,6 +52,9 @@
 constexpr double kMinBudgetRouters = 7.0;
 // How long a request waits for an answer about its account's quota.
 constexpr Duration kQuotaAnswerTimeout = std::chrono::milliseconds(250);
+// How long a body waits for memory at most. Longer than large bodies take on a
+// link of 10 Mbit/s, shorter than callers that retry elsewhere wait.
+constexpr Duration kMaxMemoryWait = std::chrono::seconds(4);
 constexpr int kNotFound = 404;
 constexpr int kUnauthorized = 401;
 constexpr int kTooManyRequests = 429;
@@ -123,6 +126,17 @@
   }
 }
 
+HttpResponse MakeRejection(int status,
+                           const std::string& reason,
+                           std::optional<Duration> retry_after) {
+  HttpResponse response =
+      MakeJsonResponse(status, absl::StrCat("{\"error\":\"", reason, "\"}"));
+  if (retry_after.has_value()) {
+    response.headers.Set("Retry-After", FormatSeconds(*retry_after));
+  }
+  return response;
+}
+
 }  // namespace
 
 RequestDispatcher::RequestDispatcher(boost::asio::io_context& context,
@@ -133,7 +147,10 @@
     : settings_(settings),
       hooks_(std::move(hooks)),
       header_codec_(header_codec),
-      pool_(context, header_codec),
+      memory_(hooks_.memory != nullptr
+                  ? hooks_.memory
+                  : std::make_shared<MemoryBudget>(Bytes(0))),
+      pool_(context, header_codec, memory_),
       scheduler_(MakeOptions(settings, incarnation), MakeHooks()),
       quotas_({.self = settings.router,
                .incarnation = incarnation,
@@ -171,6 +188,7 @@
   RelayedRequest::Context context;
   context.header_codec = header_codec_;
   context.pool = &pool_;
+  context.memory = memory_;
   context.now = &SteadyNow;
   context.read_delay = hooks_.read_delay;
   context.observed = [this](const UpstreamId& id,
@@ -374,12 +392,10 @@
   RunDecisions();
 }
 
-void RequestDispatcher::Reject(CallerConnection* caller,
-                               int status,
-                               const std::string& reason,
-                               const CallerMetadata& metadata,
-                               const AccountId& account,
-                               std::optional<Duration> retry_after) {
+void RequestDispatcher::RecordRejected(int status,
+                                       const std::string& reason,
+                                       const CallerMetadata& metadata,
+                                       const AccountId& account) {
   hooks_.rejected(reason);
   hooks_.event(
       {EventId::kRequestRejected,
@@ -390,12 +406,56 @@
         {"manifest", table_ == nullptr
                          ? "none"
                          : absl::StrCat(table_->config().version.value())}}});
-  HttpResponse response =
-      MakeJsonResponse(status, absl::StrCat("{\"error\":\"", reason, "\"}"));
-  if (retry_after.has_value()) {
-    response.headers.Set("Retry-After", FormatSeconds(*retry_after));
-  }
-  caller->Respond(response);
+}
+
+void RequestDispatcher::Reject(CallerConnection* caller,
+                               int status,
+                               const std::string& reason,
+                               const CallerMetadata& metadata,
+                               const AccountId& account,
+                               std::optional<Duration> retry_after) {
+  RecordRejected(status, reason, metadata, account);
+  caller->Respond(MakeRejection(status, reason, retry_after));
+}
+
+CallerMemory RequestDispatcher::MakeCallerMemory() {
+  return {
+      .budget = memory_,
+      .classify =
+          [this](const HttpRequest& head) { return ClassifyHead(head); },
+      .reject =
+          [this](const HttpRequest* head) { return RejectForMemory(head); }};
+}
+
+CallerMemory::HeadClass RequestDispatcher::ClassifyHead(
+    const HttpRequest& head) const {
+  const CallerMetadata metadata = header_codec_->read_caller(head.headers);
+  const ServiceRoute* route =
+      table_ == nullptr
+          ? nullptr
+          : table_->FindRoute(head.headers.Get("Host"), head.target);
+  if (route == nullptr) {
+    // Will be rejected once it was read, so it must not wait.
+    return {.tier = Tier::kBatch, .max_wait = Duration()};
+  }
+  const Duration time =
+      std::min(route->timeout, metadata.time_limit.value_or(route->timeout));
+  return {.tier = table_->TierOf(*route, table_->FindAccount(metadata.api_key)),
+          .max_wait =
+              std::min(kMaxMemoryWait, FractionOf(kMaxQueueFraction, time))};
+}
+
+HttpResponse RequestDispatcher::RejectForMemory(const HttpRequest* head) {
+  CallerMetadata metadata;
+  Tier tier = Tier::kCritical;
+  if (head != nullptr) {
+    metadata = header_codec_->read_caller(head->headers);
+    tier = ClassifyHead(*head).tier;
+  }
+  memory_->CountRejected(tier);
+  RecordRejected(kServiceUnavailable, kMemoryReason, metadata, {});
+  return MakeRejection(kServiceUnavailable, kMemoryReason,
+                       random_.Jitter(kMemoryRetryAfter, kRetryAfterJitter));
 }
 
 void RequestDispatcher::OnRequest(
@@ -429,15 +489,25 @@
            account == nullptr ? AccountId() : account->id, *quarantined);
     return;
   }
+  const Tier tier = table_->TierOf(*input.route, account);
+  if (!memory_->Admits(tier)) {
+    caller->Respond(RejectForMemory(&request));
+    return;
+  }
   input.id = RequestId(++last_id_);
   input.caller = caller;
+  input.request_charge =
+      MemoryCharge(memory_, MemoryKind::kRequests,
+                   static_cast<int64_t>(RequestMemory(request, metadata)));
+  input.response_charge = MemoryCharge(memory_, MemoryKind::kResponses);
+  input.body = caller->HoldBody(std::exchange(request.body, std::string()));
   input.request = std::move(request);
   input.metadata = metadata;
   input.table = table_;
   if (account != nullptr) {
     input.account = account->id;
   }
-  input.tier = table_->TierOf(*input.route, account);
+  input.tier = tier;
   input.share_hash = StableHash(metadata.attempt_id);
   input.service = ChooseService(*input.route, input.share_hash);
   const ServiceInfo* service = table_->FindService(input.service);
--- a/src/gateway/request_dispatcher.h
+++ b/src/gateway/request_dispatcher.h
@@ -21,14 +21,13 @@
 #include "include/gateway/upstream_record.h"
 #include "include/telemetry/event.h"
 #include "include/wire/http_message.h"
+#include "src/gateway/caller_connection.h"
 #include "src/gateway/relayed_request.h"
 #include "src/gateway/snapshot_pacer.h"
 #include "src/gateway/upstream_pool.h"
 
 namespace papaya {
 
-class CallerConnection;
-
 // The load of a service as seen by one router.
 struct ServiceLoad {
   // Requests that wait for an upstream.
@@ -66,6 +65,8 @@
     // Returns how long received bytes may have waited to be read.
     std::function<Duration()> read_delay;
     EventHook event;
+    // What the requests hold is charged to this budget. May be null.
+    std::shared_ptr<MemoryBudget> memory;
   };
 
   // `context` and `header_codec` must outlive the dispatcher.
@@ -95,6 +96,11 @@
   void OnRequest(const std::shared_ptr<CallerConnection>& caller,
                  HttpRequest request);
 
+  // Returns the budget with the hooks that a listener needs to decide about
+  // requests whose bodies it has not read. Must not be used after the
+  // dispatcher's end.
+  CallerMemory MakeCallerMemory();
+
   // The router stops at `end`. From now on, requests that may take longer are
   // rejected, so that their callers can try another router.
   void SetShutdown(TimePoint end) { shutdown_ = end; }
@@ -155,6 +161,14 @@
               const CallerMetadata& metadata,
               const AccountId& account,
               std::optional<Duration> retry_after);
+  // Counts a request that is rejected before admission and logs it.
+  void RecordRejected(int status,
+                      const std::string& reason,
+                      const CallerMetadata& metadata,
+                      const AccountId& account);
+  CallerMemory::HeadClass ClassifyHead(const HttpRequest& head) const;
+  // Returns the response to a request that is rejected because memory is short.
+  HttpResponse RejectForMemory(const HttpRequest* head);
   // The amount that the request takes from the account's quota.
   static double QuotaCost(const ClientAccount& account,
                           const CallerMetadata& metadata);
@@ -181,6 +195,7 @@
   GatewaySettings settings_;
   const Hooks hooks_;
   const HeaderCodec* const header_codec_;
+  const std::shared_ptr<MemoryBudget> memory_;
   UpstreamPool pool_;
   Scheduler scheduler_;
   AccountQuotas quotas_;
--- a/src/gateway/router_mesh.cc
+++ b/src/gateway/router_mesh.cc
@@ -12,7 +12,8 @@
 
 namespace {
 
-PeerNetwork::Options NetworkOptions(const GatewaySettings& settings) {
+PeerNetwork::Options NetworkOptions(const GatewaySettings& settings,
+                                    std::shared_ptr<MemoryBudget> memory) {
   PeerNetwork::Options options;
   options.fleet = FleetId(settings.store_address);
   options.self = settings.router;
@@ -21,6 +22,7 @@
   // peers: only the platform's network keeps others out.
   options.fleet_secret = absl::StrCat("fleet of ", settings.store_address);
   options.listen_address = settings.peer_address;
+  options.memory = std::move(memory);
   return options;
 }
 
@@ -41,6 +43,7 @@
 RouterMesh::RouterMesh(boost::asio::io_context& context,
                        const GatewaySettings& settings,
                        Incarnation incarnation,
+                       std::shared_ptr<MemoryBudget> memory,
                        Hooks hooks)
     : hooks_(std::move(hooks)) {
   PeerNetwork::Hooks network_hooks;
@@ -49,8 +52,9 @@
     OnMessage(from, message);
   };
   network_hooks.event = hooks_.event;
-  network_ = std::make_unique<PeerNetwork>(context, NetworkOptions(settings),
-                                           std::move(network_hooks));
+  network_ = std::make_unique<PeerNetwork>(
+      context, NetworkOptions(settings, std::move(memory)),
+      std::move(network_hooks));
   Membership::Hooks member_hooks;
   member_hooks.send = [this](const PeerAddress& to,
                              const MemberMessage& message) {
--- a/src/gateway/router_mesh.h
+++ b/src/gateway/router_mesh.h
@@ -27,10 +27,11 @@
     EventHook event;
   };
 
-  // `context` must outlive the mesh.
+  // `context` must outlive the mesh. `memory` may be null.
   RouterMesh(boost::asio::io_context& context,
              const GatewaySettings& settings,
              Incarnation incarnation,
+             std::shared_ptr<MemoryBudget> memory,
              Hooks hooks);
   ~RouterMesh();
 
--- a/src/gateway/tcp_channel.cc
+++ b/src/gateway/tcp_channel.cc
@@ -23,6 +23,19 @@
 using boost::system::error_code;
 
 constexpr size_t kReadBytes = size_t{64} * 1024;
+// Read at once from an upstream under a memory limit: what may be added to the
+// response of a caller that takes nothing.
+constexpr size_t kLimitedReadBytes = size_t{16} * 1024;
+// SO_RCVBUF under a memory limit. The system doubles it for its own overhead,
+// so it bounds the unread bytes of a connection to twice the value. Without it
+// the system grows the queue to several megabytes.
+constexpr int kLimitedReceiveBuffer = 32 * 1024;
+// Queued copies are joined up to this size. A segment's memory is freed when it
+// is sent, also if the queue never becomes empty.
+constexpr size_t kSegmentBytes = size_t{16} * 1024;
+// Bodies up to this size are sent together with their head by one system call
+// and one copy.
+constexpr size_t kJoinedBodyBytes = size_t{16} * 1024;
 // The connection breaks if sent data stays unacknowledged for this long. It is
 // below the 2 s after which callers abandon a silent stream.
 constexpr int kUserTimeoutMs = 1800;
@@ -59,7 +72,8 @@
 
 }  // namespace
 
-TcpChannel::TcpChannel(tcp::socket socket) : socket_(std::move(socket)) {
+TcpChannel::TcpChannel(tcp::socket socket)
+    : socket_(std::move(socket)), read_bytes_(kReadBytes) {
   SetOptions(&socket_);
 }
 
@@ -101,7 +115,8 @@
   }
   error_code error;
   std::array<char, kReadBytes>& buffer = ReadBuffer();
-  const size_t count = socket_.read_some(asio::buffer(buffer), error);
+  const size_t count =
+      socket_.read_some(asio::buffer(buffer.data(), read_bytes_), error);
   if (error == asio::error::would_block || error == asio::error::interrupted) {
     AwaitInput();
     return;
@@ -118,31 +133,105 @@
   AwaitInput();
 }
 
+void TcpChannel::SetMemory(const std::shared_ptr<MemoryBudget>& budget,
+                           MemoryKind pending,
+                           bool charges_unread) {
+  pending_charge_ = MemoryCharge(budget, pending);
+  unread_charge_ = MemoryCharge(budget, MemoryKind::kUnread);
+  if (budget == nullptr || !budget->is_limited()) {
+    return;
+  }
+  charges_unread_ = charges_unread;
+  error_code ignored;
+  socket_.set_option(
+      asio::socket_base::receive_buffer_size(kLimitedReceiveBuffer), ignored);
+  if (!charges_unread) {
+    read_bytes_ = kLimitedReadBytes;
+  }
+}
+
 void TcpChannel::Write(std::string_view bytes) {
+  Write(bytes, nullptr);
+}
+
+void TcpChannel::Write(std::string_view head,
+                       std::shared_ptr<const std::string> body) {
   if (!is_open() || has_failed_) {
     return;
   }
-  if (pending_bytes() > 0) {
-    pending_.append(bytes);
-    return;
+  std::string joined;
+  if (body != nullptr && body->size() <= kJoinedBodyBytes) {
+    joined.reserve(head.size() + body->size());
+    joined.append(head).append(*body);
+    head = joined;
+    body = nullptr;
   }
-  last_progress_ = SteadyNow();
-  error_code error;
+  const std::string_view shared =
+      body != nullptr ? std::string_view(*body) : std::string_view();
   size_t count = 0;
-  if (!bytes.empty()) {
-    count = socket_.write_some(asio::buffer(bytes.data(), bytes.size()), error);
+  if (pending_bytes() == 0) {
+    last_progress_ = SteadyNow();
+    error_code error;
+    if (!shared.empty()) {
+      const std::array<asio::const_buffer, 2> parts = {
+          asio::buffer(head.data(), head.size()),
+          asio::buffer(shared.data(), shared.size())};
+      count = socket_.write_some(parts, error);
+    } else if (!head.empty()) {
+      count = socket_.write_some(asio::buffer(head.data(), head.size()), error);
+    }
+    if (error && error != asio::error::would_block) {
+      Fail(error.message());
+      return;
+    }
   }
-  if (error && error != asio::error::would_block) {
-    Fail(error.message());
-    return;
+  if (count < head.size()) {
+    QueueCopy(head.substr(count));
+    count = 0;
+  } else {
+    count -= head.size();
+  }
+  if (count < shared.size()) {
+    QueueShared(std::move(body));
+    PopSent(count);
   }
-  if (count < bytes.size()) {
-    pending_.assign(bytes.substr(count));
-    written_ = 0;
+  pending_charge_.Set(own_bytes_);
+  if (pending_bytes() > 0) {
     AwaitWritable();
   }
 }
 
+void TcpChannel::QueueCopy(std::string_view bytes) {
+  const bool joins = !pending_.empty() && pending_.back().shared == nullptr &&
+                     pending_.back().own.size() + bytes.size() <= kSegmentBytes;
+  if (!joins) {
+    pending_.emplace_back();
+  }
+  std::string& own = pending_.back().own;
+  const size_t before = joins ? own.capacity() : 0;
+  own.append(bytes);
+  own_bytes_ += static_cast<int64_t>(own.capacity() - before);
+  pending_bytes_ += bytes.size();
+}
+
+void TcpChannel::QueueShared(std::shared_ptr<const std::string> bytes) {
+  pending_bytes_ += bytes->size();
+  pending_.push_back({.shared = std::move(bytes), .own = {}});
+}
+
+void TcpChannel::PopSent(size_t count) {
+  pending_bytes_ -= count;
+  written_ += count;
+  while (!pending_.empty() && written_ >= pending_.front().bytes().size()) {
+    const Segment& front = pending_.front();
+    written_ -= front.bytes().size();
+    if (front.shared == nullptr) {
+      own_bytes_ -= static_cast<int64_t>(front.own.capacity());
+    }
+    pending_.pop_front();
+  }
+}
+
 void TcpChannel::AwaitWritable() {
   if (is_awaiting_writable_ || !is_open()) {
     return;
@@ -162,21 +251,26 @@
     return false;
   }
   error_code error;
-  const size_t count = socket_.write_some(
-      asio::buffer(pending_.data() + written_, pending_bytes()), error);
-  if (error && error != asio::error::would_block) {
-    Fail(error.message());
-    return false;
-  }
-  written_ += count;
-  if (count > 0) {
-    last_progress_ = SteadyNow();
+  while (pending_bytes() > 0 && !error) {
+    const std::string_view left = pending_.front().bytes().substr(written_);
+    const size_t count =
+        socket_.write_some(asio::buffer(left.data(), left.size()), error);
+    if (error && error != asio::error::would_block) {
+      Fail(error.message());
+      return false;
+    }
+    PopSent(count);
+    if (count > 0) {
+      last_progress_ = SteadyNow();
+    }
+    if (count < left.size()) {
+      break;
+    }
   }
+  pending_charge_.Set(own_bytes_);
   if (pending_bytes() > 0) {
     return true;
   }
-  pending_ = std::string();
-  written_ = 0;
   if (ends_writing_) {
     EndWriting();
   }
@@ -189,6 +283,10 @@
 
 void TcpChannel::SetReading(bool is_reading) {
   is_reading_ = is_reading;
+  if (charges_unread_) {
+    unread_charge_.Set(is_reading || !is_open() ? 0
+                                                : 2 * kLimitedReceiveBuffer);
+  }
   AwaitInput();
 }
 
@@ -233,6 +331,12 @@
 void TcpChannel::Close() {
   error_code ignored;
   socket_.close(ignored);
+  pending_.clear();
+  written_ = 0;
+  pending_bytes_ = 0;
+  own_bytes_ = 0;
+  pending_charge_.Set(0);
+  unread_charge_.Set(0);
   hooks_ = std::make_shared<const Hooks>();
 }
 
--- a/src/gateway/tcp_channel.h
+++ b/src/gateway/tcp_channel.h
@@ -2,12 +2,15 @@
 #define SRC_GATEWAY_TCP_CHANNEL_H_
 
 #include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
 #include <functional>
+#include <list>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
 
+#include "include/admission/memory_budget.h"
 #include "include/base/units.h"
 
 namespace papaya {
@@ -38,9 +41,21 @@
   // Starts to read.
   void Start(Hooks hooks);
 
+  // Charges what the channel holds to `budget`: queued bytes as `pending`, and,
+  // if `charges_unread`, the receive queue while reading is paused as kUnread.
+  // If the budget is limited, this also bounds the receive queue and the bytes
+  // of one read. Call before Start.
+  void SetMemory(const std::shared_ptr<MemoryBudget>& budget,
+                 MemoryKind pending,
+                 bool charges_unread);
+
   // Sends `bytes`, or queues them behind the bytes that are not sent yet.
   void Write(std::string_view bytes);
 
+  // Sends `head`, then `body`, which may be null. What is queued of the body is
+  // shared, not copied or charged.
+  void Write(std::string_view head, std::shared_ptr<const std::string> body);
+
   // Pauses or resumes reading. The sender has to wait while it is paused.
   void SetReading(bool is_reading);
 
@@ -65,11 +80,24 @@
   std::optional<Duration> TimeSinceReceived();
 
   bool is_open() const { return socket_.is_open(); }
-  size_t pending_bytes() const { return pending_.size() - written_; }
+  size_t pending_bytes() const { return pending_bytes_; }
   // The last time when bytes were sent or the queue was empty at a write.
   TimePoint last_progress() const { return last_progress_; }
 
  private:
+  // Queued bytes, either shared or the channel's own.
+  struct Segment {
+    std::shared_ptr<const std::string> shared;
+    std::string own;
+    std::string_view bytes() const {
+      return shared != nullptr ? std::string_view(*shared) : own;
+    }
+  };
+
+  void QueueCopy(std::string_view bytes);
+  void QueueShared(std::shared_ptr<const std::string> bytes);
+  // Drops `count` bytes from the front of the queue, which were sent.
+  void PopSent(size_t count);
   void AwaitInput();
   void ReadInput();
   void AwaitWritable();
@@ -81,8 +109,16 @@
   boost::asio::ip::tcp::socket socket_;
   // Never null; replaced by empty hooks when the connection ends.
   std::shared_ptr<const Hooks> hooks_ = std::make_shared<const Hooks>();
-  std::string pending_;
+  std::list<Segment> pending_;
+  // Bytes of the first segment that were sent.
   size_t written_ = 0;
+  size_t pending_bytes_ = 0;
+  // The memory of the channel's own segments.
+  int64_t own_bytes_ = 0;
+  MemoryCharge pending_charge_;
+  MemoryCharge unread_charge_;
+  bool charges_unread_ = false;
+  size_t read_bytes_;
   TimePoint last_progress_;
   bool is_reading_ = true;
   bool is_started_ = false;
--- a/src/gateway/upstream_connection.cc
+++ b/src/gateway/upstream_connection.cc
@@ -35,9 +35,12 @@
 }  // namespace
 
 UpstreamConnection::UpstreamConnection(boost::asio::io_context& context,
-                                       const HeaderCodec* header_codec)
+                                       const HeaderCodec* header_codec,
+                                       std::shared_ptr<MemoryBudget> memory)
     : context_(context),
       header_codec_(header_codec),
+      memory_(std::move(memory)),
+      input_charge_(memory_, MemoryKind::kResponses),
       idle_timeout_(kDefaultIdleTimeout) {}
 
 UpstreamConnection::~UpstreamConnection() = default;
@@ -61,6 +64,7 @@
     socket.open(endpoint->protocol(), error);
   }
   channel_ = std::make_shared<TcpChannel>(std::move(socket));
+  channel_->SetMemory(memory_, MemoryKind::kSending, /*charges_unread=*/false);
   if (!endpoint.ok() || error) {
     const std::string reason = endpoint.ok()
                                    ? error.message()
@@ -102,13 +106,13 @@
 
 void UpstreamConnection::SendBytes() {
   const std::shared_ptr<const Call> call = call_;
-  const std::optional<std::string> bytes = call->make_bytes();
+  std::optional<RequestBytes> bytes = call->make_bytes();
   if (!bytes.has_value()) {
     Close();
     return;
   }
   was_sent_ = true;
-  channel_->Write(*bytes);
+  channel_->Write(bytes->head, std::move(bytes->body));
 }
 
 void UpstreamConnection::SetReading(bool is_reading) {
@@ -162,6 +166,11 @@
 void UpstreamConnection::ReadResponses() {
   while (call_ != nullptr && !is_closed_ && ReadNextResponse()) {
   }
+  if (input_.empty()) {
+    // Releases the memory of the last read.
+    input_ = std::string();
+  }
+  input_charge_.Set(static_cast<int64_t>(input_.capacity()));
 }
 
 bool UpstreamConnection::ReadNextResponse() {
--- a/src/gateway/upstream_connection.h
+++ b/src/gateway/upstream_connection.h
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <vector>
 
+#include "include/admission/memory_budget.h"
 #include "include/base/units.h"
 #include "include/gateway/header_codec.h"
 #include "src/gateway/message_reader.h"
@@ -31,12 +32,18 @@
 class UpstreamConnection
     : public std::enable_shared_from_this<UpstreamConnection> {
  public:
+  // A request as it is sent. The body is shared, so that it is held once.
+  struct RequestBytes {
+    std::string head;
+    std::shared_ptr<const std::string> body;
+  };
+
   // One request and the hooks for its response.
   struct Call {
     // Returns the header and body to send. Called when they can be sent, which
     // may be long after Send. Returns nothing if the request is no longer
     // wanted; the connection is then closed without calling another hook.
-    std::function<std::optional<std::string>()> make_bytes;
+    std::function<std::optional<RequestBytes>()> make_bytes;
     std::string attempt_id;
     // The response has no body.
     bool is_head_request = false;
@@ -51,8 +58,10 @@
   };
 
   // `context` and `header_codec` must outlive the connection.
+  // `memory` may be null.
   UpstreamConnection(boost::asio::io_context& context,
-                     const HeaderCodec* header_codec);
+                     const HeaderCodec* header_codec,
+                     std::shared_ptr<MemoryBudget> memory = nullptr);
   ~UpstreamConnection();
 
   // Sends `call`, after connecting to `address` if this is the first call.
@@ -103,12 +112,15 @@
 
   boost::asio::io_context& context_;
   const HeaderCodec* const header_codec_;
+  const std::shared_ptr<MemoryBudget> memory_;
   std::shared_ptr<TcpChannel> channel_;
   // Null between calls. A hook may end the call, so a copy of the pointer is
   // held while a hook runs.
   std::shared_ptr<Call> call_;
   std::optional<ResponseReader> reader_;
   std::string input_;
+  // The received bytes that are not parsed yet.
+  MemoryCharge input_charge_;
   // The response being read belongs to another request.
   bool is_mismatched_ = false;
   // Bytes of responses to other requests received during the current call.
--- a/src/gateway/upstream_pool.cc
+++ b/src/gateway/upstream_pool.cc
@@ -9,8 +9,11 @@
 namespace papaya {
 
 UpstreamPool::UpstreamPool(boost::asio::io_context& context,
-                           const HeaderCodec* header_codec)
-    : context_(context), header_codec_(header_codec) {}
+                           const HeaderCodec* header_codec,
+                           std::shared_ptr<MemoryBudget> memory)
+    : context_(context),
+      header_codec_(header_codec),
+      memory_(std::move(memory)) {}
 
 UpstreamPool::~UpstreamPool() = default;
 
@@ -31,7 +34,7 @@
     connection->Close();
   }
   ++opened_;
-  return std::make_shared<UpstreamConnection>(context_, header_codec_);
+  return std::make_shared<UpstreamConnection>(context_, header_codec_, memory_);
 }
 
 void UpstreamPool::Release(const UpstreamId& upstream,
--- a/src/gateway/upstream_pool.h
+++ b/src/gateway/upstream_pool.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "include/admission/memory_budget.h"
 #include "include/base/ids.h"
 #include "include/base/units.h"
 #include "include/gateway/header_codec.h"
@@ -19,9 +20,10 @@
 // so its connections from before are not used again. Single-threaded.
 class UpstreamPool {
  public:
-  // Both must outlive the pool.
+  // `context` and `header_codec` must outlive the pool. `memory` may be null.
   UpstreamPool(boost::asio::io_context& context,
-               const HeaderCodec* header_codec);
+               const HeaderCodec* header_codec,
+               std::shared_ptr<MemoryBudget> memory);
   ~UpstreamPool();
 
   // Returns the most recently used idle connection to `upstream` on which the
@@ -47,6 +49,7 @@
  private:
   boost::asio::io_context& context_;
   const HeaderCodec* const header_codec_;
+  const std::shared_ptr<MemoryBudget> memory_;
   std::map<UpstreamId, std::vector<std::shared_ptr<UpstreamConnection>>> idle_;
   int64_t opened_ = 0;
 };
--- a/src/papaya_gateway_main.cc
+++ b/src/papaya_gateway_main.cc
@@ -1,6 +1,7 @@
 // The router for the users' platform.
 
 #include <gflags/gflags.h>
+#include <malloc.h>
 #include <signal.h>
 #include <unistd.h>
 
@@ -124,6 +125,18 @@
   absl::Status last_error_;
 };
 
+// Makes the allocator return the memory of bodies to the system when they end.
+// By default glibc raises the threshold for separate mappings to the size of
+// the largest block that was freed, after which large bodies fragment the heap.
+void SetAllocatorOptions() {
+  constexpr int kMapThreshold = 128 * 1024;
+  constexpr int kTrimThreshold = 1024 * 1024;
+  constexpr int kMaxArenas = 2;
+  mallopt(M_MMAP_THRESHOLD, kMapThreshold);
+  mallopt(M_TRIM_THRESHOLD, kTrimThreshold);
+  mallopt(M_ARENA_MAX, kMaxArenas);
+}
+
 int Run(const papaya::GatewaySettings& settings, papaya::Logger* logger) {
   boost::asio::io_context context(1);
   papaya::Gateway gateway(context, settings, papaya::platform::MakeBinding(),
@@ -162,5 +175,8 @@
   if (check_exit_code.has_value()) {
     return *check_exit_code;
   }
+  if (settings->memory_limit > papaya::Bytes(0)) {
+    SetAllocatorOptions();
+  }
   return Run(*settings, &logger);
 }
--- a/src/telemetry/event_catalog.cc
+++ b/src/telemetry/event_catalog.cc
@@ -179,6 +179,24 @@
        "Events of this router waited for up to `delay_ms` before they were "
        "handled, because its VM was too slow for its work; the other fields "
        "are the time that kinds of work took in the interval."},
+      {EventId::kMemoryReadingPaused, Severity::kWarning,
+       "memory_reading_paused",
+       "Memory is short: large bodies of callers, or responses whose callers "
+       "are slow, are not read on until some is free; `tier` is that of the "
+       "first one."},
+      {EventId::kMemoryReadingResumed, Severity::kInfo,
+       "memory_reading_resumed",
+       "For a second, nothing had to wait for memory."},
+      {EventId::kMemoryRejecting, Severity::kWarning, "memory_rejecting",
+       "Memory is short: new requests are rejected with 503, lower tiers "
+       "first; `tier` is that of the first one. The fields are the bytes held "
+       "by kind."},
+      {EventId::kMemoryRejectingEnded, Severity::kInfo,
+       "memory_rejecting_ended",
+       "For a second, no request was rejected for want of memory."},
+      {EventId::kMemoryLimitRefused, Severity::kError, "memory_limit_refused",
+       "The memory limit in the settings can't be used, so the memory that "
+       "callers use has no bound; correct the settings and restart."},
   };
   return catalog;
 }
--- a/tests/fakes/gateway_fixture.h
+++ b/tests/fakes/gateway_fixture.h
@@ -1,8 +1,13 @@
 #ifndef TESTS_FAKES_GATEWAY_FIXTURE_H_
 #define TESTS_FAKES_GATEWAY_FIXTURE_H_
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <catch2/catch.hpp>
 #include <functional>
 #include <memory>
@@ -43,6 +48,7 @@
 
   void Send(const std::string& bytes) { channel_->Write(bytes); }
   size_t pending_bytes() const { return channel_->pending_bytes(); }
+  void SetReading(bool is_reading) { channel_->SetReading(is_reading); }
   void Close() { channel_->Close(); }
   void Reset() { channel_->Reset(); }
 
@@ -90,8 +96,12 @@
 // A RequestDispatcher between callers and two upstreams.
 class GatewayFixture {
  public:
-  explicit GatewayFixture(RequestKind kind, bool is_resumable = false)
-      : header_codec_(platform::MakeHeaderCodec()),
+  // Without `memory_mb`, the memory budget is off.
+  explicit GatewayFixture(RequestKind kind,
+                          bool is_resumable = false,
+                          int64_t memory_mb = 0)
+      : memory(std::make_shared<MemoryBudget>(Bytes(memory_mb * 1024 * 1024))),
+        header_codec_(platform::MakeHeaderCodec()),
         dispatcher(context,
                    Settings(),
                    Incarnation(1),
@@ -103,6 +113,14 @@
                         HttpRequest request) {
                    dispatcher.OnRequest(caller, std::move(request));
                  }) {
+    memory->SetHooks(
+        {.room_freed =
+             [this] {
+               boost::asio::post(context, [this] { memory->GrantWaiting(); });
+             },
+         .changed = [this](MemoryBudget::Change change,
+                           Tier) { memory_changes.push_back(change); }});
+    listener.SetMemory(dispatcher.MakeCallerMemory());
     for (int i = 0; i < 2; ++i) {
       upstreams.push_back(std::make_unique<RawUpstream>(context));
     }
@@ -131,7 +149,8 @@
   // Puts a manifest with `route` in force.
   void PublishRoute() {
     auto config = std::make_shared<GatewayConfig>();
-    config->routes = {route};
+    config->routes = more_routes;
+    config->routes.push_back(route);
     config->accounts = {{.id = AccountId("school"), .api_keys = {"secret"}}};
     dispatcher.SetTable(std::make_shared<const RouteTable>(config));
   }
@@ -175,6 +194,7 @@
     hooks.rejected = [](const std::string&) {};
     hooks.read_delay = [this] { return read_delay; };
     hooks.event = [this](const Event& event) { events.push_back(event.id); };
+    hooks.memory = memory;
     return hooks;
   }
 
@@ -182,7 +202,12 @@
     boost::asio::ip::tcp::socket socket(context);
     socket.connect(boost::asio::ip::tcp::endpoint(
         boost::asio::ip::address_v4::loopback(), listener.port()));
+    const int handle = socket.native_handle();
     auto peer = std::make_unique<RawPeer>(std::move(socket));
+    // A caller bears it when the router does not read for a while.
+    const int no_timeout = 0;
+    setsockopt(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &no_timeout,
+               sizeof(no_timeout));
     peer->Start();
     peer->Send(request);
     return peer;
@@ -195,6 +220,10 @@
     while (!done()) {
       REQUIRE(SteadyNow() < end);
       dispatcher.OnTick(SteadyNow());
+      if (memory->is_limited()) {
+        listener.OnTick(SteadyNow());
+        memory->OnTick(SteadyNow());
+      }
       context.restart();
       context.run_for(std::chrono::milliseconds(2));
     }
@@ -247,7 +276,10 @@
     return found;
   }
 
+  ~GatewayFixture() { memory->SetHooks({}); }
+
   boost::asio::io_context context{1};
+  const std::shared_ptr<MemoryBudget> memory;
   std::vector<std::unique_ptr<RawUpstream>> upstreams;
   std::vector<RelayReport> reports;
   // For each reported attempt, whether it failed.
@@ -260,6 +292,9 @@
   // How long bytes are said to have waited to be read.
   Duration read_delay{};
   ServiceRoute route;
+  // Other routes of the manifest; put in force by PublishRoute.
+  std::vector<ServiceRoute> more_routes;
+  std::vector<MemoryBudget::Change> memory_changes;
   std::vector<UpstreamRecord> records;
 
  private:
--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -101,6 +101,35 @@
   CHECK_FALSE(ParseSettings("{", "settings.json").ok());
 }
 
+// An invalid memory limit must not keep a router from starting.
+TEST_CASE("Platform: reads the memory limit, ignores an invalid one",
+          "[platform][memory]") {
+  const auto parse = [](const std::string& limit) {
+    const absl::StatusOr<GatewaySettings> settings = ParseSettings(
+        absl::StrCat(
+            R"({"node_name":"n","zone":"z","region":"r","ip":"10.0.0.1",
+                "listen":{"frontend":"10.0.0.1:1","ready":"10.0.0.1:2"},
+                "limits":{)",
+            limit, R"(},"bounds":{},"platform":{"address":"10.9.0.1:9"}})"),
+        "settings.json");
+    REQUIRE(settings.ok());
+    return *settings;
+  };
+  CHECK(parse(R"("memory_mb":88)").memory_limit == Bytes(88 * 1024 * 1024));
+  CHECK(parse("").memory_limit == Bytes(0));
+  CHECK(parse("").memory_limit_error.empty());
+  for (const char* bad : {"-1", "0", "31", "1e300", "99999999999999999999",
+                          "\"88\"", "[]", "true"}) {
+    INFO(bad);
+    const GatewaySettings settings = parse(absl::StrCat("\"memory_mb\":", bad));
+    CHECK(settings.memory_limit == Bytes(0));
+    CHECK(settings.memory_limit_error.find("limits.memory_mb: found ") !=
+          std::string::npos);
+    CHECK(settings.memory_limit_error.find("from 32 to 1048576") !=
+          std::string::npos);
+  }
+}
+
 TEST_CASE("Platform: parses headers of callers and upstreams", "[platform]") {
   const HeaderCodec header_codec = MakeHeaderCodec();
   const CallerMetadata caller = header_codec.read_caller(
