Read again on a connection whose last response paused it

Cause: RelayedRequest::ApplyBackpressure paused reading for a slow caller. If the same bytes ended the response, the connection went back to the pool paused, and the next request on it got no response.

Change: UpstreamConnection::Finish resumes reading.

Result: "UpstreamConnection: reads after a response that paused it" fails after 20 s without the change, passes with it.

--- a/src/gateway/upstream_connection.cc
+++ b/src/gateway/upstream_connection.cc
@@ -270,6 +270,9 @@
   const std::shared_ptr<const Call> call = std::exchange(call_, nullptr);
   reader_.reset();
   idle_since_ = SteadyNow();
+  // The end of the response may have arrived in the bytes that paused reading
+  // for a slow caller. The next call on this connection needs its response.
+  SetReading(true);
   if (closes_after_call_ || !input_.empty()) {
     Close();
   }
--- a/tests/gateway_memory_test.cc
+++ b/tests/gateway_memory_test.cc
@@ -414,6 +414,53 @@
   CHECK(CountServed(slow, kResponse) == slow.size());
 }
 
+// A connection whose reading was paused by the bytes that also ended its
+// response went back to the pool paused. The next request on it got no
+// response.
+TEST_CASE("UpstreamConnection: reads after a response that paused it",
+          "[gateway]") {
+  boost::asio::io_context context(1);
+  RawUpstream upstream(context);
+  const HeaderCodec codec = platform::MakeHeaderCodec();
+  const auto connection = std::make_shared<UpstreamConnection>(context, &codec);
+  int ended = 0;
+  const auto send = [&](const std::function<void()>& on_body) {
+    UpstreamConnection::Call call;
+    call.make_bytes = [] {
+      return UpstreamConnection::RequestBytes{
+          .head = "POST /p/ HTTP/1.1\r\nHost: h\r\n\r\n", .body = nullptr};
+    };
+    call.attempt_id = "a1";
+    call.observed = [](const ResponseMetadata&) {};
+    call.head = [](const ResponseReader&, const ResponseMetadata&) {};
+    call.body = [on_body](const std::string&) { on_body(); };
+    call.ended = [&] { ++ended; };
+    call.failed = [](CallFailure, const std::string& error) { FAIL(error); };
+    connection->Send(upstream.address(), std::move(call));
+  };
+  const auto run_until = [&](const std::function<bool()>& done) {
+    const TimePoint end = SteadyNow() + kTestTimeout;
+    while (!done()) {
+      REQUIRE(SteadyNow() < end);
+      context.restart();
+      context.run_for(milliseconds(2));
+    }
+  };
+  const auto answer = [&](int number) {
+    run_until([&] {
+      return !upstream.peers.empty() && !upstream.peers[0]->received.empty();
+    });
+    upstream.peers[0]->received.clear();
+    upstream.peers[0]->Send(kOkResponse);
+    run_until([&] { return ended == number; });
+  };
+  send([&] { connection->SetReading(false); });
+  answer(1);
+  REQUIRE(connection->IsReusable(SteadyNow()));
+  send([] {});
+  answer(2);
+}
+
 // 4 MB wait for each router that takes nothing, which is 1.2 GB in a fleet of
 // 300.
 TEST_CASE("PeerNetwork: peers that read nothing use a part of the budget",
