--- a/tests/gateway_memory_test.cc
+++ b/tests/gateway_memory_test.cc
@@ -14,6 +14,7 @@
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "include/wire/peer_network.h"
+#include "platform/store_client.h"
 #include "src/gateway/upstream_connection.h"
 #include "tests/fakes/gateway_fixture.h"
 
@@ -414,6 +415,56 @@
   CHECK(CountServed(slow, kResponse) == slow.size());
 }
 
+// Bodies that upstreams don't take stay charged, so that further ones wait.
+TEST_CASE("Gateway memory: slow upstreams", "[memory]") {
+  const int64_t limit = GENERATE(88, 110, 512);
+  MemoryFixture f(RequestKind::kNonIdempotent, limit);
+  f.SetUpstreamsReading(false);
+  const std::vector<std::unique_ptr<RawPeer>> callers = SendLargeBodies(&f, 25);
+  const TimePoint end = SteadyNow() + milliseconds(300);
+  f.ServeUntil([&] { return SteadyNow() > end; });
+  CHECK((f.memory->waiting() > 0) == (limit < 512));
+  CHECK(f.memory->Admits(Tier::kBatch));
+  f.SetUpstreamsReading(true);
+  CheckSmallIsServed(&f);
+  f.ServeUntil([&] { return CountServed(callers) == callers.size(); });
+  CHECK(f.memory->peak() <= f.memory->capacity());
+}
+
+// A store that sends without end must not use up the budget.
+TEST_CASE("Store client: cuts a response that memory has no room for",
+          "[memory]") {
+  boost::asio::io_context context(1);
+  RawUpstream server(context);
+  const auto memory =
+      std::make_shared<MemoryBudget>(Bytes(int64_t{88} * 1024 * 1024));
+  const std::unique_ptr<PlatformStore> store =
+      platform::OpenStore(context, server.address(), memory);
+  absl::StatusCode code = absl::StatusCode::kOk;
+  store->List("kind", "", [&](const absl::StatusOr<ObjectBatch>& batch) {
+    code = batch.status().code();
+  });
+  const TimePoint end = SteadyNow() + kTestTimeout;
+  bool has_head = false;
+  while (code == absl::StatusCode::kOk) {
+    REQUIRE(SteadyNow() < end);
+    context.restart();
+    context.run_for(milliseconds(2));
+    if (!server.peers.empty() && !server.peers[0]->received.empty() &&
+        server.peers[0]->pending_bytes() == 0) {
+      if (!std::exchange(has_head, true)) {
+        server.peers[0]->Send(
+            "HTTP/1.1 200 OK\r\nContent-Length: 100000000\r\n\r\n");
+      }
+      server.peers[0]->Send(std::string(400'000, ' '));
+    }
+  }
+  CHECK(code == absl::StatusCode::kResourceExhausted);
+  CHECK(memory->peak() > Bytes(1'000'000));
+  CHECK(memory->peak() < memory->capacity());
+  CHECK(memory->used() == Bytes(0));
+}
+
 // A connection whose reading was paused by the bytes that also ended its
 // response went back to the pool paused. The next request on it got no
 // response.
