Close the connection of a test's peer when the peer is destroyed

Cause: the event loop holds a peer's channel while it waits for input, and the channel's hooks refer to the peer. A peer that a test dropped was written to once more bytes arrived. Seen once, in "Gateway memory: many incomplete heads", as an exception of std::string.

Change: RawPeer closes its channel in its destructor.

--- a/tests/fakes/gateway_fixture.h
+++ b/tests/fakes/gateway_fixture.h
@@ -35,6 +35,8 @@
  public:
   explicit RawPeer(boost::asio::ip::tcp::socket socket)
       : channel_(std::make_shared<TcpChannel>(std::move(socket))) {}
+  // The event loop may hold the channel, whose hooks refer to this object.
+  ~RawPeer() { channel_->Close(); }
 
   void Start() {
     TcpChannel::Hooks hooks;
