--- a/include/telemetry/event_catalog.h
+++ b/include/telemetry/event_catalog.h
@@ -90,6 +90,11 @@
   kEvacuationRefused = 8054,
   kEvacuatedZoneUnknown = 8055,
   kNoUpstreamAllowed = 8056,
+  kMemoryReadingPaused = 8061,
+  kMemoryReadingResumed = 8062,
+  kMemoryRejecting = 8063,
+  kMemoryRejectingEnded = 8064,
+  kMemoryLimitRefused = 8065,
 };
 
 enum class Severity : uint8_t { kDebug, kInfo, kWarning, kError };
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "include/admission/memory_budget.h"
 #include "include/base/ids.h"
 #include "include/base/units.h"
 #include "include/telemetry/event_catalog.h"
@@ -52,6 +53,8 @@
   void SetWarmup(size_t cold_upstreams, uint64_t cold_requests);
   // Sets the gauges of evacuated zones. Those of other zones become zero.
   void SetEvacuatedZones(const std::vector<EvacuatedZoneState>& zones);
+  // Sets the gauges of the memory budget.
+  void SetMemory(const MemoryBudget& budget);
 
   // Returns all metrics in Prometheus' text format.
   std::string Export() const { return registry_.Export(); }
--- a/src/telemetry/event_catalog.cc
+++ b/src/telemetry/event_catalog.cc
@@ -219,6 +219,24 @@
        "Requests to a service are rejected because evacuations, or the regions "
        "that they are limited to, leave no upstream, as `reason` says; logged "
        "at most every ten seconds for each service and reason."},
+      {EventId::kMemoryReadingPaused, Severity::kWarning,
+       "memory_reading_paused",
+       "Memory is short: large bodies of callers, or responses whose callers "
+       "are slow, are not read on until some is free; `tier` is that of the "
+       "first one."},
+      {EventId::kMemoryReadingResumed, Severity::kInfo,
+       "memory_reading_resumed",
+       "For a second, nothing had to wait for memory."},
+      {EventId::kMemoryRejecting, Severity::kWarning, "memory_rejecting",
+       "Memory is short: new requests are rejected with 503, lower tiers "
+       "first; `tier` is that of the first one. The fields are the bytes held "
+       "by kind."},
+      {EventId::kMemoryRejectingEnded, Severity::kInfo,
+       "memory_rejecting_ended",
+       "For a second, no request was rejected for want of memory."},
+      {EventId::kMemoryLimitRefused, Severity::kError, "memory_limit_refused",
+       "The memory limit in the settings can't be used, so the memory that "
+       "callers use has no bound; correct the settings and restart."},
   };
   return catalog;
 }
