--- a/tests/fakes/fake_platform.h
+++ b/tests/fakes/fake_platform.h
@@ -38,6 +38,16 @@
   const std::map<std::string, uint64_t>& objects() const { return objects_; }
   // Calls that reached the store.
   int calls() const { return calls_; }
+  // The same by what they were and how they ended: "list", "stale list",
+  // "watch, changes", "watch, none" and "failed".
+  const std::map<std::string, int>& calls_by_kind() const {
+    return calls_by_kind_;
+  }
+  // Creates or changes an object with this desired state.
+  void PutSpec(const std::string& name, boost::json::value spec) {
+    specs_[name] = std::move(spec);
+    Put(name);
+  }
 
   bool is_down = false;
 
@@ -60,11 +70,17 @@
       objects_.erase(name);
     } else {
       object.version = ObjectVersion(version_);
+      object.spec = SpecOf(name);
       objects_[name] = version_;
     }
     changes_.push_back({version_, object});
   }
 
+  boost::json::value SpecOf(const std::string& name) const {
+    const auto found = specs_.find(name);
+    return found == specs_.end() ? boost::json::value() : found->second;
+  }
+
   ObjectBatch ChangesAfter(ObjectVersion version) const {
     ObjectBatch batch;
     for (const Change& change : changes_) {
@@ -79,8 +95,10 @@
   EventQueue* const queue_;
   uint64_t version_ = 1;
   std::map<std::string, uint64_t> objects_;
+  std::map<std::string, boost::json::value> specs_;
   std::vector<Change> changes_;
   int calls_ = 0;
+  std::map<std::string, int> calls_by_kind_;
 };
 
 class FakePlatform::Client final : public PlatformStore {
@@ -92,11 +110,13 @@
             BatchCallback done) override {
     Answer(
         [this, done] {
+          ++platform_->calls_by_kind_["list"];
           ObjectBatch batch;
           for (const auto& [name, version] : platform_->objects_) {
             PlatformObject object;
             object.name = name;
             object.version = ObjectVersion(version);
+            object.spec = platform_->SpecOf(name);
             batch.objects.push_back(object);
           }
           batch.store_version = ObjectVersion(platform_->version_);
@@ -138,6 +158,7 @@
     platform_->queue_->After(kCallTime,
                              [this, answer = std::move(answer), done] {
                                if (IsFailing()) {
+                                 ++platform_->calls_by_kind_["failed"];
                                  done(Failure());
                                } else {
                                  answer();
@@ -147,11 +168,14 @@
 
   void Poll(ObjectVersion version, TimePoint end, const BatchCallback& done) {
     if (IsFailing()) {
+      ++platform_->calls_by_kind_["failed"];
       done(Failure());
       return;
     }
     ObjectBatch batch = platform_->ChangesAfter(version);
     if (!batch.objects.empty() || platform_->queue_->now() >= end) {
+      ++platform_->calls_by_kind_[batch.objects.empty() ? "watch, none"
+                                                        : "watch, changes"];
       done(std::move(batch));
       return;
     }
