Complete first lists within 400 ms, and probe the store only while reading

Cause: a router waited 800 ms for the feed before it was ready, and routers that pass on what they hear probed the store during an outage. Change: completion after 400 ms, at once in a fleet known to be small; only readers probe, and not while the store is unavailable; followers that hear the feed retry after 5 s. Routers of the test discover a running fleet within 425 ms, and each other within 1.7 s.

--- a/include/gateway/object_watcher.h
+++ b/include/gateway/object_watcher.h
@@ -58,6 +58,9 @@
     // The maximum wait of one watch while other routers depend on this one.
     // Shorter, so that they notice sooner if it has lost the store.
     Duration feeding_wait = std::chrono::milliseconds(700);
+    // The same of a router that reads for others, while StoreProbe shows that
+    // the store responds to it.
+    Duration reading_wait = std::chrono::milliseconds(700);
     // What another router has passed on is recent until this long after the
     // store confirmed it. It allows for `feeding_wait` and for the interval of
     // the updates.
@@ -80,7 +83,8 @@
     // The first list may be old.
     bool starts_stale = false;
     // How long an old first list waits for a feed before a watch completes it.
-    Duration completion_delay = std::chrono::milliseconds(800);
+    // A router is not ready before.
+    Duration completion_delay = std::chrono::milliseconds(400);
   };
 
   struct Hooks {
@@ -133,6 +137,9 @@
   // Other routers depend on what this one reads.
   void SetFeeding(bool is_feeding) { is_feeding_ = is_feeding; }
 
+  // Completes an old first list by a watch, as no feed is to be expected.
+  void CompleteNow();
+
   // This router reads the store for others, and does not rely on a feed.
   void SetReading(bool is_reading);
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -58,20 +58,21 @@
 
 // Maximum wait of a watch for version moves, which take many seconds each.
 constexpr Duration kMoveWatchWait = std::chrono::seconds(5);
-// How long a feed of moves is recent.
+// The same while other routers are fed, and how long a feed of moves is recent.
+constexpr Duration kMoveFeedingWait = std::chrono::seconds(2);
 constexpr Duration kMaxMoveFeedAge = std::chrono::milliseconds(2700);
-// Maximum wait of a watch while other routers are fed. StoreProbe shows that the
-// store responds; a lost response is noticed by the versions of other routers,
+// Maximum wait of a watch of a router that reads for others. StoreProbe shows
+// that the store responds; a lost response is noticed by the versions of other routers,
 // or after this time.
-constexpr Duration kFeedingWait = std::chrono::seconds(4);
+constexpr Duration kReadingWait = std::chrono::seconds(4);
 // Each batch of changes costs the readers a call. With this delay, changes are
 // in force well within the 2 s that manifests and upstreams may take.
 constexpr Duration kFeedingCoalesceDelay = std::chrono::milliseconds(400);
 // Backoff of the routers that read for others, and of those that hear from them
 // and will learn from them when the store is available again.
 constexpr Duration kMaxReadingBackoff = std::chrono::milliseconds(800);
-constexpr Duration kMinFedBackoff = std::chrono::seconds(3);
-constexpr Duration kMaxFedBackoff = std::chrono::seconds(6);
+constexpr Duration kMinFedBackoff = std::chrono::seconds(5);
+constexpr Duration kMaxFedBackoff = std::chrono::seconds(10);
 // Time for the next readers to take over before a router reads for itself. The
 // feed is recent for 1.4 s, so that changes are in force within 2 s even if all
 // readers have lost the store.
@@ -90,7 +91,7 @@
   ObjectWatcher::Options options;
   options.kind = kind;
   options.first_watch_delay = kFirstWatchDelay;
-  options.feeding_wait = kFeedingWait;
+  options.reading_wait = kReadingWait;
   options.feeding_coalesce_delay = kFeedingCoalesceDelay;
   options.max_reading_backoff = kMaxReadingBackoff;
   options.min_fed_backoff = kMinFedBackoff;
@@ -104,6 +105,7 @@
                                           const std::string& kind) {
   ObjectWatcher::Options options = WatcherOptions(settings, kind);
   options.wait = kMoveWatchWait;
+  options.feeding_wait = kMoveFeedingWait;
   options.max_feed_age = kMaxMoveFeedAge;
   return options;
 }
@@ -577,6 +579,9 @@
   feed_.SetRouters(places);
   for (ObjectWatcher* watcher : Watchers()) {
     watcher->SetLead(feed_.IsLarge() ? &config_watcher_ : nullptr);
+    if (!feed_.IsLarge()) {
+      watcher->CompleteNow();
+    }
   }
   dispatcher_.SetNeighbours(mesh_.Neighbours());
   have_upstreams_changed_ = true;
@@ -721,8 +726,8 @@
     PublishRouters();
   }
   feed_.OnTick(now);
-  store_probe_.OnTick(now, feed_.IsFeeding() && feed_.IsLarge() &&
-                               !config_watcher_.IsFed(now));
+  store_probe_.OnTick(now, feed_.IsFeeding() && feed_.IsReading() &&
+                               !config_watcher_.IsStoreUnavailable());
   store_->OnTick(now);
   archive_.OnTick(now);
   moves_.OnTick(now);
--- a/src/gateway/object_watcher.cc
+++ b/src/gateway/object_watcher.cc
@@ -96,6 +96,12 @@
           now - *lead_->last_success_ >= kLeadSuccessTime);
 }
 
+void ObjectWatcher::CompleteNow() {
+  if (old_list_.has_value() && !is_unavailable_) {
+    next_call_ = now_;
+  }
+}
+
 void ObjectWatcher::SetReading(bool is_reading) {
   if (is_reading && !is_reading_) {
     next_call_ = now_;
@@ -160,7 +166,10 @@
 
 void ObjectWatcher::Watch() {
   watched_version_ = version_;
-  Duration wait = is_feeding_ ? options_.feeding_wait : options_.wait;
+  Duration wait = options_.wait;
+  if (is_feeding_) {
+    wait = is_reading_ ? options_.reading_wait : options_.feeding_wait;
+  }
   // While the state of the store is not known, a short wait tells it.
   const bool must_probe =
       is_unavailable_ || old_list_.has_value() ||
@@ -253,7 +262,8 @@
   OnSuccess(now);
   LogUnreadable(*batch);
   const ObjectVersion to = std::max(watched_version_, batch->store_version);
-  const bool is_first_to_know = version_ == watched_version_ && is_listed_;
+  const bool is_first_to_know = version_ == watched_version_;
+  const bool was_listed = is_listed_;
   const ObjectVersion unchanged_since = unchanged_since_;
   if (!Merge(watched_version_, to, batch->objects)) {
     return;
@@ -268,7 +278,9 @@
   next_call_ = std::max(
       next_call_, now + (is_feeding_ ? options_.feeding_coalesce_delay
                                      : options_.coalesce_delay));
-  if (is_first_to_know) {
+  // Routers that start with lists of the same age lack the same changes. Those
+  // that do not read for others save the work of passing them on.
+  if (is_first_to_know && (was_listed || is_reading_)) {
     PassOn(batch->objects, unchanged_since, now);
   }
 }
--- a/tests/fakes/store_fleet.h
+++ b/tests/fakes/store_fleet.h
@@ -27,9 +27,10 @@
  public:
   static constexpr Duration kTick = std::chrono::milliseconds(25);
   static constexpr Duration kFeedTick = std::chrono::milliseconds(100);
-  // Routers find each other within this time after their start.
-  static constexpr Duration kMinDiscovery = std::chrono::milliseconds(300);
-  static constexpr Duration kMaxDiscovery = std::chrono::milliseconds(1000);
+  // Routers that start together find each other within a second, and one that
+  // joins a running fleet finds it sooner.
+  static constexpr Duration kDiscovery = std::chrono::milliseconds(1000);
+  static constexpr Duration kRunningDiscovery = std::chrono::milliseconds(250);
 
   enum Kind { kConfig, kUpstreams, kMoves, kKinds };
 
@@ -106,8 +107,7 @@
       ended_.push_back(std::move(routers[index]));
     }
     routers[index] = std::move(router);
-    const Duration spread = kMaxDiscovery - kMinDiscovery;
-    queue.After(kMinDiscovery + random_.Jitter(spread, 0.9),
+    queue.After(random_.Jitter(is_running_ ? kRunningDiscovery : kDiscovery, 0.7),
                 [this, started = routers[index].get()] {
                   started->feed->SetRouters(locations_);
                   for (Watched& watched : started->kinds) {
@@ -123,6 +123,7 @@
     for (size_t i = 0; i < routers.size(); ++i) {
       Start(i);
     }
+    is_running_ = true;
   }
 
   void Run(Duration time) {
@@ -208,15 +209,16 @@
     ObjectWatcher::Options options{
         .kind = absl::StrCat("kind", kind),
         .first_watch_delay = std::chrono::milliseconds(1200),
-        .feeding_wait = std::chrono::seconds(4),
-        .max_fed_backoff = std::chrono::seconds(6),
-        .min_fed_backoff = std::chrono::seconds(3),
+        .reading_wait = std::chrono::seconds(4),
+        .max_fed_backoff = std::chrono::seconds(10),
+        .min_fed_backoff = std::chrono::seconds(5),
         .max_reading_backoff = std::chrono::milliseconds(800),
         .feeding_coalesce_delay = std::chrono::milliseconds(400),
         .stale_feed_patience = std::chrono::milliseconds(400),
         .starts_stale = true};
     if (kind == kMoves) {
       options.wait = std::chrono::seconds(5);
+      options.feeding_wait = std::chrono::seconds(2);
       options.max_feed_age = std::chrono::milliseconds(2700);
     }
     ObjectWatcher::Hooks hooks;
@@ -357,13 +359,14 @@
       router->next_feed_tick = now + kFeedTick;
       router->feed->OnTick(now);
       router->probe->OnTick(
-          now, router->feed->IsFeeding() && router->feed->IsLarge() &&
-                   !router->kinds[kConfig].watcher->IsFed(now));
+          now, router->feed->IsFeeding() && router->feed->IsReading() &&
+                   !router->kinds[kConfig].watcher->IsStoreUnavailable());
       router->archive->OnTick(now);
     }
   }
 
   std::vector<RouterLocation> locations_;
+  bool is_running_ = false;
   std::vector<std::unique_ptr<Router>> ended_;
   Random random_;
 };
--- a/tests/store_calls_test.cc
+++ b/tests/store_calls_test.cc
@@ -76,6 +76,7 @@
   for (int i = 0; i < kUpstreams; ++i) {
     upstreams.Put(absl::StrCat("u", i));
   }
+  fleet.Run(seconds(5));
   CallReport report(&fleet);
   // The upstreams register again while the routers start.
   fleet.StartAll();
