Apply changes that were asked for whatever their age

Cause: changes from the history of a feed were ignored if the store had confirmed them more than 1.4 s ago. Change: their age only keeps them from counting as a recent feed.

--- a/src/gateway/object_watcher.cc
+++ b/src/gateway/object_watcher.cc
@@ -425,7 +425,10 @@
   now_ = now;
   last_feed_ = now;
   const TimePoint confirmed = now - feed.age;
-  if (feed.to < version_ || confirmed + options_.max_feed_age <= now) {
+  // Changes that were asked for may be old, and only do not show that there are
+  // no later ones.
+  const bool is_recent = confirmed + options_.max_feed_age > now;
+  if (feed.to < version_ || (!is_recent && feed.changes.empty())) {
     return;
   }
   if (feed.recovery_age.has_value()) {
@@ -442,7 +445,9 @@
   if (is_whole && changes.has_value()) {
     OnWholeList(feed, *changes, now);
   } else if (!changes.has_value() || !Merge(feed.from, feed.to, *changes)) {
-    OnGap(feed, now);
+    if (is_recent) {
+      OnGap(feed, now);
+    }
     return;
   }
   if (is_whole) {
