Retry after 2 s at most while changes are missing

Cause: a router that lacked changes which its sources did not have, and whose store had failed, waited up to 10 s for its next call. Change: the backoff of such a router is 2 s at most.

--- a/include/gateway/feed_history.h
+++ b/include/gateway/feed_history.h
@@ -22,8 +22,8 @@
   static constexpr size_t kMaxBytes = size_t{256} * 1024;
 
   // Adds changes that were received at `now`. There were no changes between
-  // `unchanged_since` and those of the feed. Forgets the earlier entries if this
-  // one does not follow on them.
+  // `unchanged_since` and those of the feed. Forgets the earlier entries if
+  // this one does not follow on them.
   void Add(KindFeed feed, ObjectVersion unchanged_since, TimePoint now);
   void Clear();
 
--- a/include/gateway/object_watcher.h
+++ b/include/gateway/object_watcher.h
@@ -27,8 +27,8 @@
 // (Hooks::behind), and read from the store if they do not come, so that the
 // objects never go back.
 //
-// With Options::starts_stale, the first list may be seconds old. Its objects are
-// delivered once a feed or a watch has completed them.
+// With Options::starts_stale, the first list may be seconds old. Its objects
+// are delivered once a feed or a watch has completed them.
 //
 // In a large fleet, one watcher of a router is the lead of the others
 // (SetLead): while the store is unavailable, only the lead tries it.
--- a/include/gateway/platform_store.h
+++ b/include/gateway/platform_store.h
@@ -67,8 +67,8 @@
                     BatchCallback done) = 0;
 
   // Like List, but the objects may be as they were some seconds ago, at
-  // `store_version`. The platform charges a tenth of a call for it. Pages of one
-  // list may have different versions.
+  // `store_version`. The platform charges a tenth of a call for it. Pages of
+  // one list may have different versions.
   virtual void ListStale(const std::string& kind,
                          const std::string& after,
                          BatchCallback done) {
--- a/src/gateway/counted_store.h
+++ b/src/gateway/counted_store.h
@@ -21,9 +21,8 @@
 
   struct Hooks {
     // A call has ended.
-    std::function<void(const std::string& kind,
-                       const std::string& call,
-                       bool is_ok)>
+    std::function<
+        void(const std::string& kind, const std::string& call, bool is_ok)>
         ended;
     EventHook event;
   };
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -62,8 +62,8 @@
 constexpr Duration kMoveFeedingWait = std::chrono::seconds(2);
 constexpr Duration kMaxMoveFeedAge = std::chrono::milliseconds(2700);
 // Maximum wait of a watch of a router that reads for others. StoreProbe shows
-// that the store responds; a lost response is noticed by the versions of other routers,
-// or after this time.
+// that the store responds; a lost response is noticed by the versions of other
+// routers, or after this time.
 constexpr Duration kReadingWait = std::chrono::seconds(4);
 // Each batch of changes costs the readers a call. With this delay, changes are
 // in force well within the 2 s that manifests and upstreams may take.
--- a/src/gateway/object_text.cc
+++ b/src/gateway/object_text.cc
@@ -119,8 +119,7 @@
   }
   z_stream& stream = inflater.stream();
   // zlib reads the input only, whatever the type says.
-  stream.next_in =
-      reinterpret_cast<Bytef*>(const_cast<char*>(packed.data()));
+  stream.next_in = reinterpret_cast<Bytef*>(const_cast<char*>(packed.data()));
   stream.avail_in = static_cast<uInt>(packed.size());
   std::string text;
   std::array<char, 16384> buffer{};
--- a/src/gateway/object_watcher.cc
+++ b/src/gateway/object_watcher.cc
@@ -34,6 +34,9 @@
 // for all kinds. It covers the usual wait of a watch.
 constexpr Duration kLeadSuccessTime = std::chrono::seconds(3);
 
+// Maximum backoff while changes are missing that other routers do not have.
+constexpr Duration kMaxBehindBackoff = std::chrono::seconds(2);
+
 std::optional<std::vector<PlatformObject>> ReadChanges(const KindFeed& feed) {
   if (!feed.is_packed) {
     return ParseObjects(feed.changes);
@@ -100,9 +103,8 @@
     return true;
   }
   const bool needs_lead = is_unavailable_ || (!is_reading_ && IsStale(now));
-  return needs_lead &&
-         (!lead_->last_success_.has_value() ||
-          now - *lead_->last_success_ >= kLeadSuccessTime);
+  return needs_lead && (!lead_->last_success_.has_value() ||
+                        now - *lead_->last_success_ >= kLeadSuccessTime);
 }
 
 void ObjectWatcher::SetAlone(bool is_alone) {
@@ -477,9 +479,12 @@
   }
   behind_since_ = now;
   const TimePoint read_at = now + options_.gap_patience;
-  if (old_list_.has_value()) {
+  if (is_unavailable_) {
+    next_call_ = std::min(next_call_,
+                          std::max(read_at, call_start_ + kMaxBehindBackoff));
+  } else if (old_list_.has_value()) {
     next_call_ = std::min(next_call_, read_at);
-  } else if (!is_unavailable_ && !is_reading_) {
+  } else if (!is_reading_) {
     next_call_ = read_at;
   }
   if (hooks_.behind) {
@@ -521,6 +526,10 @@
     backoff_ =
         std::clamp(backoff_ * 2, options_.min_backoff, options_.max_backoff);
   }
+  // The feed does not tell when this router may read what it lacks.
+  if (behind_since_.has_value()) {
+    backoff_ = std::min(backoff_, kMaxBehindBackoff);
+  }
   next_call_ = now + backoff_;
 }
 
--- a/src/gateway/store_feed.cc
+++ b/src/gateway/store_feed.cc
@@ -105,8 +105,7 @@
   // the first to know when the store is available again.
   for (const bool is_available : {true, false}) {
     for (const RouterId& reader : asked) {
-      if (sources.size() < kReaders &&
-          IsAvailable(reader) == is_available) {
+      if (sources.size() < kReaders && IsAvailable(reader) == is_available) {
         sources.push_back(reader);
       }
     }
@@ -199,8 +198,7 @@
       waiting.pop_front();
     }
     ++follower;
-    next_in_turn_ =
-        follower == followers_.end() ? RouterId() : follower->first;
+    next_in_turn_ = follower == followers_.end() ? RouterId() : follower->first;
   }
 }
 
@@ -279,9 +277,9 @@
 void StoreFeed::UpdateReading() {
   bool is_reading = is_large_ && rank_ < kCandidates;
   if (is_reading && rank_ >= kReaders) {
-    const auto available = std::count_if(
-        readers_.begin(), readers_.end(),
-        [this](const RouterId& id) { return IsAvailable(id); });
+    const auto available =
+        std::count_if(readers_.begin(), readers_.end(),
+                      [this](const RouterId& id) { return IsAvailable(id); });
     is_reading = available < static_cast<ptrdiff_t>(kReaders);
   }
   if (is_reading == is_reading_) {
--- a/tests/fakes/store_fleet.h
+++ b/tests/fakes/store_fleet.h
@@ -20,9 +20,9 @@
 namespace papaya {
 
 // Routers in several availability zones, each with the watchers of all kinds, a
-// feed and a quarantine archive as in `Gateway`, in virtual time. They find each
-// other a while after they start; messages between them are late and may be
-// lost.
+// feed and a quarantine archive as in `Gateway`, in virtual time. They find
+// each other a while after they start; messages between them are late and may
+// be lost.
 class StoreFleet {
  public:
   static constexpr Duration kTick = std::chrono::milliseconds(25);
@@ -95,28 +95,28 @@
             .event = [](const Event&) {}});
     router->feed = std::make_unique<StoreFeed>(locations_[index],
                                                MakeFeedHooks(router.get()));
-    router->probe = std::make_unique<StoreProbe>(
-        router->kinds[kMoves].client.get(), "kind",
-        [started = router.get()](TimePoint sent) {
-          for (Watched& watched : started->kinds) {
-            watched.watcher->OnStoreAlive(sent);
-          }
-        });
+    router->probe =
+        std::make_unique<StoreProbe>(router->kinds[kMoves].client.get(), "kind",
+                                     [started = router.get()](TimePoint sent) {
+                                       for (Watched& watched : started->kinds) {
+                                         watched.watcher->OnStoreAlive(sent);
+                                       }
+                                     });
     // Kept until the end, as calls that are under way refer to it.
     if (routers[index] != nullptr) {
       ended_.push_back(std::move(routers[index]));
     }
     routers[index] = std::move(router);
-    queue.After(random_.Jitter(is_running_ ? kRunningDiscovery : kDiscovery, 0.7),
-                [this, started = routers[index].get()] {
-                  started->feed->SetRouters(locations_);
-                  for (Watched& watched : started->kinds) {
-                    watched.watcher->SetLead(
-                        started->feed->IsLarge()
-                            ? started->kinds[kConfig].watcher.get()
-                            : nullptr);
-                  }
-                });
+    queue.After(
+        random_.Jitter(is_running_ ? kRunningDiscovery : kDiscovery, 0.7),
+        [this, started = routers[index].get()] {
+          started->feed->SetRouters(locations_);
+          for (Watched& watched : started->kinds) {
+            watched.watcher->SetLead(started->feed->IsLarge()
+                                         ? started->kinds[kConfig].watcher.get()
+                                         : nullptr);
+          }
+        });
   }
 
   void StartAll() {
@@ -319,7 +319,9 @@
     return hooks;
   }
 
-  void OnUpdate(Router* router, const RouterId& from, const FeedUpdate& update) {
+  void OnUpdate(Router* router,
+                const RouterId& from,
+                const FeedUpdate& update) {
     router->feed->OnUpdate(from, update, queue.now());
     if (!router->feed->IsFed()) {
       return;
@@ -337,16 +339,16 @@
     if (random_.Chance(loss)) {
       return;
     }
-    queue.After(std::chrono::milliseconds(1) +
-                    random_.Jitter(std::chrono::milliseconds(10), 0.9),
-                [this, to, deliver = std::move(deliver)] {
-                  for (const std::unique_ptr<Router>& router : routers) {
-                    if (router != nullptr && router->id == to &&
-                        !router->is_frozen) {
-                      deliver(router.get());
-                    }
-                  }
-                });
+    queue.After(
+        std::chrono::milliseconds(1) +
+            random_.Jitter(std::chrono::milliseconds(10), 0.9),
+        [this, to, deliver = std::move(deliver)] {
+          for (const std::unique_ptr<Router>& router : routers) {
+            if (router != nullptr && router->id == to && !router->is_frozen) {
+              deliver(router.get());
+            }
+          }
+        });
   }
 
   void Tick(Router* router) {
--- a/tests/store_calls_test.cc
+++ b/tests/store_calls_test.cc
@@ -86,8 +86,8 @@
   }
   fleet.Run(milliseconds(1500));
   CHECK(fleet.CountCurrent() == kRouters);
-  std::cout << "slowest start: "
-            << fleet.SlowestStart() / milliseconds(1) << " ms\n";
+  std::cout << "slowest start: " << fleet.SlowestStart() / milliseconds(1)
+            << " ms\n";
   report.Take("simultaneous start, 5 s");
   fleet.Run(seconds(10));
   report.Take("no changes, 10 s");
@@ -112,8 +112,8 @@
   }
   fleet.Run(seconds(3));
   CHECK(fleet.CountCurrent() == kRouters);
-  std::cout << "slowest start: "
-            << fleet.SlowestStart() / milliseconds(1) << " ms\n";
+  std::cout << "slowest start: " << fleet.SlowestStart() / milliseconds(1)
+            << " ms\n";
   report.Take("30% of the routers restarted, 7 s");
   fleet.SetDown(true);
   fleet.Run(seconds(5));
--- a/tests/store_faults_test.cc
+++ b/tests/store_faults_test.cc
@@ -181,7 +181,8 @@
   // One call of each router, and those of the routers that may read.
   constexpr int kCallsOfCandidate = 13;
   CHECK(fleet.Cost() - before <=
-        kRouters + kCallsOfCandidate * static_cast<int>(StoreFeed::kCandidates));
+        kRouters +
+            kCallsOfCandidate * static_cast<int>(StoreFeed::kCandidates));
 }
 
 // Guards against long changes that are read from the store by each router, or
@@ -339,8 +340,8 @@
   CHECK_FALSE(UnpackText(packed.substr(0, packed.size() - 5)).has_value());
   CHECK_FALSE(UnpackText("no zlib").has_value());
   CHECK_FALSE(UnpackText("").has_value());
-  CHECK_FALSE(
-      UnpackText(PackText(std::string(kMaxUnpackedBytes + 1, 'x'))).has_value());
+  CHECK_FALSE(UnpackText(PackText(std::string(kMaxUnpackedBytes + 1, 'x')))
+                  .has_value());
 }
 
 }  // namespace
