Mark packed changes so that routers of earlier releases see a gap

Cause: a router of an earlier release reads an update with packed changes as one without changes, and would skip them. Change: such updates have the same version as from and to on the wire, and the version before the changes in a new field. Measured: the new test of the codec checks the wire value.

--- a/src/wire/feed_codec.cc
+++ b/src/wire/feed_codec.cc
@@ -37,6 +37,8 @@
                                 ? ToWireMilliseconds(*feed.recovery_age)
                                 : kNoRecovery;
     if (feed.is_packed) {
+      kind->from = feed.to.value();
+      kind->packed_from = feed.from.value();
       kind->packed_changes.assign(feed.changes.begin(), feed.changes.end());
     } else {
       kind->changes = feed.changes;
@@ -72,6 +74,9 @@
       feed.recovery_age = std::chrono::milliseconds(kind->recovery_age_ms);
     }
     feed.is_packed = !kind->packed_changes.empty();
+    if (feed.is_packed) {
+      feed.from = ObjectVersion(kind->packed_from);
+    }
     feed.changes = feed.is_packed ? std::string(kind->packed_changes.begin(),
                                                 kind->packed_changes.end())
                                   : kind->changes;
--- a/src/wire/peer_generated.h
+++ b/src/wire/peer_generated.h
@@ -4483,6 +4483,7 @@
   int32_t recovery_age_ms = -1;
   std::string changes{};
   std::vector<uint8_t> packed_changes{};
+  uint64_t packed_from = 0;
 };
 
 struct KindFeed FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -4496,7 +4497,8 @@
     VT_AGE_MS = 10,
     VT_RECOVERY_AGE_MS = 12,
     VT_CHANGES = 14,
-    VT_PACKED_CHANGES = 16
+    VT_PACKED_CHANGES = 16,
+    VT_PACKED_FROM = 18
   };
   const flatbuffers::String *kind() const {
     return GetPointer<const flatbuffers::String *>(VT_KIND);
@@ -4519,6 +4521,9 @@
   const flatbuffers::Vector<uint8_t> *packed_changes() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_PACKED_CHANGES);
   }
+  uint64_t packed_from() const {
+    return GetField<uint64_t>(VT_PACKED_FROM, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_KIND) &&
@@ -4531,6 +4536,7 @@
            verifier.VerifyString(changes()) &&
            VerifyOffset(verifier, VT_PACKED_CHANGES) &&
            verifier.VerifyVector(packed_changes()) &&
+           VerifyField<uint64_t>(verifier, VT_PACKED_FROM, 8) &&
            verifier.EndTable();
   }
   KindFeedT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4563,6 +4569,9 @@
   void add_packed_changes(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> packed_changes) {
     fbb_.AddOffset(KindFeed::VT_PACKED_CHANGES, packed_changes);
   }
+  void add_packed_from(uint64_t packed_from) {
+    fbb_.AddElement<uint64_t>(KindFeed::VT_PACKED_FROM, packed_from, 0);
+  }
   explicit KindFeedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4582,8 +4591,10 @@
     uint32_t age_ms = 0,
     int32_t recovery_age_ms = -1,
     flatbuffers::Offset<flatbuffers::String> changes = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> packed_changes = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> packed_changes = 0,
+    uint64_t packed_from = 0) {
   KindFeedBuilder builder_(_fbb);
+  builder_.add_packed_from(packed_from);
   builder_.add_to(to);
   builder_.add_from(from);
   builder_.add_packed_changes(packed_changes);
@@ -4607,7 +4618,8 @@
     uint32_t age_ms = 0,
     int32_t recovery_age_ms = -1,
     const char *changes = nullptr,
-    const std::vector<uint8_t> *packed_changes = nullptr) {
+    const std::vector<uint8_t> *packed_changes = nullptr,
+    uint64_t packed_from = 0) {
   auto kind__ = kind ? _fbb.CreateString(kind) : 0;
   auto changes__ = changes ? _fbb.CreateString(changes) : 0;
   auto packed_changes__ = packed_changes ? _fbb.CreateVector<uint8_t>(*packed_changes) : 0;
@@ -4619,7 +4631,8 @@
       age_ms,
       recovery_age_ms,
       changes__,
-      packed_changes__);
+      packed_changes__,
+      packed_from);
 }
 
 flatbuffers::Offset<KindFeed> CreateKindFeed(flatbuffers::FlatBufferBuilder &_fbb, const KindFeedT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6722,6 +6735,7 @@
   { auto _e = recovery_age_ms(); _o->recovery_age_ms = _e; }
   { auto _e = changes(); if (_e) _o->changes = _e->str(); }
   { auto _e = packed_changes(); if (_e) { _o->packed_changes.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->packed_changes.begin()); } }
+  { auto _e = packed_from(); _o->packed_from = _e; }
 }
 
 inline flatbuffers::Offset<KindFeed> KindFeed::Pack(flatbuffers::FlatBufferBuilder &_fbb, const KindFeedT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6739,6 +6753,7 @@
   auto _recovery_age_ms = _o->recovery_age_ms;
   auto _changes = _o->changes.empty() ? 0 : _fbb.CreateString(_o->changes);
   auto _packed_changes = _o->packed_changes.size() ? _fbb.CreateVector(_o->packed_changes) : 0;
+  auto _packed_from = _o->packed_from;
   return papaya::fb::CreateKindFeed(
       _fbb,
       _kind,
@@ -6747,7 +6762,8 @@
       _age_ms,
       _recovery_age_ms,
       _changes,
-      _packed_changes);
+      _packed_changes,
+      _packed_from);
 }
 
 inline FeedUpdateT::FeedUpdateT(const FeedUpdateT &o) {
--- a/tests/peer_codec_test.cc
+++ b/tests/peer_codec_test.cc
@@ -187,6 +187,31 @@
   }
 }
 
+// Guards against packed changes that routers of earlier releases take for none.
+TEST_CASE("PeerCodec: packed changes and known versions come back", "[wire]") {
+  const auto back = [](const PeerMessage& message) {
+    return *DecodePeerMessage(EncodePeerMessage(message));
+  };
+  const FeedUpdate packed{{{.kind = "config",
+                            .from = ObjectVersion(3),
+                            .to = ObjectVersion(5),
+                            .changes = std::string("\x78\0\xff", 3),
+                            .is_packed = true}}};
+  CHECK(std::get<FeedUpdate>(back(packed)) == packed);
+  const std::string bytes = EncodePeerMessage(packed);
+  const fb::KindFeed* wire = flatbuffers::GetRoot<fb::PeerFrame>(bytes.data())
+                                 ->payload_as_FeedUpdate()
+                                 ->kinds()
+                                 ->Get(0);
+  CHECK(wire->from() == wire->to());
+  const FeedRequest request{
+      .kinds = {{.kind = "config",
+                 .version = ObjectVersion(7),
+                 .is_behind = true}},
+      .wants_long_changes = false};
+  CHECK(std::get<FeedRequest>(back(request)) == request);
+}
+
 TEST_CASE("PeerCodec: values come back equal", "[wire]") {
   const auto back = [](const PeerMessage& message) {
     return *DecodePeerMessage(EncodePeerMessage(message));
