Complete first lists at once only in a small fleet that is known

Cause: a router that knows only itself counted as alone, so that it read the store before it could find a fleet.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -583,7 +583,7 @@
   feed_.SetRouters(places);
   for (ObjectWatcher* watcher : Watchers()) {
     watcher->SetLead(feed_.IsLarge() ? &config_watcher_ : nullptr);
-    watcher->SetAlone(!feed_.IsLarge());
+    watcher->SetAlone(places.size() > 1 && !feed_.IsLarge());
   }
   dispatcher_.SetNeighbours(mesh_.Neighbours());
   have_upstreams_changed_ = true;
--- a/src/gateway/object_watcher.cc
+++ b/src/gateway/object_watcher.cc
@@ -233,7 +233,7 @@
   std::vector<PlatformObject> objects = std::exchange(pages_, {});
   if (options_.starts_stale && !is_listed_) {
     old_list_ = std::move(objects);
-    if (!is_reading_) {
+    if (!is_reading_ && !is_alone_) {
       next_call_ = now + options_.completion_delay;
     }
     if (hooks_.behind) {
--- a/tests/peer_codec_test.cc
+++ b/tests/peer_codec_test.cc
@@ -204,11 +204,10 @@
                                  ->kinds()
                                  ->Get(0);
   CHECK(wire->from() == wire->to());
-  const FeedRequest request{
-      .kinds = {{.kind = "config",
-                 .version = ObjectVersion(7),
-                 .is_behind = true}},
-      .wants_long_changes = false};
+  const FeedRequest request{.kinds = {{.kind = "config",
+                                       .version = ObjectVersion(7),
+                                       .is_behind = true}},
+                            .wants_long_changes = false};
   CHECK(std::get<FeedRequest>(back(request)) == request);
 }
 
