Bound the store calls of each cause in the test

Cause: the test printed the calls and only checked that routers were current. Change: a bound for each cause, about a sixth above the figure, and a test of the quarantine archive's reads in a large and a small fleet.

--- a/tests/store_calls_test.cc
+++ b/tests/store_calls_test.cc
@@ -88,23 +88,23 @@
   CHECK(fleet.CountCurrent() == kRouters);
   std::cout << "slowest start: " << fleet.SlowestStart() / milliseconds(1)
             << " ms\n";
-  report.Take("simultaneous start, 5 s");
+  CHECK(report.Take("simultaneous start, 5 s") <= 650);
   fleet.Run(seconds(10));
-  report.Take("no changes, 10 s");
+  CHECK(report.Take("no changes, 10 s") <= 80);
   for (int edition = 1; edition <= 5; ++edition) {
     fleet.platforms[StoreFleet::kConfig]->PutSpec("main", Manifest(edition));
     fleet.Run(milliseconds(1800));
     CHECK(fleet.CountCurrent() == kRouters);
     fleet.Run(milliseconds(4200));
   }
-  report.Take("manifest of 30 KB, 5 changes in 30 s");
+  CHECK(report.Take("manifest of 30 KB, 5 changes in 30 s") <= 90);
   for (int i = 0; i < 20; ++i) {
     upstreams.Put(absl::StrCat("u", i));
     fleet.Run(milliseconds(500));
   }
   fleet.Run(milliseconds(1500));
   CHECK(fleet.CountCurrent() == kRouters);
-  report.Take("20 upstream entries in 11.5 s");
+  CHECK(report.Take("20 upstream entries in 11.5 s") <= 80);
   for (size_t i = 0; i < kRestarted; ++i) {
     fleet.Start(i * 3);
     upstreams.Put(absl::StrCat("u", i));
@@ -114,15 +114,15 @@
   CHECK(fleet.CountCurrent() == kRouters);
   std::cout << "slowest start: " << fleet.SlowestStart() / milliseconds(1)
             << " ms\n";
-  report.Take("30% of the routers restarted, 7 s");
+  CHECK(report.Take("30% of the routers restarted, 7 s") <= 130);
   fleet.SetDown(true);
   fleet.Run(seconds(5));
-  report.Take("outage of 5 s");
+  CHECK(report.Take("outage of 5 s") <= 230);
   fleet.SetDown(false);
   upstreams.Put("after");
   fleet.Run(seconds(3));
   CHECK(fleet.CountCurrent() == kRouters);
-  report.Take("3 s after the outage");
+  CHECK(report.Take("3 s after the outage") <= 30);
   CHECK_FALSE(fleet.WentBack());
   std::cout << "store calls in all: " << report.total() << ", "
             << report.total() / kRouters << " for each router\n";
--- a/tests/store_faults_test.cc
+++ b/tests/store_faults_test.cc
@@ -302,6 +302,20 @@
   });
 }
 
+// Guards against a complete read of the quarantines by each router of a large
+// fleet, and against small fleets that miss recent quarantines.
+TEST_CASE("StoreFaults: quarantines are read once by routers that are fed",
+          "[store_calls]") {
+  Faults fleet;
+  const auto& large = fleet.platforms[StoreFleet::kKinds]->calls_by_kind();
+  CHECK(large.at("stale list") == kRouters);
+  CHECK(large.at("list") == static_cast<int>(StoreFeed::kReaders));
+  StoreFleet small(7, 2);
+  small.StartAll();
+  small.Run(seconds(5));
+  CHECK(small.platforms[StoreFleet::kKinds]->calls_by_kind().at("list") == 7);
+}
+
 // Guards against changes that do not follow on each other.
 TEST_CASE("FeedHistory: returns what follows on a version", "[store_calls]") {
   FeedHistory history;
