--- a/include/telemetry/event_catalog.h
+++ b/include/telemetry/event_catalog.h
@@ -32,6 +32,8 @@
   kEntryRefused = 3004,
   kSettingsReloaded = 3005,
   kSettingIgnored = 3026,
+  kStoreCalls = 3056,
+  kStoreReading = 3057,
 
   // Membership and configuration.
   kRevisionInForce = 4001,
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -1,5 +1,6 @@
 #include "include/gateway/gateway.h"
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <optional>
 #include <string>
@@ -19,11 +20,13 @@
 #include "include/telemetry/loop_monitor.h"
 #include "include/wire/steady_time.h"
 #include "src/gateway/caller_listener.h"
+#include "src/gateway/counted_store.h"
 #include "src/gateway/gateway_metrics.h"
 #include "src/gateway/memory_log.h"
 #include "src/gateway/report_events.h"
 #include "src/gateway/request_dispatcher.h"
 #include "src/gateway/router_mesh.h"
+#include "src/gateway/store_probe.h"
 #include "src/gateway/zone_control.h"
 
 namespace papaya {
@@ -61,6 +64,54 @@
 // The same while other routers are fed, and how long a feed of moves is recent.
 constexpr Duration kMoveFeedingWait = std::chrono::seconds(2);
 constexpr Duration kMaxMoveFeedAge = std::chrono::milliseconds(2700);
+// Maximum wait of a watch of a router that reads for others. StoreProbe shows
+// that the store responds; a lost response is noticed by the versions of other
+// routers, or after this time.
+constexpr Duration kReadingWait = std::chrono::seconds(4);
+// Each batch of changes costs the readers a call. With this delay, changes are
+// in force well within the 2 s that manifests and upstreams may take.
+constexpr Duration kFeedingCoalesceDelay = std::chrono::milliseconds(400);
+// Backoff of the routers that read for others, and of those that hear from them
+// and will learn from them when the store is available again.
+constexpr Duration kMaxReadingBackoff = std::chrono::milliseconds(800);
+constexpr Duration kMinFedBackoff = std::chrono::seconds(5);
+constexpr Duration kMaxFedBackoff = std::chrono::seconds(10);
+// Time for the next readers to take over before a router reads for itself. The
+// feed is recent for 1.4 s, so that changes are in force within 2 s even if all
+// readers have lost the store.
+constexpr Duration kStaleFeedPatience = std::chrono::milliseconds(400);
+
+// True if the settings name other routers to find a fleet by.
+bool HasOtherSeeds(const GatewaySettings& settings) {
+  return std::any_of(settings.seeds.begin(), settings.seeds.end(),
+                     [&settings](const std::string& seed) {
+                       return seed != settings.peer_address;
+                     });
+}
+
+ObjectWatcher::Options WatcherOptions(const GatewaySettings& settings,
+                                      const std::string& kind) {
+  ObjectWatcher::Options options;
+  options.kind = kind;
+  options.first_watch_delay = kFirstWatchDelay;
+  options.reading_wait = kReadingWait;
+  options.feeding_coalesce_delay = kFeedingCoalesceDelay;
+  options.max_reading_backoff = kMaxReadingBackoff;
+  options.min_fed_backoff = kMinFedBackoff;
+  options.max_fed_backoff = kMaxFedBackoff;
+  options.stale_feed_patience = kStaleFeedPatience;
+  options.starts_stale = HasOtherSeeds(settings);
+  return options;
+}
+
+ObjectWatcher::Options MoveWatcherOptions(const GatewaySettings& settings,
+                                          const std::string& kind) {
+  ObjectWatcher::Options options = WatcherOptions(settings, kind);
+  options.wait = kMoveWatchWait;
+  options.feeding_wait = kMoveFeedingWait;
+  options.max_feed_age = kMaxMoveFeedAge;
+  return options;
+}
 
 Incarnation NewIncarnation() {
   return Incarnation(
@@ -114,6 +165,7 @@
   ObjectWatcher::Hooks MakeUpstreamHooks();
   VersionMoves::Hooks MakeMoveHooks();
   QuarantineArchive::Hooks MakeArchiveHooks();
+  CountedStore::Hooks MakeStoreHooks();
   StoreFeed::Hooks MakeFeedHooks();
   ZoneControl::Hooks MakeZoneHooks();
   // The watchers of all kinds.
@@ -125,6 +177,8 @@
     }
     return watchers;
   }
+  // Returns null if there is none.
+  ObjectWatcher* WatcherOf(const std::string& kind);
   void OnFeedUpdate(const RouterId& from, const FeedUpdate& update);
   void OnUpstream(const PlatformObject& object);
   void OnMove(const PlatformObject& object);
@@ -154,7 +208,7 @@
   LoopMonitor monitor_{&SteadyNow};
   boost::asio::steady_timer timer_;
   const std::shared_ptr<MemoryBudget> memory_;
-  std::unique_ptr<PlatformStore> store_;
+  std::unique_ptr<CountedStore> store_;
   RequestDispatcher dispatcher_;
   QuarantineArchive archive_;
   RouterMesh mesh_;
@@ -165,6 +219,7 @@
   ObjectWatcher move_watcher_;
   ZoneControl zones_;
   StoreFeed feed_;
+  StoreProbe store_probe_;
   CallerListener caller_listener_;
   CallerListener probe_listener_;
   CallerListener metrics_listener_;
@@ -192,7 +247,9 @@
       logger_(logger),
       timer_(context),
       memory_(MakeMemoryBudget(context, settings.memory_limit, logger)),
-      store_(binding_.open_store(context, settings.store_address, memory_)),
+      store_(std::make_unique<CountedStore>(
+          binding_.open_store(context, settings.store_address, memory_),
+          MakeStoreHooks())),
       dispatcher_(context,
                   settings_,
                   incarnation_,
@@ -209,21 +266,15 @@
            .event = [this](const Event& event) { LogBounded(event); },
            .cold = [this](const UpstreamId& id,
                           Duration left) { dispatcher_.OnWarmup(id, left); }}),
-      config_watcher_(
-          store_.get(),
-          {.kind = binding_.config_kind, .first_watch_delay = kFirstWatchDelay},
-          MakeWatcherHooks(&Impl::OnConfig)),
+      config_watcher_(store_.get(),
+                      WatcherOptions(settings_, binding_.config_kind),
+                      MakeWatcherHooks(&Impl::OnConfig)),
       upstream_watcher_(store_.get(),
-                        {.kind = binding_.upstream_kind,
-                         .first_watch_delay = kFirstWatchDelay},
+                        WatcherOptions(settings_, binding_.upstream_kind),
                         MakeUpstreamHooks()),
       moves_(settings_.router, incarnation_, MakeMoveHooks()),
       move_watcher_(store_.get(),
-                    {.kind = binding_.move_kind,
-                     .wait = kMoveWatchWait,
-                     .first_watch_delay = kFirstWatchDelay,
-                     .feeding_wait = kMoveFeedingWait,
-                     .max_feed_age = kMaxMoveFeedAge},
+                    MoveWatcherOptions(settings_, binding_.move_kind),
                     MakeWatcherHooks(&Impl::OnMove)),
       zones_(settings_,
              binding_,
@@ -231,6 +282,13 @@
              kFirstWatchDelay,
              MakeZoneHooks()),
       feed_({.id = settings_.router, .zone = settings_.zone}, MakeFeedHooks()),
+      store_probe_(store_.get(),
+                   binding_.move_kind,
+                   [this](TimePoint sent) {
+                     for (ObjectWatcher* watcher : Watchers()) {
+                       watcher->OnStoreAlive(sent);
+                     }
+                   }),
       caller_listener_(
           context,
           std::max(kMinCallerConnections,
@@ -325,8 +383,8 @@
     if (const CrashNews* news = std::get_if<CrashNews>(&message)) {
       dispatcher_.OnCrashNews(*news);
     }
-    if (std::holds_alternative<FeedRequest>(message)) {
-      feed_.OnRequest(from, SteadyNow());
+    if (const FeedRequest* request = std::get_if<FeedRequest>(&message)) {
+      feed_.OnRequest(from, *request, SteadyNow());
     }
     if (const FeedUpdate* update = std::get_if<FeedUpdate>(&message)) {
       OnFeedUpdate(from, *update);
@@ -349,6 +407,7 @@
   };
   hooks.store_recovered = [] {};
   hooks.read = [this](const KindFeed& feed) { feed_.OnRead(feed); };
+  hooks.behind = [this] { feed_.RequestMissing(SteadyNow()); };
   hooks.now = &SteadyNow;
   hooks.event = logger_->hook();
   return hooks;
@@ -386,6 +445,35 @@
       watcher->SetFeeding(is_feeding);
     }
   };
+  hooks.versions = [this] {
+    std::vector<FeedRequest::KindVersion> versions;
+    for (ObjectWatcher* watcher : Watchers()) {
+      versions.push_back(watcher->MakeVersion());
+    }
+    return versions;
+  };
+  hooks.changes_since = [this](const FeedRequest::KindVersion& known,
+                               TimePoint now) {
+    ObjectWatcher* watcher = WatcherOf(known.kind);
+    return watcher == nullptr ? std::vector<KindFeed>()
+                              : watcher->ChangesSince(known.version, now);
+  };
+  hooks.peer_version = [this](const FeedRequest::KindVersion& known,
+                              TimePoint now) {
+    if (ObjectWatcher* watcher = WatcherOf(known.kind)) {
+      watcher->OnPeerVersion(known.version, now);
+    }
+  };
+  hooks.has_lost_store = [this](TimePoint now) {
+    return config_watcher_.TimeSinceOwnResponse(now) >=
+           StoreFeed::kReaderStaleLimit;
+  };
+  hooks.reading_changed = [this](bool is_reading) {
+    Log(EventId::kStoreReading, {{"reading", is_reading ? "true" : "false"}});
+    for (ObjectWatcher* watcher : Watchers()) {
+      watcher->SetReading(is_reading);
+    }
+  };
   return hooks;
 }
 
@@ -410,17 +498,34 @@
 void Gateway::Impl::OnFeedUpdate(const RouterId& from,
                                  const FeedUpdate& update) {
   const TimePoint now = SteadyNow();
-  feed_.OnUpdate(from, now);
-  if (!feed_.IsFollower()) {
+  feed_.OnUpdate(from, update, now);
+  if (!feed_.IsFed()) {
     return;
   }
   for (const KindFeed& feed : update.kinds) {
-    for (ObjectWatcher* watcher : Watchers()) {
-      if (watcher->kind() == feed.kind) {
-        watcher->OnFeed(feed, now);
-      }
+    if (ObjectWatcher* watcher = WatcherOf(feed.kind)) {
+      watcher->OnFeed(feed, now);
+    }
+  }
+}
+
+ObjectWatcher* Gateway::Impl::WatcherOf(const std::string& kind) {
+  for (ObjectWatcher* watcher : Watchers()) {
+    if (watcher->kind() == kind) {
+      return watcher;
     }
   }
+  return nullptr;
+}
+
+CountedStore::Hooks Gateway::Impl::MakeStoreHooks() {
+  CountedStore::Hooks hooks;
+  hooks.ended = [this](const std::string& kind, const std::string& call,
+                       bool is_ok) {
+    metrics_.CountStoreCall(kind, call, is_ok);
+  };
+  hooks.event = logger_->hook();
+  return hooks;
 }
 
 VersionMoves::Hooks Gateway::Impl::MakeMoveHooks() {
@@ -456,6 +561,9 @@
   };
   hooks.current = [this] { return dispatcher_.Quarantines(); };
   hooks.wall_time = &WallNow;
+  if (HasOtherSeeds(settings_)) {
+    hooks.is_fed = [this] { return feed_.IsLarge() && !feed_.IsReading(); };
+  }
   hooks.event = [this](const Event& event) { LogBounded(event); };
   return hooks;
 }
@@ -511,6 +619,10 @@
   const std::vector<RouterLocation> places = mesh_.Routers();
   moves_.SetRouters(IdsOf(places));
   feed_.SetRouters(places);
+  for (ObjectWatcher* watcher : Watchers()) {
+    watcher->SetLead(feed_.IsLarge() ? &config_watcher_ : nullptr);
+    watcher->SetAlone(places.size() > 1 && !feed_.IsLarge());
+  }
   dispatcher_.SetNeighbours(mesh_.Neighbours());
   have_upstreams_changed_ = true;
 }
@@ -643,6 +755,9 @@
     PublishRouters();
   }
   feed_.OnTick(now);
+  store_probe_.OnTick(now, feed_.IsFeeding() && feed_.IsReading() &&
+                               !config_watcher_.IsStoreUnavailable());
+  store_->OnTick(now);
   archive_.OnTick(now);
   moves_.OnTick(now);
   memory_->OnTick(now);
--- a/src/telemetry/event_catalog.cc
+++ b/src/telemetry/event_catalog.cc
@@ -69,6 +69,12 @@
       {EventId::kSettingIgnored, Severity::kError, "setting_ignored",
        "An optional entry of the settings has an invalid value and is left "
        "out; the others are in force. Correct the entry that `error` names."},
+      {EventId::kStoreCalls, Severity::kInfo, "store_calls",
+       "The calls to the platform's store of the last minute for one kind of "
+       "object; `failed` is the part that returned an error."},
+      {EventId::kStoreReading, Severity::kInfo, "store_reading",
+       "This router begins or ceases to read the platform's store for the "
+       "others of a large fleet."},
 
       // Membership and configuration.
       {EventId::kRevisionInForce, Severity::kInfo, "revision_in_force",
