--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -100,7 +100,9 @@
   options.min_fed_backoff = kMinFedBackoff;
   options.max_fed_backoff = kMaxFedBackoff;
   options.stale_feed_patience = kStaleFeedPatience;
-  options.starts_stale = HasOtherSeeds(settings);
+  // A router that restarts has callers waiting, so it does not wait for a stale
+  // list to be completed.
+  options.starts_stale = settings.is_first_start && HasOtherSeeds(settings);
   return options;
 }
 
