--- a/src/gateway/zone_control.cc
+++ b/src/gateway/zone_control.cc
@@ -52,6 +52,8 @@
   // Evacuations are rare, and a pause in which no watch is open would lose a
   // second one if the store becomes unavailable right after it.
   options.coalesce_delay = Duration();
+  options.feeding_coalesce_delay = Duration();
+  options.settling_coalesce_delay = Duration();
   watcher_ = std::make_unique<ObjectWatcher>(store_, std::move(options),
                                              MakeWatcherHooks());
 }
