--- a/tests/region_limits_test.cc
+++ b/tests/region_limits_test.cc
@@ -293,9 +293,11 @@
   }
   input.self = input.routers.front();
   const auto count_south = [&input] {
+    // Kept alive during the loop.
+    const std::shared_ptr<const RoutingSnapshot> snapshot =
+        RoutingSnapshot::Build(input);
     size_t count = 0;
-    for (const RoutedUpstream& upstream :
-         RoutingSnapshot::Build(input)->upstreams()) {
+    for (const RoutedUpstream& upstream : snapshot->upstreams()) {
       count += upstream.spec.region == kSouth ? 1 : 0;
     }
     return count;
