--- a/review/standins-2/cases.cpp
+++ b/review/standins-2/cases.cpp
@@ -233,6 +233,69 @@
                        most, kWindow, kAllowed));
 }
 
+// ---- The last tenant is removed ---------------------------------------------
+
+int NoTenants() {
+  constexpr double kConfigApplySeconds = 2.0;
+  constexpr int kRequests = 10;
+  Deployment& site = *new Deployment(2);
+  const auto work = [](Channel* channel, const Message& request,
+                       Replica* replica) {
+    replica->Ran(request);
+    Record("replica runs " + request.Get("papayaarch-attempt-id"));
+    if (!channel->Write(Answer(200, replica->Headers(request), "ok"))) {
+      channel->Close();
+    }
+  };
+  site.AddReplica("i-app-1", "app", 6, work);
+  site.AddReplica("i-app-2", "app", 6, work);
+  const json::array routes = {
+      Route("status", "idempotent", "app", 1000, 100, 2)};
+  site.store.Put("config", "main", Manifest(1, routes));
+  site.StartRouters();
+
+  // Returns how many requests with `key` ran, of kRequests at each router.
+  const auto count_runs = [&site](const string& key) {
+    int runs = 0;
+    for (const auto& router : site.routers) {
+      for (int i = 0; i < kRequests; ++i) {
+        const auto channel = Channel::Connect(router->ip(), router->frontend());
+        string bytes = RequestBytes("GET", "/status/x", NewAttempt(), 1000);
+        const string sent_key = "Token key-a";
+        bytes.replace(bytes.find(sent_key), sent_key.size(), "Token " + key);
+        channel->Write(bytes);
+        Message answer;
+        ReadHead(channel.get(), &answer, 3.0);
+        Record(Format("%s, key %s: status %d", router->name().c_str(),
+                      key.c_str(), answer.status()));
+        runs += answer.status() == 200 ? 1 : 0;
+      }
+    }
+    return runs;
+  };
+  const int before = count_runs("key-a");
+  const int unknown_before = count_runs("key-b");
+  json::object next = Manifest(2, routes);
+  if (g_trouble) {
+    next["tenants"] = json::array();
+  } else {
+    next["tenants"].as_array()[0].as_object()["api_keys"] = json::array();
+  }
+  Record("manifest 2: tenants " + json::serialize(next["tenants"]));
+  site.store.Put("config", "main", next);
+  Sleep(kConfigApplySeconds + 0.5);
+  const int dropped = count_runs("key-a");
+  const int unknown = count_runs("key-b");
+  if (before != 2 * kRequests || unknown_before != 0) {
+    CannotRun("the first manifest is not in force");
+  }
+  return Finish(
+      dropped > 0 || unknown > 0,
+      Format("2.5 s after manifest 2: %d of %d requests with the dropped key "
+             "ran, and %d of %d with a key that no manifest ever held",
+             dropped, 2 * kRequests, unknown, 2 * kRequests));
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -256,6 +319,7 @@
   }).detach();
   const std::map<string, std::function<int()>> cases = {
       {"slow-readers", &SlowReaders},
+      {"no-tenants", &NoTenants},
       {"quota", &Quota},
   };
   const auto found = cases.find(argv[1]);
