--- a/review/standins-2/cases.cpp
+++ b/review/standins-2/cases.cpp
@@ -296,6 +296,132 @@
              dropped, 2 * kRequests, unknown, 2 * kRequests));
 }
 
+// ---- A part that crashes replicas, with a long id ----------------------------
+
+int LongPartIds() {
+  constexpr int kReplicas = 8;
+  constexpr double kStableWindow = 3.0;
+  constexpr double kPoisonSeconds = 20.0;
+  constexpr double kBackAfter = 3.0;
+  // 128 bits, as the hash of a text may have. SHORT_IDS=1 uses 32 bits.
+  const bool is_short = getenv("SHORT_IDS") != nullptr;
+  const auto id_of = [is_short](int number) {
+    return is_short ? Format("%08x", 0x5c1e0000 + number)
+                    : Format("9b2f6a01d47c%020x", 0x5c1e0000 + number);
+  };
+  const string deadly = id_of(0xdead);
+  Deployment& site = *new Deployment(3);
+  std::mutex mutex;
+  std::vector<double> crash_times;
+  std::vector<double> poison_times;
+  std::atomic<int> broken_off{0};
+  const auto work = [&](Channel* channel, const Message& request,
+                        Replica* replica) {
+    const string attempt = request.Get("papayaarch-attempt-id");
+    const bool is_poison =
+        request.Get("papayaarch-prompt-prefix").find(deadly) != string::npos;
+    if (is_poison) {
+      Record("poison " + attempt + " reaches " + replica->id());
+      const std::lock_guard<std::mutex> lock(mutex);
+      poison_times.push_back(Now());
+    }
+    Sleep(0.1);
+    replica->Ran(request);
+    if (is_poison) {
+      if (!replica->is_down()) {
+        const std::lock_guard<std::mutex> lock(mutex);
+        crash_times.push_back(Now());
+      }
+      replica->Crash(kBackAfter);
+      channel->Reset();
+      return;
+    }
+    bool is_sent = channel->Write("HTTP/1.1 200 OK\r\n" +
+                                  replica->Headers(request) +
+                                  "Content-Type: text/event-stream\r\n"
+                                  "Transfer-Encoding: chunked\r\n\r\n");
+    for (int i = 1; i <= 10 && is_sent; ++i) {
+      const string event = Format("id: %d\ndata: x\n\n", i);
+      is_sent =
+          channel->Write(Format("%zx\r\n", event.size()) + event + "\r\n");
+      Sleep(0.03);
+    }
+    if (!is_sent || !channel->Write("0\r\n\r\n")) {
+      ++broken_off;
+      channel->Close();
+    }
+  };
+  for (int i = 1; i <= kReplicas; ++i) {
+    site.AddReplica(Format("i-llm-%d", i), "llm", 11, work);
+  }
+  site.store.Put("config", "main",
+                 Manifest(1, {Route("chat", "streaming", "llm", 12000, 250, 1)}));
+  site.StartRouters();
+
+  std::atomic<bool> is_over{false};
+  std::map<int, int> statuses;
+  const auto send = [&](Router* router, const string& middle) {
+    const auto channel = Channel::Connect(router->ip(), router->frontend());
+    if (channel == nullptr) {
+      return;
+    }
+    const string attempt = NewAttempt();
+    const string last = id_of(100000 + atoi(attempt.c_str() + 1));
+    channel->Write(RequestBytes(
+        "POST", "/chat/x", attempt, 12000,
+        "Papayaarch-Model: m\r\nPapayaarch-Token-Usage: 700,60\r\n"
+        "Papayaarch-Prompt-Prefix: " + id_of(1) + ":60," + middle + ":400," +
+            last + ":240\r\n",
+        "{}"));
+    Message answer;
+    const bool is_whole = ReadHead(channel.get(), &answer, 10.0) &&
+                          ReadBody(channel.get(), &answer, true, 10.0);
+    const std::lock_guard<std::mutex> lock(mutex);
+    ++statuses[is_whole ? answer.status() : 0];
+  };
+  std::vector<std::thread> threads;
+  for (int i = 0; i < 24; ++i) {
+    threads.emplace_back([&, i] {
+      Router* router = site.routers[static_cast<size_t>(i % 3)].get();
+      while (!is_over) {
+        send(router, id_of(10 + i % 8));
+        Sleep(0.2);
+      }
+    });
+  }
+  Sleep(4.0);
+  if (g_trouble) {
+    const double end = Now() + kPoisonSeconds;
+    std::vector<std::thread> poison;
+    for (int i = 0; Now() < end; ++i) {
+      poison.emplace_back(
+          [&, i] { send(site.routers[static_cast<size_t>(i % 3)].get(), deadly); });
+      Sleep(0.9);
+    }
+    for (std::thread& thread : poison) {
+      thread.join();
+    }
+  }
+  is_over = true;
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  for (const auto& [status, count] : statuses) {
+    Record(Format("%d answers with status %d", count, status));
+  }
+  const std::lock_guard<std::mutex> lock(mutex);
+  int late = 0;
+  if (crash_times.size() >= 5) {
+    for (double time : poison_times) {
+      late += time > crash_times[4] + kStableWindow ? 1 : 0;
+    }
+  }
+  return Finish(late > 3,
+                Format("%zu crashes; %d requests with the part reached replicas "
+                       "later than %.0f s after the fifth",
+                       crash_times.size(), late, kStableWindow));
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -319,6 +445,7 @@
   }).detach();
   const std::map<string, std::function<int()>> cases = {
       {"slow-readers", &SlowReaders},
+      {"long-part-ids", &LongPartIds},
       {"no-tenants", &NoTenants},
       {"quota", &Quota},
   };
--- a/review/standins-2/rig.h
+++ b/review/standins-2/rig.h
@@ -625,14 +625,35 @@
         work_(std::move(work)) {}
 
   void Start(const string& ip) {
+    ip_ = ip;
     born_ = WallMs();
-    server_.Start(ip, [this](Channel* channel) { Serve(channel); });
+    // Threads of an earlier start may still use theirs.
+    server_ = new Server;
+    server_->Start(ip, [this](Channel* channel) { Serve(channel); });
     Register("ready");
   }
+  // Ends all connections at once and answers none, as a process that crashes.
+  // Starts again after `seconds` as a new process with the same id.
+  void Crash(double seconds) {
+    if (is_down_.exchange(true)) {
+      return;
+    }
+    ++crashes_;
+    Record(id_ + " crashes");
+    std::thread([this, seconds] {
+      server_->Stop();
+      Sleep(seconds);
+      is_down_ = false;
+      Start(ip_);
+      Record(id_ + " is back");
+    }).detach();
+  }
+  bool is_down() const { return is_down_; }
+  int crashes() const { return crashes_; }
   void Register(const string& state) {
     store_->Put("servers", id_,
                 json::object{{"service", service_},
-                             {"address", server_.address()},
+                             {"address", server_->address()},
                              {"zone", "zone-a"},
                              {"version", "v1"},
                              {"slots", slots_},
@@ -644,7 +665,6 @@
                              {"born", born_}});
   }
   const string& id() const { return id_; }
-  Server& server() { return server_; }
 
   // The headers of every answer.
   string Headers(const Message& request) const {
@@ -715,7 +735,10 @@
   const int slots_;
   const Work work_;
   int64_t born_ = 0;
-  Server server_;
+  string ip_;
+  Server* server_ = nullptr;
+  std::atomic<bool> is_down_{false};
+  std::atomic<int> crashes_{0};
   mutable std::mutex mutex_;
   string extra_;
   std::vector<Run> runs_;
