--- a/review/standins-2/cases.cpp
+++ b/review/standins-2/cases.cpp
@@ -427,6 +427,65 @@
              crash_times.size(), late, kStableWindow));
 }
 
+// ---- The store's address changes ---------------------------------------------
+
+int StoreMoves() {
+  constexpr double kStableWindow = 3.0;
+  constexpr double kConfigApply = 2.0;
+  constexpr int kRequests = 10;
+  Deployment& site = *new Deployment(2);
+  const auto work = [](Channel* channel, const Message& request,
+                       Replica* replica) {
+    replica->Ran(request);
+    Record("replica runs " + request.Get("papayaarch-attempt-id"));
+    if (!channel->Write(Answer(200, replica->Headers(request), "ok"))) {
+      channel->Close();
+    }
+  };
+  site.AddReplica("i-app-1", "app", 6, work);
+  const json::object kept = Route("kept", "idempotent", "app", 1000, 100, 2);
+  const json::object dropped =
+      Route("dropped", "idempotent", "app", 1000, 100, 2);
+  site.store.Put("config", "main", Manifest(1, {kept, dropped}));
+  site.StartRouters();
+  const auto count = [&site](const string& path, int status) {
+    int found = 0;
+    for (const auto& router : site.routers) {
+      for (int i = 0; i < kRequests; ++i) {
+        const auto channel = Channel::Connect(router->ip(), router->frontend());
+        channel->Write(RequestBytes("GET", path, NewAttempt(), 1000));
+        Message answer;
+        ReadHead(channel.get(), &answer, 3.0);
+        found += answer.status() == status ? 1 : 0;
+      }
+    }
+    return found;
+  };
+  if (count("/dropped/x", 200) != 2 * kRequests) {
+    CannotRun("the first manifest is not in force");
+  }
+  if (g_trouble) {
+    site.store.Move(site.net + "251");
+    Record("the store goes on at " + site.store.address());
+  }
+  for (const auto& router : site.routers) {
+    router->WriteSettings(site.Seeds(), false, 260);
+    router->Signal(SIGHUP);
+  }
+  Record("settings written, SIGHUP to the routers");
+  Sleep(kStableWindow + 1.5);
+  site.store.Put("config", "main", Manifest(2, {kept}));
+  Record("manifest 2, without the route `dropped`");
+  Sleep(kConfigApply + 0.5);
+  const int ran = count("/dropped/x", 200);
+  Sleep(20.0);
+  const int ran_later = count("/dropped/x", 200);
+  return Finish(ran > 0 || ran_later > 0,
+                Format("2.5 s after manifest 2, %d of %d requests on the dropped "
+                       "route ran; 20 s later %d",
+                       ran, 2 * kRequests, ran_later));
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -453,6 +512,7 @@
       {"long-part-ids", &LongPartIds},
       {"no-tenants", &NoTenants},
       {"quota", &Quota},
+      {"store-moves", &StoreMoves},
   };
   const auto found = cases.find(argv[1]);
   const int result = found == cases.end() ? 2 : found->second();
--- a/review/standins-2/rig.hpp
+++ b/review/standins-2/rig.hpp
@@ -386,9 +386,16 @@
 class Store {
  public:
   void Start(const string& ip) {
-    server_.Start(ip, [this](Channel* channel) { Serve(channel); });
+    server_ = new Server;
+    server_->Start(ip, [this](Channel* channel) { Serve(channel); });
   }
-  string address() const { return server_.address(); }
+  // Goes on at another address. The one before answers no more.
+  void Move(const string& ip) {
+    Server* before = server_;
+    Start(ip);
+    before->Stop();
+  }
+  string address() const { return server_->address(); }
 
   // Writes as the operator or a replica does. Returns the revision.
   int64_t Put(const string& kind, const string& name, json::value spec) {
@@ -416,7 +423,7 @@
   void SetDown(bool is_down) {
     is_down_ = is_down;
     if (!is_down) {
-      server_.CloseAll();
+      server_->CloseAll();
     }
     const std::lock_guard<std::mutex> lock(mutex_);
     changed_.notify_all();
@@ -593,7 +600,8 @@
                   static_cast<long long>(revision_));
   }
 
-  Server server_;
+  // Threads of an earlier one may still run.
+  Server* server_ = nullptr;
   std::mutex mutex_;
   std::condition_variable changed_;
   std::map<string, std::map<string, Object>> kinds_;
@@ -780,7 +788,7 @@
   Router(int number, string ip, const Store& store)
       : name_(Format("edge-zone-a-%d", number)),
         ip_(std::move(ip)),
-        store_address_(store.address()) {
+        store_(store) {
     frontend_ = FreePort(ip_);
     ready_ = FreePort(ip_);
     control_ = FreePort(ip_);
@@ -829,7 +837,7 @@
         {"fault_tolerance", {{"machines", 1}, {"zones", 0}, {"regions", 0}}},
         {"bounds", g_bounds},
         {"platform",
-         {{"address", store_address_},
+         {{"address", store_.address()},
           {"form", "objects"},
           {"writes_per_s", 400},
           {"reads_per_s", 2000},
@@ -913,7 +921,7 @@
 
   const string name_;
   const string ip_;
-  const string store_address_;
+  const Store& store_;
   int frontend_ = 0;
   int ready_ = 0;
   int control_ = 0;
