--- a/review/standins-2/cases.cpp
+++ b/review/standins-2/cases.cpp
@@ -307,6 +307,8 @@
   constexpr double kBackAfter = 3.0;
   // 128 bits, as the hash of a text may have. SHORT_IDS=1 uses 32 bits.
   const bool is_short = getenv("SHORT_IDS") != nullptr;
+  // DEEP=1: 70 other parts, which no two requests share, come before the part.
+  const int parts_before = getenv("DEEP") != nullptr ? 70 : 0;
   const auto id_of = [is_short](int number) {
     return is_short ? Format("%08x", 0x5c1e0000 + number)
                     : Format("9b2f6a01d47c%020x", 0x5c1e0000 + number);
@@ -369,12 +371,17 @@
       return;
     }
     const string attempt = NewAttempt();
-    const string last = id_of(100000 + atoi(attempt.c_str() + 1));
+    const int number = atoi(attempt.c_str() + 1);
+    const string last = id_of(100000 + number);
+    string before;
+    for (int i = 0; i < parts_before && middle == deadly; ++i) {
+      before += id_of(1000000 + 100 * number + i) + ":10,";
+    }
     channel->Write(RequestBytes(
         "POST", "/chat/x", attempt, 12000,
         "Papayaarch-Model: m\r\nPapayaarch-Token-Usage: 700,60\r\n"
         "Papayaarch-Prompt-Prefix: " +
-            id_of(1) + ":60," + middle + ":400," + last + ":240\r\n",
+            id_of(1) + ":60," + before + middle + ":400," + last + ":240\r\n",
         "{}"));
     Message answer;
     const bool is_whole = ReadHead(channel.get(), &answer, 10.0) &&
@@ -427,7 +434,8 @@
              crash_times.size(), late, kStableWindow));
 }
 
-// ---- The store's address changes ---------------------------------------------
+// ---- The store's address changes
+// ---------------------------------------------
 
 int StoreMoves() {
   constexpr double kStableWindow = 3.0;
@@ -480,10 +488,11 @@
   const int ran = count("/dropped/x", 200);
   Sleep(20.0);
   const int ran_later = count("/dropped/x", 200);
-  return Finish(ran > 0 || ran_later > 0,
-                Format("2.5 s after manifest 2, %d of %d requests on the dropped "
-                       "route ran; 20 s later %d",
-                       ran, 2 * kRequests, ran_later));
+  return Finish(
+      ran > 0 || ran_later > 0,
+      Format("2.5 s after manifest 2, %d of %d requests on the dropped "
+             "route ran; 20 s later %d",
+             ran, 2 * kRequests, ran_later));
 }
 
 }  // namespace
@@ -508,10 +517,8 @@
     CannotRun("the case takes too long");
   }).detach();
   const std::map<string, std::function<int()>> cases = {
-      {"slow-readers", &SlowReaders},
-      {"long-part-ids", &LongPartIds},
-      {"no-tenants", &NoTenants},
-      {"quota", &Quota},
+      {"slow-readers", &SlowReaders}, {"long-part-ids", &LongPartIds},
+      {"no-tenants", &NoTenants},     {"quota", &Quota},
       {"store-moves", &StoreMoves},
   };
   const auto found = cases.find(argv[1]);
