Review: scripts wait for the routers that they end

Cause: the routers were killed and not waited for, so they stayed as zombies for a short while after a script. Change: EndProcesses waits for each.

--- a/review/standins-2/rig.hpp
+++ b/review/standins-2/rig.hpp
@@ -64,14 +64,17 @@
   g_record << time << text << std::endl;
 }
 
-// The processes that this one has started. They also end with it.
+// The processes that this one has started and not yet waited for. They also end
+// with it.
 inline std::mutex g_process_mutex;
 inline std::set<pid_t> g_processes;
 inline void EndProcesses() {
   const std::lock_guard<std::mutex> lock(g_process_mutex);
   for (pid_t process : g_processes) {
     kill(process, SIGKILL);
+    waitpid(process, nullptr, 0);
   }
+  g_processes.clear();
 }
 
 [[noreturn]] inline void CannotRun(const string& why) {
