Wait for peers that read slowly; end connections to dead ones only

Cause: TCP_USER_TIMEOUT of 1.8 s on every connection. Linux also applies it to a peer that keeps its window closed and answers all probes.

Change: AckWatch tells a dead peer (nothing acknowledged for 1.8 s) from a slow one by TCP_INFO and the send queue. Progress of a response is what the caller acknowledged, not what the system took; the last response of a connection ends by lack of progress, not by age. The log of a request has the error of the caller's connection, so a cut can be told from a close. The test fixture no longer switches the option off for its callers.

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -73,9 +73,9 @@
       self->OnData(bytes);
     }
   };
-  hooks.ended = [weak](bool, const std::string&) {
+  hooks.ended = [weak](bool is_orderly, const std::string& error) {
     if (const auto self = weak.lock()) {
-      self->OnEnded();
+      self->OnEnded(is_orderly ? "" : error);
     }
   };
   hooks.drained = [weak] {
@@ -437,7 +437,8 @@
   }
 }
 
-void CallerConnection::OnEnded() {
+void CallerConnection::OnEnded(const std::string& error) {
+  end_error_ = error;
   const std::function<void()> disconnected =
       std::exchange(disconnected_, nullptr);
   Close();
@@ -448,7 +449,7 @@
 
 bool CallerConnection::CloseIfCallerLeft() {
   if (state_ != State::kClosed && channel_->HasPeerEnded()) {
-    OnEnded();
+    OnEnded("");
   }
   return state_ == State::kClosed;
 }
@@ -469,6 +470,10 @@
   }
 }
 
+Duration CallerConnection::CloseTimeout() const {
+  return discards_request_ ? kDiscardTimeout : kCloseTimeout;
+}
+
 void CallerConnection::OnTick(TimePoint now) {
   const Duration age = now - state_start_;
   switch (state_) {
@@ -496,17 +501,21 @@
     case State::kResponding:
       if (channel_->pending_bytes() > 0 &&
           now - channel_->last_progress() > kWriteTimeout) {
-        OnEnded();
+        OnEnded("nothing was received of the response for too long");
       }
       return;
     case State::kClosing:
-    case State::kHalfClosed:
-      if (age >
-          (discards_request_ ? kDiscardTimeout : kCloseTimeout) +
-              (channel_->pending_bytes() > 0 ? kWriteTimeout : Duration())) {
+    case State::kHalfClosed: {
+      // While bytes are pending, their progress counts and not the age: a
+      // caller may read them slowly.
+      const Duration silence =
+          now - std::max(state_start_, channel_->last_progress());
+      if (silence >
+          (channel_->pending_bytes() > 0 ? kWriteTimeout : CloseTimeout())) {
         Close();
       }
       return;
+    }
     case State::kClosed:
       return;
   }
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -118,6 +118,9 @@
 
   // Bytes of the response that are not sent yet.
   size_t pending_bytes() const;
+  // Why the connection ended before its response; empty if the caller closed
+  // it.
+  const std::string& end_error() const { return end_error_; }
   bool IsIdle() const { return state_ == State::kIdle; }
 
  private:
@@ -131,7 +134,7 @@
   };
 
   void OnData(std::string_view bytes);
-  void OnEnded();
+  void OnEnded(const std::string& error);
   // Reads the requests in `input_` until one of them waits for its response.
   void ReadRequests();
   void ReadRequest();
@@ -166,6 +169,8 @@
   // Called after the end of a response. Continues with the next request or
   // closes the connection.
   void FinishResponse();
+  // Time for the caller to close its side once it has the last response.
+  Duration CloseTimeout() const;
   void Close();
 
   std::shared_ptr<CallerShared> shared_;
@@ -174,6 +179,7 @@
   std::string input_;
   std::function<void()> disconnected_;
   std::function<void()> drained_;
+  std::string end_error_;
   State state_ = State::kIdle;
   bool keeps_alive_ = true;
   bool is_http_1_0_ = false;
--- a/src/gateway/relayed_request.cc
+++ b/src/gateway/relayed_request.cc
@@ -602,6 +602,9 @@
   DropConnection();
   const std::shared_ptr<RelayedRequest> self = shared_from_this();
   context_->cancel(input_.id);
+  if (!input_.caller->end_error().empty()) {
+    error_ = absl::StrCat("caller: ", input_.caller->end_error());
+  }
   Report(0, kCallerGoneReason);
 }
 
--- a/src/gateway/tcp_channel.cc
+++ b/src/gateway/tcp_channel.cc
@@ -36,9 +36,9 @@
 // Bodies up to this size are sent together with their head by one system call
 // and one copy.
 constexpr size_t kJoinedBodyBytes = size_t{16} * 1024;
-// The connection breaks if sent data stays unacknowledged for this long. It is
-// below the 2 s after which callers abandon a silent stream.
-constexpr int kUserTimeoutMs = 1800;
+// The connection breaks if sent data stays unacknowledged for this long.
+constexpr int kUserTimeoutMs =
+    static_cast<int>(AckWatch::kTimeout / std::chrono::milliseconds(1));
 // Time without data before keep-alive probes are sent, their interval, and the
 // number of unanswered probes after which the connection breaks.
 constexpr int kKeepAliveIdleS = 2;
@@ -73,7 +73,9 @@
 }  // namespace
 
 TcpChannel::TcpChannel(tcp::socket socket)
-    : socket_(std::move(socket)), read_bytes_(kReadBytes) {
+    : socket_(std::move(socket)),
+      ack_timer_(socket_.get_executor()),
+      read_bytes_(kReadBytes) {
   SetOptions(&socket_);
 }
 
@@ -92,9 +94,73 @@
   hooks_ = std::make_shared<const Hooks>(std::move(hooks));
   is_started_ = true;
   last_progress_ = SteadyNow();
+  StartAckWatch();
   AwaitInput();
 }
 
+void TcpChannel::StartAckWatch() {
+  watches_acks_ =
+      is_open() && ReadSendState(socket_.native_handle()).has_value();
+  if (!watches_acks_) {
+    return;
+  }
+  // Linux also breaks a connection after this time if the peer keeps its window
+  // closed, though it answers all probes.
+  constexpr int kNoTimeout = 0;
+  setsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+             &kNoTimeout, sizeof(kNoTimeout));
+}
+
+void TcpChannel::AwaitAckCheck(Duration delay) {
+  ack_timer_.expires_after(
+      std::chrono::duration_cast<asio::steady_timer::duration>(delay));
+  ack_timer_.async_wait([weak = weak_from_this()](const error_code& error) {
+    const std::shared_ptr<TcpChannel> self = weak.lock();
+    if (!error && self != nullptr) {
+      self->CheckAcks();
+    }
+  });
+}
+
+void TcpChannel::CheckAcks() {
+  if (!is_open() || has_failed_) {
+    return;
+  }
+  const std::optional<SendState> state = ReadSendState(socket_.native_handle());
+  if (!state.has_value()) {
+    return;
+  }
+  const TimePoint now = SteadyNow();
+  const AckWatch::Decision decision = ack_watch_.Check(
+      *state, static_cast<int64_t>(pending_bytes_), taken_bytes_, now);
+  if (decision.has_progress) {
+    last_progress_ = now;
+  }
+  if (decision.is_dead) {
+    // What the system still holds must not arrive later.
+    error_code ignored;
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    Fail("the peer has stopped to acknowledge");
+    return;
+  }
+  if (decision.next_check.has_value()) {
+    AwaitAckCheck(*decision.next_check);
+  }
+}
+
+template <typename Buffers>
+size_t TcpChannel::WriteSome(const Buffers& buffers, error_code* error) {
+  const size_t count = socket_.write_some(buffers, *error);
+  taken_bytes_ += static_cast<int64_t>(count);
+  if (count > 0 && watches_acks_) {
+    const std::optional<Duration> check = ack_watch_.OnWrite(SteadyNow());
+    if (check.has_value()) {
+      AwaitAckCheck(*check);
+    }
+  }
+  return count;
+}
+
 void TcpChannel::AwaitInput() {
   if (!is_started_ || !is_reading_ || is_awaiting_input_ || !is_open()) {
     return;
@@ -176,9 +242,9 @@
       const std::array<asio::const_buffer, 2> parts = {
           asio::buffer(head.data(), head.size()),
           asio::buffer(shared.data(), shared.size())};
-      count = socket_.write_some(parts, error);
+      count = WriteSome(parts, &error);
     } else if (!head.empty()) {
-      count = socket_.write_some(asio::buffer(head.data(), head.size()), error);
+      count = WriteSome(asio::buffer(head.data(), head.size()), &error);
     }
     if (error && error != asio::error::would_block) {
       Fail(error.message());
@@ -254,7 +320,7 @@
   while (pending_bytes() > 0 && !error) {
     const std::string_view left = pending_.front().bytes().substr(written_);
     const size_t count =
-        socket_.write_some(asio::buffer(left.data(), left.size()), error);
+        WriteSome(asio::buffer(left.data(), left.size()), &error);
     if (error && error != asio::error::would_block) {
       Fail(error.message());
       return false;
@@ -331,6 +397,7 @@
 void TcpChannel::Close() {
   error_code ignored;
   socket_.close(ignored);
+  ack_timer_.cancel();
   pending_.clear();
   written_ = 0;
   pending_bytes_ = 0;
--- a/src/gateway/tcp_channel.h
+++ b/src/gateway/tcp_channel.h
@@ -2,6 +2,7 @@
 #define SRC_GATEWAY_TCP_CHANNEL_H_
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
 #include <list>
@@ -12,12 +13,14 @@
 
 #include "include/admission/memory_budget.h"
 #include "include/base/units.h"
+#include "src/wire/ack_watch.h"
 
 namespace papaya {
 
 // A TCP connection that passes received bytes to a hook and queues bytes to
 // send. Tries to send at once, so that a small write costs one system call.
-// Has no read buffer of its own. Single-threaded.
+// Breaks if the peer is dead (see AckWatch), but waits for one that reads
+// slowly. Has no read buffer of its own. Single-threaded.
 class TcpChannel : public std::enable_shared_from_this<TcpChannel> {
  public:
   struct Hooks {
@@ -81,7 +84,9 @@
 
   bool is_open() const { return socket_.is_open(); }
   size_t pending_bytes() const { return pending_bytes_; }
-  // The last time when bytes were sent or the queue was empty at a write.
+  // The last time when the peer acknowledged bytes, bytes were passed to the
+  // system, or the queue was empty at a write. Late by up to
+  // AckWatch::kCheckInterval.
   TimePoint last_progress() const { return last_progress_; }
 
  private:
@@ -103,10 +108,23 @@
   void AwaitWritable();
   // Sends queued bytes. Returns false if the connection broke.
   bool WritePending();
+  // Passes at least one buffer to the system and returns the bytes taken.
+  template <typename Buffers>
+  size_t WriteSome(const Buffers& buffers, boost::system::error_code* error);
+  // Leaves the detection of a dead peer to AckWatch, if the system tells what
+  // the peer has acknowledged.
+  void StartAckWatch();
+  void AwaitAckCheck(Duration delay);
+  void CheckAcks();
   void Fail(const std::string& error);
   void End(bool is_orderly, const std::string& error);
 
   boost::asio::ip::tcp::socket socket_;
+  boost::asio::steady_timer ack_timer_;
+  AckWatch ack_watch_;
+  bool watches_acks_ = false;
+  // Bytes that the system has taken so far.
+  int64_t taken_bytes_ = 0;
   // Never null; replaced by empty hooks when the connection ends.
   std::shared_ptr<const Hooks> hooks_ = std::make_shared<const Hooks>();
   std::list<Segment> pending_;
--- a/tests/fakes/gateway_fixture.h
+++ b/tests/fakes/gateway_fixture.h
@@ -1,10 +1,6 @@
 #ifndef TESTS_FAKES_GATEWAY_FIXTURE_H_
 #define TESTS_FAKES_GATEWAY_FIXTURE_H_
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -78,6 +74,8 @@
   }
 
   std::vector<std::unique_ptr<RawPeer>> peers;
+  // Whether connections are read as soon as they are accepted.
+  bool is_reading = true;
 
  private:
   void Accept() {
@@ -87,6 +85,7 @@
         return;
       }
       peers.push_back(std::make_unique<RawPeer>(std::move(socket)));
+      peers.back()->SetReading(is_reading);
       peers.back()->Start();
       Accept();
     });
@@ -205,12 +204,7 @@
     boost::asio::ip::tcp::socket socket(context);
     socket.connect(boost::asio::ip::tcp::endpoint(
         boost::asio::ip::address_v4::loopback(), listener.port()));
-    const int handle = socket.native_handle();
     auto peer = std::make_unique<RawPeer>(std::move(socket));
-    // A caller bears it when the router does not read for a while.
-    const int no_timeout = 0;
-    setsockopt(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &no_timeout,
-               sizeof(no_timeout));
     peer->Start();
     peer->Send(request);
     return peer;
