Replace connections between routers that have gone silent

Cause: PeerLink wrote and never read.

Change: routers acknowledge frames. A link without an acknowledgement for 0.7 s opens a second connection, which replaces the first unless that shows life first. The end of a connection is noticed at once. Event peer_silent, counter papaya_peer_renewed.

--- a/include/membership/membership.h
+++ b/include/membership/membership.h
@@ -141,6 +141,8 @@
   void FlushNews();
   void SendDigest();
   void Reconnect();
+  // Makes the next call of Reconnect due at a random time within `spread`.
+  void ReconnectWithin(Duration spread);
   void JoinNextSeed();
   void RefreshView();
   void SkipPause();
--- a/include/telemetry/event_catalog.h
+++ b/include/telemetry/event_catalog.h
@@ -24,6 +24,7 @@
   kListening = 2001,
   kStreamCut = 2002,
   kPeerRefused = 2003,
+  kPeerSilent = 2004,
 
   // Settings and store.
   kSettingsRefused = 3001,
--- a/include/wire/peer_network.h
+++ b/include/wire/peer_network.h
@@ -19,8 +19,10 @@
 
 // The connections between this router and others. A connection carries
 // messages from the router that opened it to the other; both ends prove the
-// fleet secret first. Messages may be lost, never changed or put in another
-// order on one connection. Lives on the control thread.
+// fleet secret first. The other router acknowledges what it receives, so that a
+// connection that goes silent without an error is noticed and replaced.
+// Messages may be lost, never changed or put in another order on one
+// connection. Lives on the control thread.
 class PeerNetwork {
  public:
   struct Options {
@@ -40,6 +42,11 @@
     Duration handshake_timeout = std::chrono::seconds(3);
     // A connection that carried nothing for so long is closed.
     Duration idle_timeout = std::chrono::seconds(60);
+    // A connection on which messages are not acknowledged for this long has
+    // gone silent and is replaced. A router that acknowledged later before gets
+    // up to four times as long. Above PeerAckSender::kInterval, with time for
+    // a router whose event loop is late.
+    Duration ack_timeout = std::chrono::milliseconds(700);
   };
 
   struct Hooks {
@@ -59,6 +66,8 @@
     uint64_t dropped_messages = 0;
     // Connections refused or closed for a fault of the other end.
     uint64_t refused = 0;
+    // Connections that went silent and were replaced.
+    uint64_t renewed = 0;
   };
 
   // `context` must be run by one thread and outlive this.
--- a/src/daemon/router_pages.cc
+++ b/src/daemon/router_pages.cc
@@ -27,6 +27,9 @@
       "Messages to other routers that were not sent.", counts.dropped_messages);
   set("papaya_peer_refused", "Connections of other routers refused.",
       counts.refused);
+  set("papaya_peer_renewed",
+      "Connections to other routers that went silent and were replaced.",
+      counts.renewed);
 }
 
 HttpResponse MakeProbeResponse(bool good) {
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -24,8 +24,9 @@
 // A gap between ticks above this means that the process was paused.
 constexpr Duration kPauseLimit = std::chrono::milliseconds(600);
 constexpr double kPeriodSpread = 0.2;
-// Time within which a router calls one of its changed seeds.
-constexpr Duration kSeedsSpread = std::chrono::seconds(1);
+// Time within which a router calls one of its changed seeds, or of the routers
+// that it has just taken for dead.
+constexpr Duration kFirstCallSpread = std::chrono::seconds(1);
 
 }  // namespace
 
@@ -109,9 +110,7 @@
   next_seed_ = 0;
   next_join_ = now;
   // Spread, as all routers of a fleet may get new seeds at the same time.
-  next_reconnect_ = std::min(
-      next_reconnect_,
-      now + SecondsToDuration(ToSeconds(kSeedsSpread) * random_.Uniform()));
+  ReconnectWithin(kFirstCallSpread);
   is_seed_next_ = false;
 }
 
@@ -210,6 +209,16 @@
     table_->Apply(stamp, now_);
     OnChanged(table_->FindKey(stamp.key)->record, /*is_new=*/false);
   }
+  if (!due.empty()) {
+    // One that lives is called soon, as only its connections may be dead.
+    ReconnectWithin(kFirstCallSpread);
+  }
+}
+
+void Membership::ReconnectWithin(Duration spread) {
+  next_reconnect_ =
+      std::min(next_reconnect_,
+               now_ + SecondsToDuration(ToSeconds(spread) * random_.Uniform()));
 }
 
 Duration Membership::SuspicionTime(const RouterId& id) const {
--- a/src/telemetry/event_catalog.cc
+++ b/src/telemetry/event_catalog.cc
@@ -51,6 +51,9 @@
       {EventId::kPeerRefused, Severity::kWarning, "peer_refused",
        "A connection with another process was closed because it did not prove "
        "the fleet secret or broke the protocol; check the settings of both."},
+      {EventId::kPeerSilent, Severity::kWarning, "peer_silent",
+       "A connection to another router went silent without an error: nothing "
+       "was acknowledged for `silent_ms`. A new one has replaced it."},
 
       // Settings and store.
       {EventId::kSettingsRefused, Severity::kError, "settings_refused",
--- a/src/wire/handshake_generated.h
+++ b/src/wire/handshake_generated.h
@@ -27,7 +27,8 @@
     VT_FLEET = 4,
     VT_ROUTER = 6,
     VT_NONCE = 8,
-    VT_PROOF = 10
+    VT_PROOF = 10,
+    VT_ACKNOWLEDGES = 12
   };
   const flatbuffers::String *fleet() const {
     return GetPointer<const flatbuffers::String *>(VT_FLEET);
@@ -41,6 +42,9 @@
   const flatbuffers::Vector<uint8_t> *proof() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_PROOF);
   }
+  bool acknowledges() const {
+    return GetField<uint8_t>(VT_ACKNOWLEDGES, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_FLEET) &&
@@ -51,6 +55,7 @@
            verifier.VerifyVector(nonce()) &&
            VerifyOffset(verifier, VT_PROOF) &&
            verifier.VerifyVector(proof()) &&
+           VerifyField<uint8_t>(verifier, VT_ACKNOWLEDGES, 1) &&
            verifier.EndTable();
   }
 };
@@ -71,6 +76,9 @@
   void add_proof(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> proof) {
     fbb_.AddOffset(Handshake::VT_PROOF, proof);
   }
+  void add_acknowledges(bool acknowledges) {
+    fbb_.AddElement<uint8_t>(Handshake::VT_ACKNOWLEDGES, static_cast<uint8_t>(acknowledges), 0);
+  }
   explicit HandshakeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -87,12 +95,14 @@
     flatbuffers::Offset<flatbuffers::String> fleet = 0,
     flatbuffers::Offset<flatbuffers::String> router = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> nonce = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> proof = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> proof = 0,
+    bool acknowledges = false) {
   HandshakeBuilder builder_(_fbb);
   builder_.add_proof(proof);
   builder_.add_nonce(nonce);
   builder_.add_router(router);
   builder_.add_fleet(fleet);
+  builder_.add_acknowledges(acknowledges);
   return builder_.Finish();
 }
 
@@ -106,7 +116,8 @@
     const char *fleet = nullptr,
     const char *router = nullptr,
     const std::vector<uint8_t> *nonce = nullptr,
-    const std::vector<uint8_t> *proof = nullptr) {
+    const std::vector<uint8_t> *proof = nullptr,
+    bool acknowledges = false) {
   auto fleet__ = fleet ? _fbb.CreateString(fleet) : 0;
   auto router__ = router ? _fbb.CreateString(router) : 0;
   auto nonce__ = nonce ? _fbb.CreateVector<uint8_t>(*nonce) : 0;
@@ -116,7 +127,8 @@
       fleet__,
       router__,
       nonce__,
-      proof__);
+      proof__,
+      acknowledges);
 }
 
 inline const papaya::fb::Handshake *GetHandshake(const void *buf) {
--- a/src/wire/peer_handshake.cc
+++ b/src/wire/peer_handshake.cc
@@ -43,7 +43,8 @@
 std::string Pack(const FleetId& fleet,
                  const RouterId& router,
                  const std::string& nonce,
-                 const std::string& proof) {
+                 const std::string& proof,
+                 bool acknowledges) {
   flatbuffers::FlatBufferBuilder builder;
   const auto packed_fleet = builder.CreateString(fleet.value());
   const auto packed_router = builder.CreateString(router.value());
@@ -51,7 +52,7 @@
   const auto packed_proof = PackOctets(builder, proof);
   fb::FinishHandshakeBuffer(
       builder, fb::CreateHandshake(builder, packed_fleet, packed_router,
-                                   packed_nonce, packed_proof));
+                                   packed_nonce, packed_proof, acknowledges));
   return std::string(reinterpret_cast<const char*>(builder.GetBufferPointer()),
                      builder.GetSize());
 }
@@ -85,7 +86,7 @@
       nonce_(RandomNonce()) {}
 
 std::string PeerHandshake::Hello() const {
-  return Pack(fleet_, self_, nonce_, "");
+  return Pack(fleet_, self_, nonce_, "", /*acknowledges=*/false);
 }
 
 absl::Status PeerHandshake::CheckHello(const std::string& frame) {
@@ -110,10 +111,10 @@
 }
 
 std::string PeerHandshake::Proof() const {
-  return Pack(fleet_, self_, "", MakeCode(role_));
+  return Pack(fleet_, self_, "", MakeCode(role_), /*acknowledges=*/true);
 }
 
-absl::Status PeerHandshake::CheckProof(const std::string& frame) const {
+absl::Status PeerHandshake::CheckProof(const std::string& frame) {
   const fb::Handshake* proof = Unpack(frame);
   if (proof == nullptr) {
     return Fault(absl::StatusCode::kInvalidArgument, peer_, "broken proof");
@@ -126,6 +127,7 @@
     return Fault(absl::StatusCode::kPermissionDenied, peer_,
                  "it does not know the fleet secret");
   }
+  peer_acknowledges_ = proof->acknowledges();
   return absl::OkStatus();
 }
 
--- a/src/wire/peer_handshake.h
+++ b/src/wire/peer_handshake.h
@@ -38,11 +38,15 @@
 
   // Takes the other end's second frame. Fails with kPermissionDenied if it
   // does not know the secret, kInvalidArgument if it is broken.
-  absl::Status CheckProof(const std::string& frame) const;
+  absl::Status CheckProof(const std::string& frame);
 
   // The other end's name; proven once CheckProof succeeded.
   const RouterId& peer() const { return peer_; }
 
+  // Whether the other end acknowledges the frames that it receives; valid once
+  // CheckProof succeeded. Routers of older versions don't.
+  bool peer_acknowledges() const { return peer_acknowledges_; }
+
  private:
   std::string MakeCode(Role prover) const;
 
@@ -53,6 +57,7 @@
   std::string nonce_;
   RouterId peer_;
   std::string peer_nonce_;
+  bool peer_acknowledges_ = false;
 };
 
 }  // namespace papaya
--- a/src/wire/peer_link.cc
+++ b/src/wire/peer_link.cc
@@ -8,7 +8,10 @@
 #include <chrono>
 #include <utility>
 
+#include "include/base/error.h"
+#include "include/wire/steady_time.h"
 #include "src/wire/address.h"
+#include "src/wire/peer_ack_sender.h"
 #include "src/wire/peer_frame.h"
 #include "src/wire/peer_handshake.h"
 #include "src/wire/peer_socket.h"
@@ -22,6 +25,8 @@
 constexpr Duration kMinBackoff = std::chrono::milliseconds(50);
 constexpr Duration kMaxBackoff = std::chrono::seconds(1);
 constexpr Duration kWriteTimeout = std::chrono::seconds(5);
+// A connection on which nothing is to be acknowledged may be quiet for ever.
+constexpr Duration kNoTimeout = std::chrono::hours(24 * 365);
 // Frames are written together up to this size.
 constexpr size_t kBatchBytes = size_t{64} * 1024;
 
@@ -36,7 +41,8 @@
       address_(std::move(address)),
       hooks_(std::move(hooks)),
       wake_(context),
-      charge_(options.memory, MemoryKind::kPeers) {}
+      charge_(options.memory, MemoryKind::kPeers),
+      liveness_(options.ack_timeout) {}
 
 void PeerLink::Send(const RouterId& router, std::string content) {
   const int64_t bytes = waiting_bytes_ + std::ssize(content);
@@ -66,28 +72,38 @@
   hooks_ = {.sent = [](size_t) {},
             .dropped = [](size_t) {},
             .failed = [](const absl::Status&) {},
+            .renewed = [](const RouterId&, Duration) {},
             .idle = [] {}};
   wake_.cancel();
-  if (socket_ != nullptr) {
-    socket_->Close();
+  if (dialing_ != nullptr) {
+    dialing_->Close();
+  }
+  if (connection_.socket != nullptr) {
+    connection_.socket->Close();
   }
 }
 
 asio::awaitable<void> PeerLink::Run() {
   Duration backoff = kMinBackoff;
   while (!stopped_) {
-    absl::Status status = co_await Open();
-    if (status.ok()) {
+    absl::StatusOr<Connection> opened = co_await Open();
+    const bool was_open = opened.ok();
+    absl::Status status = opened.status();
+    if (was_open) {
       backoff = kMinBackoff;
+      Use(*std::move(opened));
       status = co_await WriteOn();
+      connection_.socket->Close();
+      connection_ = {};
     }
-    socket_ = nullptr;
     if (status.ok()) {
       break;
     }
     if (!stopped_) {
       hooks_.failed(status);
-      DropAll();
+      if (!was_open) {
+        DropAll();
+      }
       co_await Sleep(backoff);
       backoff = std::min(2 * backoff, kMaxBackoff);
     }
@@ -99,58 +115,136 @@
   hooks_.idle();
 }
 
-asio::awaitable<absl::Status> PeerLink::Open() {
+asio::awaitable<absl::StatusOr<PeerLink::Connection>> PeerLink::Open() {
   const absl::StatusOr<asio::ip::tcp::endpoint> endpoint =
       ParseEndpoint(address_);
   if (!endpoint.ok()) {
     co_return endpoint.status();
   }
-  socket_ = std::make_shared<PeerSocket>(asio::ip::tcp::socket(context_));
-  const std::shared_ptr<PeerSocket> socket = socket_;
-  const absl::Status connected =
-      co_await socket->Connect(*endpoint, options_.handshake_timeout);
-  if (!connected.ok()) {
-    co_return connected;
-  }
+  const auto socket =
+      std::make_shared<PeerSocket>(asio::ip::tcp::socket(context_));
+  dialing_ = socket;
   PeerHandshake handshake(PeerHandshake::Role::kDialer, options_.fleet,
                           options_.self, options_.fleet_secret);
-  const absl::Status proven =
-      co_await socket->Prove(&handshake, options_.handshake_timeout);
-  peer_ = handshake.peer();
-  co_return proven;
+  absl::Status status =
+      co_await socket->Connect(*endpoint, options_.handshake_timeout);
+  if (status.ok()) {
+    status = co_await socket->Prove(&handshake, options_.handshake_timeout);
+  }
+  dialing_ = nullptr;
+  if (!status.ok()) {
+    co_return status;
+  }
+  co_return Connection{.socket = socket,
+                       .peer = handshake.peer(),
+                       .acknowledges = handshake.peer_acknowledges()};
+}
+
+void PeerLink::Use(Connection connection) {
+  connection_ = std::move(connection);
+  has_ended_ = false;
+  liveness_ = PeerLiveness(options_.ack_timeout);
+  asio::co_spawn(
+      context_,
+      [self = shared_from_this(), socket = connection_.socket]()
+          -> asio::awaitable<void> { co_await self->ReadAcks(socket); },
+      asio::detached);
+}
+
+asio::awaitable<void> PeerLink::ReadAcks(std::shared_ptr<PeerSocket> socket) {
+  while (true) {
+    const absl::StatusOr<std::string> frame =
+        co_await socket->ReadFrame(kNoTimeout);
+    if (connection_.socket != socket) {
+      break;
+    }
+    if (!frame.ok()) {
+      has_ended_ = true;
+      wake_.cancel();
+      break;
+    }
+    const std::optional<uint64_t> frames = ParsePeerAck(*frame);
+    if (!frames.has_value()) {
+      continue;
+    }
+    liveness_.OnAcknowledged(*frames, SteadyNow());
+    if (dialing_ != nullptr) {
+      // The other end is only slow.
+      dialing_->Close();
+    }
+  }
 }
 
 asio::awaitable<absl::Status> PeerLink::WriteOn() {
-  const std::shared_ptr<PeerSocket> socket = socket_;
+  TimePoint last_use = SteadyNow();
   while (!stopped_) {
-    std::string batch;
-    size_t messages = 0;
-    while (!waiting_.empty() && batch.size() < kBatchBytes) {
-      const Waiting message = std::move(waiting_.front());
-      waiting_.pop_front();
-      waiting_bytes_ -= std::ssize(message.content);
-      if (!message.router.empty() && message.router != peer_) {
-        hooks_.dropped(message.content.size());
-        continue;
-      }
-      batch += MakePeerFrame(message.content);
-      ++messages;
-      hooks_.sent(message.content.size());
+    const TimePoint now = SteadyNow();
+    const std::optional<TimePoint> silent_at =
+        connection_.acknowledges ? liveness_.SilentAt() : std::nullopt;
+    if (has_ended_) {
+      co_return MakeError(absl::StatusCode::kUnavailable,
+                          {.step = "peer.write", .peer = address_},
+                          "the connection was closed");
     }
-    charge_.Set(waiting_bytes_ + static_cast<int64_t>(batch.capacity()));
-    if (messages > 0) {
-      const absl::Status written =
-          co_await socket->Write(std::move(batch), kWriteTimeout);
-      if (!written.ok()) {
-        co_return written;
-      }
+    absl::Status status;
+    if (silent_at.has_value() && now >= *silent_at) {
+      status = co_await Renew();
+    } else if (!waiting_.empty()) {
+      last_use = now;
+      status = co_await WriteBatch();
+    } else if (!silent_at.has_value() &&
+               now - last_use >= options_.idle_timeout) {
+      break;
+    } else {
+      const TimePoint idle_at = last_use + options_.idle_timeout;
+      co_await Sleep(silent_at.value_or(idle_at) - now);
+    }
+    if (!status.ok()) {
+      co_return status;
+    }
+  }
+  co_return absl::OkStatus();
+}
+
+asio::awaitable<absl::Status> PeerLink::WriteBatch() {
+  std::string batch;
+  uint64_t messages = 0;
+  while (!waiting_.empty() && batch.size() < kBatchBytes) {
+    const Waiting message = std::move(waiting_.front());
+    waiting_.pop_front();
+    waiting_bytes_ -= std::ssize(message.content);
+    if (!message.router.empty() && message.router != connection_.peer) {
+      hooks_.dropped(message.content.size());
       continue;
     }
-    co_await Sleep(options_.idle_timeout);
-    if (waiting_.empty()) {
-      co_return absl::OkStatus();
+    batch += MakePeerFrame(message.content);
+    ++messages;
+    hooks_.sent(message.content.size());
+  }
+  charge_.Set(waiting_bytes_ + static_cast<int64_t>(batch.capacity()));
+  if (messages == 0) {
+    co_return absl::OkStatus();
+  }
+  liveness_.OnSent(messages, SteadyNow());
+  const std::shared_ptr<PeerSocket> socket = connection_.socket;
+  co_return co_await socket->Write(std::move(batch), kWriteTimeout);
+}
+
+asio::awaitable<absl::Status> PeerLink::Renew() {
+  const uint64_t acknowledged = liveness_.acknowledged();
+  absl::StatusOr<Connection> opened = co_await Open();
+  if (liveness_.acknowledged() != acknowledged && !has_ended_) {
+    if (opened.ok()) {
+      opened->socket->Close();
     }
+    co_return absl::OkStatus();
+  }
+  connection_.socket->Close();
+  if (!opened.ok()) {
+    co_return opened.status();
   }
+  hooks_.renewed(opened->peer, liveness_.Silence(SteadyNow()));
+  Use(*std::move(opened));
   co_return absl::OkStatus();
 }
 
--- a/src/wire/peer_network.cc
+++ b/src/wire/peer_network.cc
@@ -4,12 +4,14 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <map>
+#include <string>
 #include <utility>
 #include <vector>
 
 #include "include/base/error.h"
 #include "include/wire/peer_codec.h"
 #include "src/wire/address.h"
+#include "src/wire/peer_ack_sender.h"
 #include "src/wire/peer_handshake.h"
 #include "src/wire/peer_link.h"
 #include "src/wire/peer_socket.h"
@@ -85,6 +87,15 @@
         Refuse(address, status);
       }
     };
+    hooks.renewed = [this, address](const RouterId& peer, Duration silence) {
+      ++counts_.renewed;
+      Event event{.id = EventId::kPeerSilent};
+      event.fields = {{"peer", peer.value()},
+                      {"address", address},
+                      {"silent_ms",
+                       std::to_string(silence / std::chrono::milliseconds(1))}};
+      hooks_.event(event);
+    };
     hooks.idle = [this, address] { links_.erase(address); };
     return hooks;
   }
@@ -127,11 +138,18 @@
                             options_.self, options_.fleet_secret);
     absl::Status status =
         co_await socket->Prove(&handshake, options_.handshake_timeout);
+    const auto acks =
+        std::make_shared<PeerAckSender>(socket, context_.get_executor());
     while (status.ok() && !stopped_) {
       const absl::StatusOr<std::string> frame = co_await socket->ReadFrame(
           kInboundIdleFactor * options_.idle_timeout);
-      status = frame.ok() ? Take(handshake.peer(), *frame) : frame.status();
+      status = frame.status();
+      if (frame.ok()) {
+        acks->OnFrame();
+        status = Take(handshake.peer(), *frame);
+      }
     }
+    acks->Stop();
     if (!stopped_ && !absl::IsUnavailable(status) &&
         !absl::IsDeadlineExceeded(status)) {
       Refuse(handshake.peer().value(), status);
--- a/src/wire/peer_socket.cc
+++ b/src/wire/peer_socket.cc
@@ -30,7 +30,8 @@
 
 PeerSocket::PeerSocket(asio::ip::tcp::socket socket)
     : socket_(std::move(socket)),
-      timer_(socket_.get_executor()),
+      read_timer_(socket_.get_executor()),
+      write_timer_(socket_.get_executor()),
       reader_(kMaxHandshakeBytes) {
   error_code error;
   const asio::ip::tcp::endpoint remote = socket_.remote_endpoint(error);
@@ -41,8 +42,8 @@
     asio::ip::tcp::endpoint endpoint,
     Duration timeout) {
   peer_ = NameOf(endpoint);
-  Arm(timeout);
-  const absl::Cleanup disarm = [this] { Disarm(); };
+  Arm(&write_timer_, timeout);
+  const absl::Cleanup disarm = [this] { Disarm(&write_timer_); };
   error_code error;
   co_await socket_.async_connect(
       endpoint, asio::redirect_error(asio::use_awaitable, error));
@@ -78,8 +79,8 @@
 
 asio::awaitable<absl::StatusOr<std::string>> PeerSocket::ReadFrame(
     Duration timeout) {
-  Arm(timeout);
-  const absl::Cleanup disarm = [this] { Disarm(); };
+  Arm(&read_timer_, timeout);
+  const absl::Cleanup disarm = [this] { Disarm(&read_timer_); };
   std::string bytes;
   while (true) {
     absl::StatusOr<std::optional<std::string>> frame = reader_.Next();
@@ -117,8 +118,8 @@
 
 asio::awaitable<absl::Status> PeerSocket::Write(std::string bytes,
                                                 Duration timeout) {
-  Arm(timeout);
-  const absl::Cleanup disarm = [this] { Disarm(); };
+  Arm(&write_timer_, timeout);
+  const absl::Cleanup disarm = [this] { Disarm(&write_timer_); };
   error_code error;
   co_await asio::async_write(socket_, asio::buffer(bytes),
                              asio::redirect_error(asio::use_awaitable, error));
@@ -128,16 +129,17 @@
 void PeerSocket::Close() {
   error_code ignored;
   socket_.close(ignored);
-  timer_.cancel();
+  read_timer_.cancel();
+  write_timer_.cancel();
 }
 
-void PeerSocket::Arm(Duration timeout) {
-  timer_.expires_after(
+void PeerSocket::Arm(asio::steady_timer* timer, Duration timeout) {
+  timer->expires_after(
       std::chrono::duration_cast<asio::steady_timer::duration>(timeout));
-  timer_.async_wait([weak = weak_from_this()](const error_code& error) {
+  timer->async_wait([weak = weak_from_this(), timer](const error_code& error) {
     const std::shared_ptr<PeerSocket> self = weak.lock();
     if (error || self == nullptr ||
-        self->timer_.expiry() > asio::steady_timer::clock_type::now()) {
+        timer->expiry() > asio::steady_timer::clock_type::now()) {
       return;
     }
     self->timed_out_ = true;
@@ -145,9 +147,9 @@
   });
 }
 
-void PeerSocket::Disarm() {
+void PeerSocket::Disarm(asio::steady_timer* timer) {
   // Unlike cancel(), this also stops a handler that is already queued.
-  timer_.expires_at(asio::steady_timer::time_point::max());
+  timer->expires_at(asio::steady_timer::time_point::max());
 }
 
 absl::Status PeerSocket::ToStatus(const error_code& error,
--- a/src/wire/peer_socket.h
+++ b/src/wire/peer_socket.h
@@ -18,7 +18,7 @@
 
 // A TCP connection to another router that carries frames. Every wait ends with
 // kDeadlineExceeded after the timeout given, and the connection is of no use
-// then.
+// then. One read and one write may be in progress at the same time.
 class PeerSocket : public std::enable_shared_from_this<PeerSocket> {
  public:
   explicit PeerSocket(boost::asio::ip::tcp::socket socket);
@@ -48,15 +48,17 @@
 
  private:
   // Closes the socket after `timeout`, unless Disarm is called before.
-  void Arm(Duration timeout);
+  void Arm(boost::asio::steady_timer* timer, Duration timeout);
   // Each operation ends its own timeout. Otherwise the socket would be closed
   // while it is idle, and the next message written to it would be lost.
-  void Disarm();
+  static void Disarm(boost::asio::steady_timer* timer);
   absl::Status ToStatus(const boost::system::error_code& error,
                         const char* step) const;
 
   boost::asio::ip::tcp::socket socket_;
-  boost::asio::steady_timer timer_;
+  boost::asio::steady_timer read_timer_;
+  // Also of Connect.
+  boost::asio::steady_timer write_timer_;
   PeerFrameReader reader_;
   std::shared_ptr<MemoryBudget> memory_;
   MemoryCharge charge_;
