Notice silent connections to the store with time to spare

Cause: a watch waited 2 s, and its response got up to 1.5 s more if responses were late; together more than the 3 s allowed. After a time-out the next call took another idle connection that was as dead.

Change: watches wait 1.2 to 1.4 s, by router and kind, and responses get 0.5 to 0.8 s unless the store is slow. A time-out closes the idle connections to the address, for all users of the pool.

'ObjectWatcher: a change waited for a watch that had gone silent' fails before with responses 350 ms late, 'HttpClientPool: keeps no idle connection after a time-out' fails before; both pass.

--- a/include/gateway/object_watcher.h
+++ b/include/gateway/object_watcher.h
@@ -36,12 +36,14 @@
  public:
   struct Options {
     std::string kind;
-    // The maximum wait of one watch. A dead connection is noticed after this
-    // plus the store client's own timeout.
-    Duration wait = std::chrono::seconds(2);
+    // The maximum wait of one watch. A silent connection is noticed after this
+    // and the limit of the response. Both together leave time to read what has
+    // changed within the 3 s after which a router counts as undisturbed.
+    Duration wait = std::chrono::milliseconds(1200);
     // A watch whose response has not come so long after its wait is given up,
     // and its connection with it: a connection can go silent without an error.
-    // Longer while the store is slow.
+    // Longer if responses are late, and up to kStoreCallTimeout only if the
+    // store is so slow that it counts as disturbed.
     Duration response_limit = std::chrono::milliseconds(500);
     // The wait of watches after a failure, which probe whether the store is
     // available again. It is short because the outage counts as ongoing until
--- a/include/wire/http_client.h
+++ b/include/wire/http_client.h
@@ -58,8 +58,9 @@
   // there is none.
   std::unique_ptr<HttpClient> TakeIdle(const std::string& address);
 
-  // Closes the idle connections.
+  // Closes the idle connections, to all addresses or to `address`.
   void CloseIdle() { idle_.clear(); }
+  void CloseIdle(const std::string& address) { idle_.erase(address); }
 
   // Closes the idle connections and keeps none from now on. To be called
   // before the io_context of the thread is destroyed.
@@ -85,8 +86,10 @@
     Bytes max_bytes = kMaxAnswerBytes);
 
 // The same on a connection of `pool`, which must outlive the call and has it
-// back after a whole answer. `grown`, which may be empty, is called with the
-// memory of the answer's body whenever that has grown.
+// back after a whole answer. A time-out closes the idle connections to
+// `address`, as they may have gone silent with the one used. `grown`, which may
+// be empty, is called with the memory of the answer's body whenever that has
+// grown.
 boost::asio::awaitable<absl::StatusOr<HttpResponse>> FetchHttp(
     HttpClientPool* pool,
     std::string address,
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -10,6 +10,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
+#include "include/base/stable_hash.h"
 #include "include/gateway/object_watcher.h"
 #include "include/gateway/quarantine_archive.h"
 #include "include/gateway/store_feed.h"
@@ -59,6 +60,10 @@
 // A router that starts discovers the others within about this time.
 constexpr Duration kFirstWatchDelay = std::chrono::milliseconds(1200);
 
+// How much the waits of the watches of different routers and kinds differ, so
+// that they do not all end at the same time.
+constexpr Duration kWatchWaitSpread = std::chrono::milliseconds(200);
+
 // Maximum wait of a watch for version moves while other routers are fed, and
 // how long a feed of moves is recent.
 constexpr Duration kMoveFeedingWait = std::chrono::seconds(2);
@@ -92,6 +97,9 @@
                                       const std::string& kind) {
   ObjectWatcher::Options options;
   options.kind = kind;
+  const uint64_t hash = StableHash(kind, StableHash(settings.router.value()));
+  options.wait +=
+      SecondsToDuration(ToSeconds(kWatchWaitSpread) * HashToUnit(hash));
   options.first_watch_delay = kFirstWatchDelay;
   options.reading_wait = kReadingWait;
   options.feeding_coalesce_delay = kFeedingCoalesceDelay;
--- a/src/gateway/object_watcher.cc
+++ b/src/gateway/object_watcher.cc
@@ -29,8 +29,11 @@
 // it has lost its response. Longer than a slow router takes to handle one.
 constexpr Duration kLostResponseTime = std::chrono::milliseconds(300);
 // The response to a watch may take this multiple of the time that the last one
-// took.
+// took, within kMaxUsualLimit.
 constexpr int kResponseDelayFactor = 4;
+constexpr Duration kMaxUsualLimit = std::chrono::milliseconds(800);
+// The same beyond kMaxUsualLimit.
+constexpr int kSlowDelayFactor = 2;
 // After an outage, the feed covers all kinds again within this time.
 constexpr Duration kFeedAfterRecovery = std::chrono::seconds(1);
 // A router whose lead watcher has succeeded within this time may use the store
@@ -151,8 +154,10 @@
 }
 
 Duration ObjectWatcher::ResponseLimit() const {
-  return std::clamp(kResponseDelayFactor * response_delay_,
-                    options_.response_limit, kStoreCallTimeout);
+  const Duration usual = std::clamp(kResponseDelayFactor * response_delay_,
+                                    options_.response_limit, kMaxUsualLimit);
+  return std::clamp(kSlowDelayFactor * response_delay_, usual,
+                    kStoreCallTimeout);
 }
 
 void ObjectWatcher::GiveUpWatch(TimePoint now) {
--- a/src/wire/http_client.cc
+++ b/src/wire/http_client.cc
@@ -263,6 +263,8 @@
       client.get(), address, request, deadline, max_bytes, std::move(grown));
   if (response.ok()) {
     pool->Give(address, std::move(client));
+  } else if (absl::IsDeadlineExceeded(response.status())) {
+    pool->CloseIdle(address);
   }
   co_return response;
 }
--- a/tests/silent_store_test.cc
+++ b/tests/silent_store_test.cc
@@ -1,16 +1,29 @@
 // Connections to the store that go silent for good while new ones work.
 
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <memory>
+#include <string>
 
 #include "include/gateway/object_watcher.h"
+#include "include/wire/http_client.h"
 #include "tests/fakes/event_queue.h"
 #include "tests/fakes/fake_platform.h"
+#include "tests/fakes/holding_proxy.h"
 #include "tests/fakes/store_fleet.h"
+#include "tests/loopback.h"
 
 namespace papaya {
 namespace {
 
+namespace asio = boost::asio;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -22,12 +35,19 @@
 // What a router takes to put a change into force once it knows it.
 constexpr Duration kMargin = milliseconds(200);
 
+// Guards against a wait and a limit of the response that add up to more than
+// the time after which changes must be in force (review/3).
 TEST_CASE("ObjectWatcher: a change waited for a watch that had gone silent",
           "[gateway]") {
+  // Late responses lengthen the time after which a watch is given up.
+  const milliseconds lateness = GENERATE(milliseconds(4), milliseconds(100),
+                                         milliseconds(200), milliseconds(350));
+  CAPTURE(lateness.count());
   for (milliseconds phase(0); phase < seconds(4); phase += milliseconds(100)) {
     CAPTURE(phase.count());
     EventQueue queue;
     FakePlatform platform(&queue);
+    platform.call_time = lateness;
     platform.Put("first");
     const std::unique_ptr<FakePlatform::Client> client = platform.MakeClient();
     std::set<std::string> known;
@@ -63,6 +83,89 @@
   }
 }
 
+// Answers each read on its connections with an empty response.
+class EmptyServer {
+ public:
+  explicit EmptyServer(asio::io_context& context)
+      : acceptor_(
+            context,
+            asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0)) {
+    Accept();
+  }
+
+  asio::ip::tcp::endpoint endpoint() const {
+    return acceptor_.local_endpoint();
+  }
+
+ private:
+  struct Connection {
+    asio::ip::tcp::socket socket;
+    std::array<char, 1024> buffer;
+  };
+
+  void Accept() {
+    acceptor_.async_accept([this](const boost::system::error_code& error,
+                                  asio::ip::tcp::socket socket) {
+      if (!error) {
+        Serve(std::make_shared<Connection>(
+            Connection{.socket = std::move(socket), .buffer = {}}));
+        Accept();
+      }
+    });
+  }
+
+  void Serve(const std::shared_ptr<Connection>& connection) {
+    connection->socket.async_read_some(
+        asio::buffer(connection->buffer),
+        [this, connection](const boost::system::error_code& error, size_t) {
+          if (!error) {
+            asio::write(connection->socket,
+                        asio::buffer(std::string(
+                            "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")));
+            Serve(connection);
+          }
+        });
+  }
+
+  asio::ip::tcp::acceptor acceptor_;
+};
+
+// Guards against calls that fail one after the other, each on another idle
+// connection that went silent at the same time (review/3).
+TEST_CASE("HttpClientPool: keeps no idle connection after a time-out",
+          "[gateway]") {
+  asio::io_context context;
+  EmptyServer server(context);
+  HoldingProxy proxy(context, server.endpoint());
+  HttpClientPool pool(4);
+  int done = 0;
+  for (int i = 0; i < 3; ++i) {
+    asio::co_spawn(
+        context,
+        [&]() -> asio::awaitable<void> {
+          const absl::StatusOr<HttpResponse> response = co_await FetchHttp(
+              &pool, proxy.address(), HttpRequest(), TestDeadline());
+          CHECK(response.ok());
+          ++done;
+        },
+        asio::detached);
+  }
+  while (done < 3) {
+    context.run_one();
+  }
+  REQUIRE(proxy.accepted() == 3);
+  proxy.SilenceAll();
+  RunOn(context, [&]() -> asio::awaitable<void> {
+    absl::StatusOr<HttpResponse> response = co_await FetchHttp(
+        &pool, proxy.address(), HttpRequest(), SteadyNow() + milliseconds(200));
+    CHECK(absl::IsDeadlineExceeded(response.status()));
+    response = co_await FetchHttp(&pool, proxy.address(), HttpRequest(),
+                                  SteadyNow() + seconds(5));
+    CHECK(response.ok());
+  });
+  pool.Shutdown();
+}
+
 TEST_CASE("StoreFaults: a change waited for the silent watches of both readers",
           "[store_calls]") {
   constexpr int kRouters = 60;
