--- a/include/gateway/header_codec.h
+++ b/include/gateway/header_codec.h
@@ -14,6 +14,7 @@
 // One segment of a prompt. Requests whose prompts start with the same segments
 // can share an engine's cache for them.
 struct PromptPart {
+  // Identifies the segment's text; equal in all routers.
   uint64_t hash = 0;
   Tokens tokens;
 };
--- a/src/admission/crash_evidence.cc
+++ b/src/admission/crash_evidence.cc
@@ -211,25 +211,39 @@
     return &found->second;
   }
   if (records_.size() >= kMaxParts) {
-    // Parts with several crashes matter most, and among these the latest.
-    const auto least = std::min_element(
-        records_.begin(), records_.end(), [](const auto& a, const auto& b) {
-          const auto rank = [](const Record& record) {
-            return std::make_tuple(record.is_known_culprit,
-                                   record.crashes.size() > 1, record.changed);
-          };
-          return rank(a.second) < rank(b.second);
-        });
-    if (least->second.is_known_culprit) {
-      return nullptr;
-    }
-    records_.erase(least);
+    MakeRoom();
+  }
+  if (records_.size() >= kMaxParts) {
+    return nullptr;
   }
   Record& record = records_[part];
   record.changed = now;
   return &record;
 }
 
+void CrashEvidence::MakeRoom() {
+  // Many at once, as each choice looks at all records.
+  constexpr size_t kDropped = kMaxParts / 4;
+  // Parts with several crashes matter most, and among these the latest.
+  const auto rank = [](const Record& record) {
+    return std::make_tuple(record.crashes.size() > 1, record.changed);
+  };
+  std::vector<Records::iterator> candidates;
+  for (auto entry = records_.begin(); entry != records_.end(); ++entry) {
+    if (!entry->second.is_known_culprit) {
+      candidates.push_back(entry);
+    }
+  }
+  const auto end = candidates.begin() + static_cast<ptrdiff_t>(std::min(
+                                            kDropped, candidates.size()));
+  std::nth_element(candidates.begin(), end, candidates.end(),
+                   [&rank](const auto& a, const auto& b) {
+                     return rank(a->second) < rank(b->second);
+                   });
+  std::for_each(candidates.begin(), end,
+                [this](const auto& entry) { records_.erase(entry); });
+}
+
 bool CrashEvidence::IsExplained(CrashId crash) const {
   return std::any_of(records_.begin(), records_.end(),
                      [crash](const auto& entry) {
--- a/src/admission/crash_evidence.h
+++ b/src/admission/crash_evidence.h
@@ -38,7 +38,8 @@
   // kMassCrashWindow: many such requests can end all upstreams at once.
   static constexpr size_t kMinBurstCrashes = 6;
   static constexpr Duration kBurstWindow = std::chrono::seconds(1);
-  static constexpr size_t kMaxParts = 512;
+  // Room for the parts of all requests with long prompts on a few engines.
+  static constexpr size_t kMaxParts = 2048;
   static constexpr size_t kMaxCrashesPerPart = 64;
 
   struct Record {
@@ -91,6 +92,8 @@
  private:
   // Returns the record of `part`, which is added if there is room.
   Record* Upsert(PromptPartId part, TimePoint now);
+  // Drops a quarter of the records, those that matter least.
+  void MakeRoom();
   bool IsExplained(CrashId crash) const;
   // Removes the crashes of a culprit from the other parts.
   void ExplainAway(PromptPartId culprit);
--- a/src/gateway/prompt_prefix.cc
+++ b/src/gateway/prompt_prefix.cc
@@ -14,14 +14,22 @@
 // Blocks of a prompt beyond this number are not tracked, which bounds the work
 // and the memory for a request that states a huge prompt.
 constexpr size_t kMaxPrefixBlocks = 4096;
-constexpr size_t kMaxSharedParts = 64;
+// Shared parts of a prompt beyond this number are not judged: those in the
+// middle, as the first are shared most and the last are the newest.
+constexpr size_t kMaxSharedParts = 256;
 
 }  // namespace
 
 std::vector<PromptPartId> SharedParts(const std::vector<PromptPart>& parts) {
   std::vector<PromptPartId> shared;
-  for (size_t i = 0; i + 1 < parts.size() && i < kMaxSharedParts; ++i) {
-    shared.emplace_back(parts[i].hash);
+  const size_t count = parts.empty() ? 0 : parts.size() - 1;
+  const size_t left_out = count - std::min(count, kMaxSharedParts);
+  for (size_t i = 0; i < count; ++i) {
+    const bool is_left_out =
+        i >= kMaxSharedParts / 2 && i < kMaxSharedParts / 2 + left_out;
+    if (!is_left_out) {
+      shared.emplace_back(parts[i].hash);
+    }
   }
   return shared;
 }
--- a/tests/crashing_prompt_test.cc
+++ b/tests/crashing_prompt_test.cc
@@ -89,7 +89,7 @@
   // Calls with the deadly part. If the request reaches an upstream, that one
   // crashes.
   void CrashOne() {
-    const std::unique_ptr<RawPeer> caller = Call(DeadlyPrompt());
+    const std::unique_ptr<RawPeer> caller = Call(deadly_prompt);
     f.RunUntil(
         [&] { return FindRequest() != nullptr || !caller->received.empty(); });
     if (RawPeer* upstream = FindRequest(); upstream != nullptr) {
@@ -121,6 +121,7 @@
   }
 
   GatewayFixture f;
+  std::string deadly_prompt = DeadlyPrompt();
   std::string attempt_id;
   // The response to the last request that was not served.
   std::string answer;
@@ -145,6 +146,44 @@
   CHECK(c.IsServed(CrashFixture::SoundPrompt()));
 }
 
+// Guards against a deadly part that is confused with others or not looked at
+// (review/10).
+TEST_CASE("Gateway: finds a deadly part whatever its id and place",
+          "[gateway]") {
+  // Two ids of 128 bits that differ in their first half only.
+  const std::string kLongShared =
+      "0b6e8cf1d2a39475"
+      "8f5a1c9be07d4632";
+  const std::string kLongDeadly =
+      "c41f7a90e5b2d683"
+      "8f5a1c9be07d4632";
+  std::string history;
+  for (int i = 0; i < 70; ++i) {
+    absl::StrAppend(&history, absl::Hex(0xd0000 + i), ":20,");
+  }
+  struct Prompts {
+    std::string sound;
+    std::string deadly;
+  };
+  const Prompts prompts = GENERATE_COPY(
+      Prompts{kLongShared + ":60", kLongShared + ":60," + kLongDeadly + ":40"},
+      Prompts{history + kSharedPart + ":60",
+              history + kSharedPart + ":60," + kDeadlyPart + ":40"},
+      Prompts{absl::StrCat(kSharedPart, ":60"),
+              absl::StrCat(kSharedPart, ":60, ", kDeadlyPart, ":40")});
+  CAPTURE(prompts.deadly);
+  CrashFixture c;
+  c.deadly_prompt = prompts.deadly;
+  CHECK(c.IsServed(prompts.sound));
+  for (int i = 0; i < 5; ++i) {
+    c.CrashOne();
+  }
+  c.RunFor(milliseconds(500));
+  CHECK_FALSE(c.IsServed(prompts.deadly));
+  CHECK(c.answer.starts_with("HTTP/1.1 503"));
+  CHECK(c.IsServed(prompts.sound));
+}
+
 TEST_CASE("Gateway: a repeated request carried the crash to the next upstream",
           "[gateway]") {
   CrashFixture c(/*is_resumable=*/true);
--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -157,6 +157,25 @@
             .is_not_run);
 }
 
+TEST_CASE("Platform: tells prompt parts of any length apart", "[platform]") {
+  const HeaderCodec header_codec = MakeHeaderCodec();
+  const auto read = [&header_codec](const std::string& value) {
+    return header_codec.read_caller({{"Papayaarch-Prompt-Prefix", value}})
+        .prompt_parts;
+  };
+  const std::string tail = "8f5a1c9be07d4632";
+  const std::vector<PromptPart> parts =
+      read("c41f" + tail + ":1,0b6e" + tail + ":2, " + tail + ":3,c41F" +
+           "8F5A1C9BE07D4632:4,000" + tail + ":5,zz" + tail + ":6,:7,0x1f:8");
+  REQUIRE(parts.size() == 5);
+  CHECK(parts[0].hash != parts[1].hash);
+  CHECK(parts[0].hash != parts[2].hash);
+  CHECK(parts[2].hash == 0x8f5a1c9be07d4632);
+  // The case of the digits and zeros in front make no other id.
+  CHECK(parts[3].hash == parts[0].hash);
+  CHECK(parts[4].hash == parts[2].hash);
+}
+
 TEST_CASE("Platform: reads allowed regions", "[platform][regions]") {
   const std::string form = R"({"version":7,"routes":[{"name":"r","host":"h",
       "path_prefix":"/","kind":"idempotent","service":"s",
