Take no reset for the end of a response after a failed write

Cause: the failed write takes the error off the socket, and the read that follows sees an orderly end.

Change: after a failed write the end of a connection is never orderly.

--- a/src/gateway/tcp_channel.cc
+++ b/src/gateway/tcp_channel.cc
@@ -188,7 +188,11 @@
     return;
   }
   if (error) {
-    End(error == asio::error::eof, error.message());
+    // A failed write has taken the error of the connection off the socket, so
+    // that a reset reads as an orderly end now. Fail reports the end.
+    if (!has_failed_) {
+      End(error == asio::error::eof, error.message());
+    }
     return;
   }
   if (hooks_->data) {
--- a/tests/broken_stream_test.cc
+++ b/tests/broken_stream_test.cc
@@ -97,6 +97,46 @@
   CHECK(Has(caller->received, "Content-Length: 5\r\n"));
 }
 
+// Guards against a reset that is taken for the end of a response without a
+// length: the failed write of the request takes the error off the socket, and
+// the next read sees an orderly end.
+TEST_CASE("Gateway: a reset during the upload looked like the response's end",
+          "[gateway]") {
+  // More than the system takes for a connection whose peer reads nothing.
+  constexpr size_t kUploadBytes = 4'190'000;
+  const RequestKind kind =
+      GENERATE(RequestKind::kNonIdempotent, RequestKind::kStream);
+  for (int run = 0; run < 5; ++run) {
+    GatewayFixture f(kind);
+    for (const std::unique_ptr<RawUpstream>& upstream : f.upstreams) {
+      upstream->LimitWindows();
+      upstream->is_reading = false;
+    }
+    const std::unique_ptr<RawPeer> caller = f.Call(absl::StrCat(
+        "POST /p/x HTTP/1.1\r\nHost: h\r\nPapayaarch-Attempt-Id: a1\r\n"
+        "Papayaarch-Deadline-Ms: 60000\r\nAuthorization: Token secret\r\n"
+        "Content-Length: ",
+        kUploadBytes, "\r\n\r\n", std::string(kUploadBytes, 'x')));
+    RawPeer* upstream = nullptr;
+    f.RunUntil([&] {
+      for (const std::unique_ptr<RawUpstream>& each : f.upstreams) {
+        if (!each->peers.empty()) {
+          upstream = each->peers.front().get();
+        }
+      }
+      return upstream != nullptr;
+    });
+    upstream->Send(absl::StrCat(kUnframedHead, kFirstEvent));
+    const TimePoint reset_at = SteadyNow() + std::chrono::milliseconds(30);
+    f.RunUntil([&] { return SteadyNow() >= reset_at; });
+    upstream->Reset();
+    f.RunUntil([&] { return !f.reports.empty(); });
+    CHECK_FALSE(LooksComplete(*caller));
+    CHECK_FALSE(caller->received.ends_with(kFirstEvent));
+    CHECK(f.reports.front().error.starts_with("answer: "));
+  }
+}
+
 // What the next upstream answers after a stream has begun and broken off.
 struct NextAnswer {
   const char* what;
--- a/tests/fakes/gateway_fixture.h
+++ b/tests/fakes/gateway_fixture.h
@@ -73,6 +73,13 @@
     return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
   }
 
+  // Makes the windows of the connections accepted from now on small.
+  void LimitWindows() {
+    constexpr int kWindowBytes = 8192;
+    acceptor_.set_option(
+        boost::asio::socket_base::receive_buffer_size(kWindowBytes));
+  }
+
   std::vector<std::unique_ptr<RawPeer>> peers;
   // Whether connections are read as soon as they are accepted.
   bool is_reading = true;
