Take responses with an impossible status for malformed

Cause: any status below 200 was an interim response, any above 599 was passed on. HttpClient took every status for final, interim ones too.

Change: both readers ask IsAnswerStatus (100 to 599 without 101); HttpClient skips interim responses.

Measured: 'Gateway: repeats a request whose response has an impossible status', 'HttpClient: tells answers from what is none' and new rows of 'ResponseReader: detects incomplete responses' fail before and pass now; [wire], [gateway] and [daemon] 205 cases pass.

--- a/include/wire/http_client.h
+++ b/include/wire/http_client.h
@@ -28,7 +28,8 @@
   virtual boost::asio::awaitable<absl::Status> Send(const HttpRequest& request,
                                                     TimePoint deadline) = 0;
 
-  // Reads the head of the answer; the body stays empty.
+  // Reads the head of the answer; the body stays empty. Interim responses are
+  // skipped, and a status that is no answer breaks the protocol.
   virtual boost::asio::awaitable<absl::StatusOr<HttpResponse>> ReadHead(
       TimePoint deadline) = 0;
 
--- a/include/wire/http_message.h
+++ b/include/wire/http_message.h
@@ -53,6 +53,13 @@
   std::string body;
 };
 
+// True if a server may answer a request with this status. 101 is no answer, as
+// no request here asks for another protocol.
+bool IsAnswerStatus(int status);
+
+// True for the status of a response that the final one follows.
+bool IsInterimStatus(int status);
+
 // A response with a JSON body.
 HttpResponse MakeJsonResponse(int status, std::string body);
 
--- a/src/gateway/message_reader.cc
+++ b/src/gateway/message_reader.cc
@@ -10,6 +10,7 @@
 
 #include "absl/strings/ascii.h"
 #include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
 
 namespace papaya {
 
@@ -23,7 +24,6 @@
 // The memory of a parsed header line beside its text, and the shortest line.
 constexpr size_t kLineMemory = 96;
 constexpr size_t kMinLineBytes = 4;
-constexpr int kFirstSuccess = 200;
 // Responses with more interim responses than this are malformed.
 constexpr int kMaxInterimResponses = 16;
 
@@ -209,7 +209,13 @@
       return state_;
     }
     if (state_ == State::kHead && parser_->is_header_done()) {
-      if (static_cast<int>(parser_->get().result_int()) < kFirstSuccess) {
+      const int status = static_cast<int>(parser_->get().result_int());
+      if (!IsAnswerStatus(status)) {
+        read_error_ = absl::StrCat("no answer has the status ", status);
+        state_ = State::kError;
+        return state_;
+      }
+      if (IsInterimStatus(status)) {
         // An interim response; the final one follows.
         if (++interim_responses_ > kMaxInterimResponses) {
           read_error_ = "too many interim responses";
--- a/src/wire/http_client.cc
+++ b/src/wire/http_client.cc
@@ -15,6 +15,7 @@
 #include <optional>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
 #include "include/base/error.h"
 #include "include/wire/steady_time.h"
 #include "src/wire/address.h"
@@ -31,6 +32,8 @@
 
 constexpr size_t kPieceBytes = size_t{16} * 1024;
 constexpr uint32_t kMaxResponseHeaderBytes = 64 * 1024;
+// Answers with more interim responses than this break the protocol.
+constexpr int kMaxInterimResponses = 16;
 
 absl::Status ToStatus(const error_code& error,
                       const char* step,
@@ -75,22 +78,35 @@
 
   asio::awaitable<absl::StatusOr<HttpResponse>> ReadHead(
       TimePoint deadline) override {
-    parser_.emplace();
-    parser_->header_limit(kMaxResponseHeaderBytes);
-    parser_->body_limit(boost::none);
     stream_.expires_at(ToSteadyClock(deadline));
-    error_code error;
-    co_await http::async_read_header(
-        stream_, buffer_, *parser_,
-        asio::redirect_error(asio::use_awaitable, error));
-    if (error) {
-      co_return ToStatus(error, "http.read_head", address_);
+    for (int interim = 0; interim <= kMaxInterimResponses; ++interim) {
+      parser_.emplace();
+      parser_->header_limit(kMaxResponseHeaderBytes);
+      parser_->body_limit(boost::none);
+      error_code error;
+      co_await http::async_read_header(
+          stream_, buffer_, *parser_,
+          asio::redirect_error(asio::use_awaitable, error));
+      if (error) {
+        co_return ToStatus(error, "http.read_head", address_);
+      }
+      const int status = static_cast<int>(parser_->get().result_int());
+      if (!IsAnswerStatus(status)) {
+        co_return MakeError(absl::StatusCode::kInternal,
+                            {.step = "http.read_head", .peer = address_},
+                            absl::StrCat("no answer has the status ", status));
+      }
+      if (!IsInterimStatus(status)) {
+        HttpResponse head;
+        head.status = status;
+        head.headers = FromBeast(parser_->get());
+        NoteEnd();
+        co_return head;
+      }
     }
-    HttpResponse head;
-    head.status = static_cast<int>(parser_->get().result_int());
-    head.headers = FromBeast(parser_->get());
-    NoteEnd();
-    co_return head;
+    co_return MakeError(absl::StatusCode::kInternal,
+                        {.step = "http.read_head", .peer = address_},
+                        "too many interim responses");
   }
 
   asio::awaitable<absl::StatusOr<std::string>> ReadPiece(
--- a/src/wire/http_message.cc
+++ b/src/wire/http_message.cc
@@ -36,6 +36,18 @@
   });
 }
 
+bool IsAnswerStatus(int status) {
+  constexpr int kFirst = 100;
+  constexpr int kSwitchingProtocols = 101;
+  constexpr int kLast = 599;
+  return status >= kFirst && status <= kLast && status != kSwitchingProtocols;
+}
+
+bool IsInterimStatus(int status) {
+  constexpr int kFirstFinal = 200;
+  return status < kFirstFinal;
+}
+
 HttpResponse MakeJsonResponse(int status, std::string body) {
   HttpResponse response;
   response.status = status;
--- a/tests/broken_stream_test.cc
+++ b/tests/broken_stream_test.cc
@@ -137,6 +137,28 @@
   }
 }
 
+// Guards against a status that the protocol does not have: below 200 it was
+// read as an interim response, and the request waited for the final one until
+// its deadline.
+TEST_CASE("Gateway: repeats a request whose response has an impossible status",
+          "[gateway]") {
+  const std::string status = GENERATE("000", "042", "101", "600", "999");
+  CAPTURE(status);
+  GatewayFixture f(RequestKind::kIdempotent);
+  const std::unique_ptr<RawPeer> caller = f.Call(kPostRequest);
+  RawPeer* upstream = f.AwaitRequest();
+  const size_t index = f.IndexOf(upstream);
+  upstream->Send(absl::StrCat("HTTP/1.1 ", status,
+                              " No\r\nPapayaarch-Attempt-Id: a1\r\n"
+                              "Content-Length: 2\r\n\r\nno"));
+  f.RunUntil([&] {
+    return f.RequestsAt(1 - index) == 1 || !caller->received.empty();
+  });
+  REQUIRE(f.RequestsAt(1 - index) == 1);
+  f.upstreams[1 - index]->peers.back()->Send(kOkResponse);
+  f.RunUntil([&] { return Has(caller->received, "ok"); });
+}
+
 // What the next upstream answers after a stream has begun and broken off.
 struct NextAnswer {
   const char* what;
--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -12,6 +12,7 @@
 #include "absl/strings/str_cat.h"
 #include "include/wire/http_client.h"
 #include "include/wire/http_exchange.h"
+#include "tests/fakes/canned_server.h"
 #include "tests/loopback.h"
 
 namespace papaya {
@@ -134,6 +135,28 @@
   });
 }
 
+// Guards against a status that the protocol does not have, and against interim
+// responses that are taken for the final one.
+TEST_CASE("HttpClient: tells answers from what is none", "[wire]") {
+  constexpr char kEmpty[] = " X\r\nContent-Length: 0\r\n\r\n";
+  constexpr char kInterim[] = "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n";
+  const std::string status = GENERATE("000", "101", "600", "204", "599");
+  boost::asio::io_context context;
+  CannedServer server(context,
+                      absl::StrCat(kInterim, "HTTP/1.1 ", status, kEmpty));
+  RunOn(context, [&]() -> boost::asio::awaitable<void> {
+    const absl::StatusOr<HttpResponse> response =
+        co_await FetchHttp(LoopbackAddress(server.endpoint().port()),
+                           HttpRequest(), TestDeadline());
+    if (status == "204" || status == "599") {
+      CHECK(response.ok());
+      CHECK(absl::StrCat(response.ok() ? response->status : 0) == status);
+    } else {
+      CHECK(response.status().code() == absl::StatusCode::kInternal);
+    }
+  });
+}
+
 TEST_CASE("HttpServer: each bad input has its answer", "[wire]") {
   using Catch::StartsWith;
   ServerFixture fixture;
--- a/tests/message_reader_test.cc
+++ b/tests/message_reader_test.cc
@@ -133,6 +133,19 @@
       {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: "
        "1\r\n\r\na",
        ResponseState::kDone, "a"},
+      {"HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\nHTTP/1.1 599 X\r\n"
+       "Content-Length: 1\r\n\r\na",
+       ResponseState::kDone, "a"},
+      // Statuses that are no answers of the protocol, or that switch to another
+      // one.
+      {"HTTP/1.1 000 X\r\nContent-Length: 1\r\n\r\na", ResponseState::kError,
+       ""},
+      {"HTTP/1.1 099 X\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+       ResponseState::kError, ""},
+      {"HTTP/1.1 101 X\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+       ResponseState::kError, ""},
+      {"HTTP/1.1 600 X\r\nContent-Length: 1\r\n\r\na", ResponseState::kError,
+       ""},
       {"", ResponseState::kError, ""},
       {"nonsense\r\n\r\n", ResponseState::kError, ""},
   };
--- a/tests/silent_store_test.cc
+++ b/tests/silent_store_test.cc
@@ -1,12 +1,8 @@
 // Connections to the store that go silent for good while new ones work.
 
-#include <array>
-#include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <memory>
@@ -14,6 +10,7 @@
 
 #include "include/gateway/object_watcher.h"
 #include "include/wire/http_client.h"
+#include "tests/fakes/canned_server.h"
 #include "tests/fakes/event_queue.h"
 #include "tests/fakes/fake_platform.h"
 #include "tests/fakes/holding_proxy.h"
@@ -83,59 +80,12 @@
   }
 }
 
-// Answers each read on its connections with an empty response.
-class EmptyServer {
- public:
-  explicit EmptyServer(asio::io_context& context)
-      : acceptor_(
-            context,
-            asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0)) {
-    Accept();
-  }
-
-  asio::ip::tcp::endpoint endpoint() const {
-    return acceptor_.local_endpoint();
-  }
-
- private:
-  struct Connection {
-    asio::ip::tcp::socket socket;
-    std::array<char, 1024> buffer;
-  };
-
-  void Accept() {
-    acceptor_.async_accept([this](const boost::system::error_code& error,
-                                  asio::ip::tcp::socket socket) {
-      if (!error) {
-        Serve(std::make_shared<Connection>(
-            Connection{.socket = std::move(socket), .buffer = {}}));
-        Accept();
-      }
-    });
-  }
-
-  void Serve(const std::shared_ptr<Connection>& connection) {
-    connection->socket.async_read_some(
-        asio::buffer(connection->buffer),
-        [this, connection](const boost::system::error_code& error, size_t) {
-          if (!error) {
-            asio::write(connection->socket,
-                        asio::buffer(std::string(
-                            "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")));
-            Serve(connection);
-          }
-        });
-  }
-
-  asio::ip::tcp::acceptor acceptor_;
-};
-
 // Guards against calls that fail one after the other, each on another idle
 // connection that went silent at the same time (review/3).
 TEST_CASE("HttpClientPool: keeps no idle connection after a time-out",
           "[gateway]") {
   asio::io_context context;
-  EmptyServer server(context);
+  CannedServer server(context, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
   HoldingProxy proxy(context, server.endpoint());
   HttpClientPool pool(4);
   int done = 0;
