Follow a store that comes back from an older copy

Change: an ObjectVersion holds the era above the revision, so that feeds, deltas and caches of an earlier era are older by the comparison that exists. Late answers are dropped, watches and writes under a version of another era end without a call. Upstreams known to be draining or gone stay so; decided moves and quarantines are written again.

--- a/include/base/ids.h
+++ b/include/base/ids.h
@@ -44,6 +44,8 @@
 // The hash of an UpstreamId, that is, of one start of an upstream, which can
 // crash only once.
 using CrashId = StrongNumber<struct CrashIdTag, uint64_t>;
+// Counts the times that the platform's store came back from an older copy.
+using StoreEra = StrongNumber<struct StoreEraTag, uint64_t>;
 // Version of one object in the Object API; 0 is absent.
 using ObjectVersion = StrongNumber<struct ObjectVersionTag, uint64_t>;
 
--- a/include/gateway/object_watcher.h
+++ b/include/gateway/object_watcher.h
@@ -25,7 +25,9 @@
 // this router makes no calls. Versions order everything: changes that do not
 // follow on the ones known here are not applied. The missing ones are asked for
 // (Hooks::behind), and read from the store if they do not come, so that the
-// objects never go back.
+// objects never go back. They do if the store itself comes back from an older
+// copy: then its versions are of a later era (store_era.h), all is listed anew,
+// and what other routers pass on of the earlier era is older.
 //
 // With Options::starts_stale, the first list may be seconds old. Its objects
 // are delivered once a feed or a watch has completed them.
@@ -104,6 +106,9 @@
     // The store is available again after an outage. Called before the objects
     // of its first response are delivered.
     std::function<void()> store_recovered;
+    // The store has come back from an older copy. Called before the objects of
+    // that copy replace those known. May be empty.
+    std::function<void()> store_restored;
     // Changes were read from the store, for other routers. Changes that are too
     // long to pass on are left out, which shows in the versions.
     std::function<void(const KindFeed&)> read;
@@ -195,6 +200,8 @@
   Duration CoalesceDelay(TimePoint now) const;
   bool IsHeldBack(TimePoint now) const;
   bool HearsFeed(TimePoint now) const;
+  // Calls store_restored if `version` is of another era than what is known.
+  void NoteEra(ObjectVersion version);
   // Takes over a whole list from another router.
   void OnWholeList(const KindFeed& feed,
                    const std::vector<PlatformObject>& objects,
@@ -248,6 +255,8 @@
   uint64_t call_ = 0;
   bool must_list_ = true;
   bool is_listed_ = false;
+  // The era of the objects that were delivered last.
+  StoreEra listed_era_;
   bool is_unavailable_ = false;
   TimePoint now_;
   TimePoint call_start_;
--- a/include/gateway/platform_store.h
+++ b/include/gateway/platform_store.h
@@ -10,13 +10,14 @@
 #include "absl/status/statusor.h"
 #include "include/base/ids.h"
 #include "include/base/units.h"
+#include "include/telemetry/event.h"
 
 namespace papaya {
 
 // An object in the platform's store.
 struct PlatformObject {
   std::string name;
-  // The version of the last change.
+  // The version of the last change, with the era of the store (store_era.h).
   ObjectVersion version;
   // The desired state, written by the owner.
   boost::json::value spec;
@@ -45,11 +46,14 @@
 // once and never from inside the call that it was passed to.
 //
 // Errors, all with step and peer:
-//   kUnavailable        unreachable, connection lost, or request rejected
+//   kUnavailable        unreachable, connection lost, request rejected, or an
+//                       answer of an earlier era that was late
 //   kDeadlineExceeded   no response in time; a write may have taken effect
 //   kResourceExhausted  over the platform's rate limit; a write had no effect
-//   kOutOfRange         Watch: the store has no history since that version
-//   kAborted            PutStatus: the object has another version; no effect
+//   kOutOfRange         Watch: the store has no history since that version, or
+//                       has come back from an older copy since
+//   kAborted            PutStatus: the object has another version, or the store
+//                       has come back from an older copy since; no effect
 //   kAlreadyExists      Create: an object of that name exists
 //   kNotFound           the object does not exist
 class PlatformStore {
@@ -81,6 +85,9 @@
                      Duration wait,
                      BatchCallback done) = 0;
 
+  // Gets the events of the store's era (StoreEraTracker).
+  virtual void SetEventHook(EventHook /*event*/) {}
+
   // Connections that are open now may have gone silent: calls that start from
   // now on use new ones.
   virtual void Reconnect() {}
--- a/include/gateway/quarantine_archive.h
+++ b/include/gateway/quarantine_archive.h
@@ -59,6 +59,10 @@
   // A quarantine has begun on this router, one of the running `routers`.
   void OnBegun(PromptPartId part, const std::vector<RouterId>& routers);
 
+  // The store has come back from an older copy: the quarantines of this router
+  // are written again. `routers` are the running ones.
+  void OnStoreRestored(const std::vector<RouterId>& routers);
+
   // Call every 100 ms.
   void OnTick(TimePoint now);
 
--- a/include/gateway/upstream_directory.h
+++ b/include/gateway/upstream_directory.h
@@ -1,6 +1,7 @@
 #ifndef INCLUDE_GATEWAY_UPSTREAM_DIRECTORY_H_
 #define INCLUDE_GATEWAY_UPSTREAM_DIRECTORY_H_
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -26,6 +27,9 @@
   // seconds after an outage of the store; the remainder allows for the call.
   static constexpr Duration kReregistrationGrace =
       std::chrono::milliseconds(2100);
+  // Registrations that were removed are remembered for this long. An older copy
+  // of the store may still have them.
+  static constexpr Duration kRemovedMemory = std::chrono::seconds(60);
 
   struct Hooks {
     // Decodes a registration. Returns an error if it is not a valid upstream.
@@ -43,6 +47,11 @@
   void Replace(const std::vector<PlatformObject>& objects, TimePoint now);
   void Apply(const PlatformObject& object, TimePoint now);
   void OnStoreRecovered(TimePoint now);
+  // The store has come back from an older copy, which is about to replace what
+  // is known. Upstreams registered since have to register again, as after an
+  // outage. Those known to be draining or gone stay so, whatever the copy says
+  // of that start of them.
+  void OnStoreRestored(TimePoint now);
   // The upstream said in a response that it is leaving. From now on it is
   // returned as draining, whatever the store says of this start of it.
   void OnLeaving(const UpstreamRecord& upstream);
@@ -71,8 +80,17 @@
   bool Remove(const std::string& name, TimePoint now);
   Entries::iterator Drop(Entries::iterator entry, TimePoint now);
 
+  // A start of an upstream whose registration was removed.
+  struct Removed {
+    UpstreamId id;
+    std::string instance;
+    TimePoint time;
+  };
+
   Hooks hooks_;
   Entries entries_;
+  // Oldest first.
+  std::deque<Removed> removed_;
   LeavingUpstreams leaving_;
   TimePoint grace_until_;
 };
--- a/include/gateway/version_moves.h
+++ b/include/gateway/version_moves.h
@@ -104,6 +104,8 @@
     // The upstreams of the new version that get full load in kLoaded.
     std::set<UpstreamId> loaded;
     TimePoint next_write;
+    // The store has lost the state that the order had, so it is written again.
+    bool must_restore = false;
   };
 
   void OnStop(const StopFact& fact);
--- a/include/telemetry/event_catalog.h
+++ b/include/telemetry/event_catalog.h
@@ -36,6 +36,8 @@
   kStoreCalls = 3056,
   kStoreReading = 3057,
   kStoreSilent = 3058,
+  kStoreRestored = 3059,
+  kStoreEraRefused = 3060,
 
   // Membership and configuration.
   kRevisionInForce = 4001,
--- a/src/gateway/counted_store.h
+++ b/src/gateway/counted_store.h
@@ -42,6 +42,9 @@
              ObjectVersion version,
              Duration wait,
              BatchCallback done) override;
+  void SetEventHook(EventHook event) override {
+    store_->SetEventHook(std::move(event));
+  }
   void Reconnect() override { store_->Reconnect(); }
   void Create(const std::string& kind,
               const PlatformObject& object,
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -171,6 +171,7 @@
   // `handle` one by one.
   ObjectWatcher::Hooks MakeWatcherHooks(
       void (Impl::*handle)(const PlatformObject&));
+  ObjectWatcher::Hooks MakeConfigHooks();
   ObjectWatcher::Hooks MakeUpstreamHooks();
   VersionMoves::Hooks MakeMoveHooks();
   QuarantineArchive::Hooks MakeArchiveHooks();
@@ -277,7 +278,7 @@
                           Duration left) { dispatcher_.OnWarmup(id, left); }}),
       config_watcher_(store_.get(),
                       WatcherOptions(settings_, binding_.config_kind),
-                      MakeWatcherHooks(&Impl::OnConfig)),
+                      MakeConfigHooks()),
       upstream_watcher_(store_.get(),
                         WatcherOptions(settings_, binding_.upstream_kind),
                         MakeUpstreamHooks()),
@@ -325,6 +326,7 @@
                                const HttpRequest& request) {
                           OnMetricsRequest(caller, request);
                         }) {
+  store_->SetEventHook(logger_->hook());
   moves_.SetBounds(settings_.bounds.exposure);
   caller_listener_.SetReadDelayHook([this] { return monitor_.Delay(); });
   caller_listener_.SetMemory(dispatcher_.MakeCallerMemory());
@@ -436,6 +438,14 @@
   return hooks;
 }
 
+ObjectWatcher::Hooks Gateway::Impl::MakeConfigHooks() {
+  ObjectWatcher::Hooks hooks = MakeWatcherHooks(&Impl::OnConfig);
+  hooks.store_restored = [this] {
+    archive_.OnStoreRestored(IdsOf(mesh_.Routers()));
+  };
+  return hooks;
+}
+
 ObjectWatcher::Hooks Gateway::Impl::MakeUpstreamHooks() {
   ObjectWatcher::Hooks hooks = MakeWatcherHooks(&Impl::OnUpstream);
   // Upstreams that are missing from a complete list are no longer registered.
@@ -443,6 +453,7 @@
     directory_.Replace(objects, SteadyNow());
   };
   hooks.store_recovered = [this] { directory_.OnStoreRecovered(SteadyNow()); };
+  hooks.store_restored = [this] { directory_.OnStoreRestored(SteadyNow()); };
   return hooks;
 }
 
@@ -703,6 +714,7 @@
     metrics_.SetState(dispatcher_.in_flight(), caller_listener_.connections(),
                       dispatcher_.upstream_connections(),
                       dispatcher_.quarantined_parts());
+    metrics_.SetPeers(mesh_.counts().renewed);
     metrics_.SetLimited(dispatcher_.limited_upstreams());
     metrics_.SetWarmup(dispatcher_.warmup().cold_upstreams(),
                        dispatcher_.warmup().cold_requests());
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -104,6 +104,14 @@
   quarantined_parts_.Set(static_cast<int64_t>(quarantined_parts));
 }
 
+void GatewayMetrics::SetPeers(uint64_t renewed) {
+  registry_
+      .GetGauge("papaya_peer_connections_renewed",
+                "Connections to other routers that went silent and were "
+                "replaced, since the start.")
+      .Set(static_cast<int64_t>(renewed));
+}
+
 void GatewayMetrics::SetLimited(size_t limited_upstreams) {
   limited_upstreams_.Set(static_cast<int64_t>(limited_upstreams));
 }
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -56,6 +56,8 @@
   // Sets the number of upstreams that are or may be cold, and the number of
   // requests sent to such ones since the start.
   void SetWarmup(size_t cold_upstreams, uint64_t cold_requests);
+  // Connections to other routers that were replaced since the start.
+  void SetPeers(uint64_t renewed);
   void SetLimited(size_t limited_upstreams);
   // Sets the gauges of evacuated zones. Those of other zones become zero.
   void SetEvacuatedZones(const std::vector<EvacuatedZoneState>& zones);
--- a/src/gateway/object_watcher.cc
+++ b/src/gateway/object_watcher.cc
@@ -5,6 +5,7 @@
 #include <string>
 #include <utility>
 
+#include "include/gateway/store_era.h"
 #include "src/gateway/object_text.h"
 
 namespace papaya {
@@ -257,6 +258,12 @@
   }
   OnSuccess(now);
   LogUnreadable(*batch);
+  if (!pages_.empty() && EraOf(batch->store_version) != EraOf(version_)) {
+    // The pages are of different copies of the store.
+    pages_.clear();
+    next_call_ = now;
+    return;
+  }
   // The watch starts at the version of the first page so that it covers changes
   // made while the pages were read.
   // Pages of an old list may differ in age, and the oldest one counts.
@@ -288,11 +295,21 @@
   if (!is_listed_) {
     next_call_ = now + options_.first_watch_delay;
   }
+  NoteEra(version_);
   is_listed_ = true;
   KeepList(objects, now);
   hooks_.replaced(objects);
 }
 
+void ObjectWatcher::NoteEra(ObjectVersion version) {
+  const StoreEra era = EraOf(version);
+  const bool is_restored = is_listed_ && era != listed_era_;
+  listed_era_ = era;
+  if (is_restored && hooks_.store_restored) {
+    hooks_.store_restored();
+  }
+}
+
 void ObjectWatcher::KeepList(const std::vector<PlatformObject>& objects,
                              TimePoint now) {
   history_.Clear();
@@ -312,6 +329,7 @@
 void ObjectWatcher::OnWholeList(const KindFeed& feed,
                                 const std::vector<PlatformObject>& objects,
                                 TimePoint now) {
+  NoteEra(feed.to);
   version_ = feed.to;
   unchanged_since_ = feed.to;
   old_list_.reset();
@@ -341,6 +359,7 @@
       *known = change;
     }
   }
+  NoteEra(version_);
   is_listed_ = true;
   listed_at_ = now_;
   if (!is_reading_) {
--- a/src/gateway/quarantine_archive.cc
+++ b/src/gateway/quarantine_archive.cc
@@ -91,6 +91,12 @@
   }
 }
 
+void QuarantineArchive::OnStoreRestored(const std::vector<RouterId>& routers) {
+  for (const PartNews& part : hooks_.current()) {
+    OnBegun(part.part, routers);
+  }
+}
+
 void QuarantineArchive::OnTick(TimePoint now) {
   if (has_read_ && is_second_due_ && now >= second_read_) {
     is_second_due_ = false;
--- a/src/gateway/router_mesh.h
+++ b/src/gateway/router_mesh.h
@@ -52,6 +52,8 @@
   // Returns the few routers with which this one exchanges gossip.
   const std::vector<RouterId>& Neighbours() const;
 
+  PeerNetwork::Counts counts() const { return network_->counts(); }
+
   // Announces to the other routers that this one is draining.
   void SetDraining(TimePoint now);
   // Announces to the other routers that this one stops, and closes the network.
--- a/src/gateway/upstream_directory.cc
+++ b/src/gateway/upstream_directory.cc
@@ -38,6 +38,21 @@
   grace_until_ = now + kReregistrationGrace;
 }
 
+void UpstreamDirectory::OnStoreRestored(TimePoint now) {
+  grace_until_ = now + kReregistrationGrace;
+  for (const auto& [name, entry] : entries_) {
+    if (entry.record.is_draining) {
+      leaving_.Mark(entry.record.id, entry.record.instance);
+    }
+  }
+  for (const Removed& removed : removed_) {
+    if (leaving_.Mark(removed.id, removed.instance)) {
+      leaving_.OnRemoved(removed.instance, now);
+    }
+  }
+  removed_.clear();
+}
+
 void UpstreamDirectory::OnLeaving(const UpstreamRecord& upstream) {
   if (!leaving_.Mark(upstream.id, upstream.instance)) {
     return;
@@ -49,6 +64,9 @@
 
 void UpstreamDirectory::OnTick(TimePoint now) {
   leaving_.OnTick(now);
+  while (!removed_.empty() && now - removed_.front().time > kRemovedMemory) {
+    removed_.pop_front();
+  }
   bool has_changed = false;
   for (auto entry = entries_.begin(); entry != entries_.end();) {
     if (entry->second.drop_at.has_value() && *entry->second.drop_at <= now) {
@@ -151,6 +169,9 @@
   hooks_.event({EventId::kUpstreamGone,
                 {{"upstream", entry->second.record.id.value()}}});
   leaving_.OnRemoved(entry->second.record.instance, now);
+  removed_.push_back({.id = entry->second.record.id,
+                      .instance = entry->second.record.instance,
+                      .time = now});
   return entries_.erase(entry);
 }
 
--- a/src/gateway/version_moves.cc
+++ b/src/gateway/version_moves.cc
@@ -135,8 +135,17 @@
 void VersionMoves::OnOrder(const MoveOrder& order, TimePoint now) {
   const auto known = moves_.find(order.service);
   if (known != moves_.end() && known->second.order.target == order.target) {
-    const bool has_changed = known->second.order.state != order.state;
-    known->second.order = order;
+    Move& move = known->second;
+    const std::optional<MoveState> before = move.order.state;
+    const bool is_undone = !IsInProgress(move.order) && IsInProgress(order);
+    const bool has_changed = before != order.state && !is_undone;
+    move.order = order;
+    move.must_restore = is_undone;
+    if (is_undone) {
+      // The store has come back from an older copy. What was decided has taken
+      // effect: the upstreams of one version may be gone.
+      move.order.state = before;
+    }
     if (has_changed) {
       hooks_.changed();
     }
@@ -496,6 +505,9 @@
   }
   bool has_changed = false;
   for (auto& [service, move] : moves_) {
+    if (move.must_restore && JudgeRank(move) >= 0) {
+      Write(&move, *move.order.state, "restored", now);
+    }
     if (!IsInProgress(move.order)) {
       continue;
     }
--- a/src/telemetry/event_catalog.cc
+++ b/src/telemetry/event_catalog.cc
@@ -81,6 +81,13 @@
       {EventId::kStoreSilent, Severity::kWarning, "store_silent",
        "A watch got no response in time; its connection may have gone silent, "
        "and the watch is repeated on a new one."},
+      {EventId::kStoreRestored, Severity::kWarning, "store_restored",
+       "The platform's store has come back from an older copy, of the era "
+       "`to`; "
+       "all is listed anew, and what routers had written is written again."},
+      {EventId::kStoreEraRefused, Severity::kWarning, "store_era_refused",
+       "An answer of the platform's store names no era that can be used, or an "
+       "earlier one than before; told once. `known` is the era that it had."},
 
       // Membership and configuration.
       {EventId::kRevisionInForce, Severity::kInfo, "revision_in_force",
--- a/tests/fakes/fake_platform.h
+++ b/tests/fakes/fake_platform.h
@@ -13,6 +13,7 @@
 
 #include "include/base/error.h"
 #include "include/gateway/platform_store.h"
+#include "include/gateway/store_era.h"
 #include "tests/fakes/event_queue.h"
 
 namespace papaya {
@@ -48,6 +49,26 @@
   const std::map<std::string, int>& calls_by_kind() const {
     return calls_by_kind_;
   }
+  // The store comes back as it was `age` ago, in the next era. Versions are
+  // given out again.
+  void Restore(Duration age) {
+    ++era_;
+    std::erase_if(changes_, [time = queue_->now() - age](const Change& change) {
+      return change.time > time;
+    });
+    version_ = changes_.empty() ? 1 : changes_.back().version;
+    oldest_ = std::min(oldest_, version_);
+    objects_.clear();
+    for (const Change& change : changes_) {
+      if (change.object.is_deleted) {
+        objects_.erase(change.object.name);
+      } else {
+        objects_[change.object.name] = change.version;
+        specs_[change.object.name] = change.object.spec;
+      }
+    }
+  }
+
   // The history before now is lost: watches from earlier versions fail.
   void ForgetHistory() { oldest_ = version_; }
 
@@ -96,14 +117,23 @@
     return found == specs_.end() ? boost::json::value() : found->second;
   }
 
+  ObjectVersion Stamp(uint64_t version) const {
+    return MakeObjectVersion(StoreEra(era_), version);
+  }
+
+  PlatformObject Stamped(PlatformObject object) const {
+    object.version = Stamp(object.version.value());
+    return object;
+  }
+
   ObjectBatch ChangesAfter(ObjectVersion version) const {
     ObjectBatch batch;
     for (const Change& change : changes_) {
-      if (change.version > version.value()) {
-        batch.objects.push_back(change.object);
+      if (change.version > RevisionOf(version)) {
+        batch.objects.push_back(Stamped(change.object));
       }
     }
-    batch.store_version = ObjectVersion(version_);
+    batch.store_version = Stamp(version_);
     return batch;
   }
 
@@ -124,13 +154,14 @@
       }
     }
     for (const auto& [name, object] : objects) {
-      batch.objects.push_back(object);
+      batch.objects.push_back(Stamped(object));
     }
-    batch.store_version = ObjectVersion(version);
+    batch.store_version = Stamp(version);
     return batch;
   }
 
   EventQueue* const queue_;
+  uint64_t era_ = 0;
   uint64_t oldest_ = 0;
   uint64_t version_ = 1;
   std::map<std::string, uint64_t> objects_;
@@ -154,11 +185,11 @@
           for (const auto& [name, version] : platform_->objects_) {
             PlatformObject object;
             object.name = name;
-            object.version = ObjectVersion(version);
+            object.version = platform_->Stamp(version);
             object.spec = platform_->SpecOf(name);
             batch.objects.push_back(object);
           }
-          batch.store_version = ObjectVersion(platform_->version_);
+          batch.store_version = platform_->Stamp(platform_->version_);
           done(std::move(batch));
         },
         done);
@@ -244,7 +275,9 @@
       Loses(end + kStoreCallTimeout, done);
       return;
     }
-    if (version.value() < platform_->oldest_) {
+    const bool is_known = EraOf(version).value() == platform_->era_ &&
+                          RevisionOf(version) >= platform_->oldest_;
+    if (!is_known) {
       ++platform_->calls_by_kind_["watch, no history"];
       done(MakeError(absl::StatusCode::kOutOfRange,
                      {.step = "store.call", .peer = "store"}, "no history"));
--- a/tests/fakes/store_fleet.h
+++ b/tests/fakes/store_fleet.h
@@ -257,7 +257,7 @@
     if (object.is_deleted) {
       watched.objects.erase(object.name);
     } else {
-      watched.objects[object.name] = version;
+      watched.objects[object.name] = RevisionOf(object.version);
     }
   }
 
