Count crashes at one time that only one prompt part explains

Cause: crashes within 150 ms count as one, whatever they have in common.

Change: five or more count if no engine crashed then without the part and another one goes on.

--- a/src/admission/crash_evidence.cc
+++ b/src/admission/crash_evidence.cc
@@ -14,6 +14,10 @@
   if (now - when >= kLifetime) {
     return false;
   }
+  const auto [seen, is_first] = crashed_.emplace(crash, when);
+  if (!is_first) {
+    seen->second = std::min(seen->second, when);
+  }
   Record* record = Upsert(part, now);
   if (record == nullptr) {
     return false;
@@ -106,6 +110,25 @@
   return false;
 }
 
+bool CrashEvidence::IsExclusive(const Record& record,
+                                const std::vector<TimePoint>& times) const {
+  if (times.size() < kMinExclusiveCrashes ||
+      times.back() - times.front() > kMassCrashWindow) {
+    return false;
+  }
+  const bool has_other =
+      std::any_of(crashed_.begin(), crashed_.end(), [&](const auto& crash) {
+        return crash.second >= times.front() - kMassCrashWindow &&
+               crash.second <= times.back() + kMassCrashWindow &&
+               !record.crashes.contains(crash.first);
+      });
+  return !has_other &&
+         std::any_of(alive_.begin(), alive_.end(), [&](const auto& upstream) {
+           return upstream.second > times.back() + kMassCrashWindow &&
+                  !crashed_.contains(upstream.first);
+         });
+}
+
 int CrashEvidence::RequiredCrashes(const Record& record) {
   if (record.is_known_culprit) {
     return 1;
@@ -114,14 +137,15 @@
                                                            : kMinOuterCrashes;
 }
 
-bool CrashEvidence::HasEnough(const Record& record, TimePoint now) {
+bool CrashEvidence::HasEnough(const Record& record, TimePoint now) const {
   const int required = RequiredCrashes(record);
   if (record.crashes.size() < static_cast<size_t>(required)) {
     return false;
   }
   const std::vector<TimePoint> times = SettledTimes(record, now);
   return CountSeparate(times) >= required ||
-         (required == kMinCrashes && HasBurst(times));
+         (required == kMinCrashes &&
+          (HasBurst(times) || IsExclusive(record, times)));
 }
 
 std::optional<PromptPartId> CrashEvidence::FindCulprit(TimePoint now) const {
@@ -193,6 +217,11 @@
 }
 
 void CrashEvidence::Expire(TimePoint now) {
+  for (auto* times : {&crashed_, &alive_}) {
+    absl::erase_if(*times, [now](const auto& entry) {
+      return now - entry.second >= kLifetime;
+    });
+  }
   for (auto& [part, record] : records_) {
     std::erase_if(record.crashes, [now](const auto& crash) {
       return now - crash.second >= kLifetime;
--- a/src/admission/crash_evidence.h
+++ b/src/admission/crash_evidence.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <vector>
 
+#include "absl/container/flat_hash_map.h"
 #include "include/base/ids.h"
 #include "include/base/units.h"
 
@@ -18,7 +19,8 @@
 // requests. So a part is only suspected of the crashes since an upstream last
 // survived it. Crashes within kMassCrashWindow count as one, because a single
 // cause, such as the loss of a rack, can end many upstreams at once and
-// whatever runs there. And crashes that one culprit explains count against no
+// whatever runs there; unless the part is on each crash of that time and on no
+// upstream that goes on. And crashes that one culprit explains count against no
 // other part. Does no I/O and reads no clock.
 class CrashEvidence {
  public:
@@ -38,6 +40,9 @@
   // kMassCrashWindow: many such requests can end all upstreams at once.
   static constexpr size_t kMinBurstCrashes = 6;
   static constexpr Duration kBurstWindow = std::chrono::seconds(1);
+  // The same within kMassCrashWindow, if no upstream crashed at that time
+  // without the part and another one goes on.
+  static constexpr size_t kMinExclusiveCrashes = 5;
   // Room for the parts of all requests with long prompts on a few engines.
   static constexpr size_t kMaxParts = 2048;
   static constexpr size_t kMaxCrashesPerPart = 64;
@@ -63,6 +68,9 @@
                 bool is_innermost,
                 TimePoint now);
 
+  // An upstream has sent something.
+  void OnAlive(CrashId upstream, TimePoint now) { alive_[upstream] = now; }
+
   // An upstream survived the part at `when`. Returns true if this was not known
   // of a suspected part, voids crashes, or clears a culprit.
   bool Prove(PromptPartId part, TimePoint when);
@@ -104,10 +112,18 @@
   // Number of crashes, counting those within kMassCrashWindow as one.
   static int CountSeparate(const std::vector<TimePoint>& times);
   static bool HasBurst(const std::vector<TimePoint>& times);
+  // True if the part is on all of many crashes at one time, but upstreams
+  // without it go on.
+  bool IsExclusive(const Record& record,
+                   const std::vector<TimePoint>& times) const;
   static int RequiredCrashes(const Record& record);
-  static bool HasEnough(const Record& record, TimePoint now);
+  bool HasEnough(const Record& record, TimePoint now) const;
 
   Records records_;
+  // All crashes, also those that count against no part any more, and when each
+  // upstream last sent something.
+  absl::flat_hash_map<CrashId, TimePoint> crashed_;
+  absl::flat_hash_map<CrashId, TimePoint> alive_;
 };
 
 }  // namespace papaya
--- a/src/admission/prompt_quarantine.cc
+++ b/src/admission/prompt_quarantine.cc
@@ -73,8 +73,10 @@
 }
 
 void PromptQuarantine::OnAlive(const UpstreamId& upstream, TimePoint now) {
+  const CrashId id = CrashOf(upstream);
+  evidence_->OnAlive(id, now);
   if (!broken_->empty()) {
-    broken_->OnAlive(CrashOf(upstream), now);
+    broken_->OnAlive(id, now);
   }
 }
 
--- a/tests/prompt_quarantine_test.cc
+++ b/tests/prompt_quarantine_test.cc
@@ -157,6 +157,36 @@
   CHECK(r.quarantine.size() == 1);
 }
 
+// Guards against a culprit whose crashes at one time count as one (review/4).
+TEST_CASE("PromptQuarantine: requests that end several engines at one time",
+          "[quarantine]") {
+  OneRouter r;
+  r.quarantine.OnSurvived({kShared}, r.now);
+  r.RunFor(seconds(1));
+  for (uint64_t i = 0; i < 6; ++i) {
+    r.Crash({{kShared, kDeadly}, {kShared, PromptPartId(100 + i)}});
+    r.RunFor(milliseconds(15));
+  }
+  SECTION("the engines without the part go on") {
+    r.RunFor(milliseconds(300));
+    r.quarantine.OnAlive(UpstreamId("survivor"), r.now);
+    r.RunFor(seconds(1));
+    CHECK(r.IsQuarantined(kDeadly));
+    CHECK(r.quarantine.size() == 1);
+  }
+  SECTION("an engine without the part crashes, too") {
+    r.Crash({{kShared, kOther}});
+    r.RunFor(milliseconds(300));
+    r.quarantine.OnAlive(UpstreamId("survivor"), r.now);
+    r.RunFor(seconds(1));
+    CHECK(r.quarantine.size() == 0);
+  }
+  SECTION("no engine is known to go on") {
+    r.RunFor(seconds(2));
+    CHECK(r.quarantine.size() == 0);
+  }
+}
+
 TEST_CASE("PromptQuarantine: a survived part starts anew", "[quarantine]") {
   OneRouter r;
   for (int i = 0; i < 10; ++i) {
