Ask for a key also if the manifest's list of accounts is empty

Cause: an empty list of accounts was read as no list, which asks for no keys.

Change: GatewayConfig::needs_keys follows the field. The acknowledgement sender of peers gets names of its own, as builds with sanitizers join sources.

--- a/include/gateway/gateway_config.h
+++ b/include/gateway/gateway_config.h
@@ -63,8 +63,13 @@
   std::vector<ServiceRoute> routes;
   std::vector<ServiceInfo> services;
   std::vector<ClientAccount> accounts;
+  // Requests need the key of an account though there may be none.
+  bool needs_keys = false;
   CallerLimits limits;
 
+  // True if requests on routes that are not anonymous need a key.
+  bool NeedsKeys() const { return needs_keys || !accounts.empty(); }
+
   bool operator==(const GatewayConfig&) const = default;
 };
 
--- a/src/gateway/request_dispatcher.cc
+++ b/src/gateway/request_dispatcher.cc
@@ -521,7 +521,7 @@
   }
   const ClientAccount* account = table_->FindAccount(metadata.api_key);
   const bool needs_key =
-      !input.route->is_anonymous && !table_->config().accounts.empty();
+      !input.route->is_anonymous && table_->config().NeedsKeys();
   if (account == nullptr && needs_key) {
     Reject(caller.get(), kUnauthorized, "unknown_key", metadata, {},
            std::nullopt);
--- a/src/wire/peer_ack_sender.cc
+++ b/src/wire/peer_ack_sender.cc
@@ -18,15 +18,15 @@
 namespace asio = boost::asio;
 
 constexpr size_t kAckBytes = 8;
-constexpr int kBitsPerByte = 8;
-constexpr Duration kWriteTimeout = std::chrono::seconds(5);
+constexpr int kAckByteBits = 8;
+constexpr Duration kAckWriteTimeout = std::chrono::seconds(5);
 
 }  // namespace
 
 std::string MakePeerAck(uint64_t frames) {
   std::string content;
   for (size_t i = 0; i < kAckBytes; ++i) {
-    content += static_cast<char>(frames >> (kBitsPerByte * i));
+    content += static_cast<char>(frames >> (kAckByteBits * i));
   }
   return content;
 }
@@ -38,7 +38,7 @@
   uint64_t frames = 0;
   for (size_t i = 0; i < kAckBytes; ++i) {
     const uint64_t byte = static_cast<unsigned char>(content[i]);
-    frames |= byte << (kBitsPerByte * i);
+    frames |= byte << (kAckByteBits * i);
   }
   return frames;
 }
@@ -72,7 +72,7 @@
     acknowledged_ = received_;
     std::string frame = MakePeerFrame(MakePeerAck(acknowledged_));
     const absl::Status written =
-        co_await socket_->Write(std::move(frame), kWriteTimeout);
+        co_await socket_->Write(std::move(frame), kAckWriteTimeout);
     if (!written.ok()) {
       socket_->Close();
       stopped_ = true;
--- a/tests/fakes/gateway_fixture.h
+++ b/tests/fakes/gateway_fixture.h
@@ -159,7 +159,10 @@
     auto config = std::make_shared<GatewayConfig>();
     config->routes = more_routes;
     config->routes.push_back(route);
-    config->accounts = {{.id = AccountId("school"), .api_keys = {"secret"}}};
+    if (has_account) {
+      config->accounts = {{.id = AccountId("school"), .api_keys = {"secret"}}};
+    }
+    config->needs_keys = needs_keys;
     dispatcher.SetTable(std::make_shared<const RouteTable>(config));
   }
 
@@ -296,6 +299,9 @@
   // How long bytes are said to have waited to be read.
   Duration read_delay{};
   ServiceRoute route;
+  // Whether the manifest has an account, and asks for keys all the same.
+  bool has_account = true;
+  bool needs_keys = false;
   // Other routes of the manifest; put in force by PublishRoute.
   std::vector<ServiceRoute> more_routes;
   std::vector<MemoryBudget::Change> memory_changes;
--- a/tests/gateway_relay_test.cc
+++ b/tests/gateway_relay_test.cc
@@ -172,6 +172,33 @@
   CHECK(f.dispatcher.in_flight() == 0);
 }
 
+// Guards against a manifest whose last account was taken away and that lets
+// everybody in (review/8).
+TEST_CASE("Gateway: asks for a key though no account is left", "[gateway]") {
+  GatewayFixture f(RequestKind::kIdempotent);
+  f.has_account = false;
+  const auto call = [&f] {
+    const std::unique_ptr<RawPeer> caller = f.Call(kPostRequest);
+    f.RunUntil([&] {
+      return !caller->received.empty() || f.RequestsAt(0) + f.RequestsAt(1) > 0;
+    });
+    return caller->received;
+  };
+  f.needs_keys = true;
+  f.PublishRoute();
+  CHECK(call().starts_with("HTTP/1.1 401"));
+  SECTION("an anonymous route needs none") {
+    f.route.is_anonymous = true;
+    f.PublishRoute();
+    CHECK(call().empty());
+  }
+  SECTION("a manifest without a list of accounts needs none") {
+    f.needs_keys = false;
+    f.PublishRoute();
+    CHECK(call().empty());
+  }
+}
+
 TEST_CASE("Gateway: rejects unknown routes and API keys", "[gateway]") {
   GatewayFixture f(RequestKind::kIdempotent);
   const std::unique_ptr<RawPeer> no_route =
--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -50,6 +50,18 @@
   CHECK(config->accounts[0].counts_tokens);
 }
 
+TEST_CASE("Platform: tells an empty list of accounts from none", "[platform]") {
+  const auto needs_keys = [](const std::string& tenants) {
+    const absl::StatusOr<GatewayConfig> config = DecodeManifest(
+        MakeObject("main", "{\"version\":7,\"routes\":[]" + tenants + "}"));
+    REQUIRE(config.ok());
+    return config->NeedsKeys();
+  };
+  CHECK(needs_keys(",\"tenants\":[]"));
+  CHECK(needs_keys(R"(,"tenants":[{"name":"t","api_keys":[]}])"));
+  CHECK_FALSE(needs_keys(""));
+}
+
 TEST_CASE("Platform: an error in a manifest names the field", "[platform]") {
   const absl::StatusOr<GatewayConfig> config = DecodeManifest(
       MakeObject("main", R"({"version":7,"routes":[{"name":"r","host":"h",
