Bound what all routers together spend of one total

Cause: each router might spend three even shares of the owner's last total, and the owner all of it, 3.6 times the bucket together.

Change: together at most 2.25 buckets; a low total still gives three shares each.

--- a/include/admission/account_quota.h
+++ b/include/admission/account_quota.h
@@ -207,6 +207,8 @@
   bool HasRecentTotal(const Account& account, TimePoint now) const;
   // Tokens that this router may spend now, as far as it knows.
   double Available(Account* account, TimePoint now);
+  // What this router may spend of a new total before it reports.
+  double UnreportedLimit(const Account& account, TimePoint now) const;
   bool IsNearQuota(const Account& account) const;
   // The amount to report for the account.
   double AmountOf(const Account& account) const;
--- a/src/admission/account_quota.cc
+++ b/src/admission/account_quota.cc
@@ -28,6 +28,10 @@
 // A router may spend this many even shares of the remaining total before it
 // reports, because callers are spread unevenly over routers.
 constexpr double kMaxUnreportedShares = 3.0;
+// What the owner and all other routers together may spend of the same total, in
+// buckets. MakeBucket leaves room for 1 / kBucketExcessFraction of them, less
+// what was spent before.
+constexpr double kMaxSpentBuckets = 0.9 / kBucketExcessFraction;
 // Waiting requests are reported as spent only while this fraction of the bucket
 // is left. Of an account that exceeds its quota, most of them are rejected, and
 // their cost would be missing in the bucket until the next report.
@@ -404,9 +408,7 @@
     }
     Account& account = found->second;
     account.remaining = usage.amount - (account.spent - account.reported);
-    account.unreported_limit =
-        *account.remaining *
-        std::min(1.0, kMaxUnreportedShares / routers_.CountReachable(now));
+    account.unreported_limit = UnreportedLimit(account, now);
     account.unanswered_since.reset();
     account.received = now;
     // Not more than was spent: the cost of requests that are rejected after all
@@ -415,6 +417,18 @@
   }
 }
 
+double AccountQuotas::UnreportedLimit(const Account& account,
+                                      TimePoint now) const {
+  const double remaining = std::max(0.0, *account.remaining);
+  const double routers = routers_.CountReachable(now);
+  // Each router but the owner may spend this much.
+  const double part =
+      std::max(0.0, kMaxSpentBuckets * account.limit.burst - remaining) /
+      std::max(1.0, routers - 1.0);
+  return std::min(remaining * std::min(1.0, kMaxUnreportedShares / routers),
+                  part);
+}
+
 bool AccountQuotas::IsNearQuota(const Account& account) const {
   const double burst = account.limit.burst;
   return account.spent - account.reported > kNearQuotaUnreported * burst ||
--- a/tests/fakes/quota_fleet.h
+++ b/tests/fakes/quota_fleet.h
@@ -137,6 +137,15 @@
     }
   }
 
+  // Sends `requests` at the same moment to each router.
+  void SendBatch(int requests, double cost) {
+    for (size_t router = 0; router < routers_.size(); ++router) {
+      for (int i = 0; i < requests; ++i) {
+        Request(router, cost);
+      }
+    }
+  }
+
   int requested() const { return requested_; }
   int rejected() const { return rejected_; }
 
--- a/tests/quota_partition_test.cc
+++ b/tests/quota_partition_test.cc
@@ -109,6 +109,23 @@
   CheckLittleTraffic(60);
 }
 
+// Guards against routers that each spend from the same total before they report
+// (review/9).
+TEST_CASE("AccountQuotas: a batch at all routers at once stays in the quota",
+          "[admission][calm]") {
+  const int routers = GENERATE(2, 3, 7, 12, 23);
+  const double rate = GENERATE(6500.0, 20000.0, 160000.0);
+  const double cost = GENERATE(500.0, 3500.0);
+  const QuotaCase quota{.rate = rate, .burst = rate};
+  QuotaFleet fleet(routers, 6, quota);
+  fleet.Load(0.9 * rate, cost, seconds(10));
+  const double all = 8.0 * quota.Allowed();
+  fleet.SendBatch(static_cast<int>(all / cost / routers), cost);
+  fleet.Load(0.9 * rate, cost, seconds(8));
+  CAPTURE(routers, rate, cost);
+  CHECK(fleet.Peak() <= quota.Allowed());
+}
+
 // The calm day of 128 routers with one quota lowered.
 TEST_CASE("AccountQuotas: 128 routers reject little within a lowered quota",
           "[admission][calm]") {
