Judge the last part of a prompt that crashes engines, too

Cause: the last part of a prompt was not judged, and sound requests with its shared parts voided the crashes.

Change: it is judged like an innermost shared part, goes before those on the same crashes, and is passed on to other routers as such.

--- a/include/admission/crash_messages.h
+++ b/include/admission/crash_messages.h
@@ -30,6 +30,8 @@
   std::optional<Duration> quarantine_age;
   // How often it was quarantined in a row.
   int quarantines = 0;
+  // It is the last part of a prompt, which belongs to a request or a session.
+  bool is_own = false;
 
   bool operator==(const PartNews&) const = default;
 };
--- a/include/admission/prompt_quarantine.h
+++ b/include/admission/prompt_quarantine.h
@@ -31,8 +31,10 @@
 // an upstream survives the part. It ends at different times on different
 // routers, so that the first crash after it warns the others.
 //
-// The last part of a prompt belongs to one request and is never passed here.
-// Does no I/O and reads no clock. Not thread-safe.
+// The last part of a prompt belongs to one request or its session. It is judged
+// like a shared one, as one and the same request may come again and again, but
+// its survival is not remembered: nearly each request has one of its own. Does
+// no I/O and reads no clock. Not thread-safe.
 class PromptQuarantine {
  public:
   // Duration of the first quarantine of a part, and of the longest.
@@ -64,26 +66,32 @@
   void SetNeighbours(const std::vector<RouterId>& neighbours, TimePoint now);
 
   // An upstream closed the connection of an attempt before it had written much
-  // of the response. `parts` are the shared parts of the prompt, outermost
-  // first.
+  // of the response. Here and below, `parts` are the shared parts of the
+  // prompt, outermost first, and `own` is its last part.
   void OnBroken(const UpstreamId& upstream,
                 const std::vector<PromptPartId>& parts,
-                TimePoint now);
+                TimePoint now,
+                std::optional<PromptPartId> own = std::nullopt);
   // An upstream has written enough of a response to have survived the prompt.
-  void OnSurvived(const std::vector<PromptPartId>& parts, TimePoint now);
+  void OnSurvived(const std::vector<PromptPartId>& parts,
+                  TimePoint now,
+                  std::optional<PromptPartId> own = std::nullopt);
   // An upstream has sent something.
   void OnAlive(const UpstreamId& upstream, TimePoint now);
   void OnNews(const CrashNews& news, TimePoint now);
 
   // Returns the time until the quarantine of all `parts` ends on this router;
   // empty if none of them is quarantined.
-  std::optional<Duration> TimeLeft(const std::vector<PromptPartId>& parts,
-                                   TimePoint now) const;
+  std::optional<Duration> TimeLeft(
+      const std::vector<PromptPartId>& parts,
+      TimePoint now,
+      std::optional<PromptPartId> own = std::nullopt) const;
   // True unless a request with `parts` that `upstream` broke off may crash the
   // next upstream, too.
   bool MayRepeat(const UpstreamId& upstream,
                  const std::vector<PromptPartId>& parts,
-                 TimePoint now) const;
+                 TimePoint now,
+                 std::optional<PromptPartId> own = std::nullopt) const;
 
   // Call at least every 50 ms.
   void OnTick(TimePoint now);
@@ -110,7 +118,11 @@
                 CrashId crash,
                 TimePoint when,
                 bool is_innermost,
-                TimePoint now);
+                TimePoint now,
+                bool is_own = false);
+  // The time until the quarantine of `part` ends.
+  std::optional<Duration> TimeLeftOf(PromptPartId part, TimePoint now) const;
+  bool IsSuspect(PromptPartId part, CrashId crash, TimePoint now) const;
   void Prove(PromptPartId part, TimePoint when, TimePoint now);
   // Starts or takes over a quarantine.
   void Begin(PromptPartId part, TimePoint since, int count, TimePoint now);
--- a/src/admission/broken_attempts.cc
+++ b/src/admission/broken_attempts.cc
@@ -7,11 +7,14 @@
 
 void BrokenAttempts::Add(CrashId upstream,
                          std::vector<PromptPartId> parts,
+                         std::optional<PromptPartId> own,
                          TimePoint now) {
-  if (parts.empty() || size_ >= kCapacity) {
+  const bool is_known = !parts.empty() || own.has_value();
+  if (!is_known || size_ >= kCapacity) {
     return;
   }
-  held_[upstream].push_back({.parts = std::move(parts), .broken = now});
+  held_[upstream].push_back(
+      {.parts = std::move(parts), .broken = now, .own = own});
   ++size_;
 }
 
--- a/src/admission/broken_attempts.h
+++ b/src/admission/broken_attempts.h
@@ -1,6 +1,7 @@
 #ifndef SRC_ADMISSION_BROKEN_ATTEMPTS_H_
 #define SRC_ADMISSION_BROKEN_ATTEMPTS_H_
 
+#include <optional>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
@@ -26,6 +27,8 @@
     // The shared parts of its prompt, outermost first.
     std::vector<PromptPartId> parts;
     TimePoint broken;
+    // Its last part, which belongs to the request or its session.
+    std::optional<PromptPartId> own;
   };
   // The broken attempts of one crashed upstream.
   struct Crash {
@@ -33,7 +36,10 @@
     std::vector<Attempt> attempts;
   };
 
-  void Add(CrashId upstream, std::vector<PromptPartId> parts, TimePoint now);
+  void Add(CrashId upstream,
+           std::vector<PromptPartId> parts,
+           std::optional<PromptPartId> own,
+           TimePoint now);
 
   // The upstream has sent something. Its attempts that ended well before are
   // dropped.
--- a/src/admission/crash_evidence.cc
+++ b/src/admission/crash_evidence.cc
@@ -10,7 +10,8 @@
                              CrashId crash,
                              TimePoint when,
                              bool is_innermost,
-                             TimePoint now) {
+                             TimePoint now,
+                             bool is_own) {
   if (now - when >= kLifetime) {
     return false;
   }
@@ -40,6 +41,7 @@
   }
   record->crashes[crash] = when;
   record->is_innermost = record->is_innermost && is_innermost;
+  record->is_own |= is_own;
   record->changed = now;
   if (is_culprit) {
     ExplainAway(part);
@@ -152,6 +154,7 @@
   std::optional<PromptPartId> culprit;
   int least_required = 0;
   size_t most_crashes = 0;
+  bool is_own = false;
   for (const auto& [part, record] : records_) {
     if (record.culprit_since.has_value() || !HasEnough(record, now)) {
       continue;
@@ -159,12 +162,14 @@
     const int required = RequiredCrashes(record);
     const size_t crashes = record.crashes.size();
     const bool is_better =
-        required < least_required ||
-        (required == least_required && crashes > most_crashes);
+        required < least_required || (required == least_required &&
+                                      std::make_pair(crashes, record.is_own) >
+                                          std::make_pair(most_crashes, is_own));
     if (!culprit.has_value() || is_better) {
       culprit = part;
       least_required = required;
       most_crashes = crashes;
+      is_own = record.is_own;
     }
   }
   return culprit;
--- a/src/admission/crash_evidence.h
+++ b/src/admission/crash_evidence.h
@@ -49,6 +49,9 @@
 
   struct Record {
     bool is_innermost = true;
+    // It is the last part of a prompt. It explains crashes before a shared part
+    // that is on the same ones, as it keeps fewer requests away.
+    bool is_own = false;
     std::map<CrashId, TimePoint> crashes;
     // When an upstream last survived the part, as far as known.
     std::optional<TimePoint> proven;
@@ -66,7 +69,8 @@
                 CrashId crash,
                 TimePoint when,
                 bool is_innermost,
-                TimePoint now);
+                TimePoint now,
+                bool is_own = false);
 
   // An upstream has sent something.
   void OnAlive(CrashId upstream, TimePoint now) { alive_[upstream] = now; }
--- a/src/admission/prompt_quarantine.cc
+++ b/src/admission/prompt_quarantine.cc
@@ -68,8 +68,9 @@
 
 void PromptQuarantine::OnBroken(const UpstreamId& upstream,
                                 const std::vector<PromptPartId>& parts,
-                                TimePoint now) {
-  broken_->Add(CrashOf(upstream), parts, now);
+                                TimePoint now,
+                                std::optional<PromptPartId> own) {
+  broken_->Add(CrashOf(upstream), parts, own, now);
 }
 
 void PromptQuarantine::OnAlive(const UpstreamId& upstream, TimePoint now) {
@@ -81,11 +82,15 @@
 }
 
 void PromptQuarantine::OnSurvived(const std::vector<PromptPartId>& parts,
-                                  TimePoint now) {
+                                  TimePoint now,
+                                  std::optional<PromptPartId> own) {
   for (PromptPartId part : parts) {
     proven_->Add(part, now);
     Prove(part, now, now);
   }
+  if (own.has_value()) {
+    Prove(*own, now, now);
+  }
 }
 
 void PromptQuarantine::Prove(PromptPartId part, TimePoint when, TimePoint now) {
@@ -110,9 +115,10 @@
                                 CrashId crash,
                                 TimePoint when,
                                 bool is_innermost,
-                                TimePoint now) {
+                                TimePoint now,
+                                bool is_own) {
   const bool is_new = evidence_->Find(part) == nullptr;
-  if (!evidence_->AddCrash(part, crash, when, is_innermost, now)) {
+  if (!evidence_->AddCrash(part, crash, when, is_innermost, now, is_own)) {
     return;
   }
   if (std::vector<CrashId>* unsent = MarkUnsent(part)) {
@@ -131,6 +137,10 @@
         AddCrash(attempt.parts[i], crash.id, attempt.broken,
                  /*is_innermost=*/i + 1 == attempt.parts.size(), now);
       }
+      if (attempt.own.has_value()) {
+        AddCrash(*attempt.own, crash.id, attempt.broken, /*is_innermost=*/true,
+                 now, /*is_own=*/true);
+      }
     }
   }
 }
@@ -144,7 +154,8 @@
   }
   for (const PartNews& part : news.parts) {
     for (const PartCrash& crash : part.crashes) {
-      AddCrash(part.part, crash.crash, now - crash.age, part.is_innermost, now);
+      AddCrash(part.part, crash.crash, now - crash.age, part.is_innermost, now,
+               part.is_own);
     }
     if (part.proven_age.has_value()) {
       Prove(part.part, now - *part.proven_age, now);
@@ -224,34 +235,48 @@
   }
 }
 
+std::optional<Duration> PromptQuarantine::TimeLeftOf(PromptPartId part,
+                                                     TimePoint now) const {
+  const auto found = quarantines_.find(part);
+  return found == quarantines_.end() || found->second.is_over
+             ? std::nullopt
+             : std::optional<Duration>(EndOf(part, found->second) - now);
+}
+
 std::optional<Duration> PromptQuarantine::TimeLeft(
     const std::vector<PromptPartId>& parts,
-    TimePoint now) const {
+    TimePoint now,
+    std::optional<PromptPartId> own) const {
   std::optional<Duration> left;
   if (quarantines_.empty()) {
     return left;
   }
+  if (own.has_value()) {
+    left = TimeLeftOf(*own, now);
+  }
   for (PromptPartId part : parts) {
-    const auto found = quarantines_.find(part);
-    if (found != quarantines_.end() && !found->second.is_over) {
-      left =
-          std::max(left.value_or(Duration()), EndOf(part, found->second) - now);
-    }
+    left = std::max(left, TimeLeftOf(part, now));
   }
   return left;
 }
 
+bool PromptQuarantine::IsSuspect(PromptPartId part,
+                                 CrashId crash,
+                                 TimePoint now) const {
+  return evidence_->IsSuspect(part, crash, now) &&
+         !proven_->Find(part).has_value();
+}
+
 bool PromptQuarantine::MayRepeat(const UpstreamId& upstream,
                                  const std::vector<PromptPartId>& parts,
-                                 TimePoint now) const {
-  if (TimeLeft(parts, now).has_value()) {
-    return false;
-  }
+                                 TimePoint now,
+                                 std::optional<PromptPartId> own) const {
   const CrashId crash = CrashOf(upstream);
-  return std::none_of(parts.begin(), parts.end(), [&](PromptPartId part) {
-    return evidence_->IsSuspect(part, crash, now) &&
-           !proven_->Find(part).has_value();
-  });
+  return !TimeLeft(parts, now, own).has_value() &&
+         !(own.has_value() && IsSuspect(*own, crash, now)) &&
+         std::none_of(parts.begin(), parts.end(), [&](PromptPartId part) {
+           return IsSuspect(part, crash, now);
+         });
 }
 
 void PromptQuarantine::OnTick(TimePoint now) {
@@ -280,6 +305,7 @@
   const CrashEvidence::Record* record = evidence_->Find(part);
   if (record != nullptr) {
     news.is_innermost = record->is_innermost;
+    news.is_own = record->is_own;
     for (CrashId crash : crashes) {
       const auto found = record->crashes.find(crash);
       if (found != record->crashes.end()) {
--- a/src/gateway/prompt_prefix.cc
+++ b/src/gateway/prompt_prefix.cc
@@ -34,6 +34,12 @@
   return shared;
 }
 
+std::optional<PromptPartId> OwnPart(const std::vector<PromptPart>& parts) {
+  return parts.empty()
+             ? std::nullopt
+             : std::optional<PromptPartId>(PromptPartId(parts.back().hash));
+}
+
 void SetPrefix(const std::vector<PromptPart>& parts, RequestSpec* spec) {
   uint64_t chain = 0;
   Tokens end;
--- a/src/gateway/prompt_prefix.h
+++ b/src/gateway/prompt_prefix.h
@@ -1,6 +1,7 @@
 #ifndef SRC_GATEWAY_PROMPT_PREFIX_H_
 #define SRC_GATEWAY_PROMPT_PREFIX_H_
 
+#include <optional>
 #include <vector>
 
 #include "include/base/ids.h"
@@ -14,6 +15,10 @@
 // that states many.
 std::vector<PromptPartId> SharedParts(const std::vector<PromptPart>& parts);
 
+// Returns the last part, which belongs to the request or its session; empty if
+// there are no parts.
+std::optional<PromptPartId> OwnPart(const std::vector<PromptPart>& parts);
+
 // Sets the chained hashes of the prompt's blocks. Prompts with a common prefix
 // share their first hashes.
 void SetPrefix(const std::vector<PromptPart>& parts, RequestSpec* spec);
--- a/src/gateway/relayed_request.h
+++ b/src/gateway/relayed_request.h
@@ -138,6 +138,8 @@
     uint64_t share_hash = 0;
     // The parts of the prompt that other requests may share, outermost first.
     std::vector<PromptPartId> shared_parts;
+    // The last part of the prompt; empty if it has none.
+    std::optional<PromptPartId> own_part;
     // Output tokens per event of a stream.
     Tokens tokens_per_event{1};
     // The amount that was charged to the account's quota.
--- a/src/gateway/request_dispatcher.cc
+++ b/src/gateway/request_dispatcher.cc
@@ -252,7 +252,8 @@
                    {"error", error}}});
     warmup_.OnUnreachable(relay.upstream(), SteadyNow());
     if (!relay.has_survived()) {
-      quarantine_.OnBroken(relay.upstream(), input.shared_parts, SteadyNow());
+      quarantine_.OnBroken(relay.upstream(), input.shared_parts, SteadyNow(),
+                           input.own_part);
     }
   };
   context->alive = [this](const UpstreamId& id) {
@@ -261,12 +262,13 @@
     warmup_.OnAnswer(id, now);
   };
   context->survived = [this](const RelayedRequest& relay) {
-    quarantine_.OnSurvived(relay.input().shared_parts, SteadyNow());
+    quarantine_.OnSurvived(relay.input().shared_parts, SteadyNow(),
+                           relay.input().own_part);
   };
   context->may_repeat = [this](const RelayedRequest& relay) {
     return relay.has_survived() ||
            quarantine_.MayRepeat(relay.upstream(), relay.input().shared_parts,
-                                 SteadyNow());
+                                 SteadyNow(), relay.input().own_part);
   };
 }
 
@@ -528,8 +530,9 @@
     return;
   }
   input.shared_parts = SharedParts(metadata.prompt_parts);
+  input.own_part = OwnPart(metadata.prompt_parts);
   const std::optional<Duration> quarantined =
-      quarantine_.TimeLeft(input.shared_parts, SteadyNow());
+      quarantine_.TimeLeft(input.shared_parts, SteadyNow(), input.own_part);
   if (quarantined.has_value()) {
     Reject(caller.get(), kServiceUnavailable, kQuarantinedReason, metadata,
            account == nullptr ? AccountId() : account->id, *quarantined);
@@ -750,8 +753,8 @@
   const TimePoint now = SteadyNow();
   std::vector<std::pair<std::shared_ptr<RelayedRequest>, Duration>> rejected;
   for (const auto& [id, relay] : relays_) {
-    const std::optional<Duration> time_left =
-        quarantine_.TimeLeft(relay->input().shared_parts, now);
+    const std::optional<Duration> time_left = quarantine_.TimeLeft(
+        relay->input().shared_parts, now, relay->input().own_part);
     if (time_left.has_value() && !relay->IsAtUpstream()) {
       rejected.emplace_back(relay, *time_left);
     }
@@ -788,8 +791,8 @@
     return;
   }
   // The quarantine may have begun while the request waited.
-  const std::optional<Duration> quarantined =
-      quarantine_.TimeLeft(relay->input().shared_parts, SteadyNow());
+  const std::optional<Duration> quarantined = quarantine_.TimeLeft(
+      relay->input().shared_parts, SteadyNow(), relay->input().own_part);
   if (quarantined.has_value()) {
     relay->OnQuarantined(*quarantined);
     return;
--- a/src/wire/crash_codec.cc
+++ b/src/wire/crash_codec.cc
@@ -39,6 +39,7 @@
                                    ? ToWireMilliseconds(*part.quarantine_age)
                                    : kNoAge;
     entry->quarantines = part.quarantines;
+    entry->is_own = part.is_own;
     encoded.parts.push_back(std::move(entry));
   }
   return MakePayload(std::move(encoded));
@@ -62,6 +63,7 @@
     part.proven_age = FromWireMilliseconds(entry->proven_age_ms);
     part.quarantine_age = FromWireMilliseconds(entry->quarantine_age_ms);
     part.quarantines = std::clamp(entry->quarantines, 0, kMaxQuarantines);
+    part.is_own = entry->is_own;
     news.parts.push_back(std::move(part));
   }
   return news;
--- a/src/wire/peer_generated.h
+++ b/src/wire/peer_generated.h
@@ -4741,6 +4741,7 @@
   int32_t proven_age_ms = -1;
   int32_t quarantine_age_ms = -1;
   int32_t quarantines = 0;
+  bool is_own = false;
 };
 
 struct PartNews FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -4753,7 +4754,8 @@
     VT_CRASHES = 8,
     VT_PROVEN_AGE_MS = 10,
     VT_QUARANTINE_AGE_MS = 12,
-    VT_QUARANTINES = 14
+    VT_QUARANTINES = 14,
+    VT_IS_OWN = 16
   };
   uint64_t part() const {
     return GetField<uint64_t>(VT_PART, 0);
@@ -4773,6 +4775,9 @@
   int32_t quarantines() const {
     return GetField<int32_t>(VT_QUARANTINES, 0);
   }
+  bool is_own() const {
+    return GetField<uint8_t>(VT_IS_OWN, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_PART, 8) &&
@@ -4782,6 +4787,7 @@
            VerifyField<int32_t>(verifier, VT_PROVEN_AGE_MS, 4) &&
            VerifyField<int32_t>(verifier, VT_QUARANTINE_AGE_MS, 4) &&
            VerifyField<int32_t>(verifier, VT_QUARANTINES, 4) &&
+           VerifyField<uint8_t>(verifier, VT_IS_OWN, 1) &&
            verifier.EndTable();
   }
   PartNewsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4811,6 +4817,9 @@
   void add_quarantines(int32_t quarantines) {
     fbb_.AddElement<int32_t>(PartNews::VT_QUARANTINES, quarantines, 0);
   }
+  void add_is_own(bool is_own) {
+    fbb_.AddElement<uint8_t>(PartNews::VT_IS_OWN, static_cast<uint8_t>(is_own), 0);
+  }
   explicit PartNewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4829,13 +4838,15 @@
     flatbuffers::Offset<flatbuffers::Vector<const papaya::fb::PartCrash *>> crashes = 0,
     int32_t proven_age_ms = -1,
     int32_t quarantine_age_ms = -1,
-    int32_t quarantines = 0) {
+    int32_t quarantines = 0,
+    bool is_own = false) {
   PartNewsBuilder builder_(_fbb);
   builder_.add_part(part);
   builder_.add_quarantines(quarantines);
   builder_.add_quarantine_age_ms(quarantine_age_ms);
   builder_.add_proven_age_ms(proven_age_ms);
   builder_.add_crashes(crashes);
+  builder_.add_is_own(is_own);
   builder_.add_is_innermost(is_innermost);
   return builder_.Finish();
 }
@@ -4852,7 +4863,8 @@
     const std::vector<papaya::fb::PartCrash> *crashes = nullptr,
     int32_t proven_age_ms = -1,
     int32_t quarantine_age_ms = -1,
-    int32_t quarantines = 0) {
+    int32_t quarantines = 0,
+    bool is_own = false) {
   auto crashes__ = crashes ? _fbb.CreateVectorOfStructs<papaya::fb::PartCrash>(*crashes) : 0;
   return papaya::fb::CreatePartNews(
       _fbb,
@@ -4861,7 +4873,8 @@
       crashes__,
       proven_age_ms,
       quarantine_age_ms,
-      quarantines);
+      quarantines,
+      is_own);
 }
 
 flatbuffers::Offset<PartNews> CreatePartNews(flatbuffers::FlatBufferBuilder &_fbb, const PartNewsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6930,6 +6943,7 @@
   { auto _e = proven_age_ms(); _o->proven_age_ms = _e; }
   { auto _e = quarantine_age_ms(); _o->quarantine_age_ms = _e; }
   { auto _e = quarantines(); _o->quarantines = _e; }
+  { auto _e = is_own(); _o->is_own = _e; }
 }
 
 inline flatbuffers::Offset<PartNews> PartNews::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PartNewsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6946,6 +6960,7 @@
   auto _proven_age_ms = _o->proven_age_ms;
   auto _quarantine_age_ms = _o->quarantine_age_ms;
   auto _quarantines = _o->quarantines;
+  auto _is_own = _o->is_own;
   return papaya::fb::CreatePartNews(
       _fbb,
       _part,
@@ -6953,7 +6968,8 @@
       _crashes,
       _proven_age_ms,
       _quarantine_age_ms,
-      _quarantines);
+      _quarantines,
+      _is_own);
 }
 
 inline CrashNewsT::CrashNewsT(const CrashNewsT &o) {
--- a/tests/prompt_quarantine_test.cc
+++ b/tests/prompt_quarantine_test.cc
@@ -187,6 +187,43 @@
   }
 }
 
+// Guards against one and the same request that crashes engines again and again,
+// while sound ones with its shared parts are survived (review/7).
+TEST_CASE("PromptQuarantine: one request that comes again and again",
+          "[quarantine]") {
+  constexpr PromptPartId kOwn(500);
+  OneRouter r;
+  r.quarantine.OnSurvived({kShared}, r.now, PromptPartId(501));
+  for (int i = 0; i < 3; ++i) {
+    const UpstreamId upstream(absl::StrCat("own", i));
+    CHECK(r.quarantine.MayRepeat(upstream, {kShared}, r.now, kOwn) == (i < 1));
+    r.quarantine.OnBroken(upstream, {kShared}, r.now, kOwn);
+    r.RunFor(milliseconds(400));
+    r.quarantine.OnSurvived({kShared}, r.now, PromptPartId(600));
+    r.RunFor(milliseconds(500));
+  }
+  r.RunFor(seconds(1));
+  CHECK(r.quarantine.TimeLeft({kShared}, r.now, kOwn).has_value());
+  CHECK_FALSE(r.IsQuarantined(kShared));
+  CHECK_FALSE(r.quarantine.TimeLeft({kShared}, r.now, PromptPartId(601)));
+}
+
+// The last part stands for the request alone, so it goes before a shared one
+// that is on the same crashes.
+TEST_CASE("PromptQuarantine: the last part before a shared one as the culprit",
+          "[quarantine]") {
+  const PromptPartId own(GENERATE(uint64_t{1}, uint64_t{5000}));
+  OneRouter r;
+  for (int i = 0; i < 3; ++i) {
+    r.quarantine.OnBroken(UpstreamId(absl::StrCat("own", i)), {kShared, kOther},
+                          r.now, own);
+    r.RunFor(milliseconds(900));
+  }
+  r.RunFor(seconds(1));
+  CHECK(r.quarantine.TimeLeft({}, r.now, own).has_value());
+  CHECK_FALSE(r.IsQuarantined(kOther));
+}
+
 TEST_CASE("PromptQuarantine: a survived part starts anew", "[quarantine]") {
   OneRouter r;
   for (int i = 0; i < 10; ++i) {
