--- a/src/gateway/tcp_channel.cc
+++ b/src/gateway/tcp_channel.cc
@@ -140,7 +140,7 @@
     // What the system still holds must not arrive later.
     error_code ignored;
     socket_.set_option(asio::socket_base::linger(true, 0), ignored);
-    Fail("the peer has stopped to acknowledge");
+    Fail("the peer acknowledges nothing");
     return;
   }
   if (decision.next_check.has_value()) {
