--- a/include/gateway/platform_store.h
+++ b/include/gateway/platform_store.h
@@ -86,7 +86,7 @@
                      BatchCallback done) = 0;
 
   // Gets the events of the store's era (StoreEraTracker).
-  virtual void SetEventHook(EventHook /*event*/) {}
+  virtual void SetEventHook(const EventHook& /*event*/) {}
 
   // Connections that are open now may have gone silent: calls that start from
   // now on use new ones.
--- a/src/gateway/counted_store.h
+++ b/src/gateway/counted_store.h
@@ -42,8 +42,8 @@
              ObjectVersion version,
              Duration wait,
              BatchCallback done) override;
-  void SetEventHook(EventHook event) override {
-    store_->SetEventHook(std::move(event));
+  void SetEventHook(const EventHook& event) override {
+    store_->SetEventHook(event);
   }
   void Reconnect() override { store_->Reconnect(); }
   void Create(const std::string& kind,
