--- a/review/standins-3/cases.cc
+++ b/review/standins-3/cases.cpp
@@ -3,7 +3,9 @@
 // Exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
 // With TROUBLE=0 in the environment, the case runs without the disruption.
 
-#include "review/standins-3/lab.h"
+#include <algorithm>
+
+#include "review/standins-3/lab.hpp"
 
 namespace lab {
 namespace {
@@ -109,7 +111,7 @@
   for (int i = 1; i <= 2; ++i) {
     const std::string instance = "i-" + std::to_string(i);
     replicas.push_back(std::make_unique<Server>(
-        Ip(100 + i), [&serve, instance](std::shared_ptr<Conn> conn) {
+        Ip(100 + i), [&serve, instance](const std::shared_ptr<Conn>& conn) {
           serve(conn.get(), instance);
         }));
     store.Put("servers", instance,
@@ -267,7 +269,7 @@
   constexpr int kEvents = 10;
   std::mutex mutex;
   std::map<std::string, int> arrivals;
-  const auto serve = [&](std::shared_ptr<Conn> conn,
+  const auto serve = [&](const std::shared_ptr<Conn>& conn,
                          const std::string& instance) {
     while (true) {
       const Message request = ReadMessage(conn.get(), 60000, false);
@@ -315,7 +317,7 @@
   for (int i = 1; i <= 2; ++i) {
     const std::string instance = "i-" + std::to_string(i);
     replicas.push_back(std::make_unique<Server>(
-        Ip(100 + i), [&serve, instance](std::shared_ptr<Conn> conn) {
+        Ip(100 + i), [&serve, instance](const std::shared_ptr<Conn>& conn) {
           serve(conn, instance);
         }));
     store.Put("servers", instance,
@@ -397,7 +399,7 @@
     for (int i = 0; i < 2 * kReplicas; ++i) {
       const std::string version = i < kReplicas ? "v2" : "v3";
       replicas_.push_back(std::make_unique<Server>(
-          Ip(100 + i), [this, i, version](std::shared_ptr<Conn> conn) {
+          Ip(100 + i), [this, i, version](const std::shared_ptr<Conn>& conn) {
             Serve(conn, InstanceOf(i), version);
           }));
     }
@@ -623,6 +625,139 @@
   Finish(is_broken ? 1 : 0);
 }
 
+// Clients send requests in chunks, with a chunk extension of almost the longest
+// body. The platform ends a process that exceeds its memory.
+[[noreturn]] void LongExtension(const Lab& lab) {
+  constexpr int kRouters = 2;
+  constexpr int kRounds = 3;
+  // For each router; the site has 80 clients.
+  constexpr int kUploads = 36;
+  // Below `max_body_bytes`.
+  constexpr size_t kBytes = 4'000'000;
+  // Each client sends 64 kB every 20 ms, as on a link of 25 Mbit/s.
+  constexpr size_t kPiece = 64'000;
+  constexpr int64_t kMemoryKb = 110 * 1024;
+  constexpr int64_t kRoundMs = 8000;
+  const auto serve = [&](const std::shared_ptr<Conn>& conn,
+                         const std::string& instance) {
+    while (true) {
+      const Message request = ReadMessage(conn.get(), 60000, false);
+      if (!request.is_whole) {
+        return;
+      }
+      const std::string id = request.Get("Papayaarch-Attempt-Id");
+      REC("replica %s runs %s", instance.c_str(), id.c_str());
+      SleepMs(15);
+      conn->Send(Answer(200, id, instance, "done"));
+    }
+  };
+  Store store(Ip(250));
+  std::vector<std::unique_ptr<Server>> replicas;
+  for (int i = 1; i <= 3; ++i) {
+    const std::string instance = "i-" + std::to_string(i);
+    replicas.push_back(std::make_unique<Server>(
+        Ip(100 + i), [&serve, instance](const std::shared_ptr<Conn>& conn) {
+          serve(conn, instance);
+        }));
+    store.Put("servers", instance,
+              Registration("app", replicas.back()->Address(), "v1", 6));
+  }
+  store.Put(
+      "config", "main",
+      Manifest(7,
+               {Route("book", "/book/", "non_idempotent", "app", 8000, 100, 2)},
+               {PlainService("app")}));
+  std::vector<std::unique_ptr<Router>> routers;
+  for (int i = 1; i <= kRouters; ++i) {
+    routers.push_back(std::make_unique<Router>(
+        lab.program, lab.directory, Ip(i), "edge-" + std::to_string(i)));
+    routers.back()->Configure(store.Address(),
+                              {Ip(1) + ":8229", Ip(2) + ":8229"});
+    routers.back()->Start();
+  }
+  for (const std::unique_ptr<Router>& router : routers) {
+    router->AwaitReady();
+  }
+  std::atomic<int> answered{0};
+  const auto upload = [&](const std::string& ip, const std::string& id) {
+    Conn conn;
+    if (!conn.Connect(ip, 8221, 1000)) {
+      return;
+    }
+    const std::string filler(kBytes, 'x');
+    char size[32];
+    snprintf(size, sizeof(size), "%zx\r\n", kBytes);
+    const std::string chunk =
+        HasTrouble() ? "5;" + filler + "\r\nhello" : size + filler;
+    REC("client sends %s", id.c_str());
+    bool is_open = conn.Send(
+        "POST /book/up HTTP/1.1\r\nHost: shop.example\r\n"
+        "Papayaarch-Attempt-Id: " +
+        id +
+        "\r\nPapayaarch-Deadline-Ms: 8000\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n");
+    for (size_t at = 0; is_open && at < chunk.size(); at += kPiece) {
+      is_open = conn.Send(chunk.substr(at, kPiece));
+      SleepMs(20);
+    }
+    if (is_open) {
+      conn.Send("\r\n0\r\n\r\n");
+    }
+    const Message answer = ReadMessage(&conn, 9000, true);
+    answered += answer.Status() > 0 ? 1 : 0;
+    REC("%s is answered %d", id.c_str(), answer.Status());
+  };
+  std::vector<int> ends(kRouters);
+  // When the platform starts a killed router again; 0 while it runs.
+  std::vector<int64_t> start_at(kRouters);
+  int64_t most_kb = 0;
+  for (int round = 0; round < kRounds; ++round) {
+    for (int r = 0; r < kRouters; ++r) {
+      for (int i = 0; i < kUploads; ++i) {
+        const std::string id = "upload-" + std::to_string(round) + "-" +
+                               std::to_string(r + 1) + "-" + std::to_string(i);
+        std::thread(upload, routers[r]->ip(), id).detach();
+      }
+    }
+    const int64_t end = NowMs() + kRoundMs;
+    while (NowMs() < end) {
+      for (int r = 0; r < kRouters; ++r) {
+        if (start_at[r] != 0) {
+          if (NowMs() >= start_at[r]) {
+            start_at[r] = 0;
+            routers[r]->Start();
+          }
+          continue;
+        }
+        const int64_t kb = routers[r]->RssKb();
+        most_kb = std::max(most_kb, kb);
+        if (kb > kMemoryKb) {
+          REC("%s uses %lld KB and is killed", routers[r]->name().c_str(),
+              static_cast<long long>(kb));
+          routers[r]->Kill();
+          ++ends[r];
+          routers[r]->settings["bootstrap"] = false;
+          start_at[r] = NowMs() + 300;
+        }
+      }
+      SleepMs(2);
+    }
+    for (const std::unique_ptr<Router>& router : routers) {
+      router->AwaitReady();
+    }
+  }
+  for (const std::unique_ptr<Router>& router : routers) {
+    router->Kill();
+  }
+  REC("memory up to %lld KB; edge-1 ended %d times, edge-2 %d times; %d of %d "
+      "requests answered",
+      static_cast<long long>(most_kb), ends[0], ends[1], answered.load(),
+      kRounds * kRouters * kUploads);
+  const bool is_broken = std::all_of(
+      ends.begin(), ends.end(), [](int count) { return count >= kRounds; });
+  Finish(is_broken ? 1 : 0);
+}
+
 }  // namespace
 }  // namespace lab
 
@@ -639,6 +774,7 @@
       {"late_success", &lab::LateSuccess},
       {"resumed_length", &lab::ResumedLength},
       {"forgotten_order", &lab::ForgottenOrder},
+      {"long_extension", &lab::LongExtension},
   };
   const auto found = cases.find(argv[1]);
   if (found == cases.end()) {
