--- a/review/standins-3/cases.cpp
+++ b/review/standins-3/cases.cpp
@@ -757,6 +757,80 @@
   Finish(is_broken ? 1 : 0);
 }
 
+// Not one of the five cases. The registrations of all replicas lapse and return
+// one after the other, and the store comes back from a copy that has them all.
+// After the next change of any registration, the router sends them nothing.
+[[noreturn]] void MarkedReplicas(const Lab& lab) {
+  constexpr int kReplicas = 3;
+  constexpr int kRequests = 10;
+  Store store(Ip(250));
+  Server replica(Ip(100), [](const std::shared_ptr<Conn>& conn) {
+    while (true) {
+      const Message request = ReadMessage(conn.get(), 60000, false);
+      if (!request.is_whole) {
+        return;
+      }
+      conn->Send(
+          Answer(200, request.Get("Papayaarch-Attempt-Id"), "i", "done"));
+    }
+  });
+  const auto register_one = [&](int i, const std::string& service) {
+    store.Put("servers", "i-" + std::to_string(i),
+              Registration(service, replica.Address(), "v1", 6));
+  };
+  for (int i = 0; i < kReplicas; ++i) {
+    register_one(i, "app");
+  }
+  store.Put(
+      "config", "main",
+      Manifest(7,
+               {Route("book", "/book/", "non_idempotent", "app", 1000, 100, 1)},
+               {PlainService("app")}));
+  Router router(lab.program, lab.directory, Ip(1), "edge-1");
+  router.Configure(store.Address(), {});
+  router.Start();
+  router.AwaitReady();
+  SleepMs(2000);
+  int sent = 0;
+  const auto ask = [&](const char* when) {
+    int served = 0;
+    for (int i = 0; i < kRequests; ++i) {
+      Conn conn;
+      conn.Connect(router.ip(), 8221, 500);
+      conn.Send(Post("/book/now", "book-" + std::to_string(sent++), 1000));
+      served += ReadMessage(&conn, 3000, true).Status() == 200 ? 1 : 0;
+    }
+    REC("%s: %d of %d served", when, served, kRequests);
+    return served;
+  };
+  for (int i = 0; HasTrouble() && i < kReplicas; ++i) {
+    store.Delete("servers", "i-" + std::to_string(i));
+    SleepMs(1500);
+    register_one(i, "app");
+    SleepMs(1500);
+  }
+  const Store::Backup copy = store.Save();
+  SleepMs(3000);
+  const int before = ask("before the drill");
+  store.is_busy = true;
+  SleepMs(500);
+  store.Restore(copy);
+  store.is_busy = false;
+  for (int i = 0; i < kReplicas; ++i) {
+    register_one(i, "app");
+  }
+  SleepMs(3000);
+  ask("3 s after the drill");
+  register_one(kReplicas, "other");
+  SleepMs(12000);
+  const int after = ask("12 s after a registration for another service");
+  router.Kill();
+  if (before < kRequests) {
+    CannotRun("the router does not serve");
+  }
+  Finish(4 * after < before ? 1 : 0);
+}
+
 }  // namespace
 }  // namespace lab
 
@@ -774,6 +848,7 @@
       {"resumed_length", &lab::ResumedLength},
       {"forgotten_order", &lab::ForgottenOrder},
       {"long_extension", &lab::LongExtension},
+      {"marked_replicas", &lab::MarkedReplicas},
   };
   const auto found = cases.find(argv[1]);
   if (found == cases.end()) {
