--- a/review/standins-3/cases.cpp
+++ b/review/standins-3/cases.cpp
@@ -265,7 +265,7 @@
 // A replica announces the length of a stream, and breaks off in the middle of
 // it. Another one goes on, and its text is a little longer.
 [[noreturn]] void ResumedLength(const Lab& lab) {
-  constexpr int kRequests = 40;
+  constexpr int kRequests = 100;
   constexpr int kEvents = 10;
   std::mutex mutex;
   std::map<std::string, int> arrivals;
@@ -565,7 +565,6 @@
   }
   rollout.Stop("v2");
   rollout.Remove("v2");
-  SleepMs(500);
   const Crowd::Count before = crowd.Take("before");
   const bool has_kill = HasTrouble() && Trouble() != "store";
   const bool has_drill = HasTrouble() && Trouble() != "kill";
@@ -629,8 +628,8 @@
 [[noreturn]] void LongExtension(const Lab& lab) {
   constexpr int kRouters = 2;
   constexpr int kRounds = 3;
-  // For each router; the site has 80 clients.
-  constexpr int kUploads = 36;
+  // For each router: a zone with 29 clients, 2 machines and a burst of 2.2.
+  constexpr int kUploads = 30;
   // Below `max_body_bytes`.
   constexpr size_t kBytes = 4'000'000;
   // Each client sends 64 kB every 20 ms, as on a link of 25 Mbit/s.
